--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# Entry points for people and for CI. VENV may name an existing environment.
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+PACKAGES := daisypick_core daisypick_node daisypick_cli daisypick_standins daisypick_lab
+export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+
+.PHONY: install format format-check lint test demo bench capacity docs ci
+
+$(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -c constraints.txt -r requirements-dev.txt
+	$(PYTHON) -m pip install -q --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	touch $@
+
+install: $(VENV)/.installed
+
+format: install
+	$(VENV)/bin/ruff format packages tools
+	$(VENV)/bin/ruff check -q --fix packages tools
+
+format-check: install
+	$(VENV)/bin/ruff format --check packages tools
+
+lint: install
+	$(VENV)/bin/ruff check packages tools
+	$(PYTHON) tools/check_imports.py packages tools
+
+test: install
+	$(PYTHON) -m pytest
+
+demo: install
+	$(PYTHON) -m daisypick_cli demo
+
+bench: install
+	$(PYTHON) -m daisypick_lab.bench
+
+capacity: install
+	$(PYTHON) -m daisypick_lab.capacity
+
+ci: format-check lint test
--- /dev/null
+++ b/packages/daisypick_cli/src/daisypick_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At most once for requests that may not be repeated."""
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
@@ -0,0 +1,4 @@
+"""The operators' configuration as immutable values.
+
+* ``model``: organisations, services, backend servers and data centres.
+"""
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/configuration/model.py
@@ -0,0 +1,121 @@
+"""Organisations, services, backend servers and data centres.
+
+A configuration is one immutable value with a generation. Generations only
+rise: the one in force at a node is never replaced by a lower one.
+
+Examples:
+    >>> EMPTY.generation, len(EMPTY.organisations_by_name)
+    (0, 0)
+"""
+
+from collections.abc import Mapping
+import types
+import typing
+
+MODEL = "model"
+PLAIN = "plain"
+
+
+class Organisation(typing.NamedTuple):
+    """An organisation that shares the capacity.
+
+    Attributes:
+        name: Unique name.
+        share: Share of capacity, relative to the others, above 0.
+        key_hashes: SHA-256 (hex) of each API key of the organisation.
+        max_queued: Requests that may wait at one router.
+        max_open: Requests that may be open at one router.
+    """
+
+    name: str
+    share: float = 1.0
+    key_hashes: tuple[str, ...] = ()
+    max_queued: int = 512
+    max_open: int = 1024
+
+
+class Call(typing.NamedTuple):
+    """Calls of a plain service, by method and prefix of the path."""
+
+    method: str
+    path: str
+
+
+class Service(typing.NamedTuple):
+    """A service that the organisations reach.
+
+    Attributes:
+        name: Unique name; callers name it as ``model`` or in the path.
+        kind: ``MODEL`` or ``PLAIN``.
+        model: Name of the model that the engines load.
+        version: Version of the model.
+        adapters: Adapters that the engines load.
+        not_repeatable: Calls that may run at most once.
+        checks_fencing: Whether the engines refuse orders with an old
+            fencing number.
+    """
+
+    name: str
+    kind: str = MODEL
+    model: str = ""
+    version: str = ""
+    adapters: tuple[str, ...] = ()
+    not_repeatable: tuple[Call, ...] = ()
+    checks_fencing: bool = False
+
+
+class BackendServer(typing.NamedTuple):
+    """A backend server and the agent that is its gate.
+
+    Attributes:
+        name: Unique name.
+        service: Name of the service that it serves.
+        data_centre: Name of its data centre.
+        address: ``host:port`` of the server itself.
+        agent: ``host:port`` of its agent.
+        slots: Requests that it bears at once when warm.
+        cold_slots: Requests that it bears at once in its cold start.
+    """
+
+    name: str
+    service: str
+    data_centre: str
+    address: str
+    agent: str
+    slots: int = 8
+    cold_slots: int = 1
+
+
+class DataCentre(typing.NamedTuple):
+    """A data centre; operators take it out and bring it back in."""
+
+    name: str
+    region: str = ""
+    is_in: bool = True
+
+
+class Configuration(typing.NamedTuple):
+    """All that the operators decide.
+
+    Attributes:
+        generation: Rises by one with each accepted change, 0 for none.
+        organisations_by_name: The organisations.
+        services_by_name: The services.
+        backend_servers_by_name: The backend servers.
+        data_centres_by_name: The data centres.
+    """
+
+    generation: int
+    organisations_by_name: Mapping[str, Organisation]
+    services_by_name: Mapping[str, Service]
+    backend_servers_by_name: Mapping[str, BackendServer]
+    data_centres_by_name: Mapping[str, DataCentre]
+
+
+EMPTY = Configuration(
+    generation=0,
+    organisations_by_name=types.MappingProxyType({}),
+    services_by_name=types.MappingProxyType({}),
+    backend_servers_by_name=types.MappingProxyType({}),
+    data_centres_by_name=types.MappingProxyType({}),
+)
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/fairness/__init__.py
@@ -0,0 +1,4 @@
+"""Who is served next.
+
+* ``share_order``: the order in which a gate gives free slots.
+"""
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/gate/actions.py
@@ -0,0 +1,39 @@
+"""What the gate asks its driver to do.
+
+The driver carries actions out in order. It reports what came of them with
+the matching event: ``Start`` by ``progress`` and ``finish``, ``Claim`` by
+``claim_settled``.
+"""
+
+import typing
+
+from daisypick_core.messages import attempt as attempt_message
+from daisypick_core.results import failure as failure_value
+
+
+class Start(typing.NamedTuple):
+    """Send the attempt to the backend server now."""
+
+    attempt: attempt_message.Attempt
+
+
+class Claim(typing.NamedTuple):
+    """Claim the attempt's idempotency key in the store, then report."""
+
+    attempt: attempt_message.Attempt
+
+
+class Refuse(typing.NamedTuple):
+    """Answer the attempt with a failure; it never starts."""
+
+    attempt: attempt_message.Attempt
+    failure: failure_value.Failure
+
+
+class Cancel(typing.NamedTuple):
+    """Stop a running attempt at the backend server."""
+
+    attempt: attempt_message.Attempt
+
+
+Action = Start | Claim | Refuse | Cancel
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which processes of the fleet are believed to be alive."""
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/messages/attempt.py
@@ -0,0 +1,120 @@
+"""One try of a request at one agent.
+
+A request may need several attempts, one after the other: each is addressed
+to one incarnation of one agent, so that a restarted agent can refuse what
+was meant for its predecessor.
+"""
+
+import typing
+
+
+class Attempt(typing.NamedTuple):
+    """One try of a request at one agent.
+
+    Attributes:
+        attempt_id: Unique id of the attempt.
+        request_id: Id of the request, the same for all its attempts.
+        organisation: Name of the organisation that pays.
+        service: Name of the service.
+        estimate: Expected cost, tokens.
+        deadline: Time by which it must have started, seconds on the clock
+            of the process that holds the value.
+        incarnation: Incarnation of the agent that it is addressed to.
+        epoch: Epoch of that incarnation, as last heard by the router.
+        router: Address of the router, ``host:port``.
+        is_repeatable: Whether a second run does no harm.
+        idempotency_key: The caller's key, if any.
+        fingerprint: Hash of method, path and body, to tell reuse of a key.
+        prefix: Hash of the prompt's prefix for affinity, ``""`` if none.
+    """
+
+    attempt_id: str
+    request_id: str
+    organisation: str
+    service: str
+    estimate: float
+    deadline: float
+    incarnation: str
+    epoch: int
+    router: str
+    is_repeatable: bool = True
+    idempotency_key: str | None = None
+    fingerprint: str = ""
+    prefix: str = ""
+
+
+class Envelope(typing.TypedDict):
+    """An attempt on the wire, in the header ``Daisypick-Envelope``.
+
+    ``deadline_in`` is relative (seconds), since clocks are not shared;
+    the other fields are those of ``Attempt``. ``method``, ``path`` and
+    ``headers`` are what the backend server shall see.
+    """
+
+    attempt_id: str
+    request_id: str
+    organisation: str
+    service: str
+    estimate: float
+    deadline_in: float
+    incarnation: str
+    epoch: int
+    router: str
+    is_repeatable: bool
+    idempotency_key: str | None
+    fingerprint: str
+    prefix: str
+    generation: int
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+
+
+def from_envelope(envelope: Envelope, now: float) -> Attempt:
+    """Return the attempt of an envelope that arrived at ``now``."""
+    return Attempt(
+        attempt_id=envelope["attempt_id"],
+        request_id=envelope["request_id"],
+        organisation=envelope["organisation"],
+        service=envelope["service"],
+        estimate=envelope["estimate"],
+        deadline=now + envelope["deadline_in"],
+        incarnation=envelope["incarnation"],
+        epoch=envelope["epoch"],
+        router=envelope["router"],
+        is_repeatable=envelope["is_repeatable"],
+        idempotency_key=envelope["idempotency_key"],
+        fingerprint=envelope["fingerprint"],
+        prefix=envelope["prefix"],
+    )
+
+
+def to_envelope(
+    attempt: Attempt,
+    now: float,
+    *,
+    generation: int,
+    method: str,
+    path: str,
+    headers: list[tuple[str, str]],
+) -> Envelope:
+    """Return the envelope of an attempt that is sent at ``now``."""
+    return Envelope(
+        attempt_id=attempt.attempt_id,
+        request_id=attempt.request_id,
+        organisation=attempt.organisation,
+        service=attempt.service,
+        estimate=attempt.estimate,
+        deadline_in=attempt.deadline - now,
+        incarnation=attempt.incarnation,
+        epoch=attempt.epoch,
+        router=attempt.router,
+        is_repeatable=attempt.is_repeatable,
+        idempotency_key=attempt.idempotency_key,
+        fingerprint=attempt.fingerprint,
+        prefix=attempt.prefix,
+        generation=generation,
+        method=method,
+        path=path,
+        headers=headers,
+    )
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -0,0 +1,110 @@
+"""The registry of numbered result codes.
+
+A code is a stable number that callers, operators and dashboards can rely on;
+its title and HTTP status may be reworded. ``docs/RESULT_CODES.md`` is the
+table of this registry and CI compares the two. The thousands group codes by
+who can act on them:
+
+* 1xxx the caller's request, 2xxx capacity, 3xxx the gate of a backend server,
+* 4xxx at most once, 5xxx backend servers, 6xxx configuration,
+* 7xxx the platform, 8xxx processes of the fleet among themselves.
+
+Examples:
+    >>> UNAUTHENTICATED.number, UNAUTHENTICATED.status
+    (1001, 401)
+    >>> by_number[2001].title
+    'Queue of the organisation is full'
+"""
+
+import typing
+
+RAN_NO = "no"
+RAN_UNKNOWN = "unknown"
+
+
+class Code(typing.NamedTuple):
+    """A numbered result.
+
+    Attributes:
+        number: Stable number, unique in the registry.
+        title: One short sentence for people.
+        status: HTTP status towards callers.
+        ran: ``"no"`` if the request surely did not run and never will,
+            ``"unknown"`` if it may have run.
+    """
+
+    number: int
+    title: str
+    status: int
+    ran: str
+
+
+by_number: dict[int, Code] = {}
+
+
+def define(number: int, title: str, status: int, ran: str = RAN_NO) -> Code:
+    """Register a code.
+
+    Raises:
+        ValueError: ``number`` is taken, or ``ran`` is no known word.
+    """
+    if number in by_number:
+        raise ValueError(f"number: {number} is taken")
+    if ran not in (RAN_NO, RAN_UNKNOWN):
+        raise ValueError(f"ran: {ran!r} is neither 'no' nor 'unknown'")
+    code = Code(number=number, title=title, status=status, ran=ran)
+    by_number[number] = code
+    return code
+
+
+UNAUTHENTICATED = define(1001, "No organisation has this key", 401)
+UNKNOWN_SERVICE = define(1002, "No such service", 404)
+BAD_REQUEST = define(1003, "Request is malformed", 400)
+BODY_TOO_LARGE = define(1004, "Request body is too large", 413)
+HEADERS_TOO_LARGE = define(1005, "Request headers are too large", 431)
+SLOW_SENDER = define(1006, "Request body came too slowly", 408)
+TOO_MANY_CONNECTIONS = define(1007, "Too many open requests", 429)
+CALLER_GONE = define(1008, "Caller closed the connection", 499)
+
+ORGANISATION_QUEUE_FULL = define(2001, "Queue of the organisation is full", 429)
+ROUTER_FULL = define(2002, "Queue of the router is full", 503)
+DEADLINE_PASSED = define(2003, "Deadline passed before a start", 504)
+NO_BACKEND_SERVER = define(2004, "No backend server takes work", 503)
+RETRIES_SPENT = define(2005, "Retry budget is spent", 503)
+AGENT_QUEUE_FULL = define(2006, "Queue of the agent is full", 503)
+
+DRAINING = define(3001, "Process is draining", 503)
+STALE_INCARNATION = define(3002, "Attempt is for an earlier incarnation", 503)
+WITHDRAWN = define(3003, "Attempt was withdrawn before it started", 503)
+NOT_CONFIGURED = define(3004, "Process has no configuration yet", 503)
+
+KEY_IN_PROGRESS = define(
+    4001, "Idempotency key is in progress", 409, RAN_UNKNOWN
+)
+OUTCOME_UNKNOWN = define(4002, "Outcome is unknown", 502, RAN_UNKNOWN)
+STORE_UNAVAILABLE = define(4003, "Claim store is unavailable", 503)
+KEY_REUSED = define(4004, "Idempotency key was used for another request", 422)
+
+ENGINE_FAILED = define(5001, "Backend server failed", 502, RAN_UNKNOWN)
+ANSWER_BROKEN = define(5002, "Answer broke off", 502, RAN_UNKNOWN)
+ENGINE_UNREACHABLE = define(5003, "Backend server is unreachable", 503)
+
+UNKNOWN_SETTING = define(6001, "Unknown key in configuration", 400)
+BAD_VALUE = define(6002, "Bad value in configuration", 400)
+DANGLING_NAME = define(6003, "Name in configuration is not defined", 400)
+CONFIGURATION_CONFLICT = define(
+    6004, "Configuration was changed by others", 409
+)
+BAD_FILE = define(6005, "Configuration file is unreadable", 400)
+
+PLATFORM_UNAVAILABLE = define(7001, "Platform is unavailable", 503)
+PLATFORM_ANSWER_LOST = define(
+    7002, "Platform's answer was lost", 503, RAN_UNKNOWN
+)
+PLATFORM_CONFLICT = define(7003, "Object was changed by others", 412)
+PLATFORM_BUDGET_SPENT = define(7004, "Budget of platform calls is spent", 503)
+NOT_FOUND = define(7005, "Object does not exist", 404)
+
+NOT_A_PEER = define(8001, "Key of the fleet is missing or wrong", 401)
+PEER_UNREACHABLE = define(8002, "Process is unreachable", 503)
+BAD_MESSAGE = define(8003, "Message is malformed", 400)
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Embedded fleet, load, demo and measurements."""
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: router, agent, and what they share."""
--- /dev/null
+++ b/packages/daisypick_standins/src/daisypick_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and of backend servers."""
