--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/logs.py
@@ -0,0 +1,34 @@
+"""Structured logs by ``eliot``: short sentences, a fixed prefix a part.
+
+Keys and callers' texts are never passed to a log; a request is named by its
+id, an organisation by its name.
+"""
+
+import sys
+import typing
+
+import eliot
+
+
+class PartLog:
+    """The log of one part of a process.
+
+    Attributes:
+        prefix: Fixed prefix, e.g. ``"router.relay"``.
+    """
+
+    def __init__(self, prefix: str) -> None:
+        self.prefix = prefix
+
+    def say(self, sentence: str, **fields: typing.Any) -> None:
+        """Write a sentence and its fields."""
+        eliot.log_message(
+            message_type=self.prefix,
+            sentence=f"{self.prefix}: {sentence}",
+            **fields,
+        )
+
+
+def write_to_stdout() -> None:
+    """Send the logs of this process to standard output, a line each."""
+    eliot.to_file(sys.stdout)
