--- a/packages/daisypick_core/src/daisypick_core/gate/concurrency.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/concurrency.py
@@ -26,6 +26,20 @@
         """Whether the limit is still below the configured slots."""
         return self._limit < self._slots
 
+    def set_slots(self, *, slots: int, cold_slots: int) -> None:
+        """Take the slots of a new configuration.
+
+        Raises:
+            ValueError: ``cold_slots`` is not in 1..``slots``.
+        """
+        if not 1 <= cold_slots <= slots:
+            raise ValueError(f"cold_slots: {cold_slots} is not in 1..{slots}")
+        was_warm = not self.is_cold and self._slots > self._cold_slots
+        self._slots = slots
+        self._cold_slots = cold_slots
+        self._limit = slots if was_warm else max(self._limit, cold_slots)
+        self._limit = min(self._limit, slots)
+
     def boot_seen(self, boot_id: str) -> None:
         """Note the boot id in an answer; a new one means a cold server."""
         if boot_id == self._boot_id:
--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -64,7 +64,7 @@
 HEADERS_TOO_LARGE = define(1005, "Request headers are too large", 431)
 SLOW_SENDER = define(1006, "Request body came too slowly", 408)
 TOO_MANY_CONNECTIONS = define(1007, "Too many open requests", 429)
-CALLER_GONE = define(1008, "Caller closed the connection", 499)
+CALLER_GONE = define(1008, "Caller closed the connection", 499, RAN_UNKNOWN)
 
 ORGANISATION_QUEUE_FULL = define(2001, "Queue of the organisation is full", 429)
 ROUTER_FULL = define(2002, "Queue of the router is full", 503)
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/agent/__init__.py
@@ -0,0 +1,9 @@
+"""The agent: the gate of one backend server, as a process.
+
+* ``process``: the process, composed of the parts below.
+* ``driver``: carries out what the core gate decides.
+* ``answers``: answers being made and kept, by attempt.
+* ``runner``: one attempt's call to the backend server.
+* ``usage``: tokens counted in an answer as it streams.
+* ``attempt_routes``: what routers ask of the agent.
+"""
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/agent/answers.py
@@ -0,0 +1,243 @@
+"""Answers being made and kept, by attempt.
+
+The runner appends an answer's bytes; any number of readers follow it from any
+offset. So a router whose connection broke resumes where it was, and a retry
+of a finished idempotency key gets the first answer. Finished answers are
+kept for a while and within a bound of memory, oldest dropped first.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import typing
+
+from daisypick_core.messages import frame
+from daisypick_core.results import failure as failure_value
+import gevent.event
+
+
+class Usage(typing.NamedTuple):
+    """Tokens of a finished answer."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class Head(typing.NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+
+
+class Answer:
+    """One attempt's answer, growing.
+
+    Attributes:
+        is_started: Whether the attempt has left the gate's queue.
+        head: Status and headers, once they are there.
+        data: The bytes so far.
+        usage: Tokens, once the answer is whole.
+        failure: Why there is no whole answer.
+        finished_at: Time of the end, ``None`` before.
+        reader_count: Readers that follow the answer now.
+        last_read_at: Time when the last reader left.
+    """
+
+    def __init__(self) -> None:
+        self.is_started = False
+        self.head: Head | None = None
+        self.data = bytearray()
+        self.usage: Usage | None = None
+        self.failure: failure_value.Failure | None = None
+        self.finished_at: float | None = None
+        self.reader_count = 0
+        self.last_read_at = 0.0
+        self._changed = gevent.event.Event()
+
+    @property
+    def is_over(self) -> bool:
+        """Whether nothing more will come."""
+        return self.usage is not None or self.failure is not None
+
+    def notify(self) -> None:
+        """Wake the readers."""
+        self._changed.set()
+
+    def wait(self, timeout: float) -> bool:
+        """Wait for a change; return whether there was one."""
+        has_changed = self._changed.wait(timeout)
+        self._changed.clear()
+        return has_changed
+
+    def start(self) -> None:
+        """Note that the attempt runs."""
+        self.is_started = True
+        self.notify()
+
+    def set_head(self, head: Head) -> None:
+        """Set status and headers."""
+        self.head = head
+        self.notify()
+
+    def append(self, data: bytes) -> None:
+        """Add bytes."""
+        self.data += data
+        self.notify()
+
+    def finish(self, usage: Usage, now: float) -> None:
+        """Close a whole answer."""
+        self.usage = usage
+        self.finished_at = now
+        self.notify()
+
+    def fail(self, failure: failure_value.Failure, now: float) -> None:
+        """Close an answer that is not whole."""
+        self.failure = failure
+        self.finished_at = now
+        self.notify()
+
+
+class AnswerStore:
+    """Answers by attempt id."""
+
+    def __init__(self, *, keep_seconds: float, keep_bytes: int) -> None:
+        self._keep_seconds = keep_seconds
+        self._keep_bytes = keep_bytes
+        self._answer_by_attempt: dict[str, Answer] = {}
+        self._finished_ids: collections.deque[str] = collections.deque()
+        self._kept_bytes = 0
+
+    def get(self, attempt_id: str) -> Answer | None:
+        """Return the answer of an attempt, ``None`` if it is not kept."""
+        return self._answer_by_attempt.get(attempt_id)
+
+    def get_or_make(self, attempt_id: str) -> Answer:
+        """Return the answer of an attempt, a new one if need be."""
+        return self._answer_by_attempt.setdefault(attempt_id, Answer())
+
+    def note_finished(self, attempt_id: str, now: float) -> None:
+        """Count a finished answer and drop what is over the bounds."""
+        answer = self._answer_by_attempt.get(attempt_id)
+        if answer is None:
+            return
+        self._finished_ids.append(attempt_id)
+        self._kept_bytes += len(answer.data)
+        self.forget_old(now)
+
+    def forget_old(self, now: float) -> None:
+        """Drop finished answers that are too old or too many."""
+        while self._finished_ids:
+            attempt_id = self._finished_ids[0]
+            answer = self._answer_by_attempt[attempt_id]
+            is_old = now - (answer.finished_at or now) > self._keep_seconds
+            if not is_old and self._kept_bytes <= self._keep_bytes:
+                return
+            if answer.reader_count and not is_old:
+                return
+            self._finished_ids.popleft()
+            self._kept_bytes -= len(answer.data)
+            del self._answer_by_attempt[attempt_id]
+
+    def has_readers(self) -> bool:
+        """Tell whether any answer is being read."""
+        return any(
+            answer.reader_count for answer in self._answer_by_attempt.values()
+        )
+
+    def abandoned_ids(self, now: float, grace: float) -> list[str]:
+        """Return attempts that nobody has read for ``grace`` seconds."""
+        return [
+            attempt_id
+            for attempt_id, answer in self._answer_by_attempt.items()
+            if not answer.is_over
+            and not answer.reader_count
+            and now - answer.last_read_at > grace
+        ]
+
+
+class Follower:
+    """One reader's way through an answer, from an offset to its end.
+
+    ``describe`` gives the agent's load, which rides on the first, the
+    ``STARTED`` and the last frame. A ``BEAT`` goes out after each
+    ``beat_seconds`` of silence, so that a router can tell a slow answer from
+    a dead connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        answer: Answer,
+        offset: int,
+        beat_seconds: float,
+        describe: Callable[[], frame.Detail],
+    ) -> None:
+        self._answer = answer
+        self._offset = offset
+        self._beat_seconds = beat_seconds
+        self._describe = describe
+        self._has_started = False
+        self._has_head = False
+
+    def frames(self) -> Iterator[list[frame.Frame]]:
+        """Yield the frames that are ready together, to the last one."""
+        ready = [frame.Frame(kind=frame.QUEUED, detail=self._describe())]
+        while True:
+            ready += self._ready_frames()
+            if ready:
+                yield ready
+            if ready and ready[-1].kind in (frame.END, frame.REFUSED):
+                return
+            ready = []
+            if self._is_behind():
+                continue
+            if not self._answer.wait(self._beat_seconds):
+                ready = [frame.Frame(kind=frame.BEAT)]
+
+    def _is_behind(self) -> bool:
+        """Tell whether more came while the last frames were sent."""
+        answer = self._answer
+        has_data = answer.head is not None and len(answer.data) > self._offset
+        return has_data or answer.is_over
+
+    def _ready_frames(self) -> list[frame.Frame]:
+        answer = self._answer
+        ready: list[frame.Frame] = []
+        if answer.is_started and not self._has_started:
+            self._has_started = True
+            ready.append(
+                frame.Frame(kind=frame.STARTED, detail=self._describe())
+            )
+        if answer.head is not None and not self._has_head:
+            self._has_head = True
+            ready.append(_head_frame(answer.head))
+        if self._has_head and len(answer.data) > self._offset:
+            data = bytes(answer.data[self._offset :])
+            ready.append(
+                frame.Frame(kind=frame.DATA, offset=self._offset, data=data)
+            )
+            self._offset += len(data)
+        if answer.is_over:
+            ready.append(_last_frame(answer, self._describe()))
+        return ready
+
+
+def _head_frame(head: Head) -> frame.Frame:
+    detail = frame.Detail(status=head.status, headers=head.headers)
+    return frame.Frame(kind=frame.HEAD, detail=detail)
+
+
+def _last_frame(answer: Answer, detail: frame.Detail) -> frame.Frame:
+    if answer.usage is not None:
+        detail["prompt_tokens"] = answer.usage.prompt_tokens
+        detail["completion_tokens"] = answer.usage.completion_tokens
+        detail["size"] = len(answer.data)
+        return frame.Frame(
+            kind=frame.END, offset=len(answer.data), detail=detail
+        )
+    assert answer.failure is not None
+    detail["code"] = answer.failure.code.number
+    detail["reason"] = answer.failure.reason
+    detail["retry_after"] = answer.failure.retry_after
+    return frame.Frame(kind=frame.REFUSED, detail=detail)
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/agent/attempt_routes.py
@@ -0,0 +1,161 @@
+"""What routers ask of the agent about attempts.
+
+* ``POST /internal/attempts``: run this; the answer streams as frames.
+* ``GET /internal/attempts/ID?from=N``: go on with that answer from byte N.
+* ``POST /internal/withdraw``: bar this unless it has started.
+* ``POST /internal/cancel``: nobody waits for this any more.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import typing
+import urllib.parse
+
+from daisypick_core.messages import attempt as attempt_message
+from daisypick_core.messages import frame
+from daisypick_core.messages import load as load_message
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import msgspec
+
+from daisypick_node.agent import answers
+from daisypick_node.agent import driver as driver_module
+from daisypick_node.agent import runner
+from daisypick_node.http import routes
+
+ENVELOPE = "daisypick-envelope"
+ATTEMPTS = "/internal/attempts"
+WITHDRAW = "/internal/withdraw"
+CANCEL = "/internal/cancel"
+BEAT_SECONDS = 1.0
+
+
+class Naming(typing.TypedDict):
+    """Names an attempt."""
+
+    attempt_id: str
+
+
+class Status(typing.TypedDict):
+    """What became of an attempt."""
+
+    state: str
+    ran: bool
+    load: load_message.Load
+
+
+class AttemptRoutes:
+    """Handlers of the agent's attempt routes."""
+
+    def __init__(
+        self,
+        *,
+        driver: driver_module.GateDriver,
+        clock: Callable[[], float],
+        note_contact: Callable[[str, int], None],
+    ) -> None:
+        self._driver = driver
+        self._clock = clock
+        self._note_contact = note_contact
+
+    def routes(self) -> routes.Routes:
+        """Return the table of handlers."""
+        return {
+            routes.Route("POST", ATTEMPTS): self._offer,
+            routes.Route("GET", ATTEMPTS + "/"): self._resume,
+            routes.Route("POST", WITHDRAW): self._withdraw,
+            routes.Route("POST", CANCEL): self._cancel,
+        }
+
+    def _offer(self, call: routes.Call) -> routes.Reply:
+        try:
+            envelope = msgspec.json.decode(
+                call.headers.get(ENVELOPE, ""), type=attempt_message.Envelope
+            )
+        except msgspec.MsgspecError as error:
+            return _bad_message(f"{ENVELOPE}: {error}")
+        body = call.read_body()
+        if failure_value.is_failure(body):
+            return routes.reply_failure(body)
+        self._note_contact(envelope["router"], envelope["generation"])
+        work = runner.Work(
+            attempt=attempt_message.from_envelope(envelope, self._clock()),
+            method=envelope["method"],
+            path=envelope["path"],
+            headers=[tuple(header) for header in envelope["headers"]],
+            body=body,
+        )
+        return self._stream(self._driver.offer(work), 0)
+
+    def _resume(self, call: routes.Call) -> routes.Reply:
+        attempt_id = urllib.parse.unquote(call.path[len(ATTEMPTS) + 1 :])
+        query = urllib.parse.parse_qs(call.query)
+        answer = self._driver.answers.get(attempt_id)
+        if answer is None:
+            return routes.reply_failure(
+                failure_value.Failure(
+                    code=codes.NOT_FOUND,
+                    reason=f"attempt_id: {attempt_id} has no answer here",
+                )
+            )
+        return self._stream(answer, int(query.get("from", ["0"])[0]))
+
+    def _stream(self, answer: answers.Answer, offset: int) -> routes.Reply:
+        return routes.Reply(
+            status=200,
+            headers=[("Content-Type", routes.FRAMES)],
+            body=self._follow(answer, offset),
+        )
+
+    def _follow(self, answer: answers.Answer, offset: int) -> Iterator[bytes]:
+        answer.reader_count += 1
+        try:
+            follower = answers.Follower(
+                answer=answer,
+                offset=offset,
+                beat_seconds=BEAT_SECONDS,
+                describe=self._driver.detail,
+            )
+            for ready in follower.frames():
+                yield b"".join(map(frame.encode, ready))
+        finally:
+            answer.reader_count -= 1
+            answer.last_read_at = self._clock()
+
+    def _withdraw(self, call: routes.Call) -> routes.Reply:
+        attempt_id = _read_attempt_id(call)
+        if failure_value.is_failure(attempt_id):
+            return routes.reply_failure(attempt_id)
+        status = self._driver.withdraw(attempt_id)
+        return routes.reply_json(
+            Status(
+                state=status.state,
+                ran=status.ran,
+                load=self._driver.gate.load(),
+            )
+        )
+
+    def _cancel(self, call: routes.Call) -> routes.Reply:
+        attempt_id = _read_attempt_id(call)
+        if failure_value.is_failure(attempt_id):
+            return routes.reply_failure(attempt_id)
+        self._driver.cancel(attempt_id)
+        return routes.reply_json({"load": self._driver.gate.load()})
+
+
+def _read_attempt_id(call: routes.Call) -> str | failure_value.Failure:
+    body = call.read_body()
+    if failure_value.is_failure(body):
+        return body
+    try:
+        return msgspec.json.decode(body, type=Naming)["attempt_id"]
+    except msgspec.MsgspecError as error:
+        return failure_value.Failure(
+            code=codes.BAD_MESSAGE, reason=f"body: {error}"
+        )
+
+
+def _bad_message(reason: str) -> routes.Reply:
+    return routes.reply_failure(
+        failure_value.Failure(code=codes.BAD_MESSAGE, reason=reason)
+    )
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/agent/driver.py
@@ -0,0 +1,231 @@
+"""Carries out what the core gate decides.
+
+Actions are handled by registered handlers, one a type; what comes of them
+goes back to the gate as events.
+"""
+
+from collections.abc import Callable
+import functools
+import typing
+
+from daisypick_core.gate import actions
+from daisypick_core.gate import attempts
+from daisypick_core.gate import gate as core_gate
+from daisypick_core.messages import frame
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import gevent
+
+from daisypick_node import logs
+from daisypick_node import records
+from daisypick_node.agent import answers
+from daisypick_node.agent import claimant as claimant_module
+from daisypick_node.agent import runner as runner_module
+
+_log = logs.PartLog("agent.driver")
+ABANDON_SECONDS = 10.0
+
+
+class GateDriver:
+    """Drives one gate.
+
+    Attributes:
+        gate: The core's gate.
+        answers: Answers by attempt.
+        server: ``host:port`` of the backend server.
+    """
+
+    def __init__(
+        self,
+        *,
+        gate: core_gate.Gate,
+        store: answers.AnswerStore,
+        runner: runner_module.Runner,
+        claimant: claimant_module.Claimant,
+        server: str,
+        clock: Callable[[], float],
+        record: records.RequestRecord,
+    ) -> None:
+        self.gate = gate
+        self.answers = store
+        self.server = server
+        self._runner = runner
+        self._claimant = claimant
+        self._clock = clock
+        self._record = record
+        self._work_by_attempt: dict[str, runner_module.Work] = {}
+        self._greenlet_by_attempt: dict[str, gevent.Greenlet] = {}
+
+    def detail(self) -> frame.Detail:
+        """Return the load that rides on answers."""
+        return frame.Detail(load=self.gate.load())
+
+    def offer(self, work: runner_module.Work) -> answers.Answer:
+        """Take in an attempt and return its answer, which may be growing."""
+        attempt_id = work.attempt.attempt_id
+        now = self._clock()
+        is_new = self.gate.attempts.state(attempt_id) is None
+        answer = self.answers.get_or_make(attempt_id)
+        if is_new:
+            answer.last_read_at = now
+            self._work_by_attempt[attempt_id] = work
+            self._note(work.attempt.request_id, "offered", attempt_id)
+        self.perform(self.gate.offer(work.attempt, now))
+        return answer
+
+    def withdraw(self, attempt_id: str) -> attempts.AttemptStatus:
+        """Take an attempt back unless it has started."""
+        status, due = self.gate.withdraw(attempt_id, self._clock())
+        self.perform(due)
+        return status
+
+    def cancel(self, attempt_id: str) -> None:
+        """Stop an attempt that nobody waits for."""
+        self.perform(self.gate.cancel(attempt_id, self._clock()))
+
+    def drain(self, reason: str) -> None:
+        """Start nothing new."""
+        self.perform(self.gate.drain(reason, self._clock()))
+
+    def undrain(self, reason: str) -> None:
+        """Take a reason for draining back."""
+        self.perform(self.gate.undrain(reason, self._clock()))
+
+    def tick(self) -> None:
+        """Let time pass at the gate; stop what nobody follows."""
+        now = self._clock()
+        self.perform(self.gate.tick(now))
+        self.answers.forget_old(now)
+        for attempt_id in self.answers.abandoned_ids(now, ABANDON_SECONDS):
+            # The router is gone and has not come back to its stream: without
+            # this, its requests would hold slots to their end for nobody.
+            self.cancel(attempt_id)
+
+    def note_progress(self, attempt_id: str, tokens: int) -> None:
+        """Tell the gate of tokens that stream."""
+        self.gate.progress(attempt_id, tokens, self._clock())
+
+    def perform(self, due: typing.Iterable[actions.Action]) -> None:
+        """Carry actions out in order."""
+        for action in due:
+            _perform(action, self)
+
+    def start(self, attempt_id: str) -> None:
+        """Send an attempt to the backend server."""
+        work = self._work_by_attempt.pop(attempt_id)
+        answer = self.answers.get_or_make(attempt_id)
+        answer.start()
+        self._note(work.attempt.request_id, "started", attempt_id)
+        greenlet = gevent.spawn(self._run, work, answer)
+        self._greenlet_by_attempt[attempt_id] = greenlet
+
+    def refuse(self, attempt_id: str, failure: failure_value.Failure) -> None:
+        """Close an attempt's answer with a failure."""
+        work = self._work_by_attempt.pop(attempt_id, None)
+        answer = self.answers.get_or_make(attempt_id)
+        if answer.is_over:
+            return
+        answer.fail(failure, self._clock())
+        self.answers.note_finished(attempt_id, self._clock())
+        if work is not None:
+            request_id = work.attempt.request_id
+            self._note(request_id, f"refused: {failure.reason}", attempt_id)
+
+    def claim(self, action: actions.Claim) -> None:
+        """Claim an attempt's key, then tell the gate."""
+        gevent.spawn(self._claim, action)
+
+    def stop(self, attempt_id: str) -> None:
+        """End a running attempt's call."""
+        greenlet = self._greenlet_by_attempt.get(attempt_id)
+        if greenlet is not None:
+            greenlet.kill(block=False)
+
+    def _claim(self, action: actions.Claim) -> None:
+        refusal = self._claimant.claim(action.attempt)
+        self.perform(
+            self.gate.claim_settled(
+                action.attempt.attempt_id, refusal, self._clock()
+            )
+        )
+
+    def _run(self, work: runner_module.Work, answer: answers.Answer) -> None:
+        attempt_id = work.attempt.attempt_id
+        outcome = _CANCELLED
+        try:
+            outcome = self._runner.run(work, self.server, answer)
+        except gevent.GreenletExit:
+            answer.fail(_cancelled_failure(), self._clock())
+        finally:
+            self._greenlet_by_attempt.pop(attempt_id, None)
+            self._end(work, answer, outcome)
+
+    def _end(
+        self,
+        work: runner_module.Work,
+        answer: answers.Answer,
+        outcome: runner_module.Outcome,
+    ) -> None:
+        now = self._clock()
+        if not answer.is_over:
+            answer.fail(_fault_failure(), now)
+        attempt_id = work.attempt.attempt_id
+        self.answers.note_finished(attempt_id, now)
+        self._note(work.attempt.request_id, "ended", attempt_id)
+        if outcome.boot_id:
+            self.gate.limit.boot_seen(outcome.boot_id)
+        self.perform(
+            self.gate.finish(
+                attempt_id,
+                cost=outcome.cost,
+                is_healthy=outcome.is_healthy,
+                now=now,
+            )
+        )
+
+    def _note(self, request_id: str, event: str, attempt_id: str) -> None:
+        self._record.note(
+            request_id, self._clock(), event, attempt_id=attempt_id
+        )
+
+
+_CANCELLED = runner_module.Outcome(
+    cost=0.0, is_healthy=True, boot_id="", first_byte_seconds=0.0
+)
+
+
+@functools.singledispatch
+def _perform(action: typing.Any, driver: GateDriver) -> None:
+    raise TypeError(f"action: {type(action).__name__} has no handler")
+
+
+@_perform.register
+def _perform_start(action: actions.Start, driver: GateDriver) -> None:
+    driver.start(action.attempt.attempt_id)
+
+
+@_perform.register
+def _perform_refuse(action: actions.Refuse, driver: GateDriver) -> None:
+    driver.refuse(action.attempt.attempt_id, action.failure)
+
+
+@_perform.register
+def _perform_claim(action: actions.Claim, driver: GateDriver) -> None:
+    driver.claim(action)
+
+
+@_perform.register
+def _perform_cancel(action: actions.Cancel, driver: GateDriver) -> None:
+    driver.stop(action.attempt.attempt_id)
+
+
+def _cancelled_failure() -> failure_value.Failure:
+    return failure_value.Failure(
+        code=codes.CALLER_GONE, reason="attempt: cancelled while it ran"
+    )
+
+
+def _fault_failure() -> failure_value.Failure:
+    return failure_value.Failure(
+        code=codes.OUTCOME_UNKNOWN, reason="agent: failed while it ran"
+    )
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -0,0 +1,158 @@
+"""The agent as a process: ``daisypickd agent``."""
+
+from collections.abc import Callable
+import time
+import typing
+import uuid
+
+from daisypick_core.configuration import model
+from daisypick_core.fairness import share_order
+from daisypick_core.gate import admission
+from daisypick_core.gate import concurrency
+from daisypick_core.gate import gate as core_gate
+
+from daisypick_node import process
+from daisypick_node import settings as settings_module
+from daisypick_node.agent import answers
+from daisypick_node.agent import attempt_routes
+from daisypick_node.agent import claimant as claimant_module
+from daisypick_node.agent import driver as driver_module
+from daisypick_node.agent import runner
+from daisypick_node.http import client
+from daisypick_node.http import routes
+from daisypick_node.platform import interface
+
+
+class AgentProcess(process.Process):
+    """The gate of one backend server."""
+
+    kind = "agent"
+    settings: settings_module.AgentSettings
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.AgentSettings,
+        platform: interface.PlatformClient,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        super().__init__(settings=settings, clock=clock)
+        self.platform = platform
+        self.order = share_order.ShareOrder(share_by_organisation={})
+        self.gate = core_gate.Gate(
+            incarnation=uuid.uuid4().hex,
+            order=self.order,
+            limit=concurrency.ConcurrencyLimit(slots=1, cold_slots=1),
+        )
+        self.gate.drain(admission.REMOVED, clock())
+        self._pool = client.ClientPool(timeout=settings.engine_timeout)
+        self.driver = self._make_driver()
+
+    def _make_driver(self) -> driver_module.GateDriver:
+        return driver_module.GateDriver(
+            gate=self.gate,
+            store=answers.AnswerStore(
+                keep_seconds=self.settings.keep_answer_seconds,
+                keep_bytes=self.settings.keep_answer_bytes,
+            ),
+            runner=runner.Runner(
+                pool=self._pool,
+                gather_seconds=self.settings.gather_seconds,
+                clock=self.clock,
+                note_progress=self._note_progress,
+            ),
+            claimant=claimant_module.ObjectClaimant(platform=self.platform),
+            server="",
+            clock=self.clock,
+            record=self.record,
+        )
+
+    def _note_progress(self, attempt_id: str, tokens: int) -> None:
+        self.driver.note_progress(attempt_id, tokens)
+
+    def routes(self) -> routes.Routes:
+        """Return the agent's table of handlers."""
+        attempts = attempt_routes.AttemptRoutes(
+            driver=self.driver,
+            clock=self.clock,
+            note_contact=self.note_contact,
+        )
+        return attempts.routes()
+
+    def note_contact(self, peer: str, generation: int) -> None:
+        """Learn that a peer has a generation."""
+
+    def on_start(self) -> None:
+        """Watch the load."""
+        self.metrics.watch(
+            "running", "Attempts that run.", lambda: self.gate.load().running
+        )
+        self.metrics.watch(
+            "waiting", "Attempts that wait.", lambda: self.gate.load().waiting
+        )
+        self.metrics.watch(
+            "limit", "Attempts that may run.", lambda: self.gate.load().limit
+        )
+
+    def on_tick(self) -> None:
+        """Let time pass at the gate."""
+        self.driver.tick()
+
+    def on_configuration(self) -> None:
+        """Take shares, slots and the state of the data centre."""
+        self.gate.generation = self.generation
+        self.order.set_shares(
+            {
+                name: organisation.share
+                for name, organisation in (
+                    self.configuration.organisations_by_name.items()
+                )
+            }
+        )
+        server = self.configuration.backend_servers_by_name.get(
+            self.settings.name
+        )
+        if server is None:
+            self.driver.drain(admission.REMOVED)
+            return
+        self._take_server(server)
+
+    def _take_server(self, server: model.BackendServer) -> None:
+        self.driver.server = server.address
+        self.gate.limit.set_slots(
+            slots=server.slots, cold_slots=server.cold_slots
+        )
+        data_centre = self.configuration.data_centres_by_name.get(
+            server.data_centre
+        )
+        if data_centre is not None and not data_centre.is_in:
+            self.driver.drain(admission.DATA_CENTRE_OUT)
+        else:
+            self.driver.undrain(admission.DATA_CENTRE_OUT)
+        self.driver.undrain(admission.REMOVED)
+
+    def on_drain(self) -> None:
+        """Give back what waits."""
+        self.driver.drain(admission.SHUTDOWN)
+
+    def is_idle(self) -> bool:
+        """Tell whether no attempt runs and no answer is being read."""
+        return (
+            self.gate.running_count == 0
+            and not self.driver.answers.has_readers()
+        )
+
+    def stop(self) -> None:
+        """Stop at once."""
+        super().stop()
+        self._pool.close()
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the gate's state for a dump."""
+        return {
+            "name": self.settings.name,
+            "incarnation": self.gate.incarnation,
+            "load": self.gate.load()._asdict(),
+            "draining": self.gate.admission.reasons,
+            "server": self.driver.server,
+        }
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/agent/runner.py
@@ -0,0 +1,201 @@
+"""One attempt's call to the backend server.
+
+The call is sent once. Its answer goes into an ``answers.Answer`` as it comes;
+tokens that arrive within ``gather_seconds`` of each other are taken up
+together, which costs one step instead of one a token.
+"""
+
+from collections.abc import Callable
+import typing
+
+from daisypick_core.messages import attempt as attempt_message
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import gevent
+
+from daisypick_node.agent import answers
+from daisypick_node.agent import usage as usage_module
+from daisypick_node.http import client
+
+BOOT_ID = "x-boot-id"
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "transfer-encoding",
+        "upgrade",
+        "trailer",
+        "te",
+    }
+)
+_STREAM_TYPE = "text/event-stream"
+_SERVER_FAULT = 500
+
+
+class Outcome(typing.NamedTuple):
+    """What came of an attempt.
+
+    Attributes:
+        cost: Tokens charged for it.
+        is_healthy: Whether the backend server did its work.
+        boot_id: Boot id of the backend server, ``""`` if it gave none.
+        first_byte_seconds: Time to the first byte of the body.
+    """
+
+    cost: float
+    is_healthy: bool
+    boot_id: str
+    first_byte_seconds: float
+
+
+class Work(typing.NamedTuple):
+    """An attempt and what the backend server shall see of it."""
+
+    attempt: attempt_message.Attempt
+    method: str
+    path: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class Runner:
+    """Runs attempts at one backend server."""
+
+    def __init__(
+        self,
+        *,
+        pool: client.ClientPool,
+        gather_seconds: float,
+        clock: Callable[[], float],
+        note_progress: Callable[[str, int], None],
+    ) -> None:
+        self._pool = pool
+        self._gather_seconds = gather_seconds
+        self._clock = clock
+        self._note_progress = note_progress
+
+    def run(self, work: Work, server: str, answer: answers.Answer) -> Outcome:
+        """Call the backend server and fill the answer."""
+        started_at = self._clock()
+        try:
+            response = self._send(work, server)
+        except client.CALL_ERRORS as error:
+            self._pool.forget(server)
+            return self._fail(answer, _call_failure(error))
+        first_byte_at = None
+        try:
+            boot_id = str(response.get(BOOT_ID, ""))
+            if _is_refusal(work.attempt, response.status_code):
+                return self._fail(answer, _engine_failure(response), boot_id)
+            meter = self._open(answer, response)
+            while data := client.read_available(response):
+                first_byte_at = first_byte_at or self._clock()
+                meter.feed(data)
+                answer.append(data)
+                self._note_progress(
+                    work.attempt.attempt_id, meter.streamed_tokens
+                )
+                gevent.sleep(self._gather_seconds)
+        except client.CALL_ERRORS as error:
+            return self._fail(answer, _broken_failure(error))
+        finally:
+            client.abandon(response)
+        if not meter.has_end_mark():
+            return self._fail(answer, _broken_failure(None))
+        return self._finish(
+            answer, meter, boot_id, (first_byte_at or started_at) - started_at
+        )
+
+    def _send(self, work: Work, server: str) -> client.Response:
+        headers = dict(work.headers)
+        headers["X-Request-Id"] = work.attempt.request_id
+        return self._pool.request(
+            server, work.method, work.path, body=work.body, headers=headers
+        )
+
+    def _open(
+        self, answer: answers.Answer, response: client.Response
+    ) -> usage_module.UsageMeter:
+        headers = [
+            (name, value)
+            for name, value in response.headers
+            if name.lower() not in _HOP_HEADERS
+        ]
+        answer.set_head(
+            answers.Head(status=response.status_code, headers=headers)
+        )
+        content_type = str(response.get("content-type", ""))
+        return usage_module.UsageMeter(
+            is_stream=content_type.startswith(_STREAM_TYPE)
+        )
+
+    def _finish(
+        self,
+        answer: answers.Answer,
+        meter: usage_module.UsageMeter,
+        boot_id: str,
+        first_byte_seconds: float,
+    ) -> Outcome:
+        usage = meter.total(bytes(answer.data))
+        assert answer.head is not None
+        is_healthy = answer.head.status < _SERVER_FAULT
+        answer.finish(usage, self._clock())
+        return Outcome(
+            cost=float(usage.prompt_tokens + usage.completion_tokens),
+            is_healthy=is_healthy,
+            boot_id=boot_id,
+            first_byte_seconds=first_byte_seconds,
+        )
+
+    def _fail(
+        self,
+        answer: answers.Answer,
+        failure: failure_value.Failure,
+        boot_id: str = "",
+    ) -> Outcome:
+        answer.fail(failure, self._clock())
+        return Outcome(
+            cost=0.0,
+            is_healthy=False,
+            boot_id=boot_id,
+            first_byte_seconds=0.0,
+        )
+
+
+def _is_refusal(attempt: attempt_message.Attempt, status: int) -> bool:
+    """Tell whether an answer is better sought at another backend server.
+
+    A server that falls over in its cold start answers 5xx; a repeatable
+    request is run elsewhere. One that may not be repeated keeps this answer,
+    since it may have run.
+    """
+    return attempt.is_repeatable and status >= _SERVER_FAULT
+
+
+def _engine_failure(response: client.Response) -> failure_value.Failure:
+    return failure_value.Failure(
+        code=codes.ENGINE_FAILED,
+        reason=f"backend server: status {response.status_code}",
+    )
+
+
+def _call_failure(error: Exception) -> failure_value.Failure:
+    """Return what a failed send means.
+
+    Only a connection that was never made proves that nothing arrived: any
+    other error may come after the backend server has run the call.
+    """
+    code = codes.OUTCOME_UNKNOWN
+    if isinstance(error, client.NotConnectedError):
+        code = codes.ENGINE_UNREACHABLE
+    return failure_value.Failure(
+        code=code, reason=f"backend server: {type(error).__name__}"
+    )
+
+
+def _broken_failure(error: Exception | None) -> failure_value.Failure:
+    detail = type(error).__name__ if error else "no end mark"
+    return failure_value.Failure(
+        code=codes.ANSWER_BROKEN, reason=f"backend server: {detail}"
+    )
--- a/packages/daisypick_node/src/daisypick_node/http/client.py
+++ b/packages/daisypick_node/src/daisypick_node/http/client.py
@@ -11,6 +11,7 @@
     ``daisypick_core.routing.dispatcher``: where retries are decided.
 """
 
+from collections.abc import Callable
 from collections.abc import Mapping
 import select
 import typing
@@ -34,6 +35,11 @@
     library_response.HTTPParseError,
 )
 
+
+class NotConnectedError(ConnectionError):
+    """There was no connection, so nothing of the call was sent."""
+
+
 Response = library_response.HTTPSocketPoolResponse
 
 
@@ -88,7 +94,8 @@
         """Send a call once and return its answer's head.
 
         Raises:
-            OSError: No connection, or no byte within ``timeout``.
+            NotConnectedError: No connection; nothing was sent.
+            OSError: The connection broke, or no byte within ``timeout``.
             HTTPParseError: The answer is cut or malformed.
         """
         client = self._client_by_address.get(address)
@@ -135,6 +142,7 @@
         pool.size = _NEVER_RESEND
         pool._create_tcp_socket = _create_socket
         pool._is_socket_alive = _is_socket_idle
+        pool._create_socket = _mark_errors(pool._create_socket)
         return client
 
 
@@ -173,6 +181,24 @@
     response.release()
 
 
+def _mark_errors(
+    connect: Callable[[], gevent.socket.socket],
+) -> Callable[[], gevent.socket.socket]:
+    """Return a connect whose errors prove that nothing was sent.
+
+    A timeout alone does not tell whether the far end has read the call; one
+    that comes while connecting does, and lets a booking be tried elsewhere.
+    """
+
+    def _connect() -> gevent.socket.socket:
+        try:
+            return connect()
+        except OSError as error:
+            raise NotConnectedError(type(error).__name__) from error
+
+    return _connect
+
+
 def _create_socket(
     family: int, socktype: int, protocol: int
 ) -> gevent.socket.socket:
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/process.py
@@ -0,0 +1,221 @@
+"""What router and agent have in common as processes.
+
+Each serves health, metrics, a dump of its state and the explanation of a
+request, keeps the configuration in force, and drains before it stops.
+"""
+
+from collections.abc import Callable
+import time
+import typing
+import urllib.parse
+
+from daisypick_core.configuration import model
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import gevent
+
+from daisypick_node import logs
+from daisypick_node import metrics as metrics_module
+from daisypick_node import records
+from daisypick_node import settings as settings_module
+from daisypick_node.http import keys as keys_module
+from daisypick_node.http import peers as peers_module
+from daisypick_node.http import routes
+from daisypick_node.http import server as server_module
+
+LIVE = "/health/live"
+READY = "/health/ready"
+DUMP = "/internal/dump"
+EXPLAIN = "/internal/explain/"
+TICK_SECONDS = 0.1
+PEER_TIMEOUT = 2.0
+
+_log = logs.PartLog("process")
+
+
+class Process:
+    """The common part of router and agent."""
+
+    kind = "process"
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.ProcessSettings,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.record = records.RequestRecord()
+        self.metrics = metrics_module.ProcessMetrics(part=self.kind)
+        self.configuration = model.EMPTY
+        self.is_draining = False
+        fleet_keys = settings_module.split_list(
+            settings.fleet_keys.get_secret_value()
+        )
+        operator_keys = settings_module.split_list(
+            settings.operator_keys.get_secret_value()
+        )
+        self.keys = keys_module.Keys(fleet=fleet_keys, operator=operator_keys)
+        self.peers = peers_module.Peers(
+            fleet_key=fleet_keys[0],
+            timeout=PEER_TIMEOUT,
+            ca_file=settings.tls_ca or None,
+        )
+        self._server: server_module.Server | None = None
+        self._greenlets: list[gevent.Greenlet] = []
+
+    @property
+    def address(self) -> str:
+        """``host:port`` that peers use."""
+        assert self._server is not None
+        return self.settings.advertise or self._server.address
+
+    def install(self, configuration: model.Configuration) -> None:
+        """Put a configuration in force unless it is not newer."""
+        if configuration.generation <= self.configuration.generation:
+            return
+        self.configuration = configuration
+        self.on_configuration()
+        _log.say("Puts a configuration in force.", generation=self.generation)
+
+    @property
+    def generation(self) -> int:
+        """Generation of the configuration in force."""
+        return self.configuration.generation
+
+    def start(self) -> None:
+        """Listen and start the background work."""
+        files = (self.settings.tls_certificate, self.settings.tls_key)
+        self._server = server_module.Server(
+            listen=self.settings.listen,
+            routes={**self._common_routes(), **self.routes()},
+            keys=self.keys,
+            limits=self.server_limits(),
+            tls_files=files if files[0] else None,
+        )
+        self._server.start()
+        self.on_start()
+        self.spawn(self._tick_forever)
+        _log.say("Listens.", part=self.kind, address=self.address)
+
+    def spawn(self, work: Callable[..., None], *arguments: object) -> None:
+        """Start a greenlet that ends with the process."""
+        self._greenlets.append(gevent.spawn(work, *arguments))
+
+    def drain(self) -> None:
+        """Take nothing new; wait for what runs, up to the timeout."""
+        self.is_draining = True
+        self.on_drain()
+        deadline = self.clock() + self.settings.drain_timeout
+        while not self.is_idle() and self.clock() < deadline:
+            gevent.sleep(TICK_SECONDS)
+
+    def stop(self) -> None:
+        """Stop at once; ``drain`` first to cut nothing."""
+        gevent.killall(self._greenlets)
+        if self._server is not None:
+            self._server.stop(timeout=0)
+        self.peers.close()
+        self.metrics.close()
+
+    def routes(self) -> routes.Routes:
+        """Return the table of this kind of process."""
+        raise NotImplementedError
+
+    def server_limits(self) -> server_module.ServerLimits:
+        """Return the bounds on connections."""
+        return server_module.ServerLimits()
+
+    def on_start(self) -> None:
+        """Start the work of this kind of process."""
+
+    def on_tick(self) -> None:
+        """Let time pass."""
+
+    def on_configuration(self) -> None:
+        """Take the configuration in force."""
+
+    def on_drain(self) -> None:
+        """Start nothing new."""
+
+    def is_idle(self) -> bool:
+        """Tell whether nothing runs or waits."""
+        raise NotImplementedError
+
+    def is_ready(self) -> bool:
+        """Tell whether the process takes work."""
+        return not self.is_draining and self.generation > 0
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the state of this kind of process for a dump."""
+        return {}
+
+    def _tick_forever(self) -> None:
+        while True:
+            gevent.sleep(TICK_SECONDS)
+            self.on_tick()
+
+    def _common_routes(self) -> dict[routes.Route, routes.Handler]:
+        return {
+            routes.Route("GET", LIVE): self._serve_live,
+            routes.Route("GET", READY): self._serve_ready,
+            routes.Route("GET", DUMP): self._serve_dump,
+            routes.Route("GET", EXPLAIN): self._serve_explain,
+            routes.Route("GET", server_module.METRICS): self._serve_metrics,
+        }
+
+    def _serve_live(self, call: routes.Call) -> routes.Reply:
+        del call
+        return routes.reply_json({"live": True})
+
+    def _serve_ready(self, call: routes.Call) -> routes.Reply:
+        del call
+        if self.is_ready():
+            return routes.reply_json({"ready": True})
+        code = codes.DRAINING if self.is_draining else codes.NOT_CONFIGURED
+        return routes.reply_failure(
+            failure_value.Failure(code=code, reason="process: not ready")
+        )
+
+    def _serve_dump(self, call: routes.Call) -> routes.Reply:
+        del call
+        return routes.reply_json(
+            {
+                "kind": self.kind,
+                "address": self.address,
+                "generation": self.generation,
+                "is_draining": self.is_draining,
+                "is_ready": self.is_ready(),
+                "settings": settings_module.describe(self.settings),
+                "control": {
+                    "messages": self.peers.traffic.messages,
+                    "bytes": self.peers.traffic.bytes,
+                },
+                **self.describe(),
+            }
+        )
+
+    def _serve_explain(self, call: routes.Call) -> routes.Reply:
+        request_id = urllib.parse.unquote(call.path[len(EXPLAIN) :])
+        events = self.record.explain(request_id)
+        if not events:
+            return routes.reply_failure(
+                failure_value.Failure(
+                    code=codes.NOT_FOUND,
+                    reason=f"request_id: {request_id} is not remembered here",
+                )
+            )
+        return routes.reply_json(
+            {
+                "request_id": request_id,
+                "address": self.address,
+                "events": [event._asdict() for event in events],
+            }
+        )
+
+    def _serve_metrics(self, call: routes.Call) -> routes.Reply:
+        del call
+        body = self.metrics.page()
+        headers = [("Content-Type", "text/plain; version=0.0.4")]
+        return routes.Reply(status=200, headers=headers, body=body)
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/router/caller_routes.py
@@ -0,0 +1,249 @@
+"""What callers ask of the router.
+
+* ``POST /v1/chat/completions``: OpenAI-compatible, streaming or whole.
+* ``GET /v1/models``: the model services.
+* ``/services/NAME/...``: plain services, any method.
+
+Refusals are ``application/problem+json`` with a numbered code.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import select
+import socket
+import typing
+import uuid
+
+from daisypick_core.configuration import model
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import gevent.socket
+import msgspec
+
+from daisypick_node.http import routes
+from daisypick_node.router import driver as driver_module
+from daisypick_node.router import exchange as exchange_module
+from daisypick_node.router import pipeline
+from daisypick_node.router import relay as relay_module
+from daisypick_node.router.filters import classify
+
+MODELS = "/v1/models"
+REQUEST_ID = "X-Request-Id"
+# How often a waiting request looks whether its caller is still there.
+CALLER_CHECK_SECONDS = 1.0
+# A whole answer up to this size is held until its end mark: until then it
+# can be run again elsewhere without the caller noticing.
+HOLD_BYTES = 1_048_576
+_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD")
+
+
+class Accounting(typing.Protocol):
+    """Where the end of a request is counted."""
+
+    def opened(self, exchange: exchange_module.Exchange) -> None:
+        """Count a request that was let in."""
+
+    def first_byte(self, exchange: exchange_module.Exchange) -> None:
+        """Note the first byte of an answer."""
+
+    def closed(
+        self,
+        exchange: exchange_module.Exchange,
+        relay: relay_module.Relay | None,
+        failure: failure_value.Failure | None,
+    ) -> None:
+        """Count the end of a request."""
+
+
+class CallerRoutes:
+    """Handlers of the callers' routes."""
+
+    def __init__(
+        self,
+        *,
+        driver: driver_module.DispatchDriver,
+        context: exchange_module.Context,
+        clock: Callable[[], float],
+        accounting: Accounting,
+        is_draining: Callable[[], bool],
+    ) -> None:
+        self._driver = driver
+        self._context = context
+        self._clock = clock
+        self._accounting = accounting
+        self._is_draining = is_draining
+
+    def routes(self) -> routes.Routes:
+        """Return the table of handlers."""
+        table: dict[routes.Route, routes.Handler] = {
+            routes.Route("POST", classify.CHAT): self._serve,
+            routes.Route("GET", MODELS): self._serve_models,
+        }
+        for method in _METHODS:
+            table[routes.Route(method, classify.SERVICES)] = self._serve
+        return table
+
+    def _serve_models(self, call: routes.Call) -> routes.Reply:
+        del call
+        services = self._context.configuration().services_by_name.values()
+        names = [s.name for s in services if s.kind == model.MODEL]
+        return routes.reply_json(
+            {
+                "object": "list",
+                "data": [{"id": name, "object": "model"} for name in names],
+            }
+        )
+
+    def _serve(self, call: routes.Call) -> routes.Reply:
+        exchange = exchange_module.Exchange(
+            request_id=uuid.uuid4().hex,
+            call=call,
+            received_at=self._clock(),
+        )
+        result = self._let_in(exchange)
+        if failure_value.is_failure(result):
+            self._accounting.closed(exchange, None, result)
+            return self._refuse(exchange, result)
+        self._accounting.opened(result)
+        relay = self._driver.submit(result)
+        return self._answer(result, relay)
+
+    def _let_in(
+        self, exchange: exchange_module.Exchange
+    ) -> exchange_module.Exchange | failure_value.Failure:
+        if self._is_draining():
+            return failure_value.Failure(
+                code=codes.DRAINING,
+                reason="router: is shutting down",
+                retry_after=1.0,
+            )
+        return pipeline.run(exchange, self._context)
+
+    def _refuse(
+        self,
+        exchange: exchange_module.Exchange,
+        failure: failure_value.Failure,
+    ) -> routes.Reply:
+        reply = routes.reply_failure(failure, request_id=exchange.request_id)
+        reply.headers.append((REQUEST_ID, exchange.request_id))
+        return reply
+
+    def _answer(
+        self, exchange: exchange_module.Exchange, relay: relay_module.Relay
+    ) -> routes.Reply:
+        """Wait for the first part of the answer, then stream the rest."""
+        is_gone = self._wait_for_first_part(exchange, relay)
+        if is_gone or (relay.failure and not relay.splice.position):
+            failure = relay.failure or failure_value.Failure(
+                code=codes.CALLER_GONE, reason="caller: closed the connection"
+            )
+            self._close(exchange, relay, failure)
+            return self._refuse(exchange, failure)
+        assert relay.head is not None
+        self._accounting.first_byte(exchange)
+        headers = [tuple(header) for header in relay.head["headers"]]
+        headers.append((REQUEST_ID, exchange.request_id))
+        if relay.usage is not None:
+            return self._reply_whole(exchange, relay, headers)
+        return routes.Reply(
+            status=relay.head["status"],
+            headers=headers,
+            body=self._stream(exchange, relay),
+        )
+
+    def _reply_whole(
+        self,
+        exchange: exchange_module.Exchange,
+        relay: relay_module.Relay,
+        headers: routes.Headers,
+    ) -> routes.Reply:
+        assert relay.head is not None
+        body = relay.take()
+        headers.append(("Content-Length", str(len(body))))
+        self._close(exchange, relay, None)
+        return routes.Reply(
+            status=relay.head["status"], headers=headers, body=body
+        )
+
+    def _wait_for_first_part(
+        self, exchange: exchange_module.Exchange, relay: relay_module.Relay
+    ) -> bool:
+        """Wait until the answer can begin; return whether the caller left."""
+        while not _can_begin(relay, is_stream=exchange.is_stream):
+            if relay.wait(CALLER_CHECK_SECONDS):
+                continue
+            if _is_gone(exchange.call.sock):
+                return True
+        return False
+
+    def _stream(
+        self, exchange: exchange_module.Exchange, relay: relay_module.Relay
+    ) -> Iterator[bytes]:
+        failure: failure_value.Failure | None = failure_value.Failure(
+            code=codes.CALLER_GONE, reason="caller: closed the connection"
+        )
+        try:
+            while not (relay.is_over and not relay.pending_size):
+                if relay.pending_size:
+                    yield relay.take()
+                    continue
+                has_changed = relay.wait(CALLER_CHECK_SECONDS)
+                if not has_changed and _is_gone(exchange.call.sock):
+                    return
+            failure = relay.failure
+            if failure is not None:
+                yield from _end_broken(exchange, failure)
+        finally:
+            self._close(exchange, relay, failure)
+
+    def _close(
+        self,
+        exchange: exchange_module.Exchange,
+        relay: relay_module.Relay,
+        failure: failure_value.Failure | None,
+    ) -> None:
+        self._driver.release(exchange.request_id)
+        self._accounting.closed(exchange, relay, failure)
+
+
+def _can_begin(relay: relay_module.Relay, *, is_stream: bool) -> bool:
+    if relay.is_over:
+        return True
+    if relay.head is None or not relay.pending_size:
+        return False
+    return is_stream or relay.pending_size >= HOLD_BYTES
+
+
+def _end_broken(
+    exchange: exchange_module.Exchange, failure: failure_value.Failure
+) -> Iterator[bytes]:
+    """Tell the caller that the answer is not whole.
+
+    A stream of events gets an error event and no end mark. For any other body
+    the connection is cut: without its closing chunk, no client takes the part
+    for the whole.
+    """
+    if not exchange.is_stream:
+        raise ConnectionAbortedError(failure.reason)
+    problem = routes.problem(failure, request_id=exchange.request_id)
+    yield b"data: " + msgspec.json.encode({"error": problem}) + b"\n\n"
+
+
+def _is_gone(sock: gevent.socket.socket | None) -> bool:
+    """Tell whether the caller has closed its connection."""
+    if sock is None:
+        return False
+    poller = select.poll()
+    try:
+        poller.register(sock.fileno(), select.POLLIN)
+        if not poller.poll(0):
+            return False
+        return _peek(sock) == b""
+    except (OSError, ValueError):
+        return True
+
+
+def _peek(sock: gevent.socket.socket) -> bytes:
+    if hasattr(sock, "pending"):
+        return b"?" if sock.pending() else b""
+    return sock.recv(1, socket.MSG_PEEK)
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/router/filters/read.py
@@ -0,0 +1,20 @@
+"""Read the body, within bounds of size and time."""
+
+from daisypick_core.results import failure as failure_value
+import xxhash
+
+from daisypick_node.router import exchange as exchange_module
+
+
+def apply(
+    exchange: exchange_module.Exchange, context: exchange_module.Context
+) -> exchange_module.Exchange | failure_value.Failure:
+    """Fill in the body and the fingerprint of the whole request."""
+    del context
+    body = exchange.call.read_body()
+    if failure_value.is_failure(body):
+        return body
+    call = exchange.call
+    digest = xxhash.xxh3_128(f"{call.method} {call.path}?{call.query}\n")
+    digest.update(body)
+    return exchange._replace(body=body, fingerprint=digest.hexdigest())
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -0,0 +1,152 @@
+"""The router as a process: ``daisypickd router``."""
+
+import collections
+from collections.abc import Callable
+import random
+import time
+import typing
+
+from daisypick_core.routing import dispatcher as core_dispatcher
+
+from daisypick_node import process
+from daisypick_node import settings as settings_module
+from daisypick_node.http import client
+from daisypick_node.http import routes
+from daisypick_node.http import server as server_module
+from daisypick_node.platform import interface
+from daisypick_node.router import accounting
+from daisypick_node.router import caller_routes
+from daisypick_node.router import driver as driver_module
+from daisypick_node.router import exchange as exchange_module
+
+
+class RouterProcess(process.Process):
+    """Callers' connections and backlog."""
+
+    kind = "router"
+    settings: settings_module.RouterSettings
+
+    def __init__(
+        self,
+        *,
+        settings: settings_module.RouterSettings,
+        platform: interface.PlatformClient,
+        clock: Callable[[], float] = time.monotonic,
+        rng: random.Random | None = None,
+    ) -> None:
+        super().__init__(settings=settings, clock=clock)
+        self.platform = platform
+        self._pool = client.ClientPool(
+            timeout=settings.progress_timeout, ca_file=settings.tls_ca or None
+        )
+        self._organisation_by_hash: dict[str, str] = {}
+        self._open_by_organisation: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.accounting = accounting.Accounting(
+            metrics=self.metrics,
+            open_by_organisation=self._open_by_organisation,
+            clock=clock,
+        )
+        self.driver = self._make_driver(rng or random.Random())
+
+    def _make_driver(self, rng: random.Random) -> driver_module.DispatchDriver:
+        return driver_module.DispatchDriver(
+            dispatcher=core_dispatcher.Dispatcher(
+                router=self.settings.advertise or self.settings.listen,
+                rng=rng,
+                policy=self.settings.pick_policy,
+            ),
+            pool=self._pool,
+            peers=self.peers,
+            fleet_key=self.keys.fleet[0],
+            clock=self.clock,
+            generation=lambda: self.generation,
+            note_contact=self.note_contact,
+            record=self.record,
+        )
+
+    def routes(self) -> routes.Routes:
+        """Return the router's table of handlers."""
+        context = exchange_module.Context(
+            configuration=lambda: self.configuration,
+            organisation_by_hash=self._organisation_by_hash,
+            open_by_organisation=self._open_by_organisation,
+            request_timeout=self.settings.request_timeout,
+        )
+        callers = caller_routes.CallerRoutes(
+            driver=self.driver,
+            context=context,
+            clock=self.clock,
+            accounting=self.accounting,
+            is_draining=lambda: self.is_draining,
+        )
+        return callers.routes()
+
+    def server_limits(self) -> server_module.ServerLimits:
+        """Return the bounds on callers' connections."""
+        return server_module.ServerLimits(body_bytes=self.settings.body_bytes)
+
+    def note_contact(self, peer: str, generation: int) -> None:
+        """Learn that a peer has a generation."""
+
+    def on_start(self) -> None:
+        """Watch the backlog."""
+        dispatcher = self.driver.dispatcher
+        self.metrics.watch(
+            "queued", "Requests that wait.", lambda: dispatcher.queued_count
+        )
+        self.metrics.watch(
+            "in_flight",
+            "Requests that are out at agents.",
+            lambda: dispatcher.in_flight_count,
+        )
+        self.metrics.watch(
+            "generation",
+            "Generation of the configuration in force.",
+            lambda: self.generation,
+        )
+
+    def on_tick(self) -> None:
+        """Let time pass at the dispatcher."""
+        self.driver.tick()
+
+    def on_configuration(self) -> None:
+        """Take organisations' keys and the agents."""
+        configuration = self.configuration
+        self._organisation_by_hash.clear()
+        for organisation in configuration.organisations_by_name.values():
+            for key_hash in organisation.key_hashes:
+                self._organisation_by_hash[key_hash] = organisation.name
+        addresses = [
+            core_dispatcher.AgentAddress(
+                address=server.agent,
+                service=server.service,
+                data_centre=server.data_centre,
+            )
+            for server in configuration.backend_servers_by_name.values()
+            if configuration.data_centres_by_name[server.data_centre].is_in
+        ]
+        self.driver.set_agents(addresses)
+        self._pool.keep_only(frozenset(entry.address for entry in addresses))
+
+    def is_idle(self) -> bool:
+        """Tell whether the router holds no request."""
+        return self.driver.held_count == 0
+
+    def stop(self) -> None:
+        """Stop at once."""
+        super().stop()
+        self._pool.close()
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the backlog's state for a dump."""
+        dispatcher = self.driver.dispatcher
+        return {
+            "held": self.driver.held_count,
+            "queued": dispatcher.queued_count,
+            "in_flight": dispatcher.in_flight_count,
+            "requests": self.accounting.request_count,
+            "refusals_by_code": dict(self.accounting.refusals_by_code),
+            "tokens": sum(self.accounting.tokens_by_organisation.values()),
+        }
