Add the platform stand-in and its HTTP client

Cause: nothing could be agreed or kept yet; the interface to the platform had neither a client nor something to call. Change: an object API with versions, conditions, watches, a lagging list of VMs and rate-limited weights, with outages, silence and lost answers on command; the client with a process-wide budget of calls. Found on the way: the HTTP library sends a PUT again when its connection closes unanswered, and the second one's 412 reads as 'surely not written'.

--- a/packages/daisypick_node/src/daisypick_node/platform/__init__.py
+++ b/packages/daisypick_node/src/daisypick_node/platform/__init__.py
@@ -2,4 +2,7 @@
 
 * ``interface``: what a client of the platform offers, and the registry of
   clients, so that another platform is another registered client.
+* ``http``: the client of the HTTP API in ``docs/PLATFORM_API.md``.
+* ``budget``: the process-wide budget of calls.
+* ``counters``: how many calls were made, and what came of them.
 """
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/platform/http.py
@@ -0,0 +1,388 @@
+"""The client of the platform's HTTP API, see ``docs/PLATFORM_API.md``.
+
+What matters is to know of every write whether it surely was not done. A
+connection that could not be had means that nothing was sent; once a byte may
+have left, only an answer tells. ``put`` and ``delete`` therefore fail with
+``PLATFORM_UNAVAILABLE`` in the first case and with ``PLATFORM_ANSWER_LOST``
+in the second.
+
+See Also:
+    ``daisypick_node.platform.interface``: the calls and their failures.
+"""
+
+from collections.abc import Mapping
+import typing
+import urllib.parse
+
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import gevent
+from geventhttpclient import client as http_client
+from geventhttpclient import connectionpool
+from geventhttpclient import response as http_response
+import msgspec
+
+from daisypick_node.platform import budget as call_budget
+from daisypick_node.platform import counters as call_counters
+from daisypick_node.platform import interface
+
+MAX_VALUE_BYTES = 1 << 20
+MAX_WATCH_SECONDS = 60.0
+DEFAULT_TIMEOUT = 2.0
+DEFAULT_CONNECTIONS = 8
+_WATCH_SLACK = 2.0
+# A call spends at most one timeout on its connection and one on sending.
+_STEPS = 3
+_NO_RESENDS = -1
+
+
+class _NotSentError(Exception):
+    """No connection could be had, so nothing was sent."""
+
+
+class _Answer(typing.NamedTuple):
+    status: int
+    etag: str
+    retry_after: float | None
+    body: bytes
+
+
+class _VmEntry(typing.TypedDict):
+    address: str
+    data_centre: str
+    state: str
+
+
+class _VmsBody(typing.TypedDict):
+    vms: list[_VmEntry]
+
+
+class _NamesBody(typing.TypedDict):
+    names: list[str]
+
+
+class _WeightsBody(typing.TypedDict):
+    size: int
+
+
+class _Pool(connectionpool.ConnectionPool):
+    """A pool that tells a failure to connect from one to answer.
+
+    The library sends PUT and DELETE again by itself when the connection
+    closes without an answer. If the first one took effect, the second is
+    refused for its condition, and the caller reads "surely not written" of
+    a write that was done. The number of resends follows the pool's size, so
+    a size below zero turns them off; every call is then sent once, which
+    also keeps the budget's count true.
+    """
+
+    def __init__(self, host: str, port: int, **options: typing.Any) -> None:
+        super().__init__(host, port, host, port, **options)
+        self.size = _NO_RESENDS
+
+    def get_socket(self) -> typing.Any:
+        """Return a connection within the connection timeout."""
+        timeout = gevent.Timeout(self.connection_timeout)
+        try:
+            with timeout:
+                return super().get_socket()
+        except OSError as error:
+            raise _NotSentError(str(error)) from error
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            raise _NotSentError("no connection in time") from error
+
+
+class _Client(http_client.HTTPClient):
+    """A client with the pool of this module."""
+
+    def __init__(
+        self, host: str, port: int, *, timeout: float, connections: int
+    ) -> None:
+        super().__init__(host, port)
+        self._connection_pool = _Pool(
+            host,
+            port,
+            size=connections,
+            connection_timeout=min(timeout, DEFAULT_TIMEOUT),
+            network_timeout=timeout,
+        )
+
+
+@interface.register("http")
+class HttpPlatformClient:
+    """Calls the platform over HTTP.
+
+    Args:
+        address: ``host:port`` of the platform.
+        timeout: Seconds for a connection, for sending and for each wait.
+        connections: Connections for calls other than watches.
+        watch_connections: Watches that may wait at once.
+        budget: The process-wide budget; one of its own if not given.
+
+    Attributes:
+        counters: What was called and what came of it.
+
+    Raises:
+        ValueError: ``address`` has no port.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        timeout: float = DEFAULT_TIMEOUT,
+        connections: int = DEFAULT_CONNECTIONS,
+        watch_connections: int = DEFAULT_CONNECTIONS,
+        budget: call_budget.CallBudget | None = None,
+    ) -> None:
+        host, colon, port = address.rpartition(":")
+        if not colon or not port.isdigit():
+            raise ValueError(f"address: {address!r} is not host:port")
+        self.counters = call_counters.CallCounters()
+        self._budget = budget or call_budget.CallBudget()
+        self._timeout = timeout
+        self._calls = _Client(
+            host, int(port), timeout=timeout, connections=connections
+        )
+        self._watches = _Client(
+            host,
+            int(port),
+            timeout=MAX_WATCH_SECONDS + _WATCH_SLACK,
+            connections=watch_connections,
+        )
+
+    def close(self) -> None:
+        """Close idle connections."""
+        self._calls.close()
+        self._watches.close()
+
+    def get(
+        self, kind: str, name: str
+    ) -> interface.StoredObject | failure_value.Failure:
+        """Return an object, or a failure ``codes.NOT_FOUND``."""
+        answer = self._call("get", "GET", _object_path(kind, name))
+        if failure_value.is_failure(answer):
+            return answer
+        return _stored(kind, name, answer.etag, answer.body)
+
+    def put(
+        self, kind: str, name: str, value: bytes, *, if_version: str | None
+    ) -> interface.StoredObject | failure_value.Failure:
+        """Write if the version matches; ``None`` asks for a new object."""
+        if len(value) > MAX_VALUE_BYTES:
+            return failure_value.Failure(
+                code=codes.BAD_VALUE,
+                reason=f"value: {len(value)} bytes, over {MAX_VALUE_BYTES}",
+            )
+        if if_version is None:
+            headers = {"If-None-Match": "*"}
+        else:
+            headers = {"If-Match": f'"{if_version}"'}
+        answer = self._call(
+            "put", "PUT", _object_path(kind, name), value, headers
+        )
+        if failure_value.is_failure(answer):
+            return answer
+        return _stored(kind, name, answer.etag, value)
+
+    def delete(
+        self, kind: str, name: str, *, if_version: str
+    ) -> failure_value.Failure | None:
+        """Delete if the version matches; ``None`` means done."""
+        answer = self._call(
+            "delete",
+            "DELETE",
+            _object_path(kind, name),
+            headers={"If-Match": f'"{if_version}"'},
+        )
+        return answer if failure_value.is_failure(answer) else None
+
+    def list_names(
+        self, kind: str, prefix: str
+    ) -> list[str] | failure_value.Failure:
+        """Return the names of a kind that begin with a prefix, sorted."""
+        query = urllib.parse.urlencode({"prefix": prefix})
+        path = f"/v1/objects/{_quote(kind)}?{query}"
+        body = self._call_json("list", "GET", path, _NamesBody)
+        return body if failure_value.is_failure(body) else body["names"]
+
+    def watch(
+        self, kind: str, name: str, *, after_version: str, timeout: float
+    ) -> interface.StoredObject | failure_value.Failure | None:
+        """Wait for a version other than ``after_version``."""
+        seconds = min(timeout, MAX_WATCH_SECONDS)
+        query = urllib.parse.urlencode(
+            {"after": after_version, "timeout": f"{seconds:g}"}
+        )
+        path = f"/v1/watch/{_quote(kind)}/{_quote(name)}?{query}"
+        answer = self._call("watch", "GET", path, wait=seconds + _WATCH_SLACK)
+        if failure_value.is_failure(answer):
+            return answer
+        if answer.status == 204:
+            return None
+        return _stored(kind, name, answer.etag, answer.body)
+
+    def list_vms(self) -> list[interface.Vm] | failure_value.Failure:
+        """Return the lagging list of VMs."""
+        body = self._call_json("vms", "GET", "/v1/vms", _VmsBody)
+        if failure_value.is_failure(body):
+            return body
+        return [interface.Vm(**entry) for entry in body["vms"]]
+
+    def fetch_weights(self, model: str) -> int | failure_value.Failure:
+        """Ask the rate-limited weight store for a model."""
+        path = f"/v1/weights/{_quote(model)}"
+        body = self._call_json("weights", "POST", path, _WeightsBody)
+        return body if failure_value.is_failure(body) else body["size"]
+
+    def _call_json(
+        self, call: str, method: str, path: str, shape: typing.Any
+    ) -> typing.Any:
+        answer = self._call(call, method, path)
+        if failure_value.is_failure(answer):
+            return answer
+        try:
+            return msgspec.json.decode(answer.body, type=shape)
+        except msgspec.DecodeError as error:
+            return _unavailable(f"answer of {call}: {error}")
+
+    def _call(
+        self,
+        call: str,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: Mapping[str, str] | None = None,
+        wait: float | None = None,
+    ) -> _Answer | failure_value.Failure:
+        """Make one counted call within the budget."""
+        result = self._call_in_budget(call, method, path, body, headers, wait)
+        size = len(body)
+        outcome = call_counters.OK
+        if failure_value.is_failure(result):
+            outcome = str(result.code.number)
+        else:
+            size += len(result.body)
+        self.counters.add(call, outcome, size)
+        return result
+
+    def _call_in_budget(
+        self,
+        call: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: Mapping[str, str] | None,
+        wait: float | None,
+    ) -> _Answer | failure_value.Failure:
+        if not self._budget.try_spend():
+            return failure_value.Failure(
+                code=codes.PLATFORM_BUDGET_SPENT,
+                reason=f"call {call}: nothing was sent",
+                retry_after=self._budget.seconds_until_next(),
+            )
+        client = self._calls if wait is None else self._watches
+        deadline = self._timeout * _STEPS if wait is None else wait
+        timeout = gevent.Timeout(deadline)
+        try:
+            with timeout:
+                answer = _exchange(client, method, path, body, headers or {})
+        except _NotSentError as error:
+            return _unavailable(f"call {call}: not sent, {error}")
+        except (OSError, http_response.HTTPParseError) as error:
+            return _unanswered(call, str(error))
+        except gevent.Timeout as error:
+            if error is not timeout:
+                raise
+            return _unanswered(call, "no answer in time")
+        return _check_status(call, answer)
+
+
+def _exchange(
+    client: _Client,
+    method: str,
+    path: str,
+    body: bytes,
+    headers: Mapping[str, str],
+) -> _Answer:
+    response = client.request(method, path, body=body, headers=headers)
+    try:
+        content = response.read()
+        if not response.message_complete:
+            raise http_response.HTTPConnectionClosed("answer broke off")
+    finally:
+        response.release()
+    return _Answer(
+        status=response.status_code,
+        etag=str(response.get("etag", "")).strip('"'),
+        retry_after=_seconds(response.get("retry-after")),
+        body=content,
+    )
+
+
+def _check_status(
+    call: str, answer: _Answer
+) -> _Answer | failure_value.Failure:
+    """Return the answer of a success, else the failure it stands for."""
+    status = answer.status
+    if 200 <= status < 300:
+        return answer
+    if status == 404:
+        return failure_value.Failure(
+            code=codes.NOT_FOUND, reason=f"call {call}: no such object"
+        )
+    if status in (409, 412):
+        return failure_value.Failure(
+            code=codes.PLATFORM_CONFLICT,
+            reason=f"call {call}: version does not match",
+        )
+    reason = f"call {call}: status {status}"
+    if status >= 500 and status != 503:
+        # A gateway's 500, 502 or 504 says nothing of what the store behind
+        # it did; only 503 is promised to come before any effect.
+        return _unanswered(call, reason)
+    return _unavailable(reason, answer.retry_after)
+
+
+def _unanswered(call: str, reason: str) -> failure_value.Failure:
+    if call not in ("put", "delete"):
+        return _unavailable(reason)
+    return failure_value.Failure(
+        code=codes.PLATFORM_ANSWER_LOST,
+        reason=f"call {call}: sent, then {reason or 'connection closed'}",
+    )
+
+
+def _unavailable(
+    reason: str, retry_after: float | None = None
+) -> failure_value.Failure:
+    return failure_value.Failure(
+        code=codes.PLATFORM_UNAVAILABLE,
+        reason=reason,
+        retry_after=retry_after,
+    )
+
+
+def _stored(
+    kind: str, name: str, version: str, value: bytes
+) -> interface.StoredObject:
+    return interface.StoredObject(
+        kind=kind, name=name, version=version, value=value
+    )
+
+
+def _object_path(kind: str, name: str) -> str:
+    return f"/v1/objects/{_quote(kind)}/{_quote(name)}"
+
+
+def _quote(text: str) -> str:
+    return urllib.parse.quote(text, safe="")
+
+
+def _seconds(text: typing.Any) -> float | None:
+    try:
+        return float(text)
+    except (TypeError, ValueError):
+        return None
--- /dev/null
+++ b/packages/daisypick_standins/src/daisypick_standins/__main__.py
@@ -0,0 +1,78 @@
+"""Run one stand-in as its own process.
+
+Usage: ``python -m daisypick_standins platform --port 0 [--NAME VALUE ...]``.
+The first line on standard output is ``listening on HOST:PORT``; SIGTERM and
+SIGINT end the process.
+"""
+
+import argparse
+from collections.abc import Callable
+import signal
+import sys
+import typing
+
+import gevent
+from gevent import event
+
+from daisypick_standins.platform import server as platform_server
+
+
+class StandIn(typing.Protocol):
+    """What each stand-in offers."""
+
+    @property
+    def address(self) -> str:
+        """``host:port`` once it has started."""
+        ...
+
+    def start(self) -> None:
+        """Listen."""
+        ...
+
+    def stop(self) -> None:
+        """Stop listening."""
+        ...
+
+
+Builder = Callable[[argparse.Namespace], StandIn]
+
+
+def _add_platform(parser: argparse.ArgumentParser) -> Builder:
+    parser.add_argument("--vm-lag", type=float, default=0.0)
+    parser.add_argument("--weights-per-minute", type=float, default=60.0)
+
+    def _build(options: argparse.Namespace) -> StandIn:
+        return platform_server.Platform(
+            port=options.port,
+            vm_lag=options.vm_lag,
+            weights_per_minute=options.weights_per_minute,
+        )
+
+    return _build
+
+
+_SETUP_BY_NAME = {"platform": _add_platform}
+
+
+def main(arguments: list[str]) -> int:
+    """Run the stand-in that the arguments name until a signal ends it."""
+    parser = argparse.ArgumentParser(prog="daisypick_standins")
+    kinds = parser.add_subparsers(dest="kind", required=True)
+    for name, setup in _SETUP_BY_NAME.items():
+        kind = kinds.add_parser(name)
+        kind.add_argument("--port", type=int, default=0)
+        kind.set_defaults(build=setup(kind))
+    options = parser.parse_args(arguments)
+    stand_in = options.build(options)
+    ended = event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        gevent.signal_handler(number, ended.set)
+    stand_in.start()
+    print(f"listening on {stand_in.address}", flush=True)
+    ended.wait()
+    stand_in.stop()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/packages/daisypick_standins/src/daisypick_standins/platform/__init__.py
@@ -0,0 +1,8 @@
+"""Stand-in of the platform.
+
+* ``store``: objects with versions, as a plain object.
+* ``vms``: the lagging list of VMs.
+* ``weights``: the rate-limited weight store.
+* ``faults``: what goes wrong on command.
+* ``server``: all of it over HTTP, see ``docs/PLATFORM_API.md``.
+"""
--- /dev/null
+++ b/packages/daisypick_standins/tests/platform/test_server.py
@@ -0,0 +1,27 @@
+from daisypick_standins.platform import server
+from geventhttpclient import client as http_client
+import msgspec
+
+
+def _post(address, path, body):
+    host, port = address.split(":")
+    response = http_client.HTTPClient(host, int(port)).post(path, body)
+    return response.status_code, response.read()
+
+
+def test_faults_and_vms_by_command():
+    now = [0.0]
+    platform = server.Platform(vm_lag=5.0, clock=lambda: now[0])
+    platform.start()
+    status, _ = _post(platform.address, "/standin/faults", b'{"dely": 1}')
+    assert status == 400
+    body = msgspec.json.encode({"outage": "unavailable"})
+    assert _post(platform.address, "/standin/faults", body)[0] == 200
+    assert _post(platform.address, "/v1/weights/pine", b"")[0] == 503
+    vm = {"address": "10.0.0.1", "data_centre": "sofia", "state": "leaving"}
+    assert _post(platform.address, "/standin/vms", msgspec.json.encode(vm))[
+        0
+    ] == (204)
+    assert platform.vms.list(4.9) == []
+    assert platform.vms.list(5.0)[0].state == "leaving"
+    platform.stop()
