Merge, check and chunk the operators' configuration

Cause: there was a model of the configuration, but no way to make one from files, nor to send a change of it without sending all of it.

Change: files are merged in name order, each value with its file; the whole is checked and every fault told at once with file, key, reason and code (6006 to 6008 are new).

--- a/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
@@ -1,4 +1,14 @@
 """The operators' configuration as immutable values.
 
+From a folder to a value:
+
 * ``model``: organisations, services, backend servers and data centres.
+* ``sections``: the sections and keys of a file, derived from the model.
+* ``merge``: files merged in name order, each value with its file.
+* ``check``: the whole check; ``values`` and ``relations`` hold the rules.
+* ``faults``: what a check finds.
+
+From process to process:
+
+* ``chunks``: a configuration as content-addressed chunks.
 """
--- a/packages/daisypick_core/src/daisypick_core/configuration/model.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/model.py
@@ -35,7 +35,12 @@
 
 
 class Call(typing.NamedTuple):
-    """Calls of a plain service, by method and prefix of the path."""
+    """Calls of a plain service, by method and prefix of the path.
+
+    Attributes:
+        method: HTTP method, or ``*`` for all.
+        path: Prefix of the path, from ``/``.
+    """
 
     method: str
     path: str
@@ -87,7 +92,13 @@
 
 
 class DataCentre(typing.NamedTuple):
-    """A data centre; operators take it out and bring it back in."""
+    """A data centre; operators take it out and bring it back in.
+
+    Attributes:
+        name: Unique name.
+        region: Name of its region.
+        is_in: Whether it gets new work.
+    """
 
     name: str
     region: str = ""
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/configuration/relations.py
@@ -0,0 +1,122 @@
+"""The checks of entries among each other.
+
+Faults come without a file; ``check`` adds the one that gave the value. Only
+sound entries are compared, so that one bad value is told once. A name counts
+as defined if some entry bears it, even one with faults of its own.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+
+from daisypick_core.configuration import faults
+from daisypick_core.configuration import merge
+from daisypick_core.configuration import model
+from daisypick_core.configuration import sections
+from daisypick_core.results import codes
+
+Relation = Callable[[model.Configuration, merge.Merged], Iterable[faults.Fault]]
+
+_relations: list[Relation] = []
+
+_NAMES_BY_KEY = {"service": "services", "data_centre": "data_centres"}
+
+
+def register(relation: Relation) -> Relation:
+    """Register a check of entries among each other."""
+    _relations.append(relation)
+    return relation
+
+
+def find_broken(
+    configuration: model.Configuration, merged: merge.Merged
+) -> Iterator[faults.Fault]:
+    """Yield the faults between entries."""
+    for relation in _relations:
+        yield from relation(configuration, merged)
+
+
+def _fault(key: str, code: codes.Code, reason: str) -> faults.Fault:
+    return faults.Fault(file="", key=key, code=code, reason=reason)
+
+
+@register
+def _dangling_names(
+    configuration: model.Configuration, merged: merge.Merged
+) -> Iterator[faults.Fault]:
+    for name, server in configuration.backend_servers_by_name.items():
+        for key, section in _NAMES_BY_KEY.items():
+            target = getattr(server, key)
+            if target not in merged.entries[section]:
+                label = sections.by_name[section].label
+                yield _fault(
+                    f"backend_servers.{name}.{key}",
+                    codes.DANGLING_NAME,
+                    f"no {label} {target!r} is defined",
+                )
+
+
+@register
+def _duplicate_key_hashes(
+    configuration: model.Configuration, merged: merge.Merged
+) -> Iterator[faults.Fault]:
+    # Two organisations with one key: the caller's work would be charged to
+    # whichever the router finds first.
+    del merged
+    owner_by_hash: dict[str, str] = {}
+    for name, organisation in configuration.organisations_by_name.items():
+        for key_hash in organisation.key_hashes:
+            owner = owner_by_hash.setdefault(key_hash, name)
+            if owner != name:
+                yield _fault(
+                    f"organisations.{name}.key_hashes",
+                    codes.DUPLICATE_VALUE,
+                    f"{key_hash[:8]}... belongs to organisation {owner!r}",
+                )
+
+
+@register
+def _duplicate_addresses(
+    configuration: model.Configuration, merged: merge.Merged
+) -> Iterator[faults.Fault]:
+    # Two agents before one server would each admit its full slots.
+    del merged
+    user_by_address: dict[str, str] = {}
+    for name, server in configuration.backend_servers_by_name.items():
+        for key in ("address", "agent"):
+            path = f"backend_servers.{name}.{key}"
+            address = getattr(server, key)
+            user = user_by_address.setdefault(address, path)
+            if user != path:
+                reason = f"{address} is used by {user} too"
+                yield _fault(path, codes.DUPLICATE_VALUE, reason)
+
+
+@register
+def _cold_slots(
+    configuration: model.Configuration, merged: merge.Merged
+) -> Iterator[faults.Fault]:
+    del merged
+    for name, server in configuration.backend_servers_by_name.items():
+        if server.cold_slots > server.slots:
+            yield _fault(
+                f"backend_servers.{name}.cold_slots",
+                codes.BAD_VALUE,
+                f"is {server.cold_slots}, above slots = {server.slots}",
+            )
+
+
+@register
+def _kind_of_service(
+    configuration: model.Configuration, merged: merge.Merged
+) -> Iterator[faults.Fault]:
+    del merged
+    for name, service in configuration.services_by_name.items():
+        path = f"services.{name}"
+        if service.kind == model.MODEL and not service.model:
+            reason = "is required for a service of kind 'model'"
+            yield _fault(f"{path}.model", codes.MISSING_KEY, reason)
+        for key in ("model", "version", "adapters"):
+            if service.kind == model.PLAIN and getattr(service, key):
+                reason = "makes no sense for a service of kind 'plain'"
+                yield _fault(f"{path}.{key}", codes.BAD_VALUE, reason)
--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -96,6 +96,9 @@
     6004, "Configuration was changed by others", 409
 )
 BAD_FILE = define(6005, "Configuration file is unreadable", 400)
+MISSING_KEY = define(6006, "Required key in configuration is missing", 400)
+DUPLICATE_VALUE = define(6007, "Value in configuration is used twice", 400)
+BAD_CHUNK = define(6008, "Part of the configuration is damaged", 502)
 
 PLATFORM_UNAVAILABLE = define(7001, "Platform is unavailable", 503)
 PLATFORM_ANSWER_LOST = define(
