Charge streams as they run and register order policies

Cause: the order charged nothing while an answer streamed, so an organisation with costs beyond its estimates took slot after slot.

--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/fairness/service_account.py
@@ -0,0 +1,110 @@
+"""Tokens charged to and served for one organisation at one gate.
+
+Two counts differ on purpose. *Charged* follows the expectation: a request is
+charged its estimate when it starts, more when its stream outgrows that, and
+the true cost at its end. *Served* only grows, by tokens that have surely been
+served, so that it can be reported and merged across the fleet. The
+difference is what runs now.
+
+Examples:
+    >>> account = ServiceAccount()
+    >>> run = account.start(10.0)
+    >>> account.progress(run, 4.0); account.charged, account.served
+    (10.0, 4.0)
+    >>> account.progress(run, 25.0); account.charged, account.served
+    (25.0, 25.0)
+    >>> account.settle(run, 30.0); account.charged, account.served
+    (30.0, 30.0)
+"""
+
+
+class Run:
+    """One running attempt.
+
+    Attributes:
+        charged: Tokens charged for it until now.
+        served: Tokens served for it until now.
+    """
+
+    __slots__ = ("charged", "served")
+
+    def __init__(self, charged: float) -> None:
+        self.charged = charged
+        self.served = 0.0
+
+
+class ServiceAccount:
+    """Tokens of one organisation at one gate.
+
+    Attributes:
+        charged: Tokens charged, estimates of running attempts included.
+        served: Tokens served; never falls.
+        included: The part of ``served`` that the fleet's virtual service
+            contains, as the heads have acknowledged it.
+        fleet_virtual: Virtual service across the fleet, tokens per unit of
+            share, ``None`` before the first answer.
+        reach: Agents at which the organisation waits, 0 if not known.
+        lift: Virtual service added on return from idle, tokens per share.
+        idle_since: When the last waiting attempt left, ``None`` while one
+            waits.
+    """
+
+    __slots__ = (
+        "charged",
+        "fleet_virtual",
+        "idle_since",
+        "included",
+        "lift",
+        "reach",
+        "served",
+    )
+
+    def __init__(self) -> None:
+        self.charged = 0.0
+        self.served = 0.0
+        self.included = 0.0
+        self.fleet_virtual: float | None = None
+        self.reach = 0
+        self.lift = 0.0
+        self.idle_since: float | None = None
+
+    @property
+    def since_report(self) -> float:
+        """Tokens charged that the fleet's virtual service lacks."""
+        return self.charged - self.included
+
+    def start(self, estimate: float) -> Run:
+        """Charge the estimate of an attempt that starts."""
+        self.charged += estimate
+        return Run(estimate)
+
+    def release(self, run: Run) -> None:
+        """Give back the charge of an attempt that never ran."""
+        self.charged -= run.charged
+
+    def progress(self, run: Run, tokens: float) -> None:
+        """Note that ``tokens`` have been served for an attempt so far.
+
+        A request may cost many times its estimate and stream for minutes.
+        Charged only at its end, its organisation would take slot after slot
+        meanwhile; so the charge follows as soon as the estimate is used up.
+        """
+        self._serve(run, tokens)
+        excess = max(0.0, tokens - run.charged)
+        run.charged += excess
+        self.charged += excess
+
+    def settle(self, run: Run, cost: float) -> None:
+        """Replace the charge of an attempt by its true cost.
+
+        A cost below what was streamed is not believed: ``served`` never
+        falls, and both counts must agree at the end.
+        """
+        true_cost = max(cost, run.served)
+        self._serve(run, true_cost)
+        self.charged += true_cost - run.charged
+
+    def _serve(self, run: Run, tokens: float) -> None:
+        gain = max(0.0, tokens - run.served)
+        run.served += gain
+        self.served += gain
--- a/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
@@ -2,8 +2,16 @@
 
 Each organisation has a *virtual service*: tokens served divided by its share
 (start-time fair queueing; a virtual token counter). A free slot goes to the
-lowest. An organisation that comes back from idle starts at the lowest active
-counter, so that it neither gains credit nor starves anybody.
+lowest key of the order policy, which combines the gate's own service with
+what the fleet's heads report (``order_policies``). Without reports the order
+is fair at this gate alone; that is also what is left in a partition.
+
+An organisation that comes back from idle starts at the lowest active
+counter, so that it neither gains credit nor starves anybody. *Idle* means
+longer than ``IDLE_SECONDS`` without a waiting attempt: queues at a gate are
+short, and a backlogged organisation's queue is often empty for the moment
+that its router needs to refill it. Lifting it then would take the credit
+that it has earned, most often from those with the largest shares.
 
 Examples:
     >>> order = ShareOrder(share_by_organisation={"union": 1.0, "studio": 4.0})
@@ -17,62 +25,188 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import typing
 
+from daisypick_core.fairness import order_policies
+from daisypick_core.fairness import service_account
 from daisypick_core.messages import attempt as attempt_message
 
 DEFAULT_SHARE = 1.0
+DEFAULT_POLICY = "damped"
+DEFAULT_GAIN = 2.0
+IDLE_SECONDS = 5.0
+
+
+class FleetService(typing.NamedTuple):
+    """What the fleet's heads know of one organisation.
+
+    Attributes:
+        virtual: Virtual service across the fleet, tokens per share.
+        included: This gate's served tokens that ``virtual`` contains.
+        reach: Agents at which the organisation waits.
+    """
+
+    virtual: float
+    included: float
+    reach: int
 
 
 class ShareOrder:
     """Virtual service by organisation at one gate."""
 
-    def __init__(self, *, share_by_organisation: Mapping[str, float]) -> None:
+    def __init__(
+        self,
+        *,
+        share_by_organisation: Mapping[str, float],
+        policy: str = DEFAULT_POLICY,
+        gain: float = DEFAULT_GAIN,
+    ) -> None:
         self._share_by_organisation = dict(share_by_organisation)
-        self._service_by_organisation: dict[str, float] = {}
+        self._policy = order_policies.by_name[policy]
+        self._gain = gain
+        self._account_by_organisation: dict[
+            str, service_account.ServiceAccount
+        ] = {}
+        self._run_by_attempt: dict[str, service_account.Run] = {}
         self._active: set[str] = set()
-        self._progress_by_attempt: dict[str, int] = {}
+        self._agents = 1
+        self._fleet_time = 0.0
+        self._now = 0.0
 
     def set_shares(self, share_by_organisation: Mapping[str, float]) -> None:
-        """Take the shares of a new configuration."""
+        """Take the shares of a new configuration.
+
+        Accounts of organisations that are gone and have nothing running or
+        waiting are dropped, so that memory follows the configuration.
+        """
         self._share_by_organisation = dict(share_by_organisation)
+        for organisation in list(self._account_by_organisation):
+            account = self._account_by_organisation[organisation]
+            is_settled = account.charged == account.served
+            if (
+                organisation not in self._share_by_organisation
+                and organisation not in self._active
+                and is_settled
+            ):
+                del self._account_by_organisation[organisation]
 
     def arrive(self, organisation: str, now: float) -> None:
         """Note that an organisation has work waiting here."""
-        del now
-        floor = min(
-            (self._virtual(other) for other in self._active), default=0.0
-        )
-        if self._virtual(organisation) < floor:
-            share = self._share(organisation)
-            self._service_by_organisation[organisation] = floor * share
+        self._now = max(self._now, now)
+        is_new = organisation not in self._account_by_organisation
+        account = self._account(organisation)
+        idle_since = account.idle_since
+        account.idle_since = None
+        if is_new or (
+            idle_since is not None and now - idle_since > IDLE_SECONDS
+        ):
+            self._lift(organisation, account)
         self._active.add(organisation)
 
     def depart(self, organisation: str) -> None:
         """Note that an organisation has no work waiting here."""
         self._active.discard(organisation)
+        self._account(organisation).idle_since = self._now
 
     def charge(self, organisation: str, tokens: float) -> None:
-        """Charge tokens; negative ones give an unused charge back."""
-        served = self._service_by_organisation.get(organisation, 0.0)
-        self._service_by_organisation[organisation] = served + tokens
+        """Charge tokens that no attempt stands for."""
+        account = self._account(organisation)
+        run = account.start(tokens)
+        account.settle(run, tokens)
+
+    def start(self, attempt: attempt_message.Attempt) -> None:
+        """Charge the estimate of an attempt that takes a slot."""
+        account = self._account(attempt.organisation)
+        self._run_by_attempt[attempt.attempt_id] = account.start(
+            attempt.estimate
+        )
 
-    def progress(self, attempt_id: str, tokens: int) -> None:
-        """Note tokens that stream, before the true cost is known."""
-        self._progress_by_attempt[attempt_id] = tokens
+    def release(self, attempt: attempt_message.Attempt) -> None:
+        """Give back the charge of an attempt that never ran."""
+        run = self._run_by_attempt.pop(attempt.attempt_id, None)
+        if run is not None:
+            self._account(attempt.organisation).release(run)
+
+    def progress(self, attempt: attempt_message.Attempt, tokens: float) -> None:
+        """Note tokens served so far for an attempt that streams."""
+        run = self._run_by_attempt.get(attempt.attempt_id)
+        if run is not None:
+            self._account(attempt.organisation).progress(run, tokens)
 
     def settle(self, attempt: attempt_message.Attempt, cost: float) -> None:
-        """Replace the estimate charged at the start by the true cost."""
-        self._progress_by_attempt.pop(attempt.attempt_id, None)
-        self.charge(attempt.organisation, cost - attempt.estimate)
+        """Replace the charge of an attempt that ended by its true cost."""
+        run = self._run_by_attempt.pop(attempt.attempt_id, None)
+        if run is not None:
+            self._account(attempt.organisation).settle(run, cost)
 
     def pick(self, organisations: Iterable[str], now: float) -> str:
         """Return the organisation that is served next."""
-        del now
-        return min(organisations, key=lambda o: (self._virtual(o), o))
+        self._now = max(self._now, now)
+        return min(organisations, key=lambda o: (self._key(o), o))
+
+    def set_fleet(self, *, agents: int, fleet_time: float) -> None:
+        """Take the size of the service and the fleet's virtual time."""
+        self._agents = max(1, agents)
+        self._fleet_time = max(self._fleet_time, fleet_time)
+
+    def hear(self, organisation: str, service: FleetService) -> None:
+        """Take what the fleet's heads know of an organisation.
+
+        Answers can be doubled, late or crossed; ``included`` only grows, so
+        an older one is told by it and dropped.
+        """
+        account = self._account_by_organisation.get(organisation)
+        if account is None or service.included < account.included:
+            return
+        account.included = min(service.included, account.served)
+        account.fleet_virtual = service.virtual
+        account.reach = service.reach
+        account.lift = 0.0
+
+    @property
+    def waiting_organisations(self) -> frozenset[str]:
+        """Organisations with work waiting here."""
+        return frozenset(self._active)
+
+    def accounts(
+        self,
+    ) -> Mapping[str, service_account.ServiceAccount]:
+        """Return the accounts by organisation, to be read only."""
+        return self._account_by_organisation
+
+    def _account(self, organisation: str) -> service_account.ServiceAccount:
+        account = self._account_by_organisation.get(organisation)
+        if account is None:
+            account = service_account.ServiceAccount()
+            self._account_by_organisation[organisation] = account
+        return account
+
+    def _lift(
+        self, organisation: str, account: service_account.ServiceAccount
+    ) -> None:
+        floor = min((self._own(other) for other in self._active), default=0.0)
+        account.lift += max(0.0, floor - self._own(organisation))
 
     def _share(self, organisation: str) -> float:
         return self._share_by_organisation.get(organisation, DEFAULT_SHARE)
 
-    def _virtual(self, organisation: str) -> float:
-        served = self._service_by_organisation.get(organisation, 0.0)
-        return served / self._share(organisation)
+    def _own(self, organisation: str) -> float:
+        """Return the virtual service here since the last report."""
+        account = self._account(organisation)
+        return account.since_report / self._share(organisation) + account.lift
+
+    def _key(self, organisation: str) -> float:
+        account = self._account(organisation)
+        lag = 0.0
+        if account.fleet_virtual is not None:
+            lag = account.fleet_virtual - self._fleet_time
+        share = self._share(organisation)
+        state = order_policies.OrganisationState(
+            own_total=account.charged / share + account.lift,
+            since_report=self._own(organisation),
+            fleet_lag=lag,
+            agents=self._agents,
+            reach=account.reach or self._agents,
+            gain=self._gain,
+        )
+        return self._policy(state)
--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -145,16 +145,16 @@
         if attempt is None:
             return []
         if refusal is not None:
-            self.order.charge(attempt.organisation, -attempt.estimate)
+            self.order.release(attempt)
             return [self._bar(attempt, refusal), *self._fill(now)]
         return [self._start(attempt)]
 
     def progress(self, attempt_id: str, tokens: int, now: float) -> None:
-        """Note tokens served beyond those already charged."""
+        """Note the tokens served so far for a running attempt."""
         del now
         attempt = self._running_by_id.get(attempt_id)
         if attempt is not None:
-            self.order.progress(attempt.attempt_id, tokens)
+            self.order.progress(attempt, tokens)
 
     def finish(
         self, attempt_id: str, *, cost: float, is_healthy: bool, now: float
@@ -301,7 +301,7 @@
             attempt = self._waiting_by_organisation[organisation].popleft()
             self._waiting_count -= 1
             self._drop_if_empty(organisation)
-            self.order.charge(organisation, attempt.estimate)
+            self.order.start(attempt)
             actions_due.append(self._claim_or_start(attempt))
         return actions_due
 
