--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -154,7 +154,7 @@
         run = self._running.find(attempt_id)
         if run is None:
             return
-        self.order.progress(attempt_id, tokens)
+        self.order.progress(run.attempt, tokens)
         if self._running.first_token(attempt_id) is not None:
             self.limit.first_token(now - run.started_at, now)
 
@@ -267,7 +267,7 @@
         reason: failure_value.Failure,
     ) -> actions.Refuse:
         """Bar an attempt that was charged and does not start."""
-        self.order.charge(attempt.organisation, -attempt.estimate)
+        self.order.release(attempt)
         return self._bar(attempt, reason)
 
     def _return_waiting(self) -> list[actions.Action]:
@@ -304,7 +304,7 @@
                 # have long told their callers that the deadline passed.
                 actions_due.append(self._bar(attempt, _DEADLINE_PASSED))
                 continue
-            self.order.charge(attempt.organisation, attempt.estimate)
+            self.order.start(attempt)
             actions_due.append(self._claim_or_start(attempt, now))
         return actions_due
 
