Forget attempts only when no offer can revive them

Cause: the attempt table forgot its oldest settled entries beyond a count. A withdrawn attempt could so be forgotten, arrive late and run after its caller had been told "not run"; an attempt that had run and was forgotten would have been reported as "not run". Claimed attempts are kept longer, as their keys are asked about. A claim granted while draining or past the deadline is given back. The dispatcher retries a stale epoch at once. Conclusion: memory is bounded by count and "not run" stays true for any delay of an offer.

--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -28,6 +28,10 @@
 
 DEFAULT_RETRY_AFTER = 1.0
 
+# The rule refuses these offers each time they come, so they need no memory;
+# a flood of them must not fill the table and hasten its epochs.
+_REFUSED_BY_RULE = frozenset({codes.STALE_INCARNATION, codes.STALE_EPOCH})
+
 
 class GateLimits(typing.NamedTuple):
     """Bounds of the gate's queues.
@@ -57,7 +61,6 @@
         self.limit = limit
         self.admission = admission.Admission()
         self.attempts = attempts.AttemptTable()
-        self.epoch = 0
         self.generation = 0
         self._limits = limits
         self._waiting_by_organisation: dict[
@@ -79,6 +82,11 @@
             is_draining=not self.admission.is_open,
         )
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the attempt table, carried on every answer."""
+        return self.attempts.epoch
+
     @property
     def running_count(self) -> int:
         """Attempts that hold a slot."""
@@ -101,16 +109,25 @@
         return self._fill(now)
 
     def withdraw(
-        self, attempt_id: str, now: float
+        self, attempt_id: str, now: float, *, epoch: int = 0
     ) -> tuple[attempts.AttemptStatus, list[actions.Action]]:
-        """Take an attempt back unless it has started.
+        """Take an attempt back unless it has started; tell what became of it.
 
         An attempt that is not known yet is barred as well: its offer may
         still be on the way, and must not start after "not run" was said.
+        One that is claimed just now may still start, so it is not "not run".
+
+        ``epoch`` is the attempt's own. An unknown attempt of a stale epoch
+        may have run and been forgotten, so "not run" would be a guess.
         """
         state = self.attempts.state(attempt_id)
         if state in (attempts.CLAIMING, attempts.RUNNING, attempts.DONE):
             return attempts.AttemptStatus(state=state, ran=True), []
+        if state is None and self.attempts.is_stale(epoch):
+            forgotten = attempts.AttemptStatus(
+                state=attempts.FORGOTTEN, ran=True
+            )
+            return forgotten, []
         actions_due: list[actions.Action] = []
         if state == attempts.WAITING:
             attempt = self._remove_waiting(attempt_id)
@@ -140,10 +157,16 @@
         refusal: failure_value.Failure | None,
         now: float,
     ) -> list[actions.Action]:
-        """Note what became of a claim; ``None`` means it is granted."""
+        """Note what became of a claim; ``None`` means it is granted.
+
+        A doubled or late report of a claim that was settled before does
+        nothing: the attempt runs already or is barred for good.
+        """
         attempt = self._claiming_by_id.pop(attempt_id, None)
         if attempt is None:
             return []
+        if refusal is None:
+            refusal = self._check_start(attempt, now)
         if refusal is not None:
             self.order.charge(attempt.organisation, -attempt.estimate)
             return [self._bar(attempt, refusal), *self._fill(now)]
@@ -182,6 +205,7 @@
 
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse what waited past its deadline, fill free slots."""
+        self.attempts.advance(now)
         expired = [
             attempt
             for queue in self._waiting_by_organisation.values()
@@ -216,6 +240,20 @@
             )
         if state is not None:
             return None
+        if self.attempts.is_stale(attempt.epoch):
+            # Settled attempts of that age are forgotten: this one may have
+            # run, or been reported as "not run". It must not start.
+            return failure_value.Failure(
+                code=codes.STALE_EPOCH,
+                reason=f"epoch: {attempt.epoch} is not near {self.epoch}",
+            )
+        refusal = self._check_start(attempt, now)
+        return refusal or self._check_bounds(attempt)
+
+    def _check_start(
+        self, attempt: attempt_message.Attempt, now: float
+    ) -> failure_value.Failure | None:
+        """Return why nothing starts now, or this attempt does not."""
         if not self.admission.is_open:
             return failure_value.Failure(
                 code=codes.DRAINING, reason=self.admission.reasons[0]
@@ -224,7 +262,7 @@
             return failure_value.Failure(
                 code=codes.DEADLINE_PASSED, reason="deadline: already passed"
             )
-        return self._check_bounds(attempt)
+        return None
 
     def _check_bounds(
         self, attempt: attempt_message.Attempt
@@ -247,7 +285,8 @@
         attempt: attempt_message.Attempt,
         reason: failure_value.Failure,
     ) -> actions.Refuse:
-        self.attempts.set_state(attempt.attempt_id, attempts.BARRED)
+        if reason.code not in _REFUSED_BY_RULE:
+            self.attempts.set_state(attempt.attempt_id, attempts.BARRED)
         return actions.Refuse(attempt=attempt, failure=reason)
 
     def _enqueue(self, attempt: attempt_message.Attempt, now: float) -> None:
--- a/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
@@ -31,6 +31,7 @@
     {
         codes.DRAINING.number,
         codes.STALE_INCARNATION.number,
+        codes.STALE_EPOCH.number,
         codes.WITHDRAWN.number,
         codes.AGENT_QUEUE_FULL.number,
         codes.NOT_CONFIGURED.number,
@@ -192,7 +193,10 @@
         request = flight.request
         if refusal.code.number in _FINAL:
             return [self._fail(request, refusal), *self._send(now)]
-        self._suspend(flight.agent, refusal, now)
+        if refusal.code != codes.STALE_EPOCH:
+            # The refusal brought the agent's epoch along: the next attempt
+            # may go there at once.
+            self._suspend(flight.agent, refusal, now)
         if refusal.code.number not in _MOVES and not self._budget.try_spend():
             spent = failure_value.Failure(
                 code=codes.RETRIES_SPENT, reason=refusal.reason
--- /dev/null
+++ b/packages/daisypick_core/tests/gate/test_attempts.py
@@ -0,0 +1,68 @@
+from daisypick_core.gate import attempts
+import pytest
+
+
+def test_barred_attempt_outlives_a_flood_of_others():
+    # A router withdraws attempt x and tells its caller "not run". Thousands
+    # of other attempts settle; then the late offer of x arrives. A table that
+    # drops the oldest takes x for new and runs it. Here x is forgotten only
+    # when its epoch is stale, so the offer is refused either way.
+    table = attempts.AttemptTable(settled_an_epoch=10)
+    table.set_state("x", attempts.BARRED)
+    epoch_of_x = table.epoch
+    for n in range(1000):
+        table.set_state(f"y{n}", attempts.DONE)
+        is_known = table.state("x") == attempts.BARRED
+        assert is_known or table.is_stale(epoch_of_x)
+    assert len(table) <= 10 * (attempts.EPOCHS_OPEN + 1)
+
+
+def test_settled_attempt_is_kept_until_its_offers_are_stale():
+    table = attempts.AttemptTable()
+    table.begin_epoch()
+    table.set_state("x", attempts.DONE)
+    for _ in range(attempts.EPOCHS_OPEN):
+        table.begin_epoch()
+        assert table.state("x") == attempts.DONE
+        assert not table.is_stale(1)
+    table.begin_epoch()
+    assert table.state("x") is None
+    assert table.is_stale(1)
+    assert table.is_stale(table.epoch + 1)
+
+
+def test_settled_attempt_stays_settled():
+    table = attempts.AttemptTable()
+    table.set_state("x", attempts.BARRED)
+    with pytest.raises(ValueError, match="attempt_id: x is barred for good"):
+        table.set_state("x", attempts.RUNNING)
+
+
+def test_claimed_attempt_is_kept_while_its_key_is_asked_about():
+    table = attempts.AttemptTable()
+    table.set_state("x", attempts.CLAIMING)
+    table.set_state("x", attempts.BARRED)
+    for _ in range(attempts.EPOCHS_CLAIMED - 1):
+        table.begin_epoch()
+    assert table.state("x") == attempts.BARRED
+    table.begin_epoch()
+    assert (table.state("x"), len(table)) == (None, 0)
+
+
+def test_claimed_attempts_are_bounded_and_forgotten_only_when_stale():
+    table = attempts.AttemptTable(settled_an_epoch=4)
+    for n in range(40):
+        epoch = table.epoch
+        table.set_state(f"x{n}", attempts.CLAIMING)
+        table.set_state(f"x{n}", attempts.DONE)
+        assert table.state(f"x{n}") or table.is_stale(epoch)
+        assert len(table) <= 5
+
+
+def test_paused_process_begins_one_epoch_not_many():
+    table = attempts.AttemptTable()
+    table.advance(0.0)
+    table.advance(attempts.EPOCH_SECONDS - 1)
+    assert table.epoch == 0
+    table.advance(100 * attempts.EPOCH_SECONDS)
+    assert table.epoch == 1
--- a/packages/daisypick_core/tests/gate/test_gate.py
+++ b/packages/daisypick_core/tests/gate/test_gate.py
@@ -6,6 +6,7 @@
 from daisypick_core.gate import gate
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
 
 
 def make_gate(slots=1, shares=()):
@@ -79,3 +80,66 @@
     assert subject.claim_settled("x", None, 1.0) == [
         actions.Start(attempt=attempt)
     ]
+
+
+def test_withdrawn_attempt_never_starts_however_late():
+    # The router withdraws x before its offer arrives and says "not run". Many
+    # epochs later, when x is long forgotten, the offer turns up. Its epoch
+    # tells that the gate can no longer know, so it is refused.
+    subject = make_gate(slots=4)
+    subject.withdraw("x", 0.0, epoch=0)
+    late_offer = make_attempt("x", deadline=10_000.0)
+    for minute in range(1, 6):
+        subject.tick(minute * attempts.EPOCH_SECONDS)
+        (refusal,) = subject.offer(late_offer, minute * attempts.EPOCH_SECONDS)
+        assert refusal.failure.ran == codes.RAN_NO
+    assert refusal.failure.code == codes.STALE_EPOCH
+    assert len(subject.attempts) == 0
+
+
+def test_forgotten_attempt_is_not_called_not_run():
+    # x runs and ends. Long after, a router that lost the connection asks for
+    # it. The gate has forgotten x; "not run" would be false.
+    subject = make_gate()
+    subject.offer(make_attempt("x"), 0.0)
+    subject.finish("x", cost=1.0, is_healthy=True, now=1.0)
+    for minute in range(1, 6):
+        subject.tick(minute * attempts.EPOCH_SECONDS)
+    status, due = subject.withdraw("x", 400.0, epoch=0)
+    assert (status, due) == (
+        attempts.AttemptStatus(state=attempts.FORGOTTEN, ran=True),
+        [],
+    )
+
+
+def test_doubled_and_late_claim_reports_start_nothing():
+    subject = make_gate()
+    attempt = make_attempt("x", is_repeatable=False, idempotency_key="k")
+    subject.offer(attempt, 0.0)
+    refusal = failure_value.Failure(code=codes.STORE_UNAVAILABLE, reason="x")
+    (refused,) = subject.claim_settled("x", refusal, 1.0)
+    assert refused.failure.ran == codes.RAN_NO
+    assert subject.claim_settled("x", None, 2.0) == []
+    assert subject.offer(attempt, 3.0)[0].failure.code == codes.WITHDRAWN
+    assert subject.running_count == 0
+
+
+def test_claim_granted_while_draining_is_given_back():
+    # The data centre is taken out while a claim is on its way to the store.
+    # The grant arrives after the drain: nothing new may start, and the claim
+    # can be taken over, since the attempt is barred here.
+    subject = make_gate()
+    attempt = make_attempt("x", is_repeatable=False, idempotency_key="k")
+    subject.offer(attempt, 0.0)
+    subject.drain(admission.DATA_CENTRE_OUT, 1.0)
+    (refused,) = subject.claim_settled("x", None, 2.0)
+    assert refused.failure.code == codes.DRAINING
+    assert not subject.withdraw("x", 3.0)[0].ran
+
+
+def test_claim_granted_past_the_deadline_is_given_back():
+    subject = make_gate()
+    attempt = make_attempt("x", is_repeatable=False, idempotency_key="k")
+    subject.offer(attempt, 0.0)
+    (refused,) = subject.claim_settled("x", None, attempt.deadline)
+    assert refused.failure.code == codes.DEADLINE_PASSED
