--- a/packages/daisypick_node/src/daisypick_node/agent/attempt_routes.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/attempt_routes.py
@@ -31,9 +31,10 @@
 
 
 class Naming(typing.TypedDict):
-    """Names an attempt."""
+    """Names an attempt and the epoch that it was sent in."""
 
     attempt_id: str
+    epoch: int
 
 
 class Status(typing.TypedDict):
@@ -123,10 +124,12 @@
             answer.last_read_at = self._clock()
 
     def _withdraw(self, call: routes.Call) -> routes.Reply:
-        attempt_id = _read_attempt_id(call)
-        if failure_value.is_failure(attempt_id):
-            return routes.reply_failure(attempt_id)
-        status = self._driver.withdraw(attempt_id)
+        naming = _read_naming(call)
+        if failure_value.is_failure(naming):
+            return routes.reply_failure(naming)
+        status = self._driver.withdraw(
+            naming["attempt_id"], epoch=naming["epoch"]
+        )
         return routes.reply_json(
             Status(
                 state=status.state,
@@ -136,19 +139,19 @@
         )
 
     def _cancel(self, call: routes.Call) -> routes.Reply:
-        attempt_id = _read_attempt_id(call)
-        if failure_value.is_failure(attempt_id):
-            return routes.reply_failure(attempt_id)
-        self._driver.cancel(attempt_id)
+        naming = _read_naming(call)
+        if failure_value.is_failure(naming):
+            return routes.reply_failure(naming)
+        self._driver.cancel(naming["attempt_id"])
         return routes.reply_json({"load": self._driver.gate.load()})
 
 
-def _read_attempt_id(call: routes.Call) -> str | failure_value.Failure:
+def _read_naming(call: routes.Call) -> Naming | failure_value.Failure:
     body = call.read_body()
     if failure_value.is_failure(body):
         return body
     try:
-        return msgspec.json.decode(body, type=Naming)["attempt_id"]
+        return msgspec.json.decode(body, type=Naming)
     except msgspec.MsgspecError as error:
         return failure_value.Failure(
             code=codes.BAD_MESSAGE, reason=f"body: {error}"
--- a/packages/daisypick_node/src/daisypick_node/agent/claimant.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/claimant.py
@@ -43,9 +43,8 @@
         self, attempt: attempt_message.Attempt
     ) -> failure_value.Failure | None:
         """Create the key's object, settle a lost answer by reading back."""
-        name = xxhash.xxh3_128_hexdigest(
-            f"{attempt.organisation}\0{attempt.idempotency_key}"
-        )
+        key = f"{attempt.organisation}\0{attempt.idempotency_key}"
+        name = xxhash.xxh3_128_hexdigest(key.encode())
         claim = _Claim(
             attempt_id=attempt.attempt_id, fingerprint=attempt.fingerprint
         )
--- a/packages/daisypick_node/src/daisypick_node/agent/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/driver.py
@@ -10,6 +10,7 @@
 
 from daisypick_core.gate import actions
 from daisypick_core.gate import attempts
+from daisypick_core.gate import drain_state
 from daisypick_core.gate import gate as core_gate
 from daisypick_core.messages import frame
 from daisypick_core.results import codes
@@ -73,9 +74,11 @@
         self.perform(self.gate.offer(work.attempt, now))
         return answer
 
-    def withdraw(self, attempt_id: str) -> attempts.AttemptStatus:
+    def withdraw(
+        self, attempt_id: str, *, epoch: int
+    ) -> attempts.AttemptStatus:
         """Take an attempt back unless it has started."""
-        status, due = self.gate.withdraw(attempt_id, self._clock())
+        status, due = self.gate.withdraw(attempt_id, self._clock(), epoch=epoch)
         self.perform(due)
         return status
 
@@ -87,9 +90,9 @@
         """Start nothing new."""
         self.perform(self.gate.drain(reason, self._clock()))
 
-    def undrain(self, reason: str) -> None:
-        """Take a reason for draining back."""
-        self.perform(self.gate.undrain(reason, self._clock()))
+    def apply_drain_state(self, state: drain_state.DrainState) -> None:
+        """Take what a configuration and the VM's signals say."""
+        self.perform(self.gate.apply_drain_state(state, self._clock()))
 
     def tick(self) -> None:
         """Let time pass at the gate; stop what nobody follows."""
--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -5,10 +5,10 @@
 import typing
 import uuid
 
-from daisypick_core.configuration import model
 from daisypick_core.fairness import share_order
 from daisypick_core.gate import admission
 from daisypick_core.gate import concurrency
+from daisypick_core.gate import drain_state
 from daisypick_core.gate import gate as core_gate
 
 from daisypick_node import process
@@ -44,9 +44,9 @@
             order=self.order,
             limit=concurrency.ConcurrencyLimit(slots=1, cold_slots=1),
         )
-        self.gate.drain(admission.REMOVED, clock())
         self._pool = client.ClientPool(timeout=settings.engine_timeout)
         self.driver = self._make_driver()
+        self._apply_drain_state()
 
     def _make_driver(self) -> driver_module.GateDriver:
         return driver_module.GateDriver(
@@ -100,7 +100,6 @@
 
     def on_configuration(self) -> None:
         """Take shares, slots and the state of the data centre."""
-        self.gate.generation = self.generation
         self.order.set_shares(
             {
                 name: organisation.share
@@ -112,24 +111,16 @@
         server = self.configuration.backend_servers_by_name.get(
             self.settings.name
         )
-        if server is None:
-            self.driver.drain(admission.REMOVED)
-            return
-        self._take_server(server)
-
-    def _take_server(self, server: model.BackendServer) -> None:
-        self.driver.server = server.address
-        self.gate.limit.set_slots(
-            slots=server.slots, cold_slots=server.cold_slots
-        )
-        data_centre = self.configuration.data_centres_by_name.get(
-            server.data_centre
-        )
-        if data_centre is not None and not data_centre.is_in:
-            self.driver.drain(admission.DATA_CENTRE_OUT)
-        else:
-            self.driver.undrain(admission.DATA_CENTRE_OUT)
-        self.driver.undrain(admission.REMOVED)
+        if server is not None:
+            self.driver.server = server.address
+            self.gate.limit.set_slots(
+                slots=server.slots, cold_slots=server.cold_slots
+            )
+        self._apply_drain_state()
+
+    def _apply_drain_state(self) -> None:
+        state = drain_state.derive(self.configuration, self.settings.name)
+        self.driver.apply_drain_state(state)
 
     def on_drain(self) -> None:
         """Give back what waits."""
--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -176,7 +176,7 @@
             action.agent,
             "POST",
             attempt_routes.WITHDRAW,
-            attempt_routes.Naming(attempt_id=action.attempt.attempt_id),
+            _name(action.attempt),
         )
 
     def cancel(self, action: actions.Cancel) -> None:
@@ -189,7 +189,7 @@
             action.agent,
             "POST",
             attempt_routes.CANCEL,
-            attempt_routes.Naming(attempt_id=action.attempt.attempt_id),
+            _name(action.attempt),
         )
 
     def fail(self, action: actions.Fail) -> None:
@@ -235,6 +235,12 @@
         self._note(request_id, event, attempt_id=attempt_id)
 
 
+def _name(attempt: attempt_message.Attempt) -> attempt_routes.Naming:
+    return attempt_routes.Naming(
+        attempt_id=attempt.attempt_id, epoch=attempt.epoch
+    )
+
+
 @functools.singledispatch
 def _perform(action: typing.Any, driver: DispatchDriver) -> None:
     raise TypeError(f"action: {type(action).__name__} has no handler")
--- a/packages/daisypick_node/src/daisypick_node/router/filters/read.py
+++ b/packages/daisypick_node/src/daisypick_node/router/filters/read.py
@@ -15,6 +15,7 @@
     if failure_value.is_failure(body):
         return body
     call = exchange.call
-    digest = xxhash.xxh3_128(f"{call.method} {call.path}?{call.query}\n")
+    line = f"{call.method} {call.path}?{call.query}\n"
+    digest = xxhash.xxh3_128(line.encode())
     digest.update(body)
     return exchange._replace(body=body, fingerprint=digest.hexdigest())
--- a/packages/daisypick_node/src/daisypick_node/router/sender.py
+++ b/packages/daisypick_node/src/daisypick_node/router/sender.py
@@ -183,7 +183,9 @@
             self.agent,
             "POST",
             attempt_routes.WITHDRAW,
-            attempt_routes.Naming(attempt_id=attempt_id),
+            attempt_routes.Naming(
+                attempt_id=attempt_id, epoch=self.attempt.epoch
+            ),
         )
         status = peers_module.decode(answer, attempt_routes.Status)
         if failure_value.is_failure(status):
