--- a/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
@@ -11,4 +11,8 @@
 From process to process:
 
 * ``chunks``: a configuration as content-addressed chunks.
+* ``root``: the one object that says which configuration is in force.
+* ``patch``: from one tree of chunks to the next, reading what differs.
+* ``difference``: what differs between two configurations, key by key.
+* ``wire``: roots and chunks as JSON.
 """
--- a/packages/daisypick_core/src/daisypick_core/configuration/chunks.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/chunks.py
@@ -42,8 +42,8 @@
 _MAX_DEPTH = 8
 
 _encoder = msgspec.json.Encoder(order="sorted")
-_Leaf = dict[str, dict[str, typing.Any]]
-_decoder = msgspec.json.Decoder(list[str] | _Leaf)
+Fields = dict[str, typing.Any]
+_decoder = msgspec.json.Decoder(list[str] | dict[str, Fields])
 
 
 class Tree(typing.NamedTuple):
@@ -143,36 +143,39 @@
     """Return the configuration of a whole tree, or ``BAD_CHUNK``."""
     entries_by_section: dict[str, dict[str, typing.Any]] = {}
     try:
-        for path, fields in _leaf_entries(top, chunk_by_hash):
+        for path, fields in _entries_below(top, chunk_by_hash):
             section_name, _, name = path.partition("/")
             section = sections.by_name.get(section_name)
             if section is None:
                 continue
             entries = entries_by_section.setdefault(section_name, {})
-            entries[name] = _make_entry(section, name, fields)
-    except (msgspec.DecodeError, KeyError, TypeError) as error:
+            entries[name] = make_entry(section, name, fields)
+    except (msgspec.MsgspecError, KeyError, TypeError) as error:
         return failure_value.Failure(
             code=codes.BAD_CHUNK, reason=f"tree {top}: {error}"
         )
     return sections.make_configuration(generation, entries_by_section)
 
 
-def _leaf_entries(
-    top: str, chunk_by_hash: Mapping[str, bytes]
-) -> Iterator[tuple[str, dict[str, typing.Any]]]:
-    decoded = _decoder.decode(chunk_by_hash[top])
-    if isinstance(decoded, dict):
-        yield from decoded.items()
-        return
-    for child in decoded:
-        if child:
-            yield from _leaf_entries(child, chunk_by_hash)
+def leaf_entries(chunk: bytes) -> dict[str, Fields]:
+    """Return the entries of a leaf by ``section/name``, none of a node.
+
+    Raises:
+        msgspec.DecodeError: The bytes are no chunk.
+    """
+    decoded = _decoder.decode(chunk)
+    return decoded if isinstance(decoded, dict) else {}
 
 
-def _make_entry(
-    section: sections.Section, name: str, fields: dict[str, typing.Any]
+def make_entry(
+    section: sections.Section, name: str, fields: Fields
 ) -> typing.Any:
-    """Make an entry; keys of a later release are left out."""
+    """Make an entry; keys of a later release are left out.
+
+    Raises:
+        msgspec.ValidationError: A value has another type.
+        TypeError: A required key is missing.
+    """
     known = {
         key: msgspec.convert(value, section.field(key).type)
         for key, value in fields.items()
@@ -181,18 +184,25 @@
     return section.type(name=name, **known)
 
 
+def _entries_below(
+    top: str, chunk_by_hash: Mapping[str, bytes]
+) -> Iterator[tuple[str, Fields]]:
+    chunk = chunk_by_hash[top]
+    yield from leaf_entries(chunk).items()
+    for child in children(chunk):
+        yield from _entries_below(child, chunk_by_hash)
+
+
 def _entries(
     configuration: model.Configuration,
-) -> Iterator[tuple[str, dict[str, typing.Any]]]:
+) -> Iterator[tuple[str, Fields]]:
     for section in sections.by_name.values():
         entries = sections.entries_by_name(configuration, section.name)
         for name, entry in entries.items():
             yield f"{section.name}/{name}", _fields(section, entry)
 
 
-def _fields(
-    section: sections.Section, entry: typing.Any
-) -> dict[str, typing.Any]:
+def _fields(section: sections.Section, entry: typing.Any) -> Fields:
     return {
         field.key: getattr(entry, field.key)
         for field in section.fields
@@ -205,7 +215,7 @@
     return int.from_bytes(digest, "big")
 
 
-_Placed = list[tuple[int, str, dict[str, typing.Any]]]
+_Placed = list[tuple[int, str, Fields]]
 
 
 class _Builder:
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/configuration/wire.py
@@ -0,0 +1,109 @@
+"""Roots and chunks as JSON, between processes and in the store.
+
+Chunks are JSON already and go in as they are, byte for byte, so that their
+hashes still fit at the other end.
+
+Examples:
+    >>> chunk = b'{"data_centres/sofia":{}}'
+    >>> data = encode_chunks({chunks.hash_chunk(chunk): chunk})
+    >>> list(decode_chunks(data).values()) == [chunk]
+    True
+    >>> decode_chunks(data.replace(b"sofia", b"varna"))
+    {}
+"""
+
+from collections.abc import Mapping
+import typing
+
+import msgspec
+
+from daisypick_core.configuration import chunks
+from daisypick_core.configuration import root as root_object
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+
+
+class RootAnswer(typing.NamedTuple):
+    """A root and the chunks that its holder expects to be missing.
+
+    Attributes:
+        root: The root in force, ``None`` at a process without any.
+        chunk_by_hash: Chunks, each checked against its hash.
+    """
+
+    root: root_object.Root | None
+    chunk_by_hash: Mapping[str, bytes]
+
+
+class _AnswerDocument(typing.TypedDict):
+    root: root_object.RootDocument | None
+    chunks: dict[str, msgspec.Raw]
+
+
+_answer_decoder = msgspec.json.Decoder(_AnswerDocument)
+_chunks_decoder = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+def encode_answer(answer: RootAnswer) -> bytes:
+    """Return the JSON form of an answer, without the store's names."""
+    document = None
+    if answer.root is not None:
+        bare = answer.root._replace(packs=(), recent=())
+        document = root_object.to_document(bare)
+    return msgspec.json.encode(
+        {"root": document, "chunks": _to_raw(answer.chunk_by_hash)}
+    )
+
+
+def decode_answer(data: bytes) -> RootAnswer | failure_value.Failure:
+    """Return a checked answer; damaged chunks are left out.
+
+    Failures: ``BAD_MESSAGE`` if it is no answer, ``BAD_CHUNK`` if its root
+    is damaged.
+    """
+    try:
+        document = _answer_decoder.decode(data)
+    except msgspec.MsgspecError as error:
+        return _bad_message(error)
+    root = None
+    if document["root"] is not None:
+        root = root_object.from_document(document["root"])
+        if failure_value.is_failure(root):
+            return root
+    return RootAnswer(root=root, chunk_by_hash=_from_raw(document["chunks"]))
+
+
+def encode_chunks(chunk_by_hash: Mapping[str, bytes]) -> bytes:
+    """Return the JSON form of some chunks."""
+    return msgspec.json.encode(_to_raw(chunk_by_hash))
+
+
+def decode_chunks(data: bytes) -> dict[str, bytes] | failure_value.Failure:
+    """Return checked chunks by hash; damaged ones are left out."""
+    try:
+        return _from_raw(_chunks_decoder.decode(data))
+    except msgspec.MsgspecError as error:
+        return _bad_message(error)
+
+
+def keep_sound(chunk_by_hash: Mapping[str, bytes]) -> dict[str, bytes]:
+    """Return the chunks whose hashes fit."""
+    return {
+        chunk_hash: chunk
+        for chunk_hash, chunk in chunk_by_hash.items()
+        if chunks.hash_chunk(chunk) == chunk_hash
+    }
+
+
+def _to_raw(chunk_by_hash: Mapping[str, bytes]) -> dict[str, msgspec.Raw]:
+    return {key: msgspec.Raw(chunk) for key, chunk in chunk_by_hash.items()}
+
+
+def _from_raw(raw_by_hash: Mapping[str, msgspec.Raw]) -> dict[str, bytes]:
+    return keep_sound({key: bytes(raw) for key, raw in raw_by_hash.items()})
+
+
+def _bad_message(error: Exception) -> failure_value.Failure:
+    return failure_value.Failure(
+        code=codes.BAD_MESSAGE, reason=f"answer: {error}"
+    )
