Spread configurations by contact

Cause: 4,000 processes cannot each watch the store, and nothing may wait for it; a process must find the highest generation from whoever has it.

Change: a holder follows contacts, notices and pulls, fetches the root and the chunks that differ from a source ahead, checks each against its hash and never lowers its generation. At a start it asks the store and three peers and is ready with the highest; either kind suffices.

Tests: restart with the store or the peers or both away, stale, damaged, partial, lying and silent peers, a store gone back, and 60 random interleavings in which the generation never fell.

Conclusion: a wrong source costs a timeout and no more.

--- a/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
@@ -15,4 +15,11 @@
 * ``patch``: from one tree of chunks to the next, reading what differs.
 * ``difference``: what differs between two configurations, key by key.
 * ``wire``: roots and chunks as JSON.
+
+How it reaches every process:
+
+* ``spread``: the holder of a process, driven by contacts and ticks.
+* ``spread_actions``: what it asks its driver to do.
+* ``holdings``, ``fetch``, ``claimed``: its chunks, its fetch on the way, and
+  whom it believes to be ahead.
 """
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/configuration/claimed.py
@@ -0,0 +1,86 @@
+"""Which generation each source is believed to have.
+
+Bounded, and only of sources that are ahead. A source that fails is left alone
+for a while and then tried again, since nothing else may know what it knows.
+
+Examples:
+    >>> claims = Claims(rng=random.Random(1))
+    >>> claims.note("a", 3); claims.note("b", 4)
+    >>> claims.best(above=2, now=0.0)
+    'b'
+    >>> claims.suspend("b", 5.0)
+    >>> claims.best(above=2, now=0.0), claims.best(above=2, now=5.0)
+    ('a', 'b')
+"""
+
+import random
+
+LIMIT = 16
+
+
+class Claims:
+    """Generations by source."""
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._generation_by_source: dict[str, int] = {}
+        self._until_by_source: dict[str, float] = {}
+
+    def claim(self, source: str) -> int:
+        """Return what a source is believed to have, 0 for nothing."""
+        return self._generation_by_source.get(source, 0)
+
+    def note(self, source: str, generation: int) -> None:
+        """Note what a source says; the highest counts."""
+        highest = max(self.claim(source), generation)
+        self._generation_by_source[source] = highest
+        if len(self._generation_by_source) > LIMIT:
+            lowest = min(
+                self._generation_by_source,
+                key=lambda one: self._generation_by_source[one],
+            )
+            del self._generation_by_source[lowest]
+
+    def set(self, source: str, generation: int) -> None:
+        """Note what a source has shown to hold, also if it is less."""
+        self._until_by_source.pop(source, None)
+        self._generation_by_source.pop(source, None)
+        if generation > 0:
+            self.note(source, generation)
+
+    def suspend(self, source: str, until: float) -> None:
+        """Leave a source alone for a while."""
+        self._until_by_source.pop(source, None)
+        self._until_by_source[source] = until
+        if len(self._until_by_source) > LIMIT:
+            del self._until_by_source[next(iter(self._until_by_source))]
+
+    def best(self, *, above: int, now: float) -> str | None:
+        """Return a source with the highest generation above a bound."""
+        usable = {
+            source: generation
+            for source, generation in self._generation_by_source.items()
+            if generation > above
+            and self._until_by_source.get(source, 0.0) <= now
+        }
+        if not usable:
+            return None
+        highest = max(usable.values())
+        return self._rng.choice(
+            [source for source, value in usable.items() if value == highest]
+        )
+
+    def is_ahead(self, generation: int) -> bool:
+        """Tell whether a source that has not failed is ahead."""
+        return any(
+            claimed > generation and source not in self._until_by_source
+            for source, claimed in self._generation_by_source.items()
+        )
+
+    def forget_up_to(self, generation: int) -> None:
+        """Drop the sources that are not ahead any more."""
+        self._generation_by_source = {
+            source: claimed
+            for source, claimed in self._generation_by_source.items()
+            if claimed > generation
+        }
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/configuration/spread.py
@@ -0,0 +1,435 @@
+"""How a configuration reaches every process, by contact.
+
+A process holds one configuration and never goes back to a lower generation.
+Whatever it hears from carries a generation; when that is higher, it fetches
+the root and the chunks that differ from there. Three ways bring the news:
+
+* contact: requests, answers and notices carry the generation;
+* notices: whoever puts a generation in force tells a few peers, at most
+  ``notice_fanout`` each ``notice_seconds``;
+* pull: each asks one random peer every ``pull_seconds``, which reaches
+  processes that have no traffic and makes up for lost notices.
+
+A few processes of each data centre watch the store. Who does is a matter of
+speed alone: two watchers fetch the same root, none for a while only delays.
+
+A process that starts with nothing asks the store and several peers, and is
+ready once it holds the highest of their generations. Either kind suffices.
+
+Examples:
+    >>> import random
+    >>> holder = Holder(rng=random.Random(1))
+    >>> holder.set_peers(["10.0.0.1:80"], ["10.0.0.1:80"])
+    >>> for action in holder.start(0.0):
+    ...     print(action)
+    FetchRoot(source='store', have='')
+    FetchRoot(source='10.0.0.1:80', have='')
+    >>> holder.is_ready
+    False
+
+References:
+    A. Demers et al., Epidemic Algorithms for Replicated Database
+    Maintenance, PODC 1987.
+"""
+
+from collections.abc import Mapping
+from collections.abc import Sequence
+import random
+import typing
+
+from daisypick_core.configuration import claimed
+from daisypick_core.configuration import fetch as tree_fetch
+from daisypick_core.configuration import holdings as chunk_holdings
+from daisypick_core.configuration import model
+from daisypick_core.configuration import patch
+from daisypick_core.configuration import root as root_object
+from daisypick_core.configuration import spread_actions as actions
+from daisypick_core.configuration import wire
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+
+STORE = actions.STORE
+
+
+class SpreadLimits(typing.NamedTuple):
+    """Times in seconds, and bounds.
+
+    Attributes:
+        pull_seconds: Mean time between two pulls.
+        notice_seconds: Least time between two rounds of notices.
+        notice_fanout: Peers told in a round.
+        fetch_timeout: Time after which a source is given up.
+        suspend_seconds: Time for which a failed source is left alone.
+        start_peers: Peers asked at the start.
+        start_retry: Time between two rounds at the start.
+        isolated_seconds: Silence of all peers after which the store is
+            asked, at about this interval.
+        batch: Chunks asked for at once.
+    """
+
+    pull_seconds: float = 4.0
+    notice_seconds: float = 1.0
+    notice_fanout: int = 3
+    fetch_timeout: float = 3.0
+    suspend_seconds: float = 5.0
+    start_peers: int = 3
+    start_retry: float = 2.0
+    isolated_seconds: float = 20.0
+    batch: int = 64
+
+
+DEFAULT_LIMITS = SpreadLimits()
+
+
+class Holder:
+    """The configuration of one process and how it follows the others.
+
+    Attributes:
+        configuration: The configuration in force, ``model.EMPTY`` at first.
+        root: Its root, ``None`` at first.
+        is_store_behind: Whether the store was last seen at a lower
+            generation, as after a restore of an old backup.
+        split_count: Roots seen that have this generation and another tree,
+            which a store that keeps its promises rules out.
+    """
+
+    def __init__(
+        self, *, rng: random.Random, limits: SpreadLimits = DEFAULT_LIMITS
+    ) -> None:
+        self.configuration = model.EMPTY
+        self.root: root_object.Root | None = None
+        self.is_store_behind = False
+        self.split_count = 0
+        self._rng = rng
+        self._limits = limits
+        self._holdings = chunk_holdings.Holdings()
+        self._claims = claimed.Claims(rng=rng)
+        self._near: Sequence[str] = ()
+        self._peers: Sequence[str] = ()
+        self._fetch: tree_fetch.Fetch | None = None
+        self._staged: Mapping[str, bytes] = {}
+        self._asked: tuple[str, float] | None = None
+        self._rejected: set[str] = set()
+        self._quiet_until = 0.0
+        self._collecting: set[str] = set()
+        self._collect_until = 0.0
+        self._next_start = 0.0
+        self._is_starting = False
+        self._must_notify = False
+        self._next_notice = 0.0
+        self._next_pull = 0.0
+        self._next_store = 0.0
+        self._heard_at = 0.0
+
+    @property
+    def generation(self) -> int:
+        """The generation in force, 0 for none."""
+        return self.configuration.generation
+
+    @property
+    def top(self) -> str:
+        """Hash of the top chunk in force."""
+        return self._holdings.top
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a configuration is in force and the start is over."""
+        return self.generation > 0 and not self._is_starting
+
+    def set_peers(self, peers: Sequence[str], near: Sequence[str]) -> None:
+        """Take the addresses of live peers, and of those close by."""
+        self._peers = peers
+        self._near = near
+
+    def start(self, now: float) -> list[actions.Action]:
+        """Ask the store and several peers for their generations."""
+        self._is_starting = True
+        count = min(self._limits.start_peers, len(self._peers))
+        sources = [STORE, *self._rng.sample(self._peers, count)]
+        self._collecting = set(sources)
+        self._collect_until = now + self._limits.fetch_timeout
+        self._next_store = now + self._limits.isolated_seconds
+        self._next_pull = now + self._rng.random() * self._limits.pull_seconds
+        self._heard_at = now
+        return [actions.FetchRoot(source=one, have="") for one in sources]
+
+    def hear(
+        self, peer: str, generation: int, now: float
+    ) -> list[actions.Action]:
+        """Learn from a contact which generation a peer has."""
+        self._heard_at = now
+        if generation <= self.generation:
+            return []
+        self._claims.note(peer, generation)
+        return self._ask_best(now)
+
+    def take_root(
+        self,
+        source: str,
+        answer: wire.RootAnswer | failure_value.Failure,
+        now: float,
+    ) -> list[actions.Action]:
+        """Take a source's root, asked for or not."""
+        if self._asked is not None and self._asked[0] == source:
+            self._asked = None
+        if failure_value.is_failure(answer):
+            return self._source_failed(source, now)
+        if source != STORE:
+            self._heard_at = now
+        root = answer.root
+        self._compare(source, root)
+        self._note_root(source, root, now)
+        if source in self._collecting:
+            return self._collected(source, now)
+        if root is None or root.generation <= self.generation:
+            return self._ask_best(now)
+        if root.digest in self._rejected:
+            self._quiet_until = now + self._limits.notice_seconds
+            return []
+        return self._fetch_tree(source, root, answer.chunk_by_hash, now)
+
+    def take_chunks(
+        self,
+        source: str,
+        chunk_by_hash: Mapping[str, bytes] | failure_value.Failure,
+        now: float,
+    ) -> list[actions.Action]:
+        """Take chunks that a source has sent."""
+        if self._fetch is None:
+            return []
+        if failure_value.is_failure(chunk_by_hash):
+            return self._source_failed(source, now)
+        has_come = self._fetch.offer(chunk_by_hash)
+        if source != self._fetch.source and not self._fetch.is_whole:
+            return []
+        if not has_come and source != STORE:
+            return self._source_failed(source, now)
+        return self._go_on(now)
+
+    def tick(self, now: float) -> list[actions.Action]:
+        """Let time pass; call this about once a second or more often."""
+        due: list[actions.Action] = []
+        if self._collecting and now >= self._collect_until:
+            for source in sorted(self._collecting):
+                due += self._source_failed(source, now)
+        due += self._give_up_slow(now)
+        if self._is_starting and not self._collecting and not self._is_busy():
+            due += self._start_again(now)
+        due += self._ask_best(now)
+        due += self._notices(now)
+        due += self._pull(now)
+        return due
+
+    def answer_root(self, have: str) -> wire.RootAnswer:
+        """Return the answer to a peer that has the tree ``have``."""
+        return wire.RootAnswer(
+            root=self.root, chunk_by_hash=self._holdings.bundle(have)
+        )
+
+    def answer_chunks(self, hashes: Sequence[str]) -> dict[str, bytes]:
+        """Return those of the chunks that are held."""
+        return self._holdings.give(hashes[: self._limits.batch])
+
+    def _compare(self, source: str, root: root_object.Root | None) -> None:
+        generation = root.generation if root else 0
+        if source == STORE:
+            self.is_store_behind = generation < self.generation
+        if root and generation == self.generation and root.top != self.top:
+            self.split_count += 1
+
+    def _note_root(
+        self, source: str, root: root_object.Root | None, now: float
+    ) -> None:
+        generation = root.generation if root else 0
+        has_claimed = self._claims.claim(source)
+        self._claims.set(source, generation)
+        if generation <= self.generation < has_claimed:
+            # It claims what it does not have: each contact would fetch its
+            # root again.
+            self._claims.suspend(source, now + self._limits.suspend_seconds)
+
+    def _is_busy(self) -> bool:
+        return self._fetch is not None or self._asked is not None
+
+    def _ask_best(self, now: float) -> list[actions.Action]:
+        """Ask the source with the highest generation, if it is news."""
+        if self._is_busy() or self._collecting or now < self._quiet_until:
+            return []
+        source = self._claims.best(above=self.generation, now=now)
+        if source is None:
+            return []
+        self._asked = (source, now)
+        return [actions.FetchRoot(source=source, have=self.top)]
+
+    def _collected(self, source: str, now: float) -> list[actions.Action]:
+        self._collecting.discard(source)
+        if self._collecting:
+            return []
+        self._next_start = now + self._limits.start_retry * (
+            0.5 + self._rng.random()
+        )
+        self._end_start()
+        return self._ask_best(now)
+
+    def _end_start(self) -> None:
+        """Be ready unless a source that answers is known to be ahead."""
+        is_behind = self._claims.is_ahead(self.generation)
+        if self.generation > 0 and not self._collecting and not is_behind:
+            self._is_starting = False
+
+    def _start_again(self, now: float) -> list[actions.Action]:
+        self._end_start()
+        if not self._is_starting or now < self._next_start:
+            return []
+        return self.start(now)
+
+    def _source_failed(self, source: str, now: float) -> list[actions.Action]:
+        self._claims.suspend(source, now + self._limits.suspend_seconds)
+        if self._fetch is not None and self._fetch.source == source:
+            self._staged = self._fetch.staged
+            self._fetch = None
+        if source in self._collecting:
+            return self._collected(source, now)
+        return self._ask_best(now)
+
+    def _give_up_slow(self, now: float) -> list[actions.Action]:
+        latest = now - self._limits.fetch_timeout
+        if self._fetch is not None and self._fetch.since <= latest:
+            return self._source_failed(self._fetch.source, now)
+        if self._asked is not None and self._asked[1] <= latest:
+            source, _ = self._asked
+            self._asked = None
+            return self._source_failed(source, now)
+        return []
+
+    def _fetch_tree(
+        self,
+        source: str,
+        root: root_object.Root,
+        chunk_by_hash: Mapping[str, bytes],
+        now: float,
+    ) -> list[actions.Action]:
+        if self._fetch is not None:
+            if root.generation <= self._fetch.root.generation:
+                return []
+            self._staged = self._fetch.staged
+        self._fetch = tree_fetch.Fetch(
+            root=root,
+            source=source,
+            since=now,
+            holdings=self._holdings,
+            staged=self._staged,
+        )
+        self._fetch.offer(chunk_by_hash)
+        return self._go_on(now)
+
+    def _go_on(self, now: float) -> list[actions.Action]:
+        """Take the next step of the fetch."""
+        fetch = self._fetch
+        assert fetch is not None
+        fetch.since = now
+        if fetch.is_whole:
+            return self._adopt(fetch, now)
+        if fetch.source != STORE:
+            hashes = fetch.next_hashes(self._limits.batch)
+            return [actions.FetchChunks(source=fetch.source, hashes=hashes)]
+        if fetch.packs_left:
+            return [actions.FetchPack(name=fetch.packs_left.pop())]
+        return self._source_failed(STORE, now)
+
+    def _adopt(
+        self, fetch: tree_fetch.Fetch, now: float
+    ) -> list[actions.Action]:
+        self._fetch = None
+        self._staged = {}
+        # A root that came while a higher one was put in force would lower
+        # the generation: callers would see a removed key work again.
+        if fetch.root.generation <= self.generation:
+            return self._ask_best(now)
+        patched = self._patch(fetch)
+        if failure_value.is_failure(patched):
+            self._rejected.add(fetch.root.digest)
+            self._quiet_until = now + self._limits.notice_seconds
+            self._claims.suspend(
+                fetch.source, now + self._limits.suspend_seconds
+            )
+            return [actions.Reject(source=fetch.source, failure=patched)]
+        self._holdings.move_to(fetch.root.top, fetch.staged)
+        self.configuration = patched.configuration
+        self.root = fetch.root
+        self._rejected.clear()
+        self._claims.forget_up_to(self.generation)
+        self._end_start()
+        self._must_notify = True
+        in_force = actions.PutInForce(
+            configuration=patched.configuration,
+            changed_by_section=patched.changed_by_section,
+        )
+        return [in_force, *self._notices(now), *self._ask_best(now)]
+
+    def _patch(
+        self, fetch: tree_fetch.Fetch
+    ) -> patch.Patched | failure_value.Failure:
+        held = self._holdings.chunk_by_hash
+        return patch.patch(
+            self.configuration,
+            self._holdings.top,
+            fetch.root.top,
+            {**held, **fetch.staged},
+            generation=fetch.root.generation,
+        )
+
+    def _notices(self, now: float) -> list[actions.Action]:
+        if not self._must_notify or now < self._next_notice:
+            return []
+        self._must_notify = False
+        self._next_notice = now + self._limits.notice_seconds
+        chosen = {self._choose() for _ in range(self._limits.notice_fanout)}
+        return [
+            actions.Notify(peer=peer, generation=self.generation)
+            for peer in sorted(chosen - {""})
+        ]
+
+    def _pull(self, now: float) -> list[actions.Action]:
+        due: list[actions.Action] = []
+        if now >= self._next_pull and not self._collecting:
+            spread = 0.75 + 0.5 * self._rng.random()
+            self._next_pull = now + self._limits.pull_seconds * spread
+            peer = self._choose()
+            if peer:
+                due.append(actions.FetchRoot(source=peer, have=self.top))
+        is_isolated = now - self._heard_at >= self._limits.isolated_seconds
+        if is_isolated and now >= self._next_store:
+            spread = 0.5 + self._rng.random()
+            self._next_store = now + self._limits.isolated_seconds * spread
+            due.append(actions.FetchRoot(source=STORE, have=""))
+        return due
+
+    def _choose(self) -> str:
+        """Return a random peer, every other time one close by."""
+        near = self._near if self._rng.random() < 0.5 else ()
+        peers = near or self._peers
+        return self._rng.choice(peers) if peers else ""
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the state for a dump."""
+        return {
+            "generation": self.generation,
+            "change_id": self.root.change_id if self.root else "",
+            "is_ready": self.is_ready,
+            "is_store_behind": self.is_store_behind,
+            "split_count": self.split_count,
+            "peers": len(self._peers),
+            "fetches_generation": (
+                self._fetch.root.generation if self._fetch else 0
+            ),
+            "chunks": len(self._holdings.chunk_by_hash),
+        }
+
+
+def not_configured() -> failure_value.Failure:
+    """Return the refusal of a process without a configuration."""
+    return failure_value.Failure(
+        code=codes.NOT_CONFIGURED,
+        reason="configuration: neither the store nor a peer has given one",
+    )
--- /dev/null
+++ b/packages/daisypick_core/tests/configuration/test_spread.py
@@ -0,0 +1,313 @@
+import itertools
+import random
+
+from daisypick_core.configuration import chunks
+from daisypick_core.configuration import model
+from daisypick_core.configuration import root as root_object
+from daisypick_core.configuration import sections
+from daisypick_core.configuration import spread
+from daisypick_core.configuration import spread_actions as actions
+from daisypick_core.configuration import wire
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import hypothesis
+from hypothesis import strategies
+
+DOWN = failure_value.Failure(code=codes.PEER_UNREACHABLE, reason="down")
+PEERS = ("p1", "p2", "p3")
+
+
+def make_configuration(generation, count=200):
+    organisations = {
+        f"org-{n}": model.Organisation(f"org-{n}", share=float(n + 1))
+        for n in range(count)
+    }
+    organisations["org-0"] = model.Organisation("org-0", float(generation))
+    return sections.make_configuration(
+        generation, {"organisations": organisations}
+    )
+
+
+class Source:
+    """A store, or a peer, that holds some generation."""
+
+    def __init__(self, generation):
+        self.configuration = make_configuration(generation)
+        tree = chunks.split(self.configuration)
+        self.chunk_by_hash = tree.chunk_by_hash
+        base = chunks.split(make_configuration(1)).chunk_by_hash
+        news = tree.chunk_by_hash.keys() - base.keys()
+        self.packs = {
+            "base": base,
+            "news": {key: tree.chunk_by_hash[key] for key in news},
+        }
+        self.root = root_object.make_root(
+            generation=generation,
+            change_id=f"c{generation}",
+            top=tree.top,
+            packs=("base", "news"),
+        )
+
+
+def make_holder(**limits):
+    holder = spread.Holder(
+        rng=random.Random(7), limits=spread.SpreadLimits(**limits)
+    )
+    holder.set_peers(PEERS, PEERS[:1])
+    return holder
+
+
+def run(holder, due, source_by_name, now=0.0, seen=None):
+    """Carry actions out until none is left; return all of them."""
+    seen = [] if seen is None else seen
+    pending = list(due)
+    while pending:
+        action = pending.pop(0)
+        seen.append(action)
+        if isinstance(action, actions.FetchRoot):
+            source = source_by_name.get(action.source)
+            answer = DOWN
+            if source:
+                answer = wire.RootAnswer(root=source.root, chunk_by_hash={})
+            pending += holder.take_root(action.source, answer, now)
+        elif isinstance(action, actions.FetchChunks):
+            source = source_by_name[action.source]
+            given = {key: source.chunk_by_hash[key] for key in action.hashes}
+            pending += holder.take_chunks(action.source, given, now)
+        elif isinstance(action, actions.FetchPack):
+            pack = source_by_name[actions.STORE].packs[action.name]
+            pending += holder.take_chunks(actions.STORE, pack, now)
+    return seen
+
+
+def bring_up(generation, **limits):
+    holder = make_holder(**limits)
+    sources = dict.fromkeys((actions.STORE, *PEERS), Source(generation))
+    run(holder, holder.start(0.0), sources)
+    assert holder.generation == generation
+    return holder
+
+
+def test_restart_takes_the_highest_before_it_is_ready():
+    # A node restarts with nothing. The store it reads from lags behind, one
+    # peer is stale, one is down and one has the newest. Had it become ready
+    # with the first answer, callers would see an older configuration.
+    holder = make_holder()
+    asked = holder.start(0.0)
+    assert {action.source for action in asked} == {actions.STORE, *PEERS}
+    sources = {
+        actions.STORE: Source(3),
+        "p1": Source(2),
+        "p3": Source(5),
+    }
+    first = wire.RootAnswer(root=sources[actions.STORE].root, chunk_by_hash={})
+    assert holder.take_root(actions.STORE, first, 0.0) == []
+    assert not holder.is_ready
+    rest = [action for action in asked if action.source != actions.STORE]
+    seen = run(holder, rest, sources)
+    installed = [a for a in seen if isinstance(a, actions.PutInForce)]
+    assert [a.configuration for a in installed] == [make_configuration(5)]
+    assert holder.is_ready
+
+
+def test_restart_while_the_store_is_down_takes_a_peers():
+    holder = make_holder()
+    run(holder, holder.start(0.0), {"p2": Source(4)})
+    assert (holder.generation, holder.is_ready) == (4, True)
+
+
+def test_restart_while_peers_are_down_takes_the_stores():
+    # The store's objects are read newest first; a leaf may lie in an older
+    # one than the node that names it.
+    holder = make_holder()
+    seen = run(holder, holder.start(0.0), {actions.STORE: Source(4)})
+    packs = [a.name for a in seen if isinstance(a, actions.FetchPack)]
+    assert packs == ["news", "base"]
+    assert holder.configuration == make_configuration(4)
+    assert holder.is_ready
+
+
+def test_restart_with_neither_is_not_ready_and_asks_again():
+    holder = make_holder()
+    run(holder, holder.start(0.0), {})
+    assert (holder.generation, holder.is_ready) == (0, False)
+    again = holder.tick(30.0)
+    assert actions.STORE in {
+        a.source for a in again if isinstance(a, actions.FetchRoot)
+    }
+    run(holder, again, {"p1": Source(1)}, now=30.0)
+    assert holder.is_ready
+
+
+def test_restart_does_not_wait_for_silent_sources():
+    # Nobody answers p1's and p2's call, neither with a failure. After the
+    # timeout what was heard by then is taken.
+    holder = make_holder()
+    holder.start(0.0)
+    source = Source(2)
+    answer = wire.RootAnswer(root=source.root, chunk_by_hash={})
+    assert holder.take_root("p3", answer, 0.0) == []
+    seen = run(holder, holder.tick(3.0), {"p3": source}, now=3.0)
+    assert any(isinstance(a, actions.PutInForce) for a in seen)
+    assert holder.is_ready
+
+
+def test_lower_generation_never_comes_in_force():
+    # A node that was cut off rejoins with an old generation; its contacts,
+    # its root and its late chunks reach a node that is ahead.
+    holder = bring_up(5)
+    stale = Source(3)
+    before = holder.configuration
+    assert holder.hear("p1", 3, 1.0) == []
+    for root in (stale.root, Source(5).root):
+        answer = wire.RootAnswer(root=root, chunk_by_hash=stale.chunk_by_hash)
+        assert holder.take_root("p1", answer, 1.0) == []
+    assert holder.take_chunks("p1", stale.chunk_by_hash, 1.0) == []
+    assert holder.configuration is before
+
+
+def test_peer_a_few_changes_behind_gets_all_in_one_answer():
+    ahead = bring_up(2)
+    behind = bring_up(2)
+    for generation in (3, 4):
+        run(
+            ahead,
+            ahead.hear("p1", generation, 1.0),
+            {"p1": Source(generation)},
+        )
+    (ask,) = behind.hear("p2", 4, 2.0)
+    answer = ahead.answer_root(ask.have)
+    data = wire.encode_answer(answer)
+    due = behind.take_root("p2", wire.decode_answer(data), 2.0)
+    assert isinstance(due[0], actions.PutInForce)
+    assert due[0].changed_by_section == {"organisations": {"org-0"}}
+    assert behind.configuration == make_configuration(4)
+    assert len(data) < 4_000
+    assert len(ahead.answer_root("unknown").chunk_by_hash) == 1
+
+
+def test_bad_and_partial_chunks_do_no_harm():
+    # p1 is ahead but answers with damaged chunks, p2 with half of them and
+    # then nothing. The node keeps what was sound, stays on its generation
+    # meanwhile and ends with p3.
+    holder = bring_up(1, batch=8)
+    new = Source(6)
+    answer = wire.RootAnswer(root=new.root, chunk_by_hash={})
+    (ask,) = holder.hear("p1", 6, 1.0)
+    (chunk_ask,) = holder.take_root("p1", answer, 1.0)
+    bad = dict.fromkeys(chunk_ask.hashes, b"{}")
+    assert holder.take_chunks("p1", bad, 1.0) == []
+    assert holder.generation == 1
+    (ask,) = holder.hear("p2", 6, 1.0)
+    (chunk_ask,) = holder.take_root("p2", answer, 1.0)
+    given = {key: new.chunk_by_hash[key] for key in chunk_ask.hashes}
+    (chunk_ask,) = holder.take_chunks("p2", given, 1.0)
+    assert holder.take_chunks("p2", {}, 1.0) == []
+    assert holder.generation == 1
+    seen = run(holder, holder.hear("p3", 6, 1.0), {"p3": new}, now=1.0)
+    asked = [a.hashes for a in seen if isinstance(a, actions.FetchChunks)]
+    assert not set(given) & set(itertools.chain(*asked))
+    assert holder.configuration == make_configuration(6)
+
+
+def test_sound_chunks_of_a_senseless_tree_are_rejected():
+    holder = bring_up(1)
+    chunk = b'{"organisations/o":{"share":"big"}}'
+    top = chunks.hash_chunk(chunk)
+    root = root_object.make_root(generation=9, change_id="x", top=top)
+    answer = wire.RootAnswer(root=root, chunk_by_hash={top: chunk})
+    (rejection,) = holder.take_root("p1", answer, 1.0)
+    assert rejection.failure.code == codes.BAD_CHUNK
+    assert holder.take_root("p2", answer, 1.0) == []
+    assert holder.hear("p3", 10, 1.5) == []
+    run(holder, holder.tick(2.0), {"p3": Source(10)}, now=2.0)
+    assert holder.generation == 10
+
+
+def test_peer_that_claims_what_it_lacks_is_left_alone():
+    holder = bring_up(2)
+    (ask,) = holder.hear("p1", 1_000_000, 1.0)
+    answer = wire.RootAnswer(root=Source(2).root, chunk_by_hash={})
+    assert holder.take_root(ask.source, answer, 1.0) == []
+    assert holder.hear("p1", 1_000_000, 1.1) == []
+    assert len(holder.hear("p2", 3, 1.2)) == 1
+
+
+def test_silent_source_is_replaced():
+    holder = bring_up(2)
+    (ask,) = holder.hear("p1", 3, 1.0)
+    assert (ask.source, holder.hear("p2", 3, 1.0)) == ("p1", [])
+    seen = run(holder, holder.tick(4.0), {"p2": Source(3)}, now=4.0)
+    assert holder.generation == 3
+    assert any(isinstance(a, actions.Notify) for a in seen)
+
+
+def test_news_is_passed_on_in_capped_rounds():
+    holder = bring_up(2)
+    told = []
+    for step in range(40):
+        now = 2.0 + step / 10
+        generation = 3 + step
+        due = holder.hear("p1", generation, now)
+        due += holder.tick(now)
+        seen = run(holder, due, {"p1": Source(generation)}, now=now)
+        told += [a for a in seen if isinstance(a, actions.Notify)]
+    assert holder.generation == 42
+    assert len(told) <= 4 * spread.DEFAULT_LIMITS.notice_fanout
+
+
+def test_isolated_node_asks_the_store():
+    holder = bring_up(2)
+    due = holder.tick(60.0)
+    asked = [a.source for a in due if isinstance(a, actions.FetchRoot)]
+    assert actions.STORE in asked
+    run(holder, due, {actions.STORE: Source(3)}, now=60.0)
+    assert holder.generation == 3
+
+
+def test_store_restored_from_an_old_backup_is_told():
+    holder = bring_up(5)
+    answer = wire.RootAnswer(root=Source(3).root, chunk_by_hash={})
+    assert holder.take_root(actions.STORE, answer, 1.0) == []
+    assert holder.describe()["is_store_behind"]
+    assert holder.generation == 5
+
+
+EVENTS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(("hear", "root", "chunks", "fail", "tick")),
+        strategies.sampled_from((actions.STORE, *PEERS)),
+        strategies.integers(1, 6),
+    ),
+    max_size=60,
+)
+SOURCES = {generation: Source(generation) for generation in range(1, 7)}
+
+
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(EVENTS, strategies.integers(0, 100))
+def test_generation_never_falls_whatever_comes_in_what_order(events, seed):
+    holder = spread.Holder(rng=random.Random(seed))
+    holder.set_peers(PEERS, ())
+    holder.start(0.0)
+    for step, (event, name, generation) in enumerate(events):
+        before, now = holder.generation, step / 2
+        source = SOURCES[generation]
+        if event == "hear":
+            due = holder.hear(name, generation, now)
+        elif event == "root":
+            answer = wire.RootAnswer(root=source.root, chunk_by_hash={})
+            due = holder.take_root(name, answer, now)
+        elif event == "chunks":
+            due = holder.take_chunks(name, source.chunk_by_hash, now)
+        elif event == "fail":
+            due = holder.take_root(name, DOWN, now)
+        else:
+            due = holder.tick(now)
+        for action in due:
+            if isinstance(action, actions.PutInForce):
+                assert action.configuration.generation > before
+        assert holder.generation >= before
+        if holder.generation:
+            held = holder.configuration
+            assert held == SOURCES[holder.generation].configuration
