--- a/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
@@ -11,4 +11,15 @@
 From process to process:
 
 * ``chunks``: a configuration as content-addressed chunks.
+* ``root``: the one object that says which configuration is in force.
+* ``patch``: from one tree of chunks to the next, reading what differs.
+* ``difference``: what differs between two configurations, key by key.
+* ``wire``: roots and chunks as JSON.
+
+How it reaches every process:
+
+* ``spread``: the holder of a process, driven by contacts and ticks.
+* ``spread_actions``: what it asks its driver to do.
+* ``holdings``, ``fetch``, ``claimed``: its chunks, its fetch on the way, and
+  whom it believes to be ahead.
 """
