Add the fleet's tally: reports, collectors, heads

Cause: each gate knew only its own service, so an organisation that reaches few agents fell behind without bound. Change: grow-only marks by incarnation, merged in any order; collectors and heads picked by rendezvous hash; virtual service with lifts and clamps; the receiver sets the pace of reports.

--- a/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
@@ -72,6 +72,7 @@
         self._agents = 1
         self._fleet_time = 0.0
         self._now = 0.0
+        self._largest_cost = 0.0
 
     def set_shares(self, share_by_organisation: Mapping[str, float]) -> None:
         """Take the shares of a new configuration.
@@ -138,6 +139,7 @@
         run = self._run_by_attempt.pop(attempt.attempt_id, None)
         if run is not None:
             self._account(attempt.organisation).settle(run, cost)
+            self._largest_cost = max(self._largest_cost, cost)
 
     def pick(self, organisations: Iterable[str], now: float) -> str:
         """Return the organisation that is served next."""
@@ -163,6 +165,11 @@
         account.reach = service.reach
         account.lift = 0.0
 
+    @property
+    def largest_cost(self) -> float:
+        """Tokens of the largest request that ended here."""
+        return self._largest_cost
+
     @property
     def waiting_organisations(self) -> frozenset[str]:
         """Organisations with work waiting here."""
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/fairness/tally.py
@@ -0,0 +1,126 @@
+"""Grow-only totals of service, by incarnation and organisation.
+
+Each agent counts, for its own incarnation, the tokens that it has served for
+each organisation; the count only grows (a G-counter). A *mark* is such a
+count together with the part of it that some head has acknowledged. Marks are
+joined by the larger of each, so joining is commutative, associative and
+idempotent: a report that is lost, doubled, late or crossed does no harm, as
+the next one contains it.
+
+Examples:
+    >>> join(Mark(served=5.0, included=2.0), Mark(served=4.0, included=3.0))
+    Mark(served=5.0, included=3.0)
+    >>> tally = Tally()
+    >>> tally.merge("a1", "union", Mark(served=7.0, included=2.0), 0.0)
+    5.0
+    >>> tally.merge("a1", "union", Mark(served=7.0, included=2.0), 0.0)
+    0.0
+    >>> tally.merge("a1", "union", Mark(served=9.0, included=7.0), 1.0)
+    2.0
+
+References:
+    M. Shapiro, N. Preguica, C. Baquero, M. Zawirski: "A comprehensive study
+    of convergent and commutative replicated data types", INRIA RR-7506, 2011.
+"""
+
+from collections.abc import Iterator
+import typing
+
+
+class Mark(typing.NamedTuple):
+    """Service of one organisation at one incarnation of an agent.
+
+    Attributes:
+        served: Tokens served since the incarnation started.
+        included: The part of them that a head has acknowledged.
+    """
+
+    served: float
+    included: float
+
+
+class Key(typing.NamedTuple):
+    """Whose service a mark counts, and at which incarnation."""
+
+    incarnation: str
+    organisation: str
+
+
+def join(one: Mark, other: Mark) -> Mark:
+    """Return the least mark that contains both."""
+    return Mark(
+        served=max(one.served, other.served),
+        included=max(one.included, other.included),
+    )
+
+
+class Tally:
+    """Marks of many incarnations; what is not refreshed is dropped.
+
+    A mark that was dropped is made anew by the next report of its agent, and
+    then counts from ``included``, so that dropping loses no service that a
+    head acknowledged and counts none twice.
+    """
+
+    def __init__(self) -> None:
+        self._mark_by_key: dict[Key, Mark] = {}
+        self._refreshed_by_key: dict[Key, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._mark_by_key)
+
+    def get(self, key: Key) -> Mark | None:
+        """Return a mark, ``None`` if it is not known."""
+        return self._mark_by_key.get(key)
+
+    def items(self) -> Iterator[tuple[Key, Mark]]:
+        """Yield all marks."""
+        yield from self._mark_by_key.items()
+
+    def merge(
+        self, incarnation: str, organisation: str, mark: Mark, now: float
+    ) -> float:
+        """Join a mark and return the tokens that it adds.
+
+        A mark that is seen for the first time adds what no head has
+        acknowledged. Adding all of ``served`` instead would let an agent
+        whose mark was dropped count its whole past again, and its
+        organisations would be starved for it.
+        """
+        key = Key(incarnation=incarnation, organisation=organisation)
+        before = self._mark_by_key.get(key)
+        base = mark.included if before is None else before.served
+        after = mark if before is None else join(before, mark)
+        self._mark_by_key[key] = after
+        self._refreshed_by_key[key] = now
+        return max(0.0, after.served - base)
+
+    def merge_all(self, other: "Tally") -> None:
+        """Join every mark of another tally."""
+        for key, mark in other.items():
+            self.merge(
+                key.incarnation,
+                key.organisation,
+                mark,
+                other._refreshed_by_key[key],
+            )
+
+    def acknowledge(self, key: Key, served: float) -> None:
+        """Note that a head has counted ``served`` tokens of a mark."""
+        mark = self._mark_by_key.get(key)
+        if mark is not None:
+            self._mark_by_key[key] = join(
+                mark, Mark(served=mark.served, included=served)
+            )
+
+    def drop_older(self, moment: float) -> list[Key]:
+        """Drop marks that were not refreshed since ``moment``."""
+        dropped = [
+            key
+            for key, refreshed in self._refreshed_by_key.items()
+            if refreshed < moment
+        ]
+        for key in dropped:
+            del self._mark_by_key[key]
+            del self._refreshed_by_key[key]
+        return dropped
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/fairness/tally_node.py
@@ -0,0 +1,249 @@
+"""The exchange of service between agents, as one agent takes part in it.
+
+Every agent reports its own service to the collector of its data centre. If
+it is picked as collector or head itself, it handles that as well; a role is
+not appointed, it is doing what is asked. The driver calls ``tick`` often,
+carries the reports that it returns to their addresses, and hands back the
+answer (``answered``) or that there is none (``failed``).
+
+Timeline of a change in service, with period ``T``: in the next report of the
+agent (up to ``T``), relayed by the collector (up to ``T``), in the answer to
+the agent's report after that (up to ``T``). When a collector or head dies,
+add the timeout of a call and one more period.
+
+Examples:
+    >>> order = share_order.ShareOrder(share_by_organisation={})
+    >>> node = TallyNode(
+    ...     address="10.0.0.1:80", data_centre="sofia", service="desk",
+    ...     incarnation="a1", order=order, share_by_organisation={})
+    >>> node.set_agents([TallyAgent("10.0.0.1:80", "sofia")])
+    >>> node.tick(0.0), node.tick(1.0)
+    ([], [])
+    >>> node.known_agents
+    1
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import typing
+
+from daisypick_core.fairness import collector
+from daisypick_core.fairness import fan_in
+from daisypick_core.fairness import head
+from daisypick_core.fairness import placement
+from daisypick_core.fairness import reports
+from daisypick_core.fairness import share_order
+
+# Long enough that a dead collector or head is not tried again in every
+# period, short enough that one which was only slow comes back.
+SUSPECT_SECONDS = 10.0
+MAX_ROWS = 256
+
+
+class TallyAgent(typing.NamedTuple):
+    """An agent of the service that is believed to be alive."""
+
+    address: str
+    data_centre: str
+
+
+class Send(typing.NamedTuple):
+    """Carry a report to an address and hand back what is answered."""
+
+    address: str
+    report: reports.Report
+
+
+class TallyNode:
+    """One agent's part in the exchange of service."""
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        data_centre: str,
+        service: str,
+        incarnation: str,
+        order: share_order.ShareOrder,
+        share_by_organisation: Mapping[str, float],
+        period: float = fan_in.DEFAULT_PERIOD,
+        first_report_in: float = 0.0,
+    ) -> None:
+        self._address = address
+        self._data_centre = data_centre
+        self._service = service
+        self._incarnation = incarnation
+        self._order = order
+        self._period = period
+        self._collector = collector.Collector(
+            incarnation=incarnation, service=service, period=period
+        )
+        self._head = head.Head(
+            incarnation=incarnation,
+            share_by_organisation=share_by_organisation,
+            period=period,
+        )
+        self._agents: tuple[TallyAgent, ...] = ()
+        self._suspect_until_by_address: dict[str, float] = {}
+        self._collector_address = address
+        self._heads: list[str] = [address]
+        self._head_by_organisation: dict[str, str] = {}
+        self._sequence = 0
+        self._answered_sequence = 0
+        self._sent_in_by_organisation: dict[str, int] = {}
+        self._next_report_at: float | None = None
+        self._first_report_in = first_report_in
+        self.known_agents = 0
+
+    @property
+    def collector_address(self) -> str:
+        """Where this agent reports to."""
+        return self._collector_address
+
+    @property
+    def heads(self) -> tuple[str, ...]:
+        """Heads of the service as this agent sees them."""
+        return tuple(self._heads)
+
+    def set_shares(self, share_by_organisation: Mapping[str, float]) -> None:
+        """Take the shares of a new configuration."""
+        self._head.set_shares(share_by_organisation)
+
+    def set_agents(self, agents: Iterable[TallyAgent]) -> None:
+        """Take the agents of the service that are believed to be alive."""
+        self._agents = tuple(agents)
+        self._place()
+
+    def tick(self, now: float) -> list[Send]:
+        """Return the reports that are due."""
+        self._restore_suspects(now)
+        sends = []
+        if self._next_report_at is None:
+            self._next_report_at = now + self._first_report_in
+        if self._next_report_at <= now:
+            self._next_report_at = now + self._period
+            sends += self._deliver(
+                self._collector_address, self._make_report(), now
+            )
+        relays = self._collector.make_relays(self._head_of, self._heads, now)
+        for address, relay in relays:
+            sends += self._deliver(address, relay, now)
+        return sends
+
+    def receive(self, report: reports.Report, now: float) -> reports.Answer:
+        """Handle a report of an agent or of a collector."""
+        if isinstance(report, reports.AgentReport):
+            return self._collector.receive(report, now)
+        return self._head.receive(report, now)
+
+    def answered(
+        self, address: str, answer: reports.Answer, now: float
+    ) -> None:
+        """Take the answer to a report."""
+        if isinstance(answer, reports.RelayAnswer):
+            self._collector.answered(address, answer, now)
+            return
+        if answer.sequence <= self._answered_sequence:
+            return
+        self._answered_sequence = answer.sequence
+        self._next_report_at = now + answer.next_report_in
+        self.known_agents = answer.agents
+        if not answer.agents:
+            return
+        self._order.set_fleet(
+            agents=answer.agents, fleet_time=answer.fleet_time
+        )
+        for row in answer.rows:
+            service = share_order.FleetService(
+                virtual=row.virtual, included=row.included, reach=row.reach
+            )
+            self._order.hear(row.organisation, service)
+
+    def failed(self, address: str, now: float) -> None:
+        """Note that an address did not answer; others take its roles."""
+        if address == self._address:
+            return
+        self._suspect_until_by_address[address] = now + SUSPECT_SECONDS
+        self._collector.forget_head(address)
+        self._place()
+
+    def _deliver(
+        self, address: str, report: reports.Report, now: float
+    ) -> list[Send]:
+        """Handle a report to this agent itself, or return it to be sent."""
+        if address != self._address:
+            return [Send(address=address, report=report)]
+        self.answered(address, self.receive(report, now), now)
+        return []
+
+    def _make_report(self) -> reports.AgentReport:
+        self._sequence += 1
+        rows = self._rows()
+        for row in rows:
+            self._sent_in_by_organisation[row.organisation] = self._sequence
+        return reports.AgentReport(
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            service=self._service,
+            largest=self._order.largest_cost,
+            rows=rows,
+        )
+
+    def _rows(self) -> list[reports.AgentRow]:
+        """Return the rows to report; the longest unsent if too many."""
+        waiting = self._order.waiting_organisations
+        rows = [
+            reports.AgentRow(
+                organisation=organisation,
+                served=account.served,
+                included=account.included,
+                is_waiting=organisation in waiting,
+            )
+            for organisation, account in self._order.accounts().items()
+            if organisation in waiting or account.served > account.included
+        ]
+        if len(rows) > MAX_ROWS:
+            sent_in = self._sent_in_by_organisation
+            rows.sort(key=lambda row: sent_in.get(row.organisation, 0))
+            del rows[MAX_ROWS:]
+        return rows
+
+    def _head_of(self, organisation: str) -> str:
+        address = self._head_by_organisation.get(organisation)
+        if address is None:
+            address = placement.pick(organisation, self._heads)
+            self._head_by_organisation[organisation] = address
+        return address
+
+    def _restore_suspects(self, now: float) -> None:
+        restored = [
+            address
+            for address, until in self._suspect_until_by_address.items()
+            if until <= now
+        ]
+        for address in restored:
+            del self._suspect_until_by_address[address]
+        if restored:
+            self._place()
+
+    def _place(self) -> None:
+        """Pick collector and heads among the agents not under suspicion."""
+        usable = [
+            agent
+            for agent in self._agents
+            if agent.address not in self._suspect_until_by_address
+        ]
+        near = [
+            agent.address
+            for agent in usable
+            if agent.data_centre == self._data_centre
+        ]
+        addresses = [agent.address for agent in usable] or [self._address]
+        collector_key = f"{self._service}/{self._data_centre}/collector"
+        self._collector_address = placement.pick(
+            collector_key, near or [self._address]
+        )
+        self._heads = placement.ranked(f"{self._service}/head", addresses)[
+            : placement.count_heads(len(self._agents))
+        ]
+        self._head_by_organisation = {}
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
@@ -0,0 +1,201 @@
+"""Virtual service by organisation, and the fleet's virtual time.
+
+The virtual service of an organisation grows by tokens divided by its share.
+The virtual time is the mean over the organisations that wait, weighted by
+share. The difference of the two is an organisation's lag. Three rules keep
+the past from becoming a windfall or a punishment:
+
+* An organisation that comes back from idle is lifted to the virtual time: it
+  gains no credit, and the others are not starved for it.
+* The lag of a waiting organisation is clamped on both sides. One that was
+  throttled where it waits (few agents, few slots) must not take the fleet
+  for hours when it is let loose; one that used capacity which nobody else
+  could reach must not starve for it.
+* Only growth is ever added; forgetting a dead incarnation changes nothing.
+
+Examples:
+    >>> service = VirtualService(share_by_organisation={"studio": 2.0})
+    >>> service.activate("union", 0.0); service.activate("studio", 0.0)
+    >>> service.grow("union", 30.0, 0.0); service.grow("studio", 30.0, 0.0)
+    >>> service.refresh(["union", "studio"], 0.0)
+    >>> service.virtual("union"), service.virtual("studio"), service.time
+    (30.0, 15.0, 20.0)
+    >>> service.activate("farm", 0.0); service.virtual("farm")
+    20.0
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+IDLE_SECONDS = 5.0
+SETTLE_SECONDS = 5.0
+CLAMP_SECONDS = 60.0
+CLAMP_REQUESTS = 64.0
+DEFAULT_SHARE = 1.0
+_RATE_INTERVAL = 1.0
+_RATE_WEIGHT = 0.2
+
+
+class _State:
+    """Virtual service of one organisation.
+
+    Attributes:
+        seed: What it started from, with lifts and clamps.
+        grown: What was counted here since.
+        known_at: When it became known here.
+        touched_at: When it last grew or waited.
+        waited_at: When it last waited.
+    """
+
+    __slots__ = ("grown", "known_at", "seed", "touched_at", "waited_at")
+
+    def __init__(self, *, seed: float, now: float, waited_at: float) -> None:
+        self.seed = seed
+        self.grown = 0.0
+        self.known_at = now
+        self.touched_at = now
+        self.waited_at = waited_at
+
+    @property
+    def virtual(self) -> float:
+        return self.seed + self.grown
+
+
+class VirtualService:
+    """Virtual service by organisation."""
+
+    def __init__(self, *, share_by_organisation: Mapping[str, float]) -> None:
+        self._share_by_organisation = share_by_organisation
+        self._state_by_organisation: dict[str, _State] = {}
+        self._mean: float | None = None
+        self._reference: float | None = None
+        self.active_share = 0.0
+        self._least_share = 0.0
+        self._largest = 0.0
+        self._rate = 0.0
+        self._growth = 0.0
+        self._rate_at: float | None = None
+
+    def __len__(self) -> int:
+        return len(self._state_by_organisation)
+
+    @property
+    def mean(self) -> float:
+        """Mean virtual service of those that wait here, 0 before any did."""
+        return self._mean or 0.0
+
+    @property
+    def time(self) -> float:
+        """The fleet's virtual time as far as it is known here."""
+        if self._reference is not None:
+            return self._reference
+        return self.mean
+
+    @property
+    def largest_lag(self) -> float:
+        """Bound to which lags are clamped, tokens per share."""
+        if not self._least_share or not self._rate:
+            return float("inf")
+        by_requests = CLAMP_REQUESTS * self._largest / self._least_share
+        return max(by_requests, CLAMP_SECONDS * self._rate)
+
+    def set_shares(self, share_by_organisation: Mapping[str, float]) -> None:
+        """Take the shares of a new configuration."""
+        self._share_by_organisation = share_by_organisation
+
+    def set_reference(self, time: float | None) -> None:
+        """Take the virtual time over all heads, if it is known."""
+        if time is not None:
+            self._reference = time
+
+    def note_largest(self, tokens: float) -> None:
+        """Note the size of a large request."""
+        self._largest = max(self._largest, tokens)
+
+    def virtual(self, organisation: str) -> float | None:
+        """Return the virtual service of an organisation, if known."""
+        state = self._state_by_organisation.get(organisation)
+        return None if state is None else state.virtual
+
+    def seed(self, organisation: str, virtual: float, now: float) -> None:
+        """Go on from what another head has said.
+
+        Collectors heard it at different times, so the highest is taken, but
+        only just after the take-over: a head that has counted growth by
+        itself must not add to it what the other head has counted as well.
+        """
+        state = self._state_by_organisation.get(organisation)
+        if state is None:
+            self._state_by_organisation[organisation] = _State(
+                seed=virtual, now=now, waited_at=now
+            )
+        elif now - state.known_at < SETTLE_SECONDS:
+            state.seed = max(state.seed, virtual)
+
+    def activate(self, organisation: str, now: float) -> None:
+        """Note that an organisation waits; lift it if it was idle."""
+        state = self._state(organisation, now)
+        if now - state.waited_at > IDLE_SECONDS:
+            state.seed += max(0.0, self.time - state.virtual)
+        state.waited_at = now
+
+    def grow(self, organisation: str, tokens: float, now: float) -> None:
+        """Add served tokens."""
+        state = self._state(organisation, now)
+        state.grown += tokens / self._share(organisation)
+        self._growth += tokens
+
+    def refresh(self, waiting: Iterable[str], now: float) -> None:
+        """Compute the virtual time from those that wait, clamp their lags."""
+        shares = {
+            organisation: self._share(organisation)
+            for organisation in waiting
+            if organisation in self._state_by_organisation
+        }
+        self.active_share = sum(shares.values())
+        self._least_share = min(shares.values(), default=0.0)
+        if shares:
+            weighted = sum(
+                share * self._state_by_organisation[organisation].virtual
+                for organisation, share in shares.items()
+            )
+            self._mean = weighted / self.active_share
+        self._update_rate(now)
+        self._clamp(shares)
+
+    def drop_older(self, moment: float) -> None:
+        """Forget organisations that neither grew nor waited since."""
+        for organisation in list(self._state_by_organisation):
+            if self._state_by_organisation[organisation].touched_at < moment:
+                del self._state_by_organisation[organisation]
+
+    def _share(self, organisation: str) -> float:
+        return self._share_by_organisation.get(organisation, DEFAULT_SHARE)
+
+    def _state(self, organisation: str, now: float) -> _State:
+        state = self._state_by_organisation.get(organisation)
+        if state is None:
+            state = _State(seed=self.time, now=now, waited_at=float("-inf"))
+            self._state_by_organisation[organisation] = state
+        state.touched_at = now
+        return state
+
+    def _update_rate(self, now: float) -> None:
+        if self._rate_at is None:
+            self._rate_at = now
+        interval = now - self._rate_at
+        if interval < _RATE_INTERVAL or not self.active_share:
+            return
+        rate = self._growth / interval / self.active_share
+        weight = _RATE_WEIGHT if self._rate else 1.0
+        self._rate += weight * (rate - self._rate)
+        self._growth = 0.0
+        self._rate_at = now
+
+    def _clamp(self, organisations: Iterable[str]) -> None:
+        bound = self.largest_lag
+        time = self.time
+        for organisation in organisations:
+            state = self._state_by_organisation[organisation]
+            lag = state.virtual - time
+            state.seed += max(-bound, min(bound, lag)) - lag
