Claim idempotency keys by conditional update

Cause: the gate asks for claims, and nothing made them. A caller's retry of a key through another router could run twice. Change: claims/ holds the stored shard (a head that decides, and spans that are written once), a batcher that commits many claims in one write and settles lost answers by reading back, and the agent's claimant, which asks the holder of a key what became of it and takes a claim over only from an attempt that is barred. Conclusion: the conditional update of the head alone decides who may run.

--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/claims/verdicts.py
@@ -0,0 +1,49 @@
+"""What became of an agent's claim, as its gate hears it."""
+
+import typing
+
+from daisypick_core.claims import entry as claim_entry
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+
+
+class Granted(typing.NamedTuple):
+    """The attempt alone may run for its key."""
+
+    @property
+    def refusal(self) -> None:
+        """Nothing refuses the attempt."""
+        return None
+
+
+class Refused(typing.NamedTuple):
+    """The attempt must not run."""
+
+    refusal: failure_value.Failure
+
+
+class SameAnswer(typing.NamedTuple):
+    """Another attempt of the key runs or ran: its answer is the answer.
+
+    The attempt itself must not run. Its agent relays the holder's answer
+    from the first byte; where it cannot, the refusal is the answer.
+    """
+
+    holder: claim_entry.Entry
+
+    @property
+    def refusal(self) -> failure_value.Failure:
+        """What is said if the holder's answer cannot be had."""
+        return failure_value.Failure(
+            code=codes.KEY_IN_PROGRESS,
+            reason="another call with this key was there first",
+            retry_after=1.0,
+        )
+
+
+Verdict = Granted | Refused | SameAnswer
+
+
+def refuse(code: codes.Code, reason: str) -> Refused:
+    """Return a refusal with a code and a reason."""
+    return Refused(refusal=failure_value.Failure(code=code, reason=reason))
--- a/packages/daisypick_core/src/daisypick_core/gate/attempts.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/attempts.py
@@ -31,6 +31,7 @@
 DONE = "done"
 BARRED = "barred"
 FORGOTTEN = "forgotten"
+GONE = "gone"
 
 _SETTLED = frozenset({DONE, BARRED})
 
@@ -143,7 +144,8 @@
 
     Attributes:
         state: One of the states of this module; ``FORGOTTEN`` if the
-            attempt is too old for the table to tell.
+            attempt is too old for the table to tell, ``GONE`` if it was
+            addressed to another incarnation of the agent.
         ran: ``False`` only if it has not started and never will; ``True``
             if it has started, may still start, or may have run.
     """
--- /dev/null
+++ b/packages/daisypick_core/tests/claims/test_claimant.py
@@ -0,0 +1,137 @@
+from daisypick_core.claims import actions
+from daisypick_core.claims import claimant
+from daisypick_core.claims import outcomes
+from daisypick_core.claims import verdicts
+from daisypick_core.gate import attempts
+from daisypick_core.messages import attempt as attempt_message
+from daisypick_core.results import codes
+
+HERE = "10.0.0.1:80"
+THERE = "10.0.0.2:80"
+
+
+def make_attempt(attempt_id="x"):
+    return attempt_message.Attempt(
+        attempt_id=attempt_id,
+        request_id=attempt_id,
+        organisation="union",
+        service="desk",
+        estimate=1.0,
+        deadline=100.0,
+        incarnation="a1",
+        epoch=0,
+        router="10.0.0.9:80",
+        is_repeatable=False,
+        idempotency_key="k",
+        fingerprint="f",
+    )
+
+
+def start(agents=(HERE,)):
+    subject = claimant.Claimant(agent=HERE)
+    subject.set_agents(agents)
+    (commit,) = subject.claim(make_attempt(), 0.0)
+    holder = commit.claim.entry._replace(attempt_id="y", agent=THERE)
+    return subject, commit, holder
+
+
+def ask(subject, holder):
+    (question,) = subject.committed("x", outcomes.Held(holder=holder), 0.0)
+    assert question == actions.Ask(attempt_id="x", holder=holder)
+
+
+def conclusion(due):
+    (conclude,) = due
+    assert isinstance(conclude, actions.Conclude)
+    return conclude.verdict
+
+
+def test_granted_claim_is_concluded_once():
+    subject, commit, _ = start()
+    granted = outcomes.Granted(entry=commit.claim.entry)
+    due = subject.committed("x", granted, 0.0)
+    assert conclusion(due) == verdicts.Granted()
+    assert subject.committed("x", granted, 0.0) == []
+    assert subject.pending_count == 0
+
+
+def test_batcher_that_does_not_answer_is_replaced_by_the_own_one():
+    # The other agent may have stored the claim before it fell silent. The
+    # own batcher finds it stored and grants it again.
+    subject = claimant.Claimant(agent=HERE)
+    commit = None
+    for n in range(2, 99):
+        subject.set_agents([HERE, f"10.0.0.{n}:80"])
+        (commit,) = subject.claim(make_attempt(f"x{n}"), 0.0)
+        if commit.batcher != HERE:
+            break
+    attempt_id = commit.attempt_id
+    (again,) = subject.batcher_failed(attempt_id, commit.batcher, 1.0)
+    assert again == commit._replace(batcher=HERE)
+    due = subject.batcher_failed(attempt_id, HERE, 1.0)
+    assert conclusion(due).refusal.code == codes.STORE_UNAVAILABLE
+
+
+def test_claim_of_an_attempt_that_never_ran_is_taken_over():
+    subject, commit, holder = start()
+    ask(subject, holder)
+    barred = attempts.AttemptStatus(state=attempts.BARRED, ran=False)
+    (again,) = subject.answered("x", holder, barred, 0.0)
+    assert again.claim == commit.claim._replace(replaces="y")
+
+
+def test_holder_that_ran_gives_the_same_answer():
+    for state in (attempts.CLAIMING, attempts.RUNNING, attempts.DONE):
+        subject, _, holder = start()
+        ask(subject, holder)
+        status = attempts.AttemptStatus(state=state, ran=True)
+        verdict = conclusion(subject.answered("x", holder, status, 0.0))
+        assert verdict == verdicts.SameAnswer(holder=holder)
+        assert verdict.refusal.code == codes.KEY_IN_PROGRESS
+
+
+def test_holder_that_is_gone_silent_or_forgetful_means_unknown():
+    # The agent that held the key restarted, or does not answer. Its attempt
+    # may have run: "not run" would let the family book the plot again.
+    gone = attempts.AttemptStatus(state=attempts.GONE, ran=True)
+    forgotten = attempts.AttemptStatus(state=attempts.FORGOTTEN, ran=True)
+    for status in (gone, forgotten, None):
+        subject, _, holder = start()
+        ask(subject, holder)
+        verdict = conclusion(subject.answered("x", holder, status, 0.0))
+        assert verdict.refusal.code == codes.OUTCOME_UNKNOWN
+    subject, _, holder = start()
+    ask(subject, holder)
+    due = subject.tick(claimant.CLAIM_SECONDS)
+    assert conclusion(due).refusal.code == codes.OUTCOME_UNKNOWN
+
+
+def test_claim_that_takes_too_long_is_refused_and_its_grant_ignored():
+    subject, commit, _ = start()
+    assert subject.tick(claimant.CLAIM_SECONDS - 1.0) == []
+    due = subject.tick(claimant.CLAIM_SECONDS)
+    assert conclusion(due).refusal.code == codes.STORE_UNAVAILABLE
+    granted = outcomes.Granted(entry=commit.claim.entry)
+    assert subject.committed("x", granted, 9.0) == []
+
+
+def test_key_that_changes_hands_all_the_time_ends():
+    subject, _, holder = start()
+    barred = attempts.AttemptStatus(state=attempts.BARRED, ran=False)
+    for n in range(claimant.MAX_ROUNDS - 1):
+        holder = holder._replace(attempt_id=f"y{n}")
+        ask(subject, holder)
+        subject.answered("x", holder, barred, 0.0)
+    due = subject.committed("x", outcomes.Held(holder=holder), 0.0)
+    assert conclusion(due) == verdicts.SameAnswer(holder=holder)
+
+
+def test_reused_key_and_store_down_are_refused_as_not_run():
+    subject, _, holder = start()
+    reused = outcomes.KeyReused(holder=holder)
+    verdict = conclusion(subject.committed("x", reused, 0.0))
+    assert verdict.refusal.code == codes.KEY_REUSED
+    subject, _, _ = start()
+    down = outcomes.Unavailable(reason="the store is down")
+    verdict = conclusion(subject.committed("x", down, 0.0))
+    assert verdict.refusal.code == codes.STORE_UNAVAILABLE
