--- a/packages/daisypick_node/tests/fleet.py
+++ b/packages/daisypick_node/tests/fleet.py
@@ -1,6 +1,7 @@
 """A small fleet for tests: real processes on loopback in one loop."""
 
 import hashlib
+import json
 import types
 
 from daisypick_core.configuration import model
@@ -13,7 +14,16 @@
 import gevent
 from gevent import pywsgi
 from gevent import server
-
+import wire
+
+CHAT = "/v1/chat/completions"
+BODY = json.dumps(
+    {
+        "model": "assistant",
+        "stream": True,
+        "messages": [{"role": "user", "content": "opening days"}],
+    }
+).encode()
 KEYS = {"fleet_keys": "fleet-key-1", "operator_keys": "operator-key-1"}
 CALLER_KEY = "caller-key-of-union"
 
@@ -92,6 +102,7 @@
         self.engines = engines
         self.agent_settings = agent_settings
         self.agents = [self.make_agent(n) for n in range(len(engines))]
+        self.wires = [wire.Wire(agent.address) for agent in self.agents]
         self.routers = [self.make_router() for _ in range(router_count)]
         self.out = set()
         self.generation = 0
@@ -166,7 +177,7 @@
                     service=engine.service,
                     data_centre=f"dc{n}",
                     address=engine.address,
-                    agent=self.agents[n].address,
+                    agent=self.wires[n].address,
                     slots=4,
                     cold_slots=2,
                 )
@@ -185,8 +196,8 @@
     def stop(self):
         for process in self.agents + self.routers:
             process.stop()
-        for engine in self.engines:
-            engine.stop()
+        for part in self.engines + self.wires:
+            part.stop()
         self.platform.stop()
 
 
--- a/packages/daisypick_node/tests/test_path.py
+++ b/packages/daisypick_node/tests/test_path.py
@@ -3,15 +3,6 @@
 import fleet as fleet_module
 import pytest
 
-CHAT = "/v1/chat/completions"
-BODY = json.dumps(
-    {
-        "model": "assistant",
-        "stream": True,
-        "messages": [{"role": "user", "content": "opening days"}],
-    }
-).encode()
-
 
 @pytest.fixture
 def make_fleet():
@@ -29,7 +20,7 @@
 def test_stream_arrives_whole(make_fleet):
     engine = fleet_module.make_engine(fleet_module.answer_stream("a", "b"))
     fleet = make_fleet(engine)
-    response = fleet.call("POST", CHAT, BODY)
+    response = fleet.call("POST", fleet_module.CHAT, fleet_module.BODY)
     assert response.status_code == 200
     assert response.read() == b"data: a\n\ndata: b\n\ndata: [DONE]\n\n"
 
@@ -47,8 +38,8 @@
 @pytest.mark.parametrize(
     ("method", "path", "body", "number"),
     [
-        ("POST", CHAT, b"{", 1003),
-        ("POST", CHAT, b'{"model": "x", "messages": []}', 1002),
+        ("POST", fleet_module.CHAT, b"{", 1003),
+        ("POST", fleet_module.CHAT, b'{"model": "x", "messages": []}', 1002),
         ("GET", "/services/nobody/", b"", 1002),
         ("GET", "/nowhere", b"", 7005),
     ],
@@ -65,7 +56,9 @@
 
 def test_unknown_key_and_internal_paths_are_refused(make_fleet):
     fleet = make_fleet(fleet_module.make_engine(fleet_module.answer_plain()))
-    response = fleet.call("POST", CHAT, BODY, Authorization="Bearer x")
+    response = fleet.call(
+        "POST", fleet_module.CHAT, fleet_module.BODY, Authorization="Bearer x"
+    )
     assert response.status_code == 401
     response = fleet.call("GET", "/internal/dump")
     assert json.loads(response.read())["code"] == 8001
@@ -88,7 +81,11 @@
     fleet.out = {0}
     fleet.configure()
     for _ in range(4):
-        assert fleet.call("POST", CHAT, BODY).read().startswith(b"data: 1")
+        assert (
+            fleet.call("POST", fleet_module.CHAT, fleet_module.BODY)
+            .read()
+            .startswith(b"data: 1")
+        )
     assert engines[0].calls == []
 
 
@@ -103,7 +100,11 @@
     ]
     fleet = make_fleet(*engines)
     for _ in range(4):
-        assert fleet.call("POST", CHAT, BODY).read().startswith(b"data: ok")
+        assert (
+            fleet.call("POST", fleet_module.CHAT, fleet_module.BODY)
+            .read()
+            .startswith(b"data: ok")
+        )
 
 
 def test_broken_booking_is_unknown_and_runs_once(make_fleet):
--- /dev/null
+++ b/packages/daisypick_node/tests/wire.py
@@ -0,0 +1,61 @@
+"""A wire between two processes that can be cut, or go silent for good."""
+
+import gevent
+from gevent import server
+from gevent import socket
+
+
+class Wire:
+    """Forwards connections to an address.
+
+    ``silence()`` makes the open connections silent for good while new ones
+    work; ``cut()`` closes the open ones; ``is_down`` refuses new ones.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self._open = []
+        self._silent = set()
+        self.is_down = False
+        self.connection_count = 0
+        self._server = server.StreamServer(("127.0.0.1", 0), self._accept)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def _accept(self, near, _):
+        if self.is_down:
+            near.close()
+            return
+        self.connection_count += 1
+        host, port = self._target.rsplit(":", 1)
+        far = socket.create_connection((host, int(port)))
+        pair = (near, far)
+        self._open.append(pair)
+        gevent.joinall(
+            [
+                gevent.spawn(self._pump, pair, near, far),
+                gevent.spawn(self._pump, pair, far, near),
+            ]
+        )
+
+    def _pump(self, pair, source, sink):
+        try:
+            while data := source.recv(65536):
+                if pair not in self._silent:
+                    sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pass
+
+    def silence(self):
+        self._silent.update(self._open)
+
+    def cut(self):
+        for near, far in self._open:
+            near.close()
+            far.close()
+        self._open.clear()
+
+    def stop(self):
+        self.cut()
+        self._server.stop(timeout=0)
