--- a/packages/daisypick_core/src/daisypick_core/configuration/spread.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/spread.py
@@ -43,44 +43,14 @@
 from daisypick_core.configuration import model
 from daisypick_core.configuration import patch
 from daisypick_core.configuration import root as root_object
+from daisypick_core.configuration import rounds
 from daisypick_core.configuration import spread_actions as actions
 from daisypick_core.configuration import wire
-from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 
 STORE = actions.STORE
 
 
-class SpreadLimits(typing.NamedTuple):
-    """Times in seconds, and bounds.
-
-    Attributes:
-        pull_seconds: Mean time between two pulls.
-        notice_seconds: Least time between two rounds of notices.
-        notice_fanout: Peers told in a round.
-        fetch_timeout: Time after which a source is given up.
-        suspend_seconds: Time for which a failed source is left alone.
-        start_peers: Peers asked at the start.
-        start_retry: Time between two rounds at the start.
-        isolated_seconds: Silence of all peers after which the store is
-            asked, at about this interval.
-        batch: Chunks asked for at once.
-    """
-
-    pull_seconds: float = 4.0
-    notice_seconds: float = 1.0
-    notice_fanout: int = 3
-    fetch_timeout: float = 3.0
-    suspend_seconds: float = 5.0
-    start_peers: int = 3
-    start_retry: float = 2.0
-    isolated_seconds: float = 20.0
-    batch: int = 64
-
-
-DEFAULT_LIMITS = SpreadLimits()
-
-
 class Holder:
     """The configuration of one process and how it follows the others.
 
@@ -94,7 +64,10 @@
     """
 
     def __init__(
-        self, *, rng: random.Random, limits: SpreadLimits = DEFAULT_LIMITS
+        self,
+        *,
+        rng: random.Random,
+        limits: rounds.SpreadLimits = rounds.DEFAULT_LIMITS,
     ) -> None:
         self.configuration = model.EMPTY
         self.root: root_object.Root | None = None
@@ -104,8 +77,7 @@
         self._limits = limits
         self._holdings = chunk_holdings.Holdings()
         self._claims = claimed.Claims(rng=rng)
-        self._near: Sequence[str] = ()
-        self._peers: Sequence[str] = ()
+        self._rounds = rounds.Rounds(rng=rng, limits=limits)
         self._fetch: tree_fetch.Fetch | None = None
         self._staged: Mapping[str, bytes] = {}
         self._asked: tuple[str, float] | None = None
@@ -115,11 +87,6 @@
         self._collect_until = 0.0
         self._next_start = 0.0
         self._is_starting = False
-        self._must_notify = False
-        self._next_notice = 0.0
-        self._next_pull = 0.0
-        self._next_store = 0.0
-        self._heard_at = 0.0
 
     @property
     def generation(self) -> int:
@@ -138,26 +105,21 @@
 
     def set_peers(self, peers: Sequence[str], near: Sequence[str]) -> None:
         """Take the addresses of live peers, and of those close by."""
-        self._peers = peers
-        self._near = near
+        self._rounds.set_peers(peers, near)
 
     def start(self, now: float) -> list[actions.Action]:
         """Ask the store and several peers for their generations."""
         self._is_starting = True
-        count = min(self._limits.start_peers, len(self._peers))
-        sources = [STORE, *self._rng.sample(self._peers, count)]
+        sources = [STORE, *self._rounds.start(now)]
         self._collecting = set(sources)
         self._collect_until = now + self._limits.fetch_timeout
-        self._next_store = now + self._limits.isolated_seconds
-        self._next_pull = now + self._rng.random() * self._limits.pull_seconds
-        self._heard_at = now
         return [actions.FetchRoot(source=one, have="") for one in sources]
 
     def hear(
         self, peer: str, generation: int, now: float
     ) -> list[actions.Action]:
         """Learn from a contact which generation a peer has."""
-        self._heard_at = now
+        self._rounds.note_contact(now)
         if generation <= self.generation:
             return []
         self._claims.note(peer, generation)
@@ -175,7 +137,7 @@
         if failure_value.is_failure(answer):
             return self._source_failed(source, now)
         if source != STORE:
-            self._heard_at = now
+            self._rounds.note_contact(now)
         root = answer.root
         self._compare(source, root)
         self._note_root(source, root, now)
@@ -216,8 +178,9 @@
         if self._is_starting and not self._collecting and not self._is_busy():
             due += self._start_again(now)
         due += self._ask_best(now)
-        due += self._notices(now)
-        due += self._pull(now)
+        due += self._rounds.due_notices(self.generation, now)
+        if not self._collecting:
+            due += self._rounds.due_pulls(self.top, now)
         return due
 
     def answer_root(self, have: str) -> wire.RootAnswer:
@@ -360,12 +323,16 @@
         self._rejected.clear()
         self._claims.forget_up_to(self.generation)
         self._end_start()
-        self._must_notify = True
+        self._rounds.note_change()
         in_force = actions.PutInForce(
             configuration=patched.configuration,
             changed_by_section=patched.changed_by_section,
         )
-        return [in_force, *self._notices(now), *self._ask_best(now)]
+        return [
+            in_force,
+            *self._rounds.due_notices(self.generation, now),
+            *self._ask_best(now),
+        ]
 
     def _patch(
         self, fetch: tree_fetch.Fetch
@@ -379,38 +346,6 @@
             generation=fetch.root.generation,
         )
 
-    def _notices(self, now: float) -> list[actions.Action]:
-        if not self._must_notify or now < self._next_notice:
-            return []
-        self._must_notify = False
-        self._next_notice = now + self._limits.notice_seconds
-        chosen = {self._choose() for _ in range(self._limits.notice_fanout)}
-        return [
-            actions.Notify(peer=peer, generation=self.generation)
-            for peer in sorted(chosen - {""})
-        ]
-
-    def _pull(self, now: float) -> list[actions.Action]:
-        due: list[actions.Action] = []
-        if now >= self._next_pull and not self._collecting:
-            spread = 0.75 + 0.5 * self._rng.random()
-            self._next_pull = now + self._limits.pull_seconds * spread
-            peer = self._choose()
-            if peer:
-                due.append(actions.FetchRoot(source=peer, have=self.top))
-        is_isolated = now - self._heard_at >= self._limits.isolated_seconds
-        if is_isolated and now >= self._next_store:
-            spread = 0.5 + self._rng.random()
-            self._next_store = now + self._limits.isolated_seconds * spread
-            due.append(actions.FetchRoot(source=STORE, have=""))
-        return due
-
-    def _choose(self) -> str:
-        """Return a random peer, every other time one close by."""
-        near = self._near if self._rng.random() < 0.5 else ()
-        peers = near or self._peers
-        return self._rng.choice(peers) if peers else ""
-
     def describe(self) -> dict[str, typing.Any]:
         """Return the state for a dump."""
         return {
@@ -419,17 +354,9 @@
             "is_ready": self.is_ready,
             "is_store_behind": self.is_store_behind,
             "split_count": self.split_count,
-            "peers": len(self._peers),
+            "peers": self._rounds.peer_count,
             "fetches_generation": (
                 self._fetch.root.generation if self._fetch else 0
             ),
             "chunks": len(self._holdings.chunk_by_hash),
         }
-
-
-def not_configured() -> failure_value.Failure:
-    """Return the refusal of a process without a configuration."""
-    return failure_value.Failure(
-        code=codes.NOT_CONFIGURED,
-        reason="configuration: neither the store nor a peer has given one",
-    )
--- a/packages/daisypick_core/tests/configuration/test_spread.py
+++ b/packages/daisypick_core/tests/configuration/test_spread.py
@@ -4,6 +4,7 @@
 from daisypick_core.configuration import chunks
 from daisypick_core.configuration import model
 from daisypick_core.configuration import root as root_object
+from daisypick_core.configuration import rounds
 from daisypick_core.configuration import sections
 from daisypick_core.configuration import spread
 from daisypick_core.configuration import spread_actions as actions
@@ -51,7 +52,7 @@
 
 def make_holder(**limits):
     holder = spread.Holder(
-        rng=random.Random(7), limits=spread.SpreadLimits(**limits)
+        rng=random.Random(7), limits=rounds.SpreadLimits(**limits)
     )
     holder.set_peers(PEERS, PEERS[:1])
     return holder
@@ -253,7 +254,7 @@
         seen = run(holder, due, {"p1": Source(generation)}, now=now)
         told += [a for a in seen if isinstance(a, actions.Notify)]
     assert holder.generation == 42
-    assert len(told) <= 4 * spread.DEFAULT_LIMITS.notice_fanout
+    assert len(told) <= 4 * rounds.DEFAULT_LIMITS.notice_fanout
 
 
 def test_isolated_node_asks_the_store():
