Know members from contact, and exchange generations

Cause: a pull brings news one way only, and watchers have to be chosen among processes that nobody lists.

Change: the periodic question to a random peer became an exchange of generations, so that whichever of the two is behind learns of it. A directory holds members from contact, the configuration and the platform's list, with ages that hearsay never makes younger.

Conclusion: views differ and may; what is chosen from them is advisory.

--- a/packages/daisypick_core/src/daisypick_core/configuration/rounds.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/rounds.py
@@ -1,4 +1,4 @@
-"""When a process tells its peers, asks one of them, or asks the store.
+"""When a process tells its peers, or asks the store.
 
 Peers are chosen at random, every other time one close by, so that news is
 quick within a data centre and still reaches the others.
@@ -26,7 +26,8 @@
     """Times in seconds, and bounds.
 
     Attributes:
-        pull_seconds: Mean time between two pulls.
+        exchange_seconds: Mean time between two exchanges of generations with
+            a random peer.
         notice_seconds: Least time between two rounds of notices.
         notice_fanout: Peers told in a round, at most.
         fetch_timeout: Time after which a source is given up.
@@ -38,7 +39,7 @@
         batch: Chunks asked for at once.
     """
 
-    pull_seconds: float = 4.0
+    exchange_seconds: float = 4.0
     notice_seconds: float = 1.0
     notice_fanout: int = 3
     fetch_timeout: float = 3.0
@@ -62,7 +63,7 @@
         self._peers: Sequence[str] = ()
         self._must_notify = False
         self._next_notice = 0.0
-        self._next_pull = 0.0
+        self._next_exchange = 0.0
         self._next_store = 0.0
         self._heard_at = 0.0
 
@@ -80,7 +81,9 @@
         """Return the peers to ask at a start."""
         self._heard_at = now
         self._next_store = now + self._limits.isolated_seconds
-        self._next_pull = now + self._rng.random() * self._limits.pull_seconds
+        self._next_exchange = (
+            now + self._rng.random() * self._limits.exchange_seconds
+        )
         count = min(self._limits.start_peers, len(self._peers))
         return self._rng.sample(self._peers, count)
 
@@ -108,15 +111,22 @@
             for peer in sorted(chosen - {""})
         ]
 
-    def due_pulls(self, top: str, now: float) -> list[actions.Action]:
-        """Return the question to a peer, or to the store, if one is due."""
+    def due_exchanges(
+        self, generation: int, now: float
+    ) -> list[actions.Action]:
+        """Return what makes up for lost notices and idle processes.
+
+        One random peer is told the generation and answers with its own, so
+        whichever of the two is behind learns of it. A process that hears
+        nobody asks the store.
+        """
         due: list[actions.Action] = []
-        if now >= self._next_pull:
+        if now >= self._next_exchange:
             spread = 0.75 + 0.5 * self._rng.random()
-            self._next_pull = now + self._limits.pull_seconds * spread
+            self._next_exchange = now + self._limits.exchange_seconds * spread
             peer = self._choose()
             if peer:
-                due.append(actions.FetchRoot(source=peer, have=top))
+                due.append(actions.Notify(peer=peer, generation=generation))
         is_isolated = now - self._heard_at >= self._limits.isolated_seconds
         if is_isolated and now >= self._next_store:
             spread = 0.5 + self._rng.random()
--- a/packages/daisypick_core/src/daisypick_core/configuration/spread.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/spread.py
@@ -2,13 +2,15 @@
 
 A process holds one configuration and never goes back to a lower generation.
 Whatever it hears from carries a generation; when that is higher, it fetches
-the root and the chunks that differ from there. Three ways bring the news:
+the root and the chunks that differ from there. Three ways bring the
+news:
 
 * contact: requests, answers and notices carry the generation;
 * notices: whoever puts a generation in force tells a few peers, at most
   ``notice_fanout`` each ``notice_seconds``;
-* pull: each asks one random peer every ``pull_seconds``, which reaches
-  processes that have no traffic and makes up for lost notices.
+* exchange: every ``exchange_seconds`` each tells its generation to one random
+  peer, which answers with its own; this reaches processes that have no
+  traffic and makes up for lost notices.
 
 A few processes of each data centre watch the store. Who does is a matter of
 speed alone: two watchers fetch the same root, none for a while only delays.
@@ -180,7 +182,7 @@
         due += self._ask_best(now)
         due += self._rounds.due_notices(self.generation, now)
         if not self._collecting:
-            due += self._rounds.due_pulls(self.top, now)
+            due += self._rounds.due_exchanges(self.generation, now)
         return due
 
     def answer_root(self, have: str) -> wire.RootAnswer:
--- a/packages/daisypick_core/src/daisypick_core/membership/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/membership/__init__.py
@@ -1,1 +1,5 @@
-"""Which processes of the fleet are believed to be alive."""
+"""Which processes are believed to be alive.
+
+* ``directory``: processes known from contact, from the configuration and
+  from the platform's lagging list.
+"""
--- /dev/null
+++ b/packages/daisypick_core/tests/membership/test_directory.py
@@ -0,0 +1,55 @@
+import random
+
+from daisypick_core.membership import directory
+
+OWN = directory.Member("10.0.0.1:80", directory.AGENT, "sofia")
+LISTED = directory.Member("10.0.0.2:80", directory.AGENT, "sofia")
+ROUTER = directory.Member("10.0.0.3:80", directory.ROUTER, "varna")
+
+
+def make_directory():
+    subject = directory.Directory(own=OWN)
+    subject.set_listed([OWN, LISTED])
+    return subject
+
+
+def test_failed_member_is_alive_again_when_heard_or_after_a_while():
+    # A peer does not answer, during a partition: it must not be chosen for a
+    # while. When it is heard, or after that while, it is a candidate again.
+    subject = make_directory()
+    subject.fail(LISTED.address, 10.0)
+    assert subject.members(11.0) == []
+    subject.contact(LISTED.address, 12.0)
+    assert subject.members(12.0) == [LISTED]
+    subject.fail(LISTED.address, 13.0)
+    assert subject.members(42.9) == []
+    assert subject.members(43.0) == [LISTED]
+
+
+def test_member_known_by_contact_is_forgotten_after_silence():
+    subject = make_directory()
+    subject.hear(ROUTER, 0.0)
+    assert subject.live(directory.ROUTER, "varna", 89.0) == [ROUTER.address]
+    assert subject.live(directory.ROUTER, "varna", 90.0) == []
+    subject.forget_old(91.0)
+    assert subject.age(ROUTER.address, 91.0) is None
+    assert subject.members(91.0) == [LISTED]
+
+
+def test_hearsay_never_makes_a_member_younger_than_it_is():
+    # Peers tell of members with their ages. Were a dead one's age reset at
+    # each telling, it would live on in hearsay for ever.
+    first, second = make_directory(), directory.Directory(own=LISTED)
+    first.hear(ROUTER, 0.0)
+    rng = random.Random(1)
+    for now in range(1, 120):
+        for teller, listener in ((first, second), (second, first)):
+            for sighting in teller.sample(rng, 4, now):
+                listener.hear(sighting.member, now, age=sighting.age)
+    assert ROUTER not in first.members(120.0) + second.members(120.0)
+
+
+def test_leaving_hosts_are_no_candidates():
+    subject = make_directory()
+    subject.set_leaving(["10.0.0.2"])
+    assert subject.live(directory.AGENT, "sofia", 0.0) == [OWN.address]
