Send without scanning; move, retry and withdraw within bounds

Cause: each event looked at all agents for each waiting organisation; a refused request went back to the agent that had just refused it; suspended agents woke by tick only; moves cost nothing and could circle; a full queue's refusals were retried without a bound; what waited at a busy agent stayed there while another was free; a refusal after a broken attempt told the caller 'not run', which was not known. Change: ServiceView keeps sets of usable and free agents and the room of each organisation; Sender looks only at what an event changed; Retries bounds moves by backoff with jitter, budget and deadline; Allowance finds how much of an organisation may wait; Rebalance withdraws; Dispatcher gets set_queue_bounds, close, is_ready, is_idle, first_token, next_wake; an AgentAddress carries is_in (default True); a gate takes a repeatable first attempt that cannot know its incarnation yet. Conclusion: cost no longer grows with the product; attempts under an overload that refuses everything stay under 1.1 a request (a test).

--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -225,10 +225,13 @@
         self, attempt: attempt_message.Attempt, now: float
     ) -> failure_value.Failure | None:
         """Return why an offered attempt cannot be taken, if so."""
-        if attempt.incarnation != self.incarnation:
+        is_first_contact = not attempt.incarnation and attempt.is_repeatable
+        if attempt.incarnation != self.incarnation and not is_first_contact:
             # After a restart the table is empty: an attempt that was sent to
             # the predecessor may have run there. Only the address in the
             # attempt can tell, so what is not for this start is refused.
+            # A router's first attempt cannot know the address yet; it may
+            # come in where a second run does no harm.
             return failure_value.Failure(
                 code=codes.STALE_INCARNATION,
                 reason=f"incarnation: {attempt.incarnation} is not this one",
--- a/packages/daisypick_core/src/daisypick_core/queues/keyed_queues.py
+++ b/packages/daisypick_core/src/daisypick_core/queues/keyed_queues.py
@@ -46,7 +46,9 @@
     """Queues by key; a key without items is forgotten."""
 
     def __init__(self) -> None:
-        self._queue_by_key: dict[Key, collections.OrderedDict[str, Item]] = {}
+        self._queue_by_key: collections.OrderedDict[
+            Key, collections.OrderedDict[str, Item]
+        ] = collections.OrderedDict()
         self._key_by_id: dict[str, Key] = {}
         self._deadlines: list[tuple[float, str]] = []
 
@@ -57,13 +59,23 @@
         return item_id in self._key_by_id
 
     def keys(self) -> KeysView[Key]:
-        """Return the keys that have items, oldest key first."""
+        """Return the keys that have items, in turn."""
         return self._queue_by_key.keys()
 
     def size(self, key: Key) -> int:
         """Return how many items a key has."""
         return len(self._queue_by_key.get(key, ()))
 
+    def next_key(self) -> Key:
+        """Return the key whose turn it is and put it behind the others.
+
+        Raises:
+            StopIteration: Nothing waits.
+        """
+        key = next(iter(self._queue_by_key))
+        self._queue_by_key.move_to_end(key)
+        return key
+
     def longest(self) -> Key:
         """Return the key with the most items.
 
@@ -87,6 +99,11 @@
         self.append(key, item_id, item)
         self._queue_by_key[key].move_to_end(item_id, last=False)
 
+    def first(self, key: Key) -> Item | None:
+        """Return the oldest item of a key and leave it there."""
+        queue = self._queue_by_key.get(key)
+        return next(iter(queue.values())) if queue else None
+
     def pop_first(self, key: Key) -> Item:
         """Take the oldest item of a key."""
         return self._pop_end(key, last=False)
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/routing/directory.py
@@ -0,0 +1,219 @@
+"""The agents that a router knows, by address and by service.
+
+Agents are suspended after failures, each time for longer; while their data
+centre or VM is draining they are asked again now and then, since nobody
+promises to tell a router that they are back.
+"""
+
+from collections.abc import Iterable
+import random
+
+from daisypick_core.messages import load as load_message
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+from daisypick_core.routing import agents as agents_view
+from daisypick_core.routing import backoff
+from daisypick_core.routing import request as request_value
+from daisypick_core.routing import service_view
+from daisypick_core.routing import timers
+
+_FAILURE_BACKOFF = 1.0
+_LONGEST_FAILURE = 30.0
+_DRAIN_PROBE = 5.0
+_LONGEST_DRAIN_PROBE = 60.0
+_UNCONFIGURED_PROBE = 1.0
+
+
+class Directory:
+    """Views of agents and services; one a router."""
+
+    def __init__(
+        self, *, window: int, rng: random.Random, clock: timers.Timers
+    ) -> None:
+        self._window = window
+        self._rng = rng
+        self._timers = clock
+        self._view_by_address: dict[str, agents_view.AgentView] = {}
+        self._service_by_name: dict[str, service_view.ServiceView] = {}
+
+    def service(self, name: str) -> service_view.ServiceView:
+        """Return the view of a service, made at first use."""
+        service = self._service_by_name.get(name)
+        if service is None:
+            service = service_view.ServiceView(window=self._window)
+            self._service_by_name[name] = service
+        return service
+
+    def services(self) -> Iterable[service_view.ServiceView]:
+        """Return all services."""
+        return self._service_by_name.values()
+
+    def find(self, address: str) -> agents_view.AgentView | None:
+        """Return the view of an agent, ``None`` if it is not configured."""
+        return self._view_by_address.get(address)
+
+    def set_agents(
+        self, addresses: Iterable[request_value.AgentAddress], now: float
+    ) -> list[str]:
+        """Take the agents of a configuration; return who left or went out."""
+        entries = {entry.address: entry for entry in addresses}
+        gone = [
+            address
+            for address, view in list(self._view_by_address.items())
+            if not self._keep(view, entries.get(address), now)
+        ]
+        for address, entry in entries.items():
+            if address not in self._view_by_address:
+                self._add(entry, now)
+        return gone
+
+    def hear(
+        self,
+        view: agents_view.AgentView,
+        load: load_message.Load,
+        now: float,
+    ) -> None:
+        """Take an agent's load."""
+        was_draining = view.is_draining
+        view.hear(load)
+        if load.is_draining and not was_draining:
+            self._probe_later(view, now)
+        self.refresh(view, now)
+
+    def refresh(self, view: agents_view.AgentView, now: float) -> None:
+        """Put an agent into the sets that it belongs to now."""
+        self.service(view.service).refresh(view, now)
+
+    def wake(self, address: str, now: float) -> service_view.ServiceView | None:
+        """End an agent's suspension; return the service that it serves."""
+        view = self._view_by_address.get(address)
+        if view is None or view.suspended_until > now:
+            return None
+        if view.is_draining:
+            view.forget()
+        self.refresh(view, now)
+        return self.service(view.service)
+
+    def wake_room(
+        self, timer: timers.WakeRoom, now: float
+    ) -> service_view.ServiceView | None:
+        """End the block of an organisation at an agent."""
+        view = self._view_by_address.get(timer.address)
+        if view is None:
+            return None
+        blocked_until = view.blocked_until_by_organisation
+        if blocked_until.get(timer.organisation, now) <= now:
+            blocked_until.pop(timer.organisation, None)
+        service = self.service(view.service)
+        service.refresh_room(view, timer.organisation, now)
+        return service
+
+    def note_refusal(
+        self,
+        view: agents_view.AgentView,
+        organisation: str,
+        refusal: failure_value.Failure,
+        now: float,
+    ) -> None:
+        """Draw from a refusal what it says of the agent."""
+        number = refusal.code.number
+        if number == codes.AGENT_QUEUE_FULL.number:
+            self._block(view, organisation, refusal.retry_after, now)
+        elif number == codes.DRAINING.number:
+            self._probe_later(view, now)
+        elif number == codes.NOT_CONFIGURED.number:
+            pause = _UNCONFIGURED_PROBE * self._rng.uniform(0.5, 1.5)
+            self._suspend(view, pause, now)
+        elif number not in (
+            codes.WITHDRAWN.number,
+            codes.STALE_INCARNATION.number,
+        ):
+            self.note_failure(view, refusal, now)
+        self.refresh(view, now)
+
+    def note_failure(
+        self,
+        view: agents_view.AgentView,
+        refusal: failure_value.Failure,
+        now: float,
+    ) -> None:
+        """Suspend an agent that failed, longer each time."""
+        pause = backoff.pause(
+            view.failures,
+            self._rng,
+            base=_FAILURE_BACKOFF,
+            longest=_LONGEST_FAILURE,
+        )
+        view.failures += 1
+        self._suspend(view, max(pause, refusal.retry_after or 0.0), now)
+        self.refresh(view, now)
+
+    def _suspend(
+        self, view: agents_view.AgentView, pause: float, now: float
+    ) -> None:
+        view.suspended_until = max(view.suspended_until, now + pause)
+        self._timers.add(
+            view.suspended_until, timers.WakeAgent(address=view.address)
+        )
+
+    def _probe_later(self, view: agents_view.AgentView, now: float) -> None:
+        if view.suspended_until > now:
+            return
+        pause = backoff.pause(
+            view.drains,
+            self._rng,
+            base=_DRAIN_PROBE,
+            longest=_LONGEST_DRAIN_PROBE,
+        )
+        view.drains += 1
+        self._suspend(view, pause, now)
+
+    def _block(
+        self,
+        view: agents_view.AgentView,
+        organisation: str,
+        retry_after: float | None,
+        now: float,
+    ) -> None:
+        pause = (retry_after or 1.0) * self._rng.uniform(0.5, 1.5)
+        view.blocked_until_by_organisation[organisation] = now + pause
+        service = self.service(view.service)
+        service.refresh_room(view, organisation, now)
+        service.room(organisation, now).allowance.refused(now)
+        self._timers.add(
+            now + pause,
+            timers.WakeRoom(address=view.address, organisation=organisation),
+        )
+
+    def _keep(
+        self,
+        view: agents_view.AgentView,
+        entry: request_value.AgentAddress | None,
+        now: float,
+    ) -> bool:
+        """Update a known agent; return whether it still takes work."""
+        if entry is None or entry.service != view.service:
+            self.service(view.service).remove(view)
+            del self._view_by_address[view.address]
+            return False
+        was_in = view.is_in
+        view.is_in = entry.is_in
+        view.data_centre = entry.data_centre
+        if view.is_in and not was_in:
+            # What was heard before the data centre went out says nothing of
+            # a server that returns; the first answer tells.
+            view.forget()
+            view.suspended_until = 0.0
+            view.drains = 0
+        self.refresh(view, now)
+        return view.is_in
+
+    def _add(self, entry: request_value.AgentAddress, now: float) -> None:
+        view = agents_view.AgentView(
+            address=entry.address,
+            service=entry.service,
+            data_centre=entry.data_centre,
+            is_in=entry.is_in,
+        )
+        self._view_by_address[entry.address] = view
+        self.refresh(view, now)
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/routing/flights.py
@@ -0,0 +1,72 @@
+"""Attempts that are out at agents."""
+
+from daisypick_core.messages import attempt as attempt_message
+from daisypick_core.routing import request as request_value
+
+
+class Flight:
+    """A request's attempt that is out at an agent.
+
+    Attributes:
+        job: The request.
+        attempt: The attempt.
+        agent: Address of the agent.
+        sent_at: Time at which it was sent, seconds.
+        started_at: Time at which it left the agent's queue, if it has.
+        is_withdrawing: Whether the router is taking it back.
+    """
+
+    __slots__ = (
+        "job",
+        "attempt",
+        "agent",
+        "sent_at",
+        "started_at",
+        "is_withdrawing",
+    )
+
+    def __init__(
+        self,
+        *,
+        job: request_value.Job,
+        attempt: attempt_message.Attempt,
+        agent: str,
+        sent_at: float,
+    ) -> None:
+        self.job = job
+        self.attempt = attempt
+        self.agent = agent
+        self.sent_at = sent_at
+        self.started_at: float | None = None
+        self.is_withdrawing = False
+
+
+class FlightTable:
+    """Flights by attempt and by request; a request has one at most."""
+
+    def __init__(self) -> None:
+        self._flight_by_attempt: dict[str, Flight] = {}
+        self._flight_by_request: dict[str, Flight] = {}
+
+    def __len__(self) -> int:
+        return len(self._flight_by_attempt)
+
+    def add(self, flight: Flight) -> None:
+        """Note an attempt on its way."""
+        self._flight_by_attempt[flight.attempt.attempt_id] = flight
+        self._flight_by_request[flight.attempt.request_id] = flight
+
+    def find(self, attempt_id: str) -> Flight | None:
+        """Return the flight of an attempt."""
+        return self._flight_by_attempt.get(attempt_id)
+
+    def find_request(self, request_id: str) -> Flight | None:
+        """Return the flight of a request."""
+        return self._flight_by_request.get(request_id)
+
+    def land(self, attempt_id: str) -> Flight | None:
+        """Take a flight out, ``None`` if it is not known (any more)."""
+        flight = self._flight_by_attempt.pop(attempt_id, None)
+        if flight is not None:
+            del self._flight_by_request[flight.attempt.request_id]
+        return flight
--- a/packages/daisypick_core/src/daisypick_core/routing/pick.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/pick.py
@@ -45,8 +45,8 @@
     prefix: str,
     rng: random.Random,
 ) -> agents_view.AgentView:
-    """Return the one of two random candidates with more free slots."""
+    """Return the one of two random candidates with less work a slot."""
     del prefix
     first = rng.choice(candidates)
     second = rng.choice(candidates)
-    return second if second.free > first.free else first
+    return second if second.pressure < first.pressure else first
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/routing/rebalance.py
@@ -0,0 +1,62 @@
+"""Taking back what waits at busy agents while others have free slots.
+
+A router with an empty queue may still have attempts that wait behind others'
+at some agent. When another agent is believed free, the oldest of them are
+withdrawn; the agent's answer decides whether they had started already. Each
+request is moved in this way a few times at most, and only after it has waited
+for longer than an answer takes, so that stale loads cannot make it circle.
+"""
+
+import itertools
+
+from daisypick_core.routing import actions
+from daisypick_core.routing import directory
+from daisypick_core.routing import flights
+from daisypick_core.routing import service_view
+
+SHORTEST_WAIT = 0.02
+_MOST_WITHDRAWALS = 3
+_AGENTS_LOOKED_AT = 16
+_FLIGHTS_LOOKED_AT = 64
+
+
+def withdraw_for_free_agents(
+    service: service_view.ServiceView,
+    known: directory.Directory,
+    now: float,
+) -> list[actions.Action]:
+    """Return withdrawals for the slots that nothing queued can fill."""
+    if not len(service.free) or not service.waiting or len(service.queues):
+        return []
+    looked_at = itertools.islice(service.free.items, _AGENTS_LOOKED_AT)
+    slots = sum(view.free for view in looked_at) - service.withdrawing
+    due: list[actions.Action] = []
+    for flight in itertools.islice(
+        service.waiting.values(), _FLIGHTS_LOOKED_AT
+    ):
+        if len(due) >= slots:
+            break
+        if _is_worth_it(flight, known, now):
+            due.append(withdraw(service, flight))
+    return due
+
+
+def withdraw(
+    service: service_view.ServiceView, flight: flights.Flight
+) -> actions.Withdraw:
+    """Start to take a waiting attempt back."""
+    flight.is_withdrawing = True
+    flight.job.withdrawals += 1
+    service.withdrawing += 1
+    return actions.Withdraw(attempt=flight.attempt, agent=flight.agent)
+
+
+def _is_worth_it(
+    flight: flights.Flight, known: directory.Directory, now: float
+) -> bool:
+    if flight.is_withdrawing or flight.job.withdrawals >= _MOST_WITHDRAWALS:
+        return False
+    if now - flight.sent_at < SHORTEST_WAIT:
+        return False
+    view = known.find(flight.agent)
+    return view is None or view.free == 0
--- a/packages/daisypick_core/src/daisypick_core/routing/retry_budget.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/retry_budget.py
@@ -2,7 +2,8 @@
 
 Every first attempt earns a fraction of a retry; each retry spends a whole
 one. Under an overload that fails everything, attempts per request stay
-below ``1 + ratio``, so that retries cannot become a storm.
+below ``1 + ratio``, so that retries cannot become a storm. A trickle by time
+lets a quiet router retry at all.
 
 Examples:
     >>> budget = RetryBudget(ratio=0.5, burst=1.0)
@@ -10,10 +11,13 @@
     (True, False)
     >>> budget.earn(); budget.earn(); budget.try_spend()
     True
+    >>> budget.trickle(0.0); budget.trickle(20.0); budget.try_spend()
+    True
 """
 
-DEFAULT_RATIO = 0.1
+DEFAULT_RATIO = 0.08
 DEFAULT_BURST = 10.0
+TRICKLE_PER_SECOND = 0.1
 
 
 class RetryBudget:
@@ -25,11 +29,19 @@
         self._ratio = ratio
         self._burst = burst
         self._tokens = burst
+        self._trickled_at: float | None = None
 
     def earn(self) -> None:
         """Note a first attempt."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
 
+    def trickle(self, now: float) -> None:
+        """Earn what the time since the last call allows."""
+        if self._trickled_at is not None:
+            earned = (now - self._trickled_at) * TRICKLE_PER_SECOND
+            self._tokens = min(self._burst, self._tokens + max(0.0, earned))
+        self._trickled_at = now
+
     def try_spend(self) -> bool:
         """Take one retry if there is one."""
         if self._tokens < 1.0:
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/routing/service_view.py
@@ -0,0 +1,169 @@
+"""The agents of one service, kept so that a choice costs no scan.
+
+A router sees some 275 agents for each model and holds work of hundreds of
+organisations. Looking through all agents for each attempt would cost their
+product; instead each agent is put into or taken out of the sets below when
+what is believed of it changes.
+
+* ``usable``: may be sent to at all.
+* ``free``: usable, with slots believed to be free.
+* the room of an organisation: usable, where one more attempt may wait. It is
+  made when the organisation first needs it and dropped with its last request.
+"""
+
+import collections
+import random
+import typing
+
+from daisypick_core.queues import indexed_set
+from daisypick_core.queues import keyed_queues
+from daisypick_core.routing import agents as agents_view
+from daisypick_core.routing import allowance
+from daisypick_core.routing import flights
+from daisypick_core.routing import pick
+from daisypick_core.routing import request as request_value
+
+_TRIES = 4
+
+
+class Room(typing.NamedTuple):
+    """Where attempts of one organisation may wait.
+
+    Attributes:
+        agents: Agents with room; some may have filled up since.
+        allowance: How many of its attempts may wait in all.
+    """
+
+    agents: indexed_set.IndexedSet[agents_view.AgentView]
+    allowance: allowance.Allowance
+
+
+class ServiceView:
+    """One service as one router sees it.
+
+    Attributes:
+        usable: Agents that may be sent to.
+        free: Those of them with free slots.
+        queues: Requests that wait at the router, by organisation.
+        waiting: Attempts that wait at agents, oldest first.
+        waiting_by_organisation: How many of them each organisation has.
+        withdrawing: How many of them the router is taking back.
+    """
+
+    def __init__(self, *, window: int) -> None:
+        self._window = window
+        self.usable: indexed_set.IndexedSet[agents_view.AgentView] = (
+            indexed_set.IndexedSet()
+        )
+        self.free: indexed_set.IndexedSet[agents_view.AgentView] = (
+            indexed_set.IndexedSet()
+        )
+        self.queues: keyed_queues.KeyedQueues[str, request_value.Job] = (
+            keyed_queues.KeyedQueues()
+        )
+        self.waiting: collections.OrderedDict[str, flights.Flight] = (
+            collections.OrderedDict()
+        )
+        self.waiting_by_organisation: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.withdrawing = 0
+        self._room_by_organisation: dict[str, Room] = {}
+
+    def refresh(self, view: agents_view.AgentView, now: float) -> None:
+        """Put an agent into the sets that it belongs to now."""
+        is_usable = view.is_usable(now)
+        self.free.put(view, is_member=is_usable and view.free > 0)
+        if self.usable.put(view, is_member=is_usable):
+            for organisation, room in self._room_by_organisation.items():
+                self._refresh_room(room, view, organisation, now)
+
+    def refresh_room(
+        self, view: agents_view.AgentView, organisation: str, now: float
+    ) -> None:
+        """Note that the agent's room for an organisation has changed."""
+        room = self._room_by_organisation.get(organisation)
+        if room is not None:
+            self._refresh_room(room, view, organisation, now)
+
+    def remove(self, view: agents_view.AgentView) -> None:
+        """Take an agent out for good."""
+        self.usable.discard(view)
+        self.free.discard(view)
+        for room in self._room_by_organisation.values():
+            room.agents.discard(view)
+
+    def room(self, organisation: str, now: float) -> Room:
+        """Return where an organisation's attempts may wait."""
+        room = self._room_by_organisation.get(organisation)
+        if room is None:
+            room = Room(
+                agents=indexed_set.IndexedSet(),
+                allowance=allowance.Allowance(),
+            )
+            self._room_by_organisation[organisation] = room
+            for view in self.usable.items:
+                self._refresh_room(room, view, organisation, now)
+        return room
+
+    def known_allowance(self, organisation: str) -> allowance.Allowance | None:
+        """Return the allowance of an organisation that has needed one."""
+        room = self._room_by_organisation.get(organisation)
+        return None if room is None else room.allowance
+
+    def drop_room(self, organisation: str) -> None:
+        """Forget the room of an organisation that has nothing here."""
+        if self.queues.size(organisation):
+            return
+        if not self.waiting_by_organisation.get(organisation):
+            self._room_by_organisation.pop(organisation, None)
+
+    def choose(
+        self,
+        job: request_value.Job,
+        policy: pick.Policy,
+        rng: random.Random,
+        now: float,
+    ) -> agents_view.AgentView | None:
+        """Return the agent for a job's next attempt, ``None`` if none."""
+        if len(self.free):
+            return _pick(self.free.items, job, policy, rng)
+        organisation = job.request.organisation
+        room = self.room(organisation, now)
+        if self.waiting_by_organisation[organisation] >= room.allowance.value:
+            return None
+        for _ in range(_TRIES):
+            if not len(room.agents):
+                return None
+            view = _pick(room.agents.items, job, policy, rng)
+            if view.has_room(organisation, self._window, now):
+                return view
+            room.agents.discard(view)
+        return None
+
+    def _refresh_room(
+        self,
+        room: Room,
+        view: agents_view.AgentView,
+        organisation: str,
+        now: float,
+    ) -> None:
+        has_room = view in self.usable and view.has_room(
+            organisation, self._window, now
+        )
+        room.agents.put(view, is_member=has_room)
+
+
+def _pick(
+    candidates: list[agents_view.AgentView],
+    job: request_value.Job,
+    policy: pick.Policy,
+    rng: random.Random,
+) -> agents_view.AgentView:
+    """Apply a policy; do not go back to who has just refused the job."""
+    view = policy(candidates, job.request.prefix, rng)
+    if view.address != job.avoid or len(candidates) == 1:
+        return view
+    position = rng.randrange(len(candidates) - 1)
+    other = candidates[position]
+    return candidates[-1] if other is view else other
--- a/packages/daisypick_core/tests/routing/test_dispatcher.py
+++ b/packages/daisypick_core/tests/routing/test_dispatcher.py
@@ -81,3 +81,163 @@
     ]
     assert len(sent) == 2
     assert subject.queued_count == 7
+
+
+def refuse(code, **fields):
+    return failure_value.Failure(code=code, reason="told so", **fields)
+
+
+def dispatches(due):
+    return [a for a in due if isinstance(a, actions.Dispatch)]
+
+
+def test_restarted_agent_gets_the_request_again():
+    # The agent restarts; the router still addresses the old incarnation and
+    # gets a refusal that carries the new load. The agent takes work: the
+    # request goes straight back to it, though another one is free as well.
+    subject = make_dispatcher()
+    (first,) = subject.submit(make_request("x"), 0.0)
+    subject.hear(first.agent, make_load(incarnation="a2"), 1.0)
+    refusal = refuse(codes.STALE_INCARNATION)
+    (second,) = subject.returned(first.attempt.attempt_id, refusal, 1.0)
+    assert second.agent == first.agent
+    assert second.attempt.incarnation == "a2"
+
+
+def test_suspended_agent_wakes_without_a_tick():
+    # The only agent fails and is suspended. Nothing else happens until the
+    # next event; that event must find the agent awake.
+    subject = make_dispatcher(count=1)
+    (first,) = subject.submit(make_request("x"), 0.0)
+    subject.returned(
+        first.attempt.attempt_id, refuse(codes.ENGINE_UNREACHABLE), 1.0
+    )
+    assert subject.submit(make_request("y"), 1.1) == []
+    assert subject.next_wake() < 3.0
+    subject.hear("127.0.0.1:0", make_load(limit=4), 4.0)
+    assert subject.in_flight_count == 2
+
+
+def test_out_withdraws_what_waits_there():
+    # A data centre goes out. The router hears of it before the agent does:
+    # what waits there must move without the agent's knowing.
+    subject = make_dispatcher(count=1)
+    subject.submit(make_request("x"), 0.0)
+    agent = dispatcher.AgentAddress(
+        address="127.0.0.1:0", service="desk", data_centre="sofia", is_in=False
+    )
+    (due,) = subject.set_agents([agent], 1.0)
+    assert isinstance(due, actions.Withdraw)
+    attempt_id = due.attempt.attempt_id
+    assert subject.returned(attempt_id, refuse(codes.WITHDRAWN), 1.1) == []
+    (again,) = subject.set_agents([agent._replace(is_in=True)], 2.0)
+    assert again.attempt.request_id == "x"
+
+
+def test_draining_agent_is_asked_again_and_less_and_less_often():
+    # A VM that was leaving stays, and nobody tells the router. It must find
+    # out by itself, without sending one request after the other there.
+    subject = make_dispatcher(count=1)
+    load = make_load(is_draining=True)
+    subject.hear("127.0.0.1:0", load, 0.0)
+    sent_at = []
+    subject.submit(make_request("x", deadline=1000.0), 0.0)
+    for step in range(1, 1000):
+        for due in dispatches(subject.tick(step * 0.1)):
+            sent_at.append(step * 0.1)
+            subject.hear("127.0.0.1:0", load, step * 0.1)
+            refusal = refuse(codes.DRAINING)
+            subject.returned(due.attempt.attempt_id, refusal, step * 0.1)
+    assert 3 <= len(sent_at) <= 6
+    assert sent_at[0] >= 2.5
+
+
+def test_what_waits_is_withdrawn_when_another_agent_is_free():
+    # The queue of the router is empty, but its request waits behind others
+    # at a busy agent while another has a free slot: capacity would idle.
+    subject = make_dispatcher(count=2)
+    busy, free = "127.0.0.1:0", "127.0.0.1:1"
+    subject.hear(busy, make_load(running=1), 0.0)
+    subject.hear(free, make_load(running=1), 0.0)
+    subject.submit(make_request("x"), 0.0)
+    (flight,) = subject._sender.flights._flight_by_request.values()
+    other = free if flight.agent == busy else busy
+    (due,) = subject.hear(other, make_load(), 1.0)
+    assert isinstance(due, actions.Withdraw)
+    assert subject.hear(other, make_load(), 1.0) == []
+    attempt_id = due.attempt.attempt_id
+    (moved,) = subject.returned(attempt_id, refuse(codes.WITHDRAWN), 1.1)
+    assert moved.agent == other
+
+
+def test_refusal_after_a_broken_attempt_is_not_told_as_not_run():
+    # The first attempt breaks off and may have run. The second is refused
+    # as "not run", which is true of the second only.
+    subject = make_dispatcher()
+    (first,) = subject.submit(make_request("x"), 0.0)
+    subject.broken(first.attempt.attempt_id, refuse(codes.ANSWER_BROKEN), 0.1)
+    (second,) = dispatches(subject.tick(1.0))
+    (due,) = subject.returned(
+        second.attempt.attempt_id, refuse(codes.DEADLINE_PASSED), 2.0
+    )
+    assert due.failure.code == codes.OUTCOME_UNKNOWN
+
+
+def test_attempts_stay_within_the_budget_when_all_queues_are_full():
+    # Every agent refuses everything. Without a budget each refusal would be
+    # the next attempt, and the overload would feed itself.
+    subject = make_dispatcher(count=4)
+    attempts = 0
+    failed = []
+    for n in range(2000):
+        now = n * 0.01
+        due = subject.submit(make_request(f"r{n}", deadline=now + 1.0), now)
+        due += subject.tick(now)
+        while due:
+            action = due.pop()
+            if isinstance(action, actions.Fail):
+                failed.append(action)
+                continue
+            attempts += 1
+            refusal = refuse(codes.AGENT_QUEUE_FULL, retry_after=0.5)
+            due += subject.returned(action.attempt.attempt_id, refusal, now)
+    assert attempts <= 1.1 * 2000
+    assert len(failed) + subject.queued_count == 2000
+    assert {f.failure.ran for f in failed} == {codes.RAN_NO}
+
+
+def test_closing_router_refuses_new_and_finishes_the_rest():
+    subject = make_dispatcher(count=1)
+    (first,) = subject.submit(make_request("x"), 0.0)
+    subject.close()
+    (due,) = subject.submit(make_request("y"), 1.0)
+    assert due.failure.code == codes.DRAINING
+    assert (subject.is_ready, subject.is_idle) == (False, False)
+    subject.finished(first.attempt.attempt_id, 2.0)
+    assert subject.is_idle
+
+
+def test_full_router_drops_the_flooders_newest():
+    # One organisation fills the router. A small one must still get in; the
+    # flooder is told when to come back.
+    subject = make_dispatcher(count=0, queued_in_all=3)
+    for n in range(3):
+        subject.submit(make_request(f"f{n}", organisation="flooder"), 0.0)
+    (due,) = subject.submit(make_request("s", organisation="small"), 0.0)
+    assert due.request_id == "f2"
+    assert due.failure.code == codes.ROUTER_FULL
+    assert due.failure.retry_after > 0
+    subject.set_queue_bounds({"small": 1})
+    (due,) = subject.submit(make_request("t", organisation="small"), 0.0)
+    assert due.failure.code == codes.ORGANISATION_QUEUE_FULL
+
+
+def test_cancelled_request_leaves_wherever_it_is():
+    subject = make_dispatcher(count=1, window=1)
+    for n in range(3):
+        subject.submit(make_request(f"r{n}"), 0.0)
+    assert subject.cancel("r2", 1.0) == []
+    cancel, dispatch = subject.cancel("r0", 1.0)
+    assert isinstance(cancel, actions.Cancel)
+    assert dispatch.attempt.request_id == "r1"
+    assert (subject.queued_count, subject.in_flight_count) == (0, 1)
