--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -27,13 +27,14 @@
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 
-# A claim that is granted later than this after the gate closed starts nothing.
-DRAIN_GRACE = 1.5
-
 _DEADLINE_PASSED = failure_value.Failure(
     code=codes.DEADLINE_PASSED, reason="waited past its deadline"
 )
 
+# The rule refuses these offers each time they come, so they need no memory;
+# a flood of them must not fill the table and hasten its epochs.
+_REFUSED_BY_RULE = frozenset({codes.STALE_INCARNATION, codes.STALE_EPOCH})
+
 
 GateLimits = waiting.GateLimits
 
@@ -54,11 +55,9 @@
         self.limit = limit
         self.admission = admission.Admission()
         self.attempts = attempts.AttemptTable()
-        self.epoch = 0
         self.generation = 0
         self._waiting = waiting.WaitingRoom(order=order, limits=limits)
         self._running = running.RunningTable()
-        self._closed_at = 0.0
 
     def load(self) -> load_message.Load:
         """Return the state that rides on every answer."""
@@ -72,6 +71,11 @@
             is_draining=not self.admission.is_open,
         )
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the attempt table, carried on every answer."""
+        return self.attempts.epoch
+
     @property
     def running_count(self) -> int:
         """Attempts that hold a slot."""
@@ -97,16 +101,25 @@
         return [self._bar(*dropped), *self._fill(now)]
 
     def withdraw(
-        self, attempt_id: str, now: float
+        self, attempt_id: str, now: float, *, epoch: int = 0
     ) -> tuple[attempts.AttemptStatus, list[actions.Action]]:
-        """Take an attempt back unless it has started.
+        """Take an attempt back unless it has started; tell what became of it.
 
         An attempt that is not known yet is barred as well: its offer may
         still be on the way, and must not start after "not run" was said.
+        One that is claimed just now may still start, so it is not "not run".
+
+        ``epoch`` is the attempt's own. An unknown attempt of a stale epoch
+        may have run and been forgotten, so "not run" would be a guess.
         """
         state = self.attempts.state(attempt_id)
         if state in (attempts.CLAIMING, attempts.RUNNING, attempts.DONE):
             return attempts.AttemptStatus(state=state, ran=True), []
+        if state is None and self.attempts.is_stale(epoch):
+            forgotten = attempts.AttemptStatus(
+                state=attempts.FORGOTTEN, ran=True
+            )
+            return forgotten, []
         actions_due: list[actions.Action] = []
         attempt = self._waiting.remove(attempt_id)
         if attempt is None:
@@ -136,25 +149,39 @@
         refusal: failure_value.Failure | None,
         now: float,
     ) -> list[actions.Action]:
-        """Note what became of a claim; ``None`` means it is granted."""
+        """Note what became of a claim; ``None`` means it is granted.
+
+        A doubled or late report of a claim that was settled before does
+        nothing: the attempt runs already or is barred for good.
+        """
         attempt = self._running.end_claim(attempt_id)
         if attempt is None:
             return []
         if refusal is not None:
             return [self._give_up(attempt, refusal), *self._fill(now)]
-        if self._is_closed_for_good(now):
+        late = self._check_granted(attempt, now)
+        if late is not None:
             # The store can take long to grant a claim. Started now, the
-            # attempt would run at a server that should be quiet by now.
-            reason = self._draining(self.admission.reasons[0])
-            return [self._give_up(attempt, reason)._replace(release_claim=True)]
+            # attempt would run at a server that should be quiet by now, or
+            # for a caller that has been told of its passed deadline.
+            given_up = self._give_up(attempt, late)
+            return [given_up._replace(release_claim=True), *self._fill(now)]
         return [self._start(attempt, now)]
 
+    def _check_granted(
+        self, attempt: attempt_message.Attempt, now: float
+    ) -> failure_value.Failure | None:
+        """Return why an attempt does not start although its key is its own."""
+        if not self.admission.is_open:
+            return self._draining(self.admission.reasons[0])
+        return _DEADLINE_PASSED if attempt.deadline <= now else None
+
     def progress(self, attempt_id: str, tokens: int, now: float) -> None:
         """Note tokens served beyond those already charged."""
         run = self._running.find(attempt_id)
         if run is None:
             return
-        self.order.progress(attempt_id, tokens)
+        self.order.progress(run.attempt, tokens)
         if self._running.first_token(attempt_id) is not None:
             self.limit.first_token(now - run.started_at, now)
 
@@ -180,8 +207,8 @@
         ``generation`` is that of the configuration which says so, if one
         does; an older one than heard before changes nothing.
         """
-        if self.admission.close(reason, generation):
-            self._closed_at = now
+        del now
+        self.admission.close(reason, generation)
         return self._return_waiting()
 
     def undrain(
@@ -215,6 +242,7 @@
 
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse what waited past its deadline, fill free slots."""
+        self.attempts.advance(now)
         actions_due: list[actions.Action] = []
         for attempt in self._waiting.expire(now):
             actions_due.append(self._bar(attempt, _DEADLINE_PASSED))
@@ -225,13 +253,13 @@
         self, attempt: attempt_message.Attempt, now: float
     ) -> failure_value.Failure | None:
         """Return why an offered attempt cannot be taken, if so."""
-        is_first_contact = not attempt.incarnation and attempt.is_repeatable
-        if attempt.incarnation != self.incarnation and not is_first_contact:
+        if attempt.incarnation != self.incarnation:
             # After a restart the table is empty: an attempt that was sent to
             # the predecessor may have run there. Only the address in the
             # attempt can tell, so what is not for this start is refused.
-            # A router's first attempt cannot know the address yet; it may
-            # come in where a second run does no harm.
+            # This holds for a router's first attempt as well, which cannot
+            # know the address: taken in, its doubled offer could run here
+            # after the predecessor has said "not run".
             return failure_value.Failure(
                 code=codes.STALE_INCARNATION,
                 reason=f"incarnation: {attempt.incarnation} is not this one",
@@ -243,13 +271,27 @@
             )
         if state is not None:
             return None
+        if self.attempts.is_stale(attempt.epoch):
+            # Settled attempts of that age are forgotten: this one may have
+            # run, or been reported as "not run". It must not start.
+            return failure_value.Failure(
+                code=codes.STALE_EPOCH,
+                reason=f"epoch: {attempt.epoch} is not near {self.epoch}",
+            )
+        refusal = self._check_start(attempt, now)
+        return refusal or self._waiting.check_bounds(attempt)
+
+    def _check_start(
+        self, attempt: attempt_message.Attempt, now: float
+    ) -> failure_value.Failure | None:
+        """Return why nothing starts now, or this attempt does not."""
         if not self.admission.is_open:
             return self._draining(self.admission.reasons[0])
         if attempt.deadline <= now:
             return failure_value.Failure(
                 code=codes.DEADLINE_PASSED, reason="deadline: already passed"
             )
-        return self._waiting.check_bounds(attempt)
+        return None
 
     def _draining(self, reason: str) -> failure_value.Failure:
         is_fresh = reason == admission.NOT_CONFIGURED
@@ -261,7 +303,8 @@
         attempt: attempt_message.Attempt,
         reason: failure_value.Failure,
     ) -> actions.Refuse:
-        self.attempts.set_state(attempt.attempt_id, attempts.BARRED)
+        if reason.code not in _REFUSED_BY_RULE:
+            self.attempts.set_state(attempt.attempt_id, attempts.BARRED)
         return actions.Refuse(attempt=attempt, failure=reason)
 
     def _give_up(
@@ -270,7 +313,7 @@
         reason: failure_value.Failure,
     ) -> actions.Refuse:
         """Bar an attempt that was charged and does not start."""
-        self.order.charge(attempt.organisation, -attempt.estimate)
+        self.order.release(attempt)
         return self._bar(attempt, reason)
 
     def _return_waiting(self) -> list[actions.Action]:
@@ -279,11 +322,6 @@
         refusal = self._draining(self.admission.reasons[0])
         return [self._bar(a, refusal) for a in self._waiting.clear()]
 
-    def _is_closed_for_good(self, now: float) -> bool:
-        if self.admission.is_open:
-            return False
-        return now > self._closed_at + DRAIN_GRACE
-
     def _note_overdue(self, now: float) -> None:
         """Tell the limit of attempts that are silent for too long."""
         overdue_after = self.limit.overdue_after
@@ -307,7 +345,7 @@
                 # have long told their callers that the deadline passed.
                 actions_due.append(self._bar(attempt, _DEADLINE_PASSED))
                 continue
-            self.order.charge(attempt.organisation, attempt.estimate)
+            self.order.start(attempt)
             actions_due.append(self._claim_or_start(attempt, now))
         return actions_due
 
--- a/packages/daisypick_core/src/daisypick_core/routing/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/directory.py
@@ -127,6 +127,7 @@
         elif number not in (
             codes.WITHDRAWN.number,
             codes.STALE_INCARNATION.number,
+            codes.STALE_EPOCH.number,
         ):
             self.note_failure(view, refusal, now)
         self.refresh(view, now)
--- a/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
@@ -310,12 +310,17 @@
         refusal: failure_value.Failure,
         view: agents_view.AgentView | None,
     ) -> bool:
-        """Tell whether the agent has only restarted and takes work."""
-        if refusal.code.number != codes.STALE_INCARNATION.number:
+        """Tell whether the agent takes work under its new address.
+
+        The refusal brought the agent's incarnation and epoch along, so the
+        next attempt may go there at once.
+        """
+        if refusal.code not in (codes.STALE_INCARNATION, codes.STALE_EPOCH):
             return False
-        if view is None or view.load is None or view.free == 0:
+        if view is None or view.load is None or not view.free:
             return False
-        return view.load.incarnation != flight.attempt.incarnation
+        heard = (view.load.incarnation, view.load.epoch)
+        return heard != (flight.attempt.incarnation, flight.attempt.epoch)
 
     def _requeue(
         self, job: request_value.Job, now: float
--- a/packages/daisypick_core/src/daisypick_core/routing/refusals.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/refusals.py
@@ -23,6 +23,7 @@
     {
         codes.DRAINING.number,
         codes.STALE_INCARNATION.number,
+        codes.STALE_EPOCH.number,
         codes.WITHDRAWN.number,
         codes.AGENT_QUEUE_FULL.number,
         codes.NOT_CONFIGURED.number,
