Bound the runs of a request that breaks every engine

Change: at most three retries after a break, and code 5004 for an answer that differs from what was sent, which is not retried at all. Conclusion: a poison request costs its own attempts only.

--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -88,6 +88,9 @@
 
 ENGINE_FAILED = define(5001, "Backend server failed", 502, RAN_UNKNOWN)
 ANSWER_BROKEN = define(5002, "Answer broke off", 502, RAN_UNKNOWN)
+ANSWER_DIFFERS = define(
+    5004, "Answer differs from its part already sent", 502, RAN_UNKNOWN
+)
 ENGINE_UNREACHABLE = define(5003, "Backend server is unreachable", 503)
 
 UNKNOWN_SETTING = define(6001, "Unknown key in configuration", 400)
--- a/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
@@ -203,7 +203,8 @@
         if view is not None:
             view.came_back()
             self._directory.note_failure(view, refusal, now)
-        if self._retries.broke(job, now) == retries.SPENT:
+        is_futile = refusal.code.number in refusals.NO_RETRY
+        if is_futile or self._retries.broke(job, now) == retries.SPENT:
             due.append(self._fail(job, refusal))
         return due + self._send_like(job.request, now)
 
--- a/packages/daisypick_core/src/daisypick_core/routing/refusals.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/refusals.py
@@ -3,6 +3,7 @@
 * ``FINAL``: the refusal is the request's answer.
 * ``MOVES``: the agent takes nothing now, which is no fault of the request;
   it goes elsewhere and costs no retry.
+* ``NO_RETRY``: another run would end the same way.
 * Everything else is a failure of the agent or its backend server: a retry.
 """
 
@@ -19,6 +20,7 @@
         codes.OUTCOME_UNKNOWN.number,
     }
 )
+NO_RETRY = frozenset({codes.ANSWER_DIFFERS.number})
 MOVES = frozenset(
     {
         codes.DRAINING.number,
--- a/packages/daisypick_core/src/daisypick_core/routing/retries.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/retries.py
@@ -25,6 +25,7 @@
 SPENT = "spent"
 
 _FREE_MOVES = 3
+_MOST_RETRIES = 3
 _BASE = 0.05
 _LONGEST = 2.0
 
@@ -69,7 +70,12 @@
     def broke(self, job: request_value.Job, now: float) -> str:
         """Decide on a job whose attempt broke off and may have run."""
         job.may_have_run = True
-        if not job.request.is_repeatable or not self.budget.try_spend():
+        # A request that makes each engine fall would otherwise go round the
+        # fleet and spend everybody's budget; after a few runs the fault is
+        # its own.
+        if not job.request.is_repeatable or job.retries >= _MOST_RETRIES:
+            return SPENT
+        if not self.budget.try_spend():
             return SPENT
         self._pause(job, job.retries, now)
         job.retries += 1
--- a/packages/daisypick_core/src/daisypick_core/routing/splice.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/splice.py
@@ -15,7 +15,7 @@
     b'three'
     >>> splice.restart()
     >>> splice.accept(0, b"one TWO three four").code.number
-    5002
+    5004
 """
 
 import xxhash
@@ -53,7 +53,10 @@
         if repeated:
             self._again.update(repeated)
             if not self._is_same_beginning():
-                return _broken("answer: differs from what the caller saw")
+                return failure_value.Failure(
+                    code=codes.ANSWER_DIFFERS,
+                    reason="answer: differs from what the caller saw",
+                )
         new = data[len(repeated) :]
         self._seen.update(new)
         self.position += len(new)
--- a/packages/daisypick_node/src/daisypick_node/router/relay.py
+++ b/packages/daisypick_node/src/daisypick_node/router/relay.py
@@ -58,7 +58,7 @@
         if self.head is not None and self.splice.position:
             if self.head["status"] != detail["status"]:
                 return failure_value.Failure(
-                    code=codes.ANSWER_BROKEN, reason="status: has changed"
+                    code=codes.ANSWER_DIFFERS, reason="status: has changed"
                 )
             return None
         self.head = detail
