--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -124,6 +124,10 @@
         """Note that an attempt runs."""
         self.perform(self.dispatcher.started(attempt_id, self._clock()))
 
+    def first_token(self, attempt_id: str) -> None:
+        """Note the first token of an answer."""
+        self.dispatcher.first_token(attempt_id, self._clock())
+
     def finished(self, attempt_id: str) -> None:
         """Note that a whole answer is there."""
         self.perform(self.dispatcher.finished(attempt_id, self._clock()))
--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -127,9 +127,21 @@
             for server in configuration.backend_servers_by_name.values()
             if configuration.data_centres_by_name[server.data_centre].is_in
         ]
+        self.driver.dispatcher.set_queue_bounds(
+            {
+                name: organisation.max_queued
+                for name, organisation in (
+                    configuration.organisations_by_name.items()
+                )
+            }
+        )
         self.driver.set_agents(addresses)
         self._pool.keep_only(frozenset(entry.address for entry in addresses))
 
+    def on_drain(self) -> None:
+        """Refuse new requests; finish those it holds."""
+        self.driver.dispatcher.close()
+
     def is_idle(self) -> bool:
         """Tell whether the router holds no request."""
         return self.driver.held_count == 0
--- a/packages/daisypick_node/src/daisypick_node/router/sender.py
+++ b/packages/daisypick_node/src/daisypick_node/router/sender.py
@@ -38,6 +38,9 @@
     def started(self, attempt_id: str) -> None:
         """Note that the attempt runs."""
 
+    def first_token(self, attempt_id: str) -> None:
+        """Note the first token of the answer."""
+
     def finished(self, attempt_id: str) -> None:
         """Note that the whole answer is there."""
 
@@ -247,6 +250,8 @@
 
 @_handles(frame.DATA)
 def _handle_data(sender: Sender, part: frame.Frame) -> bool:
+    if part.offset == 0:
+        sender.events.first_token(sender.attempt.attempt_id)
     return _report_broken(sender, sender.relay.put_data(part))
 
 
