Follow the configuration in every process

Cause: the daemons took a configuration only from a direct call; nothing brought one to them.

Change: a service carries out the spread over HTTP: it serves root, chunks, exchanges of generations and operators' offers, watches the store if it is one of two per role and data centre, and installs a configuration only once the start is over. Router and agent report every contact to it. Operators' keys now reach the paths below /internal/configuration/.

Conclusion: the store is needed for accepting a change, not for its spread.

--- a/packages/daisypick_core/src/daisypick_core/configuration/spread_actions.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/spread_actions.py
@@ -12,13 +12,15 @@
 from daisypick_core.results import failure as failure_value
 
 STORE = "store"
+OPERATOR = "operator"
 
 
 class FetchRoot(typing.NamedTuple):
     """Ask a source for its root.
 
     Attributes:
-        source: Address of a peer, or ``STORE``.
+        source: Address of a peer, ``STORE``, or ``OPERATOR`` for one that
+            cannot be asked again.
         have: Top chunk held, so that a peer adds the chunks that differ;
             ``""`` to get the root alone.
     """
--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -36,8 +36,7 @@
         platform: interface.PlatformClient,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
-        super().__init__(settings=settings, clock=clock)
-        self.platform = platform
+        super().__init__(settings=settings, platform=platform, clock=clock)
         self.order = share_order.ShareOrder(share_by_organisation={})
         self.gate = core_gate.Gate(
             incarnation=uuid.uuid4().hex,
@@ -79,9 +78,6 @@
         )
         return attempts.handlers()
 
-    def note_contact(self, peer: str, generation: int) -> None:
-        """Learn that a peer has a generation."""
-
     def on_start(self) -> None:
         """Watch the load."""
         self.metrics.watch(
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -0,0 +1,369 @@
+"""Carries out the spread of configurations over HTTP.
+
+Routes, for processes of the fleet and for operators:
+
+* ``GET /internal/configuration/root?have=TOP``: the root in force, with the
+  chunks that a holder of ``TOP`` lacks;
+* ``GET /internal/configuration/chunk/HASH[,HASH...]``: chunks that are held;
+* ``POST /internal/configuration/notice``: generations are exchanged, and
+  some members told of;
+* ``POST /internal/configuration/offer``: an accepted root with its chunks,
+  from the operators' command line. It makes a change known also if the store
+  goes down right after it was accepted.
+
+A few processes of each data centre wait for changes at the store; which ones
+follows from what each process sees as live.
+
+See Also:
+    ``daisypick_core.configuration.spread``: the decisions.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+import typing
+import urllib.parse
+
+from daisypick_core.configuration import model
+from daisypick_core.configuration import rounds
+from daisypick_core.configuration import spread
+from daisypick_core.configuration import spread_actions as actions
+from daisypick_core.configuration import wire
+from daisypick_core.fairness import placement
+from daisypick_core.membership import directory as member_directory
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import gevent
+
+from daisypick_node import configuration_store
+from daisypick_node import logs
+from daisypick_node.http import peers as peers_module
+from daisypick_node.http import routes
+from daisypick_node.platform import interface
+
+PREFIX = "/internal/configuration/"
+ROOT = f"{PREFIX}root"
+CHUNK = f"{PREFIX}chunk/"
+NOTICE = f"{PREFIX}notice"
+OFFER = f"{PREFIX}offer"
+
+WATCHERS_PER_ROLE = 2
+WATCH_SECONDS = 25.0
+WATCH_PAUSE = 2.0
+TICK_SECONDS = 0.5
+MEMBERS_SECONDS = 5.0
+MEMBERS_TOLD = 4
+
+_log = logs.PartLog("configuration")
+
+
+class Notice(typing.TypedDict):
+    """What two processes tell each other.
+
+    Attributes:
+        member: The process that speaks.
+        generation: Its generation in force.
+        members: Some members that it has heard, with ages in seconds.
+    """
+
+    member: member_directory.Member
+    generation: int
+    members: list[member_directory.Sighting]
+
+
+class ConfigurationService:
+    """The holder of one process, and its messages.
+
+    Attributes:
+        holder: The decisions.
+        directory: The members that this process believes in.
+    """
+
+    def __init__(
+        self,
+        *,
+        role: str,
+        data_centre: str,
+        seeds: Iterable[str],
+        platform: interface.PlatformClient,
+        peers: peers_module.Peers,
+        install: Callable[[model.Configuration], None],
+        clock: Callable[[], float],
+        rng: random.Random,
+        limits: rounds.SpreadLimits = rounds.DEFAULT_LIMITS,
+    ) -> None:
+        self.holder = spread.Holder(rng=rng, limits=limits)
+        self._own = member_directory.Member(
+            address="", role=role, data_centre=data_centre
+        )
+        self.directory = member_directory.Directory(own=self._own)
+        self._seeds = tuple(seeds)
+        self._platform = platform
+        self._peers = peers
+        self._install = install
+        self._clock = clock
+        self._rng = rng
+        self._greenlets = gevent.pool.Group()
+        self._installed = 0
+        self._next_members = 0.0
+        self._version = ""
+
+    def start(self, address: str) -> None:
+        """Ask for the configuration and follow it from now on.
+
+        Args:
+            address: ``host:port`` of this process, known once it listens.
+        """
+        self._own = self._own._replace(address=address)
+        self.directory = member_directory.Directory(own=self._own)
+        now = self._clock()
+        self._take_members(now)
+        self._carry_out(self.holder.start(now))
+        self._greenlets.spawn(self._tick_forever)
+        self._greenlets.spawn(self._watch_forever)
+
+    def stop(self) -> None:
+        """Follow no further."""
+        self._greenlets.kill()
+
+    def note_contact(self, peer: str, generation: int) -> None:
+        """Learn from a request or an answer that a peer has a generation."""
+        now = self._clock()
+        self.directory.contact(peer, now)
+        self._carry_out(self.holder.hear(peer, generation, now))
+
+    def handlers(self) -> routes.Routes:
+        """Return the table of handlers."""
+        return {
+            routes.Route("GET", ROOT): self._serve_root,
+            routes.Route("GET", CHUNK): self._serve_chunks,
+            routes.Route("POST", NOTICE): self._serve_notice,
+            routes.Route("POST", OFFER): self._serve_offer,
+        }
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the state for a dump."""
+        now = self._clock()
+        members = self.directory.members(now)
+        return {
+            **self.holder.describe(),
+            "is_watcher": self._is_watcher(now),
+            "members": len(members),
+        }
+
+    def _carry_out(self, due: Iterable[actions.Action]) -> None:
+        """Carry out actions; those that wait get a greenlet each."""
+        for action in due:
+            if isinstance(action, actions.PutInForce):
+                self._take_members(self._clock())
+            elif isinstance(action, actions.Reject):
+                _log.say(
+                    "Rejects a configuration.",
+                    source=action.source,
+                    reason=action.failure.reason,
+                )
+            else:
+                self._greenlets.spawn(self._send, action)
+        # While the start is not over, a higher generation may be known:
+        # to serve by a lower one would undo a change for a moment.
+        if self.holder.is_ready and self.holder.generation > self._installed:
+            self._installed = self.holder.generation
+            self._install(self.holder.configuration)
+
+    def _send(self, action: actions.Action) -> None:
+        if isinstance(action, actions.Notify):
+            self._notify(action.peer)
+        elif isinstance(action, actions.FetchRoot):
+            answer = self._fetch_root(action)
+            self._note_outcome(action.source, answer)
+            due = self.holder.take_root(action.source, answer, self._clock())
+            self._carry_out(due)
+        elif isinstance(action, actions.FetchChunks):
+            chunk_by_hash = self._fetch_chunks(action)
+            self._note_outcome(action.source, chunk_by_hash)
+            self._take_chunks(action.source, chunk_by_hash)
+        elif isinstance(action, actions.FetchPack):
+            pack = configuration_store.read_pack(self._platform, action.name)
+            self._take_chunks(actions.STORE, pack)
+
+    def _take_chunks(
+        self,
+        source: str,
+        chunk_by_hash: dict[str, bytes] | failure_value.Failure,
+    ) -> None:
+        now = self._clock()
+        self._carry_out(self.holder.take_chunks(source, chunk_by_hash, now))
+
+    def _fetch_root(
+        self, action: actions.FetchRoot
+    ) -> wire.RootAnswer | failure_value.Failure:
+        if action.source == actions.STORE:
+            return self._read_stored_root()
+        path = f"{ROOT}?{urllib.parse.urlencode({'have': action.have})}"
+        data = self._peers.call(action.source, "GET", path)
+        if failure_value.is_failure(data):
+            return data
+        return wire.decode_answer(data)
+
+    def _read_stored_root(self) -> wire.RootAnswer | failure_value.Failure:
+        stored = configuration_store.read_root(self._platform)
+        if not failure_value.is_failure(stored):
+            return wire.RootAnswer(root=stored.root, chunk_by_hash={})
+        if stored.code == codes.NOT_FOUND:
+            return wire.RootAnswer(root=None, chunk_by_hash={})
+        return stored
+
+    def _fetch_chunks(
+        self, action: actions.FetchChunks
+    ) -> dict[str, bytes] | failure_value.Failure:
+        if action.source == actions.OPERATOR:
+            return failure_value.Failure(
+                code=codes.NOT_FOUND, reason="offer: chunks are missing"
+            )
+        path = CHUNK + ",".join(action.hashes)
+        data = self._peers.call(action.source, "GET", path)
+        if failure_value.is_failure(data):
+            return data
+        return wire.decode_chunks(data)
+
+    def _notify(self, peer: str) -> None:
+        data = self._peers.call(peer, "POST", NOTICE, self._make_notice())
+        self._note_outcome(peer, data)
+        notice = peers_module.decode(data, Notice)
+        if not failure_value.is_failure(notice):
+            self._hear(notice)
+
+    def _note_outcome(self, source: str, outcome: object) -> None:
+        if source in (actions.STORE, actions.OPERATOR):
+            return
+        if failure_value.is_failure(outcome):
+            self.directory.fail(source, self._clock())
+        else:
+            self.directory.contact(source, self._clock())
+
+    def _make_notice(self) -> Notice:
+        return Notice(
+            member=self._own,
+            generation=self.holder.generation,
+            members=self.directory.sample(
+                self._rng, MEMBERS_TOLD, self._clock()
+            ),
+        )
+
+    def _hear(self, notice: Notice) -> None:
+        now = self._clock()
+        self.directory.hear(notice["member"], now)
+        for sighting in notice["members"]:
+            self.directory.hear(sighting.member, now, age=sighting.age)
+        peer = notice["member"].address
+        self._carry_out(self.holder.hear(peer, notice["generation"], now))
+
+    def _tick_forever(self) -> None:
+        while True:
+            gevent.sleep(TICK_SECONDS)
+            now = self._clock()
+            if now >= self._next_members:
+                self._take_members(now)
+            self._carry_out(self.holder.tick(now))
+
+    def _take_members(self, now: float) -> None:
+        """Bring the directory and the holder's peers up to date."""
+        self._next_members = now + MEMBERS_SECONDS
+        self.directory.forget_old(now)
+        servers = self.holder.configuration.backend_servers_by_name.values()
+        self.directory.set_listed(
+            member_directory.Member(
+                address=server.agent,
+                role=member_directory.AGENT,
+                data_centre=server.data_centre,
+            )
+            for server in servers
+        )
+        members = self.directory.members(now)
+        near = [
+            member.address
+            for member in members
+            if member.data_centre == self._own.data_centre
+        ]
+        addresses = {member.address for member in members}
+        addresses.update(self._seeds)
+        addresses.discard(self._own.address)
+        self.holder.set_peers(sorted(addresses), near)
+
+    def _is_watcher(self, now: float) -> bool:
+        """Tell whether this process is one of those that watch the store."""
+        live = self.directory.live(self._own.role, self._own.data_centre, now)
+        key = f"configuration/{self._own.role}/{self._own.data_centre}"
+        chosen = placement.ranked(key, live)[:WATCHERS_PER_ROLE]
+        return self._own.address in chosen
+
+    def _watch_forever(self) -> None:
+        while True:
+            if not self._is_watcher(self._clock()):
+                gevent.sleep(MEMBERS_SECONDS)
+                continue
+            stored = self._platform.watch(
+                configuration_store.KIND,
+                configuration_store.ROOT,
+                after_version=self._version,
+                timeout=WATCH_SECONDS,
+            )
+            if failure_value.is_failure(stored):
+                gevent.sleep(WATCH_PAUSE * (0.5 + self._rng.random()))
+            elif stored is not None:
+                self._take_watched(stored)
+
+    def _take_watched(self, stored: interface.StoredObject) -> None:
+        self._version = stored.version
+        decoded = configuration_store.decode_root(stored)
+        answer: wire.RootAnswer | failure_value.Failure = decoded
+        if not failure_value.is_failure(decoded):
+            answer = wire.RootAnswer(root=decoded.root, chunk_by_hash={})
+        now = self._clock()
+        self._carry_out(self.holder.take_root(actions.STORE, answer, now))
+
+    def _serve_root(self, call: routes.Call) -> routes.Reply:
+        have = urllib.parse.parse_qs(call.query).get("have", [""])[0]
+        return _reply(wire.encode_answer(self.holder.answer_root(have)))
+
+    def _serve_chunks(self, call: routes.Call) -> routes.Reply:
+        hashes = call.path[len(CHUNK) :].split(",")
+        found = self.holder.answer_chunks(hashes)
+        if not found:
+            return routes.reply_failure(
+                failure_value.Failure(
+                    code=codes.NOT_FOUND, reason="chunk: not held here"
+                )
+            )
+        return _reply(wire.encode_chunks(found))
+
+    def _serve_notice(self, call: routes.Call) -> routes.Reply:
+        body = call.read_body()
+        notice = peers_module.decode(body, Notice)
+        if failure_value.is_failure(notice):
+            return routes.reply_failure(notice)
+        self._hear(notice)
+        return routes.reply_json(self._make_notice())
+
+    def _serve_offer(self, call: routes.Call) -> routes.Reply:
+        body = call.read_body()
+        if failure_value.is_failure(body):
+            return routes.reply_failure(body)
+        answer = wire.decode_answer(body)
+        if failure_value.is_failure(answer):
+            return routes.reply_failure(answer)
+        now = self._clock()
+        due = self.holder.take_root(actions.OPERATOR, answer, now)
+        self._carry_out(due)
+        return routes.reply_json({"generation": self.holder.generation})
+
+
+def _reply(body: bytes) -> routes.Reply:
+    return routes.Reply(
+        status=200,
+        headers=[
+            ("Content-Type", routes.JSON),
+            ("Content-Length", str(len(body))),
+        ],
+        body=body,
+    )
--- a/packages/daisypick_node/src/daisypick_node/http/server.py
+++ b/packages/daisypick_node/src/daisypick_node/http/server.py
@@ -22,6 +22,7 @@
 INTERNAL = "/internal/"
 METRICS = "/metrics"
 _OPERATOR_PATHS = (
+    "/internal/configuration/",
     "/internal/dump",
     "/internal/explain/",
     "/internal/status",
--- a/packages/daisypick_node/src/daisypick_node/process.py
+++ b/packages/daisypick_node/src/daisypick_node/process.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import random
 import time
 import typing
 import urllib.parse
@@ -14,6 +15,7 @@
 from daisypick_core.results import failure as failure_value
 import gevent
 
+from daisypick_node import configuration_service
 from daisypick_node import logs
 from daisypick_node import metrics as metrics_module
 from daisypick_node import records
@@ -22,6 +24,7 @@
 from daisypick_node.http import peers as peers_module
 from daisypick_node.http import routes
 from daisypick_node.http import server as server_module
+from daisypick_node.platform import interface
 
 LIVE = "/health/live"
 READY = "/health/ready"
@@ -42,9 +45,11 @@
         self,
         *,
         settings: settings_module.ProcessSettings,
+        platform: interface.PlatformClient,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self.settings = settings
+        self.platform = platform
         self.clock = clock
         self.record = records.RequestRecord()
         self.metrics = metrics_module.ProcessMetrics(part=self.kind)
@@ -62,6 +67,16 @@
             timeout=PEER_TIMEOUT,
             ca_file=settings.tls_ca or None,
         )
+        self.follower = configuration_service.ConfigurationService(
+            role=self.kind,
+            data_centre=settings.data_centre,
+            seeds=settings_module.split_list(settings.seeds),
+            platform=platform,
+            peers=self.peers,
+            install=self.install,
+            clock=clock,
+            rng=random.Random(),
+        )
         self._server: server_module.Server | None = None
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -89,16 +104,25 @@
         files = (self.settings.tls_certificate, self.settings.tls_key)
         self._server = server_module.Server(
             listen=self.settings.listen,
-            routes={**self._common_routes(), **self.handlers()},
+            routes={
+                **self._common_routes(),
+                **self.follower.handlers(),
+                **self.handlers(),
+            },
             keys=self.keys,
             limits=self.server_limits(),
             tls_files=files if files[0] else None,
         )
         self._server.start()
         self.on_start()
+        self.follower.start(self.address)
         self.spawn(self._tick_forever)
         _log.say("Listens.", part=self.kind, address=self.address)
 
+    def note_contact(self, peer: str, generation: int) -> None:
+        """Learn that a peer has a generation."""
+        self.follower.note_contact(peer, generation)
+
     def spawn(self, work: Callable[..., None], *arguments: object) -> None:
         """Start a greenlet that ends with the process."""
         self._greenlets.append(gevent.spawn(work, *arguments))
@@ -113,6 +137,7 @@
 
     def stop(self) -> None:
         """Stop at once; ``drain`` first to cut nothing."""
+        self.follower.stop()
         gevent.killall(self._greenlets)
         if self._server is not None:
             self._server.stop(timeout=0)
@@ -192,6 +217,7 @@
                     "messages": self.peers.traffic.messages,
                     "bytes": self.peers.traffic.bytes,
                 },
+                "configuration": self.follower.describe(),
                 **self.describe(),
             }
         )
--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -34,8 +34,7 @@
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
-        super().__init__(settings=settings, clock=clock)
-        self.platform = platform
+        super().__init__(settings=settings, platform=platform, clock=clock)
         self._pool = client.ClientPool(
             timeout=settings.progress_timeout, ca_file=settings.tls_ca or None
         )
@@ -87,9 +86,6 @@
         """Return the bounds on callers' connections."""
         return server_module.ServerLimits(body_bytes=self.settings.body_bytes)
 
-    def note_contact(self, peer: str, generation: int) -> None:
-        """Learn that a peer has a generation."""
-
     def on_start(self) -> None:
         """Watch the backlog."""
         dispatcher = self.driver.dispatcher
--- /dev/null
+++ b/packages/daisypick_node/tests/test_configuration_service.py
@@ -0,0 +1,167 @@
+import random
+import time
+
+from daisypick_core.configuration import chunks
+from daisypick_core.configuration import model
+from daisypick_core.configuration import root as root_object
+from daisypick_core.configuration import rounds
+from daisypick_core.configuration import sections
+from daisypick_core.configuration import wire
+from daisypick_node import configuration_service
+from daisypick_node import configuration_store
+from daisypick_node.http import keys as keys_module
+from daisypick_node.http import peers as peers_module
+from daisypick_node.http import server as server_module
+from daisypick_node.platform import http as http_platform
+from daisypick_standins.platform import faults
+from daisypick_standins.platform import server as platform_server
+import gevent
+import msgspec
+import pytest
+
+KEYS = keys_module.Keys(fleet=("fleet-key",), operator=("operator-key",))
+WAIT = 20.0
+
+
+class Node:
+    """A process that does nothing but follow the configuration."""
+
+    def __init__(self, platform, seeds, data_centre="sofia"):
+        self.installed = []
+        self.peers = peers_module.Peers(fleet_key="fleet-key", timeout=1.0)
+        self.service = configuration_service.ConfigurationService(
+            role="agent",
+            data_centre=data_centre,
+            seeds=seeds,
+            platform=http_platform.HttpPlatformClient(address=platform.address),
+            peers=self.peers,
+            install=self.installed.append,
+            clock=time.monotonic,
+            rng=random.Random(len(seeds)),
+            limits=rounds.SpreadLimits(
+                exchange_seconds=0.5, start_retry=0.2, suspend_seconds=0.2
+            ),
+        )
+        self.server = server_module.Server(
+            listen="127.0.0.1:0", routes=self.service.handlers(), keys=KEYS
+        )
+        self.server.start()
+        self.address = self.server.address
+        self.service.start(self.address)
+
+    @property
+    def generation(self):
+        return self.installed[-1].generation if self.installed else 0
+
+    def stop(self):
+        self.service.stop()
+        self.server.stop(timeout=0)
+        self.peers.close()
+
+
+@pytest.fixture
+def platform():
+    platform = platform_server.Platform()
+    platform.start()
+    yield platform
+    platform.set_faults(faults.Faults())
+    platform.stop()
+
+
+@pytest.fixture
+def nodes(platform):
+    nodes = []
+    for _ in range(5):
+        nodes.append(Node(platform, [node.address for node in nodes]))
+    yield nodes
+    for node in nodes:
+        node.stop()
+
+
+def make_answer(generation, packs=()):
+    configuration = sections.make_configuration(
+        generation,
+        {"data_centres": {"sofia": model.DataCentre("sofia", str(generation))}},
+    )
+    tree = chunks.split(configuration)
+    root = root_object.make_root(
+        generation=generation, change_id="c", top=tree.top, packs=packs
+    )
+    return wire.RootAnswer(root=root, chunk_by_hash=tree.chunk_by_hash)
+
+
+def store(platform, generation):
+    pack = configuration_store.pack_name(generation, "c", 0)
+    answer = make_answer(generation, packs=(pack,))
+    kind, name = configuration_store.KIND, configuration_store.ROOT
+    chunk_data = wire.encode_chunks(answer.chunk_by_hash)
+    platform.store.put(kind, pack, chunk_data, if_version=None)
+    held = platform.store.get(kind, name)
+    value = root_object.encode_root(answer.root)
+    version = held.version if held else None
+    platform.store.put(kind, name, value, if_version=version)
+
+
+def wait_until(condition):
+    with gevent.Timeout(WAIT):
+        while not condition():
+            gevent.sleep(0.01)
+
+
+def all_at(nodes, generation):
+    return lambda: all(node.generation == generation for node in nodes)
+
+
+def test_change_in_the_store_comes_in_force_everywhere(platform, nodes):
+    assert all(not node.installed for node in nodes)
+    for generation in (1, 2):
+        store(platform, generation)
+        wait_until(all_at(nodes, generation))
+    # By then members know each other, and two of the role watch.
+    wait_until(lambda: platform.waiting_watches == 2)
+
+
+def test_offered_change_survives_an_outage_right_after_acceptance(
+    platform, nodes
+):
+    # The store accepts a change and goes down before anybody has read it.
+    # The operator's command line offers it to one process, by its own key;
+    # contact does the rest.
+    store(platform, 1)
+    wait_until(all_at(nodes, 1))
+    platform.set_faults(faults.Faults(outage=faults.UNAVAILABLE))
+    operator = peers_module.Peers(fleet_key="operator-key", timeout=1.0)
+    offer = wire.encode_answer(make_answer(2))
+    answer = operator.call(
+        nodes[0].address,
+        "POST",
+        configuration_service.OFFER,
+        msgspec.Raw(offer),
+    )
+    assert answer == b'{"generation":2}'
+    wait_until(all_at(nodes, 2))
+
+
+def test_restart_during_an_outage_takes_the_peers_configuration(
+    platform, nodes
+):
+    # A node restarts with nothing while the store is down: its peers are
+    # enough, and it never serves by anything older than they have.
+    store(platform, 3)
+    wait_until(all_at(nodes, 3))
+    platform.set_faults(faults.Faults(outage=faults.UNAVAILABLE))
+    late = Node(platform, [node.address for node in nodes])
+    wait_until(lambda: late.generation == 3)
+    assert [one.generation for one in late.installed] == [3]
+    late.stop()
+
+
+def test_node_without_store_and_peers_waits(platform):
+    platform.set_faults(faults.Faults(outage=faults.UNAVAILABLE))
+    node = Node(platform, ["127.0.0.1:1"])
+    wait_until(lambda: platform.calls_by_kind["get"] >= 3)
+    assert not node.installed
+    platform.set_faults(faults.Faults())
+    store(platform, 1)
+    wait_until(lambda: node.generation == 1)
+    node.stop()
