--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -257,6 +257,9 @@
             # After a restart the table is empty: an attempt that was sent to
             # the predecessor may have run there. Only the address in the
             # attempt can tell, so what is not for this start is refused.
+            # This holds for a router's first attempt as well, which cannot
+            # know the address: taken in, its doubled offer could run here
+            # after the predecessor has said "not run".
             return failure_value.Failure(
                 code=codes.STALE_INCARNATION,
                 reason=f"incarnation: {attempt.incarnation} is not this one",
