Drive real gates and dispatchers under a virtual clock

Cause: draining was tested at one gate only; whether requests finish elsewhere with routers or agents ignorant, cut off or told crossed news could not be seen. Change: daisypick_lab.dispatch_model runs the production gates and dispatchers with modelled servers, a network with cuts and a virtual clock. Tests: a data centre out and back, only agents or only routers told, out and in racing, a router cut off, shutdown of an agent and a router. The gate giving back what waits is covered twice: routers also take it back. Conclusion: in all six no answer is cut and nothing starts at the closed gates from the moment that their process (or the routers) know.

--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
@@ -0,0 +1,424 @@
+"""Real gates and dispatchers under a virtual clock.
+
+The decisions are those of production; only sockets, servers and time are
+models. It answers questions about waiting: how much capacity idles while a
+router holds work, what a draining data centre does to requests, where a pick
+policy sends them. It is no simulator of a cluster: one service, no platform.
+"""
+
+import random
+import types
+import typing
+
+from daisypick_core.configuration import model
+from daisypick_core.fairness import share_order
+from daisypick_core.gate import actions as gate_actions
+from daisypick_core.gate import attempts
+from daisypick_core.gate import concurrency
+from daisypick_core.gate import drain_state
+from daisypick_core.gate import gate as core_gate
+from daisypick_core.messages import attempt as attempt_message
+from daisypick_core.messages import load as load_message
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+from daisypick_core.routing import actions as routing_actions
+from daisypick_core.routing import dispatcher as core_dispatcher
+
+from daisypick_lab import server_model
+from daisypick_lab import virtual_clock
+
+SERVICE = "assistant"
+TICK = 0.1
+DELAY = 0.0015
+
+
+class Sizes(typing.NamedTuple):
+    """How large the model is.
+
+    Attributes:
+        routers: Number of routers.
+        agents: Number of agents, each before one server.
+        slots: Slots of a server.
+        data_centres: Data centres, the agents spread evenly over them.
+    """
+
+    routers: int = 4
+    agents: int = 12
+    slots: int = 8
+    data_centres: int = 3
+
+
+class Watch:
+    """What happens in the whole model, for its measures.
+
+    Attributes:
+        held: Requests that a router has and that do not run.
+        running: Attempts that run.
+        limit: Attempts that may run at gates that are open.
+        idle_while_held: Slot-seconds free while any router held work.
+        slot_seconds_while_held: Slot-seconds of that time.
+        attempts: Attempts that routers sent.
+        submitted: Requests that came in.
+        finished: Requests with a whole answer.
+        failures: Failures told to callers.
+        cut: Answers that broke off.
+        first_tokens: Seconds from arrival to first token.
+        starts: Time and agent of each start.
+    """
+
+    def __init__(self, *, clock: virtual_clock.VirtualClock) -> None:
+        self.held = 0
+        self.running = 0
+        self.limit = 0
+        self.idle_while_held = 0.0
+        self.slot_seconds_while_held = 0.0
+        self.attempts = 0
+        self.submitted = 0
+        self.finished = 0
+        self.failures: list[failure_value.Failure] = []
+        self.cut = 0
+        self.first_tokens: list[float] = []
+        self.starts: list[tuple[float, str]] = []
+        self._clock = clock
+        self._since = 0.0
+
+    def note(self, *, held: int = 0, running: int = 0, limit: int = 0) -> None:
+        """Account for the time since the last change, then change."""
+        now = self._clock.now
+        if self.held > 0:
+            span = now - self._since
+            self.slot_seconds_while_held += span * self.limit
+            idle = max(0, self.limit - self.running)
+            self.idle_while_held += span * idle
+        self._since = now
+        self.held += held
+        self.running += running
+        self.limit += limit
+
+    def clear(self) -> None:
+        """Start the measures of waiting anew, after a warm-up."""
+        self.note()
+        self.idle_while_held = 0.0
+        self.slot_seconds_while_held = 0.0
+        self.first_tokens.clear()
+
+    @property
+    def utilisation(self) -> float:
+        """Share of the slots that ran while any router held work."""
+        if not self.slot_seconds_while_held:
+            return 1.0
+        return 1.0 - self.idle_while_held / self.slot_seconds_while_held
+
+    def percentile(self, percent: float) -> float:
+        """Return a percentile of the times to first token, seconds."""
+        times = sorted(self.first_tokens)
+        position = min(len(times) - 1, int(len(times) * percent / 100.0))
+        return times[position]
+
+
+class AgentModel:
+    """Drives a real gate; answers go to routers by the network."""
+
+    def __init__(self, *, fleet: "Fleet", name: str, data_centre: str) -> None:
+        slots = fleet.sizes.slots
+        self.name = name
+        self.data_centre = data_centre
+        self.gate = core_gate.Gate(
+            incarnation=f"{name}-1",
+            order=share_order.ShareOrder(share_by_organisation={}),
+            limit=concurrency.ConcurrencyLimit(
+                slots=slots, cold_slots=fleet.cold_slots
+            ),
+        )
+        self.server = server_model.ServerModel(
+            clock=fleet.clock, times=fleet.times
+        )
+        self._fleet = fleet
+        self._limit = 0
+        fleet.clock.every(TICK, self._tick)
+
+    def offer(self, attempt: attempt_message.Attempt) -> None:
+        """Take in an attempt."""
+        self.perform(self.gate.offer(attempt, self._fleet.clock.now))
+
+    def withdraw(self, attempt: attempt_message.Attempt) -> None:
+        """Take an attempt back; a waiting one is refused on its stream."""
+        status, due = self.gate.withdraw(
+            attempt.attempt_id, self._fleet.clock.now, epoch=attempt.epoch
+        )
+        self.perform(due)
+        if status.state == attempts.BARRED and not due:
+            self._answer(attempt, "returned", _WITHDRAWN)
+
+    def configure(self, configuration: model.Configuration) -> None:
+        """Take a configuration, late or crossed as it may come."""
+        state = drain_state.derive(configuration, self.name)
+        now = self._fleet.clock.now
+        self.perform(self.gate.apply_drain_state(state, now))
+
+    def drain(self, reason: str) -> None:
+        """Close for a reason of the process's own."""
+        self.perform(self.gate.drain(reason, self._fleet.clock.now))
+
+    def perform(self, due: list[gate_actions.Action]) -> None:
+        """Carry actions out."""
+        for action in due:
+            if isinstance(action, gate_actions.Start):
+                self._start(action.attempt)
+            elif isinstance(action, gate_actions.Refuse):
+                self._answer(action.attempt, "returned", action.failure)
+        limit = self.gate.limit.limit if self.gate.admission.is_open else 0
+        self._fleet.watch.note(limit=limit - self._limit)
+        self._limit = limit
+
+    def _tick(self) -> None:
+        self.perform(self.gate.tick(self._fleet.clock.now))
+
+    def _start(self, attempt: attempt_message.Attempt) -> None:
+        watch = self._fleet.watch
+        watch.note(held=-1, running=1)
+        watch.starts.append((self._fleet.clock.now, self.name))
+        self._answer(attempt, "started")
+        self.server.start(
+            attempt.attempt_id,
+            self._fleet.tokens_by_request[attempt.request_id],
+            attempt.prefix,
+            lambda: self._first_token(attempt),
+            lambda outcome: self._end(attempt, outcome),
+        )
+
+    def _first_token(self, attempt: attempt_message.Attempt) -> None:
+        self.gate.progress(attempt.attempt_id, 1, self._fleet.clock.now)
+        self._answer(attempt, "first_token")
+
+    def _end(
+        self,
+        attempt: attempt_message.Attempt,
+        outcome: server_model.Outcome,
+    ) -> None:
+        self._fleet.watch.note(running=-1)
+        due = self.gate.finish(
+            attempt.attempt_id,
+            cost=float(outcome.tokens),
+            is_healthy=outcome.is_healthy,
+            now=self._fleet.clock.now,
+        )
+        if outcome.is_healthy:
+            self._answer(attempt, "finished")
+        else:
+            self._answer(attempt, "broken", _ENGINE_FAILED)
+        self.perform(due)
+
+    def _answer(
+        self,
+        attempt: attempt_message.Attempt,
+        event: str,
+        *arguments: typing.Any,
+    ) -> None:
+        router = self._fleet.router_by_name[attempt.router]
+        self._fleet.network.send(
+            self.name,
+            router.name,
+            router.answered,
+            self.name,
+            self.gate.load(),
+            event,
+            attempt.attempt_id,
+            *arguments,
+        )
+
+
+class RouterModel:
+    """Drives a real dispatcher."""
+
+    def __init__(self, *, fleet: "Fleet", name: str, policy: str) -> None:
+        self.name = name
+        self.dispatcher = core_dispatcher.Dispatcher(
+            router=name,
+            rng=random.Random(f"{fleet.seed} {name}"),
+            policy=policy,
+            limits=core_dispatcher.DispatcherLimits(
+                queued_per_organisation=1_000_000, queued_in_all=1_000_000
+            ),
+        )
+        self._fleet = fleet
+        self._sent_at_by_request: dict[str, float] = {}
+        fleet.clock.every(TICK, self._tick)
+
+    def submit(self, request: core_dispatcher.Request) -> None:
+        """Take a caller's request."""
+        watch = self._fleet.watch
+        watch.note(held=1)
+        watch.submitted += 1
+        now = self._fleet.clock.now
+        self._sent_at_by_request[request.request_id] = now
+        self.perform(self.dispatcher.submit(request, now))
+
+    def answered(
+        self,
+        agent: str,
+        load: load_message.Load,
+        event: str,
+        attempt_id: str,
+        *arguments: typing.Any,
+    ) -> None:
+        """Take an agent's word on an attempt, with the load it carries."""
+        now = self._fleet.clock.now
+        request_id = attempt_id.rpartition(".")[0]
+        if event == "first_token":
+            sent_at = self._sent_at_by_request.pop(request_id, None)
+            if sent_at is not None:
+                self._fleet.watch.first_tokens.append(now - sent_at)
+        elif event == "finished":
+            self._fleet.watch.finished += 1
+        elif event == "broken":
+            self._fleet.watch.cut += 1
+            self._fleet.watch.note(held=1)
+        self.perform(self.dispatcher.hear(agent, load, now))
+        due = getattr(self.dispatcher, event)(attempt_id, *arguments, now)
+        self.perform(due or [])
+
+    def configure(self, configuration: model.Configuration) -> None:
+        """Take a configuration."""
+        addresses = [
+            core_dispatcher.AgentAddress(
+                address=server.agent,
+                service=server.service,
+                data_centre=server.data_centre,
+                is_in=configuration.data_centres_by_name[
+                    server.data_centre
+                ].is_in,
+            )
+            for server in configuration.backend_servers_by_name.values()
+        ]
+        now = self._fleet.clock.now
+        self.perform(self.dispatcher.set_agents(addresses, now))
+
+    def perform(self, due: list[routing_actions.Action]) -> None:
+        """Carry actions out."""
+        for action in due:
+            if isinstance(action, routing_actions.Fail):
+                self._fleet.watch.note(held=-1)
+                self._fleet.watch.failures.append(action.failure)
+            elif isinstance(action, routing_actions.Dispatch):
+                self._fleet.watch.attempts += 1
+                agent = self._fleet.agent_by_name[action.agent]
+                self._send(agent, agent.offer, action.attempt)
+            elif isinstance(action, routing_actions.Withdraw):
+                agent = self._fleet.agent_by_name[action.agent]
+                self._send(agent, agent.withdraw, action.attempt)
+
+    def _send(
+        self,
+        agent: AgentModel,
+        act: typing.Callable,
+        attempt: attempt_message.Attempt,
+    ) -> None:
+        self._fleet.network.send(self.name, agent.name, act, attempt)
+
+    def _tick(self) -> None:
+        self.perform(self.dispatcher.tick(self._fleet.clock.now))
+
+
+class Fleet:
+    """Routers, agents and servers of one service."""
+
+    def __init__(
+        self,
+        *,
+        sizes: Sizes = Sizes(),  # noqa: B008 (immutable)
+        times: server_model.ServerTimes = server_model.ServerTimes(),  # noqa: B008
+        policy: str = "least_of_two",
+        cold_slots: int = 1,
+        seed: int = 1,
+    ) -> None:
+        self.sizes = sizes
+        self.times = times
+        self.cold_slots = cold_slots
+        self.seed = seed
+        self.clock = virtual_clock.VirtualClock()
+        self.network = virtual_clock.Network(clock=self.clock, delay=DELAY)
+        self.watch = Watch(clock=self.clock)
+        self.tokens_by_request: dict[str, int] = {}
+        self.agent_by_name = {
+            f"agent-{n}": AgentModel(
+                fleet=self,
+                name=f"agent-{n}",
+                data_centre=f"dc-{n % sizes.data_centres}",
+            )
+            for n in range(sizes.agents)
+        }
+        self.router_by_name = {
+            f"router-{n}": RouterModel(
+                fleet=self, name=f"router-{n}", policy=policy
+            )
+            for n in range(sizes.routers)
+        }
+        self.publish(self.configuration(1))
+
+    def configuration(
+        self, generation: int, *, out: tuple[str, ...] = ()
+    ) -> model.Configuration:
+        """Return a configuration with some data centres out."""
+        return model.EMPTY._replace(
+            generation=generation,
+            backend_servers_by_name=types.MappingProxyType(
+                {
+                    agent.name: model.BackendServer(
+                        name=agent.name,
+                        service=SERVICE,
+                        data_centre=agent.data_centre,
+                        address=agent.name,
+                        agent=agent.name,
+                        slots=self.sizes.slots,
+                    )
+                    for agent in self.agent_by_name.values()
+                }
+            ),
+            data_centres_by_name=types.MappingProxyType(
+                {
+                    f"dc-{n}": model.DataCentre(
+                        name=f"dc-{n}", is_in=f"dc-{n}" not in out
+                    )
+                    for n in range(self.sizes.data_centres)
+                }
+            ),
+        )
+
+    def publish(self, configuration: model.Configuration) -> None:
+        """Give a configuration to all agents and routers at once."""
+        for agent in self.agent_by_name.values():
+            agent.configure(configuration)
+        for router in self.router_by_name.values():
+            router.configure(configuration)
+
+    def submit(
+        self,
+        router: str,
+        organisation: str,
+        tokens: int,
+        *,
+        prefix: str = "",
+        patience: float = 60.0,
+    ) -> None:
+        """Let a caller send a request to a router."""
+        request_id = f"q{len(self.tokens_by_request)}"
+        self.tokens_by_request[request_id] = tokens
+        self.router_by_name[router].submit(
+            core_dispatcher.Request(
+                request_id=request_id,
+                organisation=organisation,
+                service=SERVICE,
+                estimate=float(tokens),
+                deadline=self.clock.now + patience,
+                prefix=prefix,
+            )
+        )
+
+
+_WITHDRAWN = failure_value.Failure(
+    code=codes.WITHDRAWN, reason="withdrawn by the router"
+)
+_ENGINE_FAILED = failure_value.Failure(
+    code=codes.ENGINE_FAILED, reason="server fell over"
+)
--- /dev/null
+++ b/packages/daisypick_lab/tests/test_dispatch_model.py
@@ -0,0 +1,140 @@
+import random
+
+from daisypick_core.gate import admission
+from daisypick_lab import dispatch_model
+
+
+def load_fleet(fleet, *, until, rate, seed=1, tokens=40):
+    """Let requests arrive at random at all routers."""
+    rng = random.Random(seed)
+    routers = sorted(fleet.router_by_name)
+
+    def arrive():
+        organisation = f"organisation-{rng.randrange(6)}"
+        cost = rng.randrange(1, 2 * tokens)
+        fleet.submit(rng.choice(routers), organisation, cost)
+        if fleet.clock.now < until:
+            fleet.clock.after(rng.expovariate(rate), arrive)
+
+    fleet.clock.after(0.0, arrive)
+
+
+def starts_in(fleet, data_centre, begin, end):
+    return sum(
+        begin <= at < end
+        and fleet.agent_by_name[name].data_centre == data_centre
+        for at, name in fleet.watch.starts
+    )
+
+
+def assert_all_served(fleet):
+    watch = fleet.watch
+    assert watch.failures == []
+    assert (watch.cut, watch.held, watch.running) == (0, 0, 0)
+    assert watch.finished == watch.submitted > 500
+
+
+def test_data_centre_goes_out_and_returns():
+    # Operators take a data centre out under load and bring it back. Callers
+    # must see nothing: what runs ends, what waits finishes elsewhere.
+    fleet = dispatch_model.Fleet()
+    load_fleet(fleet, until=30.0, rate=130.0)
+    fleet.clock.run(10.0)
+    fleet.publish(fleet.configuration(2, out=("dc-0",)))
+    fleet.clock.run(20.0)
+    fleet.publish(fleet.configuration(3))
+    fleet.clock.run(60.0)
+    assert starts_in(fleet, "dc-0", 0.0, 10.0) > 50
+    assert starts_in(fleet, "dc-0", 10.0, 20.0) == 0
+    assert starts_in(fleet, "dc-0", 20.0, 30.0) > 50
+    assert_all_served(fleet)
+
+
+def test_out_holds_though_only_agents_hear_of_it():
+    # The store goes down right after "out" was accepted: routers do not hear
+    # of it for ten seconds and go on sending. The gates refuse truly, and
+    # the requests finish elsewhere.
+    fleet = dispatch_model.Fleet()
+    load_fleet(fleet, until=20.0, rate=130.0)
+    fleet.clock.run(10.0)
+    for agent in fleet.agent_by_name.values():
+        agent.configure(fleet.configuration(2, out=("dc-0",)))
+    fleet.clock.run(60.0)
+    assert starts_in(fleet, "dc-0", 10.0, 60.0) == 0
+    assert_all_served(fleet)
+
+
+def test_out_holds_though_only_routers_hear_of_it():
+    # The agents of the data centre are those who hear late. Routers take
+    # back what waits there and send nothing more: no start after the time
+    # that a message takes.
+    fleet = dispatch_model.Fleet()
+    load_fleet(fleet, until=20.0, rate=130.0)
+    fleet.clock.run(10.0)
+    for router in fleet.router_by_name.values():
+        router.configure(fleet.configuration(2, out=("dc-0",)))
+    fleet.clock.run(60.0)
+    assert starts_in(fleet, "dc-0", 10.1, 60.0) == 0
+    assert_all_served(fleet)
+
+
+def test_out_and_in_race():
+    # Two operators race: out is generation 2, in is 3, out again is 4. Half
+    # of the fleet hears them crossed, the "in" last. All end as 4 says.
+    fleet = dispatch_model.Fleet()
+    load_fleet(fleet, until=20.0, rate=130.0)
+    fleet.clock.run(10.0)
+    history = [
+        fleet.configuration(2, out=("dc-0",)),
+        fleet.configuration(3),
+        fleet.configuration(4, out=("dc-0",)),
+    ]
+    for n, agent in enumerate(fleet.agent_by_name.values()):
+        crossed = (2, 0, 1) if n % 2 else (0, 1, 2)
+        for position in crossed:
+            agent.configure(history[position])
+    fleet.clock.run(60.0)
+    assert starts_in(fleet, "dc-0", 10.0, 60.0) == 0
+    assert_all_served(fleet)
+
+
+def test_out_while_a_router_is_cut_off():
+    # A router is cut off while the data centre goes out. Its attempts arrive
+    # late, when it is back; none may start there, and none is lost.
+    fleet = dispatch_model.Fleet()
+    load_fleet(fleet, until=20.0, rate=130.0)
+    fleet.clock.run(10.0)
+    fleet.network.cut("router-0")
+    for name, router in fleet.router_by_name.items():
+        if name != "router-0":
+            router.configure(fleet.configuration(2, out=("dc-0",)))
+    for agent in fleet.agent_by_name.values():
+        agent.configure(fleet.configuration(2, out=("dc-0",)))
+    fleet.clock.run(18.0)
+    fleet.network.heal("router-0")
+    fleet.clock.run(60.0)
+    assert starts_in(fleet, "dc-0", 10.0, 60.0) == 0
+    assert_all_served(fleet)
+
+
+def test_shutdown_of_an_agent_and_a_router():
+    # Both get a planned stop in the same second. The agent gives back what
+    # waits; the router takes nothing new and finishes all it holds.
+    fleet = dispatch_model.Fleet()
+    load_fleet(fleet, until=20.0, rate=130.0)
+    fleet.clock.run(10.0)
+    router = fleet.router_by_name["router-0"]
+    fleet.agent_by_name["agent-0"].drain(admission.SHUTDOWN)
+    held = router.dispatcher.queued_count + router.dispatcher.in_flight_count
+    assert held > 0
+    router.dispatcher.close()
+    refused_before = len(fleet.watch.failures)
+    fleet.clock.run(60.0)
+    assert router.dispatcher.is_idle
+    assert not router.dispatcher.is_ready
+    late = [at for at, n in fleet.watch.starts if n == "agent-0" and at > 10.0]
+    assert late == []
+    refused = len(fleet.watch.failures) - refused_before
+    assert {f.ran for f in fleet.watch.failures} == {"no"}
+    assert fleet.watch.finished + refused == fleet.watch.submitted
+    assert (fleet.watch.cut, fleet.watch.held) == (0, 0)
