Specify claim shards and configuration generations

Cause: spans, forgetting and two batchers were argued for in comments only, and the generations of the configuration had no specification. Change: two more minicheck models with their tests and a page that tables every safeguard; the at-most-once model is split into state, safeguards and steps.

--- /dev/null
+++ b/spec/generations_spec.py
@@ -0,0 +1,220 @@
+"""Specification of configuration generations: operators, store, processes.
+
+Two operators each try to put one change in force. Two processes learn the
+configuration from the store or from each other, by messages that may be late
+and doubled, and restart with nothing in memory. The store may be down.
+
+Properties: a generation has one content; an operator who is told of a
+conflict has changed nothing; a process never goes back to a lower generation
+than it has been ready with, not even across its restart; every process can
+still reach the newest generation.
+"""
+
+from collections.abc import Iterator
+import typing
+
+import minicheck
+
+OPERATORS = (0, 1)
+PROCESSES = (0, 1)
+RESTARTS = 1
+
+# What an operator has been told.
+EDITING = "editing"
+LOST = "answer lost"
+ACCEPTED = "accepted"
+CONFLICT = "conflict"
+
+ONE_CONTENT = "a generation has one content"
+CONFLICT_IS_TRUE = "a conflict has changed nothing"
+NEVER_FALLS = "a generation never falls"
+
+SAFEGUARDS = {
+    "the root is written by conditional update": ONE_CONTENT,
+    "a lost answer is settled by reading back": CONFLICT_IS_TRUE,
+    "the root names the latest changes": CONFLICT_IS_TRUE,
+    "a lower generation is ignored": NEVER_FALLS,
+    "a restarted process is ready only after the store has answered": (
+        NEVER_FALLS
+    ),
+}
+
+# A root is the operators whose changes are in force, in order: its length is
+# the generation.
+Root = tuple[int, ...]
+
+
+class Operator(typing.NamedTuple):
+    """An operator: the root read, and what came of the write."""
+
+    base: Root | None = None
+    told: str = EDITING
+
+
+class Process(typing.NamedTuple):
+    """A process: the root in force and the highest it was ready with."""
+
+    root: Root = ()
+    is_ready: bool = False
+    has_fallen: bool = False
+    highest: int = 0
+    restarts: int = 0
+
+
+class World(typing.NamedTuple):
+    """The stored root, every root that was ever written, the outage."""
+
+    root: Root = ()
+    written: frozenset[Root] = frozenset()
+    is_down: bool = False
+
+
+State = tuple
+Step = tuple[str, State]
+
+
+class Specification:
+    """The transitions, with some safeguard removed."""
+
+    def __init__(self, *, without: str | None = None) -> None:
+        if without is not None and without not in SAFEGUARDS:
+            raise ValueError(f"without: {without!r} is no safeguard")
+        self._without = without
+
+    def protocol(self) -> minicheck.Protocol:
+        """Return the model for the checker."""
+        operators = [f"operator{n}" for n in OPERATORS]
+        processes = [f"process{n}" for n in PROCESSES]
+        return minicheck.Protocol(
+            name="configuration generations",
+            candidate=False,
+            fields=(*operators, *processes, "world"),
+            initial=(
+                *(Operator() for _ in operators),
+                *(Process() for _ in processes),
+                World(),
+            ),
+            transitions=lambda state: list(self._steps(state)),
+            invariants={
+                ONE_CONTENT: lambda d: _has_one_content(d["world"].written),
+                CONFLICT_IS_TRUE: lambda d: all(
+                    not _is_in(n, d["world"].written)
+                    for n in OPERATORS
+                    if d[f"operator{n}"].told == CONFLICT
+                ),
+                NEVER_FALLS: lambda d: (
+                    not any(d[name].has_fallen for name in processes)
+                ),
+            },
+            goal=lambda d: all(
+                d[name].is_ready and d[name].root == d["world"].root
+                for name in processes
+            ),
+        )
+
+    def _has(self, safeguard: str) -> bool:
+        assert safeguard in SAFEGUARDS
+        return safeguard != self._without
+
+    def _steps(self, state: State) -> Iterator[Step]:
+        world = state[-1]
+        is_down = not world.is_down
+        yield "store", (*state[:-1], world._replace(is_down=is_down))
+        if not world.is_down:
+            for number in OPERATORS:
+                yield from self._operator_steps(state, number)
+        for number in PROCESSES:
+            yield from self._process_steps(state, number)
+
+    # Operators.
+
+    def _operator_steps(self, state: State, number: int) -> Iterator[Step]:
+        operator = state[number]
+        world = state[-1]
+        if operator.told == EDITING and operator.base is None:
+            read = operator._replace(base=world.root)
+            yield f"operator {number} reads", _with(state, number, read)
+        elif operator.told == EDITING:
+            yield from self._write_steps(state, number)
+        elif operator.told == LOST:
+            told = self._read_back(operator, world.root, number)
+            settled = operator._replace(told=told)
+            yield f"operator {number} reads back", _with(state, number, settled)
+
+    def _write_steps(self, state: State, number: int) -> Iterator[Step]:
+        operator = state[number]
+        world = state[-1]
+        lost = operator._replace(told=LOST)
+        if not self._has("a lost answer is settled by reading back"):
+            lost = operator._replace(told=CONFLICT)
+        is_current = operator.base == world.root
+        if not is_current and self._has(
+            "the root is written by conditional update"
+        ):
+            refused = operator._replace(told=CONFLICT)
+            yield f"operator {number} conflicts", _with(state, number, refused)
+            yield f"operator {number} loses", _with(state, number, lost)
+            return
+        root = (*operator.base, number)
+        stored = world._replace(root=root, written=world.written | {root})
+        accepted = operator._replace(told=ACCEPTED)
+        for told in (accepted, lost):
+            written = _with(state, number, told)
+            yield f"operator {number} writes", (*written[:-1], stored)
+
+    def _read_back(self, operator: Operator, root: Root, number: int) -> str:
+        if self._has("the root names the latest changes"):
+            return ACCEPTED if number in root else CONFLICT
+        return ACCEPTED if root[-1:] == (number,) else CONFLICT
+
+    # Processes.
+
+    def _process_steps(self, state: State, number: int) -> Iterator[Step]:
+        place = len(OPERATORS) + number
+        process = state[place]
+        world = state[-1]
+        if not world.is_down:
+            asked = self._take(process, world.root)._replace(is_ready=True)
+            yield f"process {number} asks", self._install(state, place, asked)
+        for root in world.written:
+            # A message that tells this root may arrive at any later time.
+            heard = self._take(process, root)
+            if not self._has(
+                "a restarted process is ready only after the store has answered"
+            ):
+                heard = heard._replace(is_ready=True)
+            yield f"process {number} hears", self._install(state, place, heard)
+        if process.restarts < RESTARTS:
+            restarted = process._replace(
+                root=(), is_ready=False, restarts=process.restarts + 1
+            )
+            yield f"process {number} restarts", _with(state, place, restarted)
+
+    def _take(self, process: Process, root: Root) -> Process:
+        is_lower = len(root) < len(process.root)
+        if is_lower and self._has("a lower generation is ignored"):
+            return process
+        return process._replace(root=root)
+
+    def _install(self, state: State, place: int, process: Process) -> State:
+        """Note what a process serves with, and whether it fell."""
+        if process.is_ready:
+            generation = len(process.root)
+            process = process._replace(
+                has_fallen=generation < process.highest,
+                highest=max(process.highest, generation),
+            )
+        return _with(state, place, process)
+
+
+def _has_one_content(written: frozenset[Root]) -> bool:
+    return len({len(root) for root in written}) == len(written)
+
+
+def _is_in(operator: int, written: frozenset[Root]) -> bool:
+    return any(operator in root for root in written)
+
+
+def _with(state: State, place: int, part: Operator | Process) -> State:
+    """Return the state with one operator or process replaced."""
+    return (*state[:place], part, *state[place + 1 :])
--- a/spec/test_once_spec.py
+++ b/spec/test_once_spec.py
@@ -1,4 +1,5 @@
 import minicheck
+import once_safeguards
 import once_spec
 import pytest
 
@@ -26,7 +27,11 @@
     [
         {},
         {"agents": 1},
-        {"attempts": 3, "agents": 3, "faults": frozenset({once_spec.STORE})},
+        {
+            "attempts": 3,
+            "agents": 3,
+            "faults": frozenset({once_safeguards.STORE}),
+        },
     ],
 )
 def test_safety_holds_in_every_reachable_state(setting):
@@ -40,9 +45,9 @@
 @pytest.mark.parametrize(
     "faults",
     [
-        {once_spec.CUT, once_spec.RESTART, once_spec.STORE},
-        {once_spec.CUT, once_spec.EPOCH},
-        {once_spec.DRAIN, once_spec.OUTAGE, once_spec.STORE},
+        {once_safeguards.CUT, once_safeguards.RESTART, once_safeguards.STORE},
+        {once_safeguards.CUT, once_safeguards.EPOCH},
+        {once_safeguards.DRAIN, once_safeguards.OUTAGE, once_safeguards.STORE},
     ],
 )
 def test_every_request_ends_without_further_faults(faults):
@@ -52,17 +57,17 @@
     assert minicheck.check_liveness(specification.protocol())["holds"] is True
 
 
-@pytest.mark.parametrize("safeguard", once_spec.SAFEGUARDS)
+@pytest.mark.parametrize("safeguard", once_safeguards.SAFEGUARDS)
 def test_removal_of_a_safeguard_gives_a_counterexample(safeguard):
-    removal = once_spec.SAFEGUARDS[safeguard]
+    removal = once_safeguards.SAFEGUARDS[safeguard]
     settings = {
         "attempts": removal.attempts,
         "faults": removal.faults,
-        "with_calm": removal.broken == once_spec.REQUEST_ENDS,
+        "with_calm": removal.broken == once_safeguards.REQUEST_ENDS,
     }
     intact = once_spec.Specification(**settings)
     weakened = once_spec.Specification(**settings, without=safeguard)
-    if removal.broken == once_spec.REQUEST_ENDS:
+    if removal.broken == once_safeguards.REQUEST_ENDS:
         for specification, holds in ((intact, True), (weakened, False)):
             verdict = minicheck.check_liveness(specification.protocol())
             assert verdict["holds"] is holds
