Give a key back when its attempt is barred

Cause: the gate marks claims that were granted too late (release_claim), and nothing gave their keys back; an attempt whose backend server was never reached stayed "done", so its key could not be used again. Change: a release is a claim by which the attempt puts a free marker in its own place, by the same conditional update; gate.finish takes has_run. The model has the release too. Conclusion: a key whose attempt never ran can be claimed again even when that attempt's agent has stopped by then.

--- a/packages/daisypick_core/src/daisypick_core/claims/actions.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/actions.py
@@ -56,6 +56,13 @@
     batcher: str
 
 
+class Release(typing.NamedTuple):
+    """Submit the claim, which frees a key; nobody waits for its outcome."""
+
+    claim: outcomes.Claim
+    batcher: str
+
+
 class Ask(typing.NamedTuple):
     """Ask the agent of ``holder`` what became of its attempt."""
 
@@ -72,4 +79,4 @@
 
 StoreCall = Read | Write | Delete
 BatcherAction = StoreCall | Settle
-ClaimantAction = Commit | Ask | Conclude
+ClaimantAction = Commit | Release | Ask | Conclude
--- a/packages/daisypick_core/src/daisypick_core/claims/claimant.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/claimant.py
@@ -90,6 +90,19 @@
         )
         return self._commit(pursuit)
 
+    def release(
+        self, attempt: attempt_message.Attempt
+    ) -> list[actions.ClaimantAction]:
+        """Give back the key of an attempt that is barred.
+
+        It spares the next attempt the question, also when this agent has
+        stopped by then. Lost on the way, it does no harm.
+        """
+        entry = claim_entry.from_attempt(attempt, agent=self._agent)
+        free = entry._replace(attempt_id=claim_entry.RELEASED)
+        claim = outcomes.Claim(entry=free, replaces=attempt.attempt_id)
+        return [actions.Release(claim=claim, batcher=self._batcher(entry))]
+
     def committed(
         self, attempt_id: str, outcome: outcomes.Outcome, now: float
     ) -> list[actions.ClaimantAction]:
--- a/packages/daisypick_core/src/daisypick_core/claims/entry.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/entry.py
@@ -27,13 +27,18 @@
 _SHARD_BITS_FROM = 4
 
 
+# Stands in an entry for the attempt that gave its key back.
+RELEASED = ""
+
+
 class Entry(typing.NamedTuple):
     """Which attempt may run for a key.
 
     Attributes:
         digest: Stands for organisation and key.
         fingerprint: Hash of the request, to tell reuse of a key.
-        attempt_id: The attempt that holds the key.
+        attempt_id: The attempt that holds the key, ``RELEASED`` if it is
+            free again.
         agent: Address of its agent, ``host:port``.
         incarnation: Incarnation of that agent.
         epoch: Epoch that the attempt carries.
--- a/packages/daisypick_core/src/daisypick_core/claims/shard.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/shard.py
@@ -127,6 +127,8 @@
     entry = claim.entry
     if holder is None or holder == entry:
         return outcomes.Granted(entry=entry)
+    if holder.attempt_id == claim_entry.RELEASED:
+        return outcomes.Granted(entry=entry)
     if holder.fingerprint != entry.fingerprint:
         return outcomes.KeyReused(holder=holder)
     if holder.attempt_id == claim.replaces:
--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -186,13 +186,24 @@
             self.limit.first_token(now - run.started_at, now)
 
     def finish(
-        self, attempt_id: str, *, cost: float, is_healthy: bool, now: float
+        self,
+        attempt_id: str,
+        *,
+        cost: float,
+        is_healthy: bool,
+        now: float,
+        has_run: bool = True,
     ) -> list[actions.Action]:
-        """Note the end of a running attempt and its true cost, tokens."""
+        """Note the end of a running attempt and its true cost, tokens.
+
+        ``has_run`` is false only if nothing of it reached the backend
+        server; the attempt is barred then, and its key may be claimed again.
+        """
         run = self._running.finish(attempt_id)
         if run is None:
             return []
-        self.attempts.set_state(attempt_id, attempts.DONE)
+        state = attempts.DONE if has_run else attempts.BARRED
+        self.attempts.set_state(attempt_id, state)
         self.order.settle(run.attempt, cost)
         self.limit.finished(
             is_healthy=is_healthy, started_at=run.started_at, now=now
--- a/packages/daisypick_core/tests/claims/test_batcher.py
+++ b/packages/daisypick_core/tests/claims/test_batcher.py
@@ -84,6 +84,19 @@
     assert third == outcomes.Held(holder=second.entry)
 
 
+def test_released_key_is_granted_to_the_next():
+    desk = Desk(memory_store.MemoryStore())
+    desk.claim(make_claim("x"))
+    released = claim_entry.RELEASED
+    stranger = desk.claim(make_claim(released, replaces="w"))
+    assert isinstance(stranger, outcomes.Held)
+    assert isinstance(
+        desk.claim(make_claim(released, replaces="x")), outcomes.Granted
+    )
+    second = make_claim("y", fingerprint="g")
+    assert desk.claim(second) == outcomes.Granted(entry=second.entry)
+
+
 def test_lost_answer_is_settled_by_reading_back():
     # The write takes effect and its answer is lost. Refused as "not run" the
     # key would stay held by nobody; taken for granted it might not be. The
--- a/spec/once_spec.py
+++ b/spec/once_spec.py
@@ -349,6 +349,9 @@
         world = state[-1]
         if world.is_down:
             return
+        if world.holder == number and attempt.gate == once_state.BARRED:
+            free = world._replace(version=world.version + 1, holder=None)
+            yield f"release {number}", (*state[:-1], free)
         is_claiming = (
             attempt.gate == once_state.CLAIMING and not attempt.is_granted
         )
--- a/spec/test_once_spec.py
+++ b/spec/test_once_spec.py
@@ -1,5 +1,5 @@
 import minicheck
-import once_safeguards
+import once_safeguards as safeguards
 import once_spec
 import pytest
 
@@ -26,12 +26,13 @@
     "setting",
     [
         {},
-        {"agents": 1},
         {
-            "attempts": 3,
-            "agents": 3,
-            "faults": frozenset({once_safeguards.STORE}),
+            "agents": 1,
+            "faults": frozenset(
+                {safeguards.CUT, safeguards.EPOCH, safeguards.STORE}
+            ),
         },
+        {"attempts": 3, "agents": 3, "faults": frozenset({safeguards.STORE})},
     ],
 )
 def test_safety_holds_in_every_reachable_state(setting):
@@ -45,9 +46,9 @@
 @pytest.mark.parametrize(
     "faults",
     [
-        {once_safeguards.CUT, once_safeguards.RESTART, once_safeguards.STORE},
-        {once_safeguards.CUT, once_safeguards.EPOCH},
-        {once_safeguards.DRAIN, once_safeguards.OUTAGE, once_safeguards.STORE},
+        {safeguards.CUT, safeguards.RESTART, safeguards.STORE},
+        {safeguards.CUT, safeguards.EPOCH},
+        {safeguards.DRAIN, safeguards.OUTAGE, safeguards.STORE},
     ],
 )
 def test_every_request_ends_without_further_faults(faults):
@@ -57,17 +58,17 @@
     assert minicheck.check_liveness(specification.protocol())["holds"] is True
 
 
-@pytest.mark.parametrize("safeguard", once_safeguards.SAFEGUARDS)
+@pytest.mark.parametrize("safeguard", safeguards.SAFEGUARDS)
 def test_removal_of_a_safeguard_gives_a_counterexample(safeguard):
-    removal = once_safeguards.SAFEGUARDS[safeguard]
+    removal = safeguards.SAFEGUARDS[safeguard]
     settings = {
         "attempts": removal.attempts,
         "faults": removal.faults,
-        "with_calm": removal.broken == once_safeguards.REQUEST_ENDS,
+        "with_calm": removal.broken == safeguards.REQUEST_ENDS,
     }
     intact = once_spec.Specification(**settings)
     weakened = once_spec.Specification(**settings, without=safeguard)
-    if removal.broken == once_safeguards.REQUEST_ENDS:
+    if removal.broken == safeguards.REQUEST_ENDS:
         for specification, holds in ((intact, True), (weakened, False)):
             verdict = minicheck.check_liveness(specification.protocol())
             assert verdict["holds"] is holds
