Carry virtual service over when heads change

Change: idle spans several reports; lags are formed where both values are heard; a head that takes over or gets back goes on from the higher of what it counted and what the other said; one lost call moves no role.

--- a/packages/daisypick_core/src/daisypick_core/fairness/collector.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/collector.py
@@ -165,6 +165,12 @@
                 heard_at=now,
             )
 
+    def retry(self, head: str, now: float) -> None:
+        """Make the report to a head due again; its last one got lost."""
+        view = self._view_by_head.get(head)
+        if view is not None:
+            view.next_report_at = now
+
     def forget_head(self, head: str) -> None:
         """Drop what a head said that does not answer any more."""
         self._view_by_head.pop(head, None)
--- a/packages/daisypick_core/src/daisypick_core/fairness/head.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/head.py
@@ -86,15 +86,20 @@
             return self._answer(report, [])
         self._sweep(now)
         self._note_source(report, now)
+        self._service.set_quiet(self._fan_in.silence)
         self._service.note_largest(report.largest)
-        self._service.set_reference(report.fleet_time)
+        marked = self._marked(report)
         for organisation, virtual in report.virtual_by_organisation.items():
-            self._service.seed(organisation, virtual, now)
+            if organisation not in marked:
+                self._service.seed(organisation, virtual, now)
+        self._service.set_reference(report.fleet_time)
         for organisation in report.reach_by_organisation:
             self._service.activate(organisation, now)
         for incarnation, rows in report.rows_by_incarnation.items():
             for row in rows:
                 self._count(incarnation, row, now)
+        for organisation in marked:
+            self._catch_up(organisation, report, now)
         self._service.refresh(self._reach, now)
         return self._answer(report, self._asked(report))
 
@@ -131,6 +136,39 @@
         growth = self._tally.merge(incarnation, row.organisation, mark, now)
         self._service.grow(row.organisation, growth, now)
 
+    def _marked(self, report: reports.RelayReport) -> set[str]:
+        """Return the taken-over organisations that were counted before."""
+        return {
+            row.organisation
+            for incarnation, rows in report.rows_by_incarnation.items()
+            for row in rows
+            if row.organisation in report.virtual_by_organisation
+            and self._tally.get(tally.Key(incarnation, row.organisation))
+        }
+
+    def _catch_up(
+        self, organisation: str, report: reports.RelayReport, now: float
+    ) -> None:
+        """Raise an organisation that this head held before.
+
+        Two values are at hand: what was counted here with what grew since by
+        the collector's marks, and what the other head said with what it had
+        not acknowledged. Each counts no token twice and may miss some, so
+        the higher is closer. The first wins after a partition, when each
+        head saw its side; the second when only this head was cut off.
+        """
+        unacknowledged = sum(
+            row.served - row.included
+            for rows in report.rows_by_incarnation.values()
+            for row in rows
+            if row.organisation == organisation
+        )
+        virtual = report.virtual_by_organisation[organisation]
+        share = self._service.share(organisation)
+        self._service.raise_to(
+            organisation, virtual + unacknowledged / share, now
+        )
+
     def _asked(self, report: reports.RelayReport) -> list[reports.HeadRow]:
         asked = set(report.reach_by_organisation)
         for rows in report.rows_by_incarnation.values():
--- a/packages/daisypick_core/src/daisypick_core/fairness/service_account.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/service_account.py
@@ -41,8 +41,8 @@
         served: Tokens served; never falls.
         included: The part of ``served`` that the fleet's virtual service
             contains, as the heads have acknowledged it.
-        fleet_virtual: Virtual service across the fleet, tokens per unit of
-            share, ``None`` before the first answer.
+        fleet_lag: Virtual service across the fleet less the fleet's virtual
+            time, tokens per share; 0 before the first answer.
         reach: Agents at which the organisation waits, 0 if not known.
         lift: Virtual service added on return from idle, tokens per share.
         idle_since: When the last waiting attempt left, ``None`` while one
@@ -51,7 +51,7 @@
 
     __slots__ = (
         "charged",
-        "fleet_virtual",
+        "fleet_lag",
         "idle_since",
         "included",
         "lift",
@@ -63,7 +63,7 @@
         self.charged = 0.0
         self.served = 0.0
         self.included = 0.0
-        self.fleet_virtual: float | None = None
+        self.fleet_lag = 0.0
         self.reach = 0
         self.lift = 0.0
         self.idle_since: float | None = None
--- a/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
@@ -41,12 +41,13 @@
     """What the fleet's heads know of one organisation.
 
     Attributes:
-        virtual: Virtual service across the fleet, tokens per share.
-        included: This gate's served tokens that ``virtual`` contains.
+        lag: Virtual service across the fleet less the fleet's virtual time,
+            tokens per share; negative when it is behind.
+        included: This gate's served tokens that ``lag`` contains.
         reach: Agents at which the organisation waits.
     """
 
-    virtual: float
+    lag: float
     included: float
     reach: int
 
@@ -70,7 +71,6 @@
         self._run_by_attempt: dict[str, service_account.Run] = {}
         self._active: set[str] = set()
         self._agents = 1
-        self._fleet_time = 0.0
         self._now = 0.0
         self._largest_cost = 0.0
 
@@ -146,22 +146,21 @@
         self._now = max(self._now, now)
         return min(organisations, key=lambda o: (self._key(o), o))
 
-    def set_fleet(self, *, agents: int, fleet_time: float) -> None:
-        """Take the size of the service and the fleet's virtual time."""
+    def set_agents(self, agents: int) -> None:
+        """Take the number of agents of the service."""
         self._agents = max(1, agents)
-        self._fleet_time = max(self._fleet_time, fleet_time)
 
     def hear(self, organisation: str, service: FleetService) -> None:
         """Take what the fleet's heads know of an organisation.
 
-        Answers can be doubled, late or crossed; ``included`` only grows, so
-        an older one is told by it and dropped.
+        ``included`` only grows, so an answer that was overtaken by a later
+        one is told by it and dropped.
         """
         account = self._account_by_organisation.get(organisation)
         if account is None or service.included < account.included:
             return
         account.included = min(service.included, account.served)
-        account.fleet_virtual = service.virtual
+        account.fleet_lag = service.lag
         account.reach = service.reach
         account.lift = 0.0
 
@@ -204,14 +203,11 @@
 
     def _key(self, organisation: str) -> float:
         account = self._account(organisation)
-        lag = 0.0
-        if account.fleet_virtual is not None:
-            lag = account.fleet_virtual - self._fleet_time
         share = self._share(organisation)
         state = order_policies.OrganisationState(
             own_total=account.charged / share + account.lift,
             since_report=self._own(organisation),
-            fleet_lag=lag,
+            fleet_lag=account.fleet_lag,
             agents=self._agents,
             reach=account.reach or self._agents,
             gain=self._gain,
--- a/packages/daisypick_core/src/daisypick_core/fairness/tally_node.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/tally_node.py
@@ -9,7 +9,7 @@
 Timeline of a change in service, with period ``T``: in the next report of the
 agent (up to ``T``), relayed by the collector (up to ``T``), in the answer to
 the agent's report after that (up to ``T``). When a collector or head dies,
-add the timeout of a call and one more period.
+add the timeouts of two calls and one more period.
 
 Examples:
     >>> order = share_order.ShareOrder(share_by_organisation={})
@@ -85,6 +85,7 @@
         )
         self._agents: tuple[TallyAgent, ...] = ()
         self._suspect_until_by_address: dict[str, float] = {}
+        self._failed_once: set[str] = set()
         self._collector_address = address
         self._heads: list[str] = [address]
         self._head_by_organisation: dict[str, str] = {}
@@ -140,6 +141,7 @@
         self, address: str, answer: reports.Answer, now: float
     ) -> None:
         """Take the answer to a report."""
+        self._failed_once.discard(address)
         if isinstance(answer, reports.RelayAnswer):
             self._collector.answered(address, answer, now)
             return
@@ -150,19 +152,30 @@
         self.known_agents = answer.agents
         if not answer.agents:
             return
-        self._order.set_fleet(
-            agents=answer.agents, fleet_time=answer.fleet_time
-        )
+        self._order.set_agents(answer.agents)
         for row in answer.rows:
             service = share_order.FleetService(
-                virtual=row.virtual, included=row.included, reach=row.reach
+                lag=row.virtual - answer.fleet_time,
+                included=row.included,
+                reach=row.reach,
             )
             self._order.hear(row.organisation, service)
 
     def failed(self, address: str, now: float) -> None:
-        """Note that an address did not answer; others take its roles."""
+        """Note that an address did not answer.
+
+        The first failure may be a lost message: the report is sent again at
+        once. After the second another agent takes the address's roles.
+        """
         if address == self._address:
             return
+        if address == self._collector_address:
+            self._next_report_at = now
+        self._collector.retry(address, now)
+        if address not in self._failed_once:
+            self._failed_once.add(address)
+            return
+        self._failed_once.discard(address)
         self._suspect_until_by_address[address] = now + SUSPECT_SECONDS
         self._collector.forget_head(address)
         self._place()
--- a/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
@@ -27,8 +27,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 
-IDLE_SECONDS = 5.0
-SETTLE_SECONDS = 5.0
+DEFAULT_QUIET_SECONDS = 5.0
 CLAMP_SECONDS = 60.0
 CLAMP_REQUESTS = 64.0
 DEFAULT_SHARE = 1.0
@@ -42,17 +41,15 @@
     Attributes:
         seed: What it started from, with lifts and clamps.
         grown: What was counted here since.
-        known_at: When it became known here.
         touched_at: When it last grew or waited.
         waited_at: When it last waited.
     """
 
-    __slots__ = ("grown", "known_at", "seed", "touched_at", "waited_at")
+    __slots__ = ("grown", "seed", "touched_at", "waited_at")
 
     def __init__(self, *, seed: float, now: float, waited_at: float) -> None:
         self.seed = seed
         self.grown = 0.0
-        self.known_at = now
         self.touched_at = now
         self.waited_at = waited_at
 
@@ -67,6 +64,7 @@
     def __init__(self, *, share_by_organisation: Mapping[str, float]) -> None:
         self._share_by_organisation = share_by_organisation
         self._state_by_organisation: dict[str, _State] = {}
+        self._quiet_seconds = DEFAULT_QUIET_SECONDS
         self._mean: float | None = None
         self._reference: float | None = None
         self.active_share = 0.0
@@ -103,10 +101,22 @@
         """Take the shares of a new configuration."""
         self._share_by_organisation = share_by_organisation
 
+    def set_quiet(self, seconds: float) -> None:
+        """Set how long an organisation may be unheard of without being idle.
+
+        It must span several reports. Were it shorter than one period, each
+        report would find every organisation back from idle and forgive all
+        lags, so that the gap would grow with the length of the run.
+        """
+        self._quiet_seconds = max(DEFAULT_QUIET_SECONDS, seconds)
+
     def set_reference(self, time: float | None) -> None:
         """Take the virtual time over all heads, if it is known."""
-        if time is not None:
-            self._reference = time
+        if time is None:
+            return
+        if self._reference is None:
+            self._lift_all(time)
+        self._reference = time
 
     def note_largest(self, tokens: float) -> None:
         """Note the size of a large request."""
@@ -118,37 +128,37 @@
         return None if state is None else state.virtual
 
     def seed(self, organisation: str, virtual: float, now: float) -> None:
-        """Go on from what another head has said.
-
-        Collectors heard it at different times, so the highest is taken, but
-        only just after the take-over: a head that has counted growth by
-        itself must not add to it what the other head has counted as well.
-        """
+        """Go on from what another head has said, adding what grew here."""
         state = self._state_by_organisation.get(organisation)
         if state is None:
             self._state_by_organisation[organisation] = _State(
                 seed=virtual, now=now, waited_at=now
             )
-        elif now - state.known_at < SETTLE_SECONDS:
+        else:
             state.seed = max(state.seed, virtual)
 
+    def raise_to(self, organisation: str, virtual: float, now: float) -> None:
+        """Raise a virtual service that is too low."""
+        state = self._state(organisation, now)
+        state.seed += max(0.0, virtual - state.virtual)
+
     def activate(self, organisation: str, now: float) -> None:
         """Note that an organisation waits; lift it if it was idle."""
         state = self._state(organisation, now)
-        if now - state.waited_at > IDLE_SECONDS:
+        if now - state.waited_at > self._quiet_seconds:
             state.seed += max(0.0, self.time - state.virtual)
         state.waited_at = now
 
     def grow(self, organisation: str, tokens: float, now: float) -> None:
         """Add served tokens."""
         state = self._state(organisation, now)
-        state.grown += tokens / self._share(organisation)
+        state.grown += tokens / self.share(organisation)
         self._growth += tokens
 
     def refresh(self, waiting: Iterable[str], now: float) -> None:
         """Compute the virtual time from those that wait, clamp their lags."""
         shares = {
-            organisation: self._share(organisation)
+            organisation: self.share(organisation)
             for organisation in waiting
             if organisation in self._state_by_organisation
         }
@@ -169,7 +179,17 @@
             if self._state_by_organisation[organisation].touched_at < moment:
                 del self._state_by_organisation[organisation]
 
-    def _share(self, organisation: str) -> float:
+    def _lift_all(self, time: float) -> None:
+        """Lift what was counted from 0 before the fleet's time was known.
+
+        A head that has just started counts its own agent's service alone.
+        Left there, its organisations would seem to lag by the whole past.
+        """
+        for state in self._state_by_organisation.values():
+            state.seed += max(0.0, time - state.virtual)
+
+    def share(self, organisation: str) -> float:
+        """Return the share of an organisation."""
         return self._share_by_organisation.get(organisation, DEFAULT_SHARE)
 
     def _state(self, organisation: str, now: float) -> _State:
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
@@ -0,0 +1,368 @@
+"""Gates and tally nodes under a virtual clock, for the fairness measurement.
+
+The gates, orders and tally nodes are the real ones of the core. Around them
+stand small fakes: backend servers that generate tokens at a steady rate, a
+network with a delay, and routers that keep a number of attempts waiting at
+each agent they reach, as a dispatcher with an endless backlog does.
+"""
+
+import collections
+from collections.abc import Callable
+import heapq
+import itertools
+import random
+import typing
+
+from daisypick_core.fairness import estimators
+from daisypick_core.fairness import reports
+from daisypick_core.fairness import share_order
+from daisypick_core.fairness import tally_node
+from daisypick_core.gate import actions
+from daisypick_core.gate import concurrency
+from daisypick_core.gate import gate as gate_module
+from daisypick_core.messages import attempt as attempt_message
+
+SERVICE = "desk"
+ONE_QUEUE = "everyone"
+NETWORK_DELAY = 0.003
+CALL_TIMEOUT = 1.0
+PARETO_SHAPE = 1.5
+LEAST_COST = 50
+LARGEST_COST = 4000
+HINT_ERROR = 8.0
+
+
+class Tenant(typing.NamedTuple):
+    """An organisation of the measurement.
+
+    Attributes:
+        name: Its name.
+        share: Its share.
+        reach: Part of the agents that it reaches, above 0 up to 1.
+        depth: Attempts that it keeps waiting at each of them.
+        first_at: When it begins to send, seconds.
+        last_at: When it stops sending, seconds.
+    """
+
+    name: str
+    share: float
+    reach: float = 1.0
+    depth: int = 2
+    first_at: float = 0.0
+    last_at: float = float("inf")
+
+
+class Faults(typing.NamedTuple):
+    """What the network does to reports, as probabilities.
+
+    Attributes:
+        lost: The report or its answer is lost.
+        doubled: The report arrives twice.
+        late: The report arrives up to 3 periods late, crossing others.
+    """
+
+    lost: float = 0.0
+    doubled: float = 0.0
+    late: float = 0.0
+
+
+class FleetSettings(typing.NamedTuple):
+    """One run.
+
+    Attributes:
+        tenants: The organisations.
+        agents: Agents, in equal parts in the data centres.
+        data_centres: Data centres.
+        slots: Slots of a backend server.
+        speeds: Tokens a second and slot, repeated over the agents.
+        policy: Order policy of the gates.
+        gain: Its gain.
+        has_tally: Whether agents exchange reports.
+        is_first_come: Whether gates serve in the order of arrival.
+        estimator: Name of the cost estimator.
+        period: Seconds between reports.
+        faults: What the network does.
+        seed: Seed of all randomness.
+    """
+
+    tenants: tuple[Tenant, ...]
+    agents: int = 60
+    data_centres: int = 3
+    slots: int = 8
+    speeds: tuple[float, ...] = (50.0,)
+    policy: str = share_order.DEFAULT_POLICY
+    gain: float = share_order.DEFAULT_GAIN
+    has_tally: bool = True
+    is_first_come: bool = False
+    estimator: str = "learned_mean"
+    period: float = 1.0
+    faults: Faults = Faults()
+    seed: int = 1
+
+
+class _Running(typing.NamedTuple):
+    tenant: str
+    attempt: attempt_message.Attempt
+    started_at: float
+    cost: int
+    speed: float
+
+
+class Agent:
+    """One agent with its backend server."""
+
+    def __init__(
+        self, settings: FleetSettings, index: int, start: int, now: float
+    ) -> None:
+        shares = {tenant.name: tenant.share for tenant in settings.tenants}
+        self.address = f"10.0.{index // 250}.{index % 250}:80"
+        self.data_centre = f"dc{index % settings.data_centres}"
+        self.incarnation = f"a{index}.{start}"
+        self.speed = settings.speeds[index % len(settings.speeds)]
+        self.is_alive = True
+        self.order = share_order.ShareOrder(
+            share_by_organisation=shares,
+            policy=settings.policy,
+            gain=settings.gain,
+        )
+        self.gate = gate_module.Gate(
+            incarnation=self.incarnation,
+            order=self.order,
+            limit=concurrency.ConcurrencyLimit(
+                slots=settings.slots, cold_slots=settings.slots
+            ),
+            limits=gate_module.GateLimits(
+                waiting_per_organisation=100_000, waiting_in_all=100_000
+            ),
+        )
+        self.node = tally_node.TallyNode(
+            address=self.address,
+            data_centre=self.data_centre,
+            service=SERVICE,
+            incarnation=self.incarnation,
+            order=self.order,
+            share_by_organisation=shares,
+            period=settings.period,
+            first_report_in=random.Random(f"{index}").random()
+            * settings.period,
+        )
+        self.running_by_id: dict[str, _Running] = {}
+
+
+class Fleet:
+    """Agents, fake routers and a virtual clock.
+
+    Attributes:
+        now: Virtual time, seconds.
+        agents: The agents; a restarted one replaces its predecessor.
+        finished_by_tenant: Tokens of requests that ended.
+        longest_pause_by_tenant: Seconds without a start, in the whole fleet.
+        messages: Reports carried between different agents.
+    """
+
+    def __init__(self, settings: FleetSettings) -> None:
+        self.now = 0.0
+        self.settings = settings
+        self.agents = [
+            Agent(settings, index, 0, 0.0) for index in range(settings.agents)
+        ]
+        self.finished_by_tenant: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self.longest_pause_by_tenant: dict[str, float] = {}
+        self._started_at_by_tenant: dict[str, float] = {}
+        self.messages = 0
+        self._tenant_by_name = {one.name: one for one in settings.tenants}
+        self._rng = random.Random(settings.seed)
+        self._ids = itertools.count()
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._estimator = estimators.by_name[settings.estimator]()
+        self._offer_by_id: dict[str, tuple[str, int, float]] = {}
+        self._index_by_address = {
+            agent.address: index for index, agent in enumerate(self.agents)
+        }
+        self.set_views(lambda agent: self.agents)
+        for index in range(settings.agents):
+            self._start_agent(index)
+
+    def run_until(self, end: float) -> None:
+        """Advance the virtual clock."""
+        while self._events and self._events[0][0] <= end:
+            self.now, _, step = heapq.heappop(self._events)
+            step()
+        self.now = end
+
+    def at(self, moment: float, step: Callable[[], None]) -> None:
+        """Run a step at a moment of the virtual clock."""
+        heapq.heappush(self._events, (moment, next(self._ids), step))
+
+    def served_by_tenant(self) -> dict[str, float]:
+        """Return the tokens generated for each organisation so far."""
+        served = {
+            tenant.name: float(self.finished_by_tenant[tenant.name])
+            for tenant in self.settings.tenants
+        }
+        for agent in self.agents:
+            for run in agent.running_by_id.values():
+                served[run.tenant] += self._generated(run)
+        return served
+
+    def set_views(self, view: Callable[[Agent], list[Agent]]) -> None:
+        """Set which agents each agent believes to be alive."""
+        for agent in self.agents:
+            agent.node.set_agents(
+                tally_node.TallyAgent(
+                    address=one.address, data_centre=one.data_centre
+                )
+                for one in view(agent)
+            )
+
+    def restart(self, address: str, down_seconds: float) -> None:
+        """Kill an agent with all it runs; it comes back empty."""
+        index = self._index_by_address[address]
+        agent = self.agents[index]
+        agent.is_alive = False
+        for run in agent.running_by_id.values():
+            self.finished_by_tenant[run.tenant] += int(self._generated(run))
+        agent.running_by_id = {}
+        self.at(self.now + down_seconds, lambda: self._replace(index))
+
+    def _replace(self, index: int) -> None:
+        start = int(self.now * 1000)
+        self.agents[index] = Agent(self.settings, index, start, self.now)
+        self.set_views(lambda agent: self.agents)
+        self._start_agent(index)
+
+    def _start_agent(self, index: int) -> None:
+        agent = self.agents[index]
+        self._tick(agent)
+        for tenant in self.settings.tenants:
+            if index < tenant.reach * self.settings.agents:
+                first_at = max(self.now, tenant.first_at)
+                for _ in range(tenant.depth):
+                    self._offer_later(agent, tenant, first_at + NETWORK_DELAY)
+
+    def _offer_later(self, agent: Agent, tenant: Tenant, moment: float) -> None:
+        self.at(moment, lambda: self._offer(agent, tenant))
+
+    def _offer(self, agent: Agent, tenant: Tenant) -> None:
+        if not agent.is_alive or self.now >= tenant.last_at:
+            return
+        cost = min(
+            LARGEST_COST,
+            int(LEAST_COST * self._rng.paretovariate(PARETO_SHAPE)),
+        )
+        hint = cost * HINT_ERROR ** self._rng.uniform(-1.0, 1.0)
+        attempt_id = str(next(self._ids))
+        self._offer_by_id[attempt_id] = (tenant.name, cost, hint)
+        is_one_queue = self.settings.is_first_come
+        attempt = attempt_message.Attempt(
+            attempt_id=attempt_id,
+            request_id=attempt_id,
+            organisation=ONE_QUEUE if is_one_queue else tenant.name,
+            service=SERVICE,
+            estimate=self._estimator.estimate(SERVICE, tenant.name, hint=hint),
+            deadline=float("inf"),
+            incarnation=agent.incarnation,
+            epoch=0,
+            router="",
+        )
+        self._carry_out(agent, agent.gate.offer(attempt, self.now))
+
+    def _carry_out(
+        self, agent: Agent, actions_due: list[actions.Action]
+    ) -> None:
+        for action in actions_due:
+            if isinstance(action, actions.Start):
+                self._run(agent, action.attempt)
+
+    def _run(self, agent: Agent, attempt: attempt_message.Attempt) -> None:
+        name, cost, _ = self._offer_by_id[attempt.attempt_id]
+        self._note_start(name)
+        agent.running_by_id[attempt.attempt_id] = _Running(
+            tenant=name,
+            attempt=attempt,
+            started_at=self.now,
+            cost=cost,
+            speed=agent.speed,
+        )
+        tenant = self._tenant_by_name[name]
+        self._offer_later(agent, tenant, self.now + 2 * NETWORK_DELAY)
+        self.at(
+            self.now + cost / agent.speed,
+            lambda: self._finish(agent, attempt.attempt_id),
+        )
+
+    def _note_start(self, name: str) -> None:
+        tenant = self._tenant_by_name[name]
+        before = self._started_at_by_tenant.get(name, tenant.first_at)
+        longest = self.longest_pause_by_tenant.get(name, 0.0)
+        self.longest_pause_by_tenant[name] = max(longest, self.now - before)
+        self._started_at_by_tenant[name] = self.now
+
+    def _finish(self, agent: Agent, attempt_id: str) -> None:
+        if not agent.is_alive:
+            return
+        run = agent.running_by_id.pop(attempt_id)
+        self.finished_by_tenant[run.tenant] += run.cost
+        _, _, hint = self._offer_by_id.pop(attempt_id)
+        self._estimator.learn(SERVICE, run.tenant, hint=hint, cost=run.cost)
+        self._carry_out(
+            agent,
+            agent.gate.finish(
+                attempt_id, cost=run.cost, is_healthy=True, now=self.now
+            ),
+        )
+
+    def _generated(self, run: _Running) -> float:
+        return min(run.cost, (self.now - run.started_at) * run.speed)
+
+    def _tick(self, agent: Agent) -> None:
+        if not agent.is_alive:
+            return
+        for attempt_id, run in agent.running_by_id.items():
+            agent.gate.progress(attempt_id, int(self._generated(run)), self.now)
+        if self.settings.has_tally:
+            for send in agent.node.tick(self.now):
+                self._carry(agent, send)
+        self.at(self.now + self.settings.period / 4, lambda: self._tick(agent))
+
+    def _carry(self, sender: Agent, send: tally_node.Send) -> None:
+        """Carry a report over the network, with its faults."""
+        self.messages += 1
+        faults = self.settings.faults
+        if self._rng.random() < faults.lost:
+            self._fail_later(sender, send.address)
+            return
+        delay = NETWORK_DELAY
+        if self._rng.random() < faults.late:
+            delay += self._rng.uniform(0.0, 3.0 * self.settings.period)
+        copies = 2 if self._rng.random() < faults.doubled else 1
+        for _ in range(copies):
+            self.at(self.now + delay, lambda: self._arrive(sender, send))
+
+    def _arrive(self, sender: Agent, send: tally_node.Send) -> None:
+        receiver = self.agents[self._index_by_address[send.address]]
+        if not receiver.is_alive:
+            self._fail_later(sender, send.address)
+            return
+        answer = receiver.node.receive(send.report, self.now)
+        if self._rng.random() < self.settings.faults.lost:
+            self._fail_later(sender, send.address)
+            return
+        self.at(
+            self.now + NETWORK_DELAY,
+            lambda: self._take_answer(sender, send.address, answer),
+        )
+
+    def _take_answer(
+        self, sender: Agent, address: str, answer: reports.Answer
+    ) -> None:
+        if sender.is_alive:
+            sender.node.answered(address, answer, self.now)
+
+    def _fail_later(self, sender: Agent, address: str) -> None:
+        self.at(
+            self.now + CALL_TIMEOUT,
+            lambda: sender.node.failed(address, self.now),
+        )
