--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -115,9 +115,17 @@
         self._apply_drain_state()
 
     def _apply_drain_state(self) -> None:
-        state = drain_state.derive(self.configuration, self.settings.name)
+        state = drain_state.derive(
+            self.configuration,
+            self.settings.name,
+            is_vm_leaving=self.vm_watch.is_leaving,
+        )
         self.driver.apply_drain_state(state)
 
+    def on_leaving(self) -> None:
+        """Give back what waits; what runs ends."""
+        self._apply_drain_state()
+
     def on_drain(self) -> None:
         """Give back what waits."""
         self.driver.drain(admission.SHUTDOWN)
--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -147,7 +147,7 @@
         members = self.directory.members(now)
         return {
             **self.holder.describe(),
-            "is_watcher": self._is_watcher(now),
+            "is_watcher": self.is_watcher(),
             "members": len(members),
         }
 
@@ -290,8 +290,9 @@
         addresses.discard(self._own.address)
         self.holder.set_peers(sorted(addresses), near)
 
-    def _is_watcher(self, now: float) -> bool:
+    def is_watcher(self) -> bool:
         """Tell whether this process is one of those that watch the store."""
+        now = self._clock()
         live = self.directory.live(self._own.role, self._own.data_centre, now)
         key = f"configuration/{self._own.role}/{self._own.data_centre}"
         chosen = placement.ranked(key, live)[:WATCHERS_PER_ROLE]
@@ -299,7 +300,7 @@
 
     def _watch_forever(self) -> None:
         while True:
-            if not self._is_watcher(self._clock()):
+            if not self.is_watcher():
                 gevent.sleep(MEMBERS_SECONDS)
                 continue
             stored = self._platform.watch(
--- a/packages/daisypick_node/src/daisypick_node/process.py
+++ b/packages/daisypick_node/src/daisypick_node/process.py
@@ -20,6 +20,7 @@
 from daisypick_node import metrics as metrics_module
 from daisypick_node import records
 from daisypick_node import settings as settings_module
+from daisypick_node import vm_watch
 from daisypick_node.http import keys as keys_module
 from daisypick_node.http import peers as peers_module
 from daisypick_node.http import routes
@@ -77,6 +78,15 @@
             clock=clock,
             rng=random.Random(),
         )
+        self.vm_watch = vm_watch.VmWatch(
+            platform=platform,
+            peers=self.peers,
+            is_watcher=self.follower.is_watcher,
+            members=lambda: self.follower.directory.members(self.clock()),
+            take_leaving=lambda vms: self.follower.directory.set_leaving(vms),
+            on_leaving=self.on_leaving,
+            rng=random.Random(),
+        )
         self._server: server_module.Server | None = None
         self._greenlets: list[gevent.Greenlet] = []
 
@@ -107,6 +117,7 @@
             routes={
                 **self._common_routes(),
                 **self.follower.handlers(),
+                **self.vm_watch.handlers(),
                 **self.handlers(),
             },
             keys=self.keys,
@@ -117,6 +128,7 @@
         self.on_start()
         self.follower.start(self.address)
         self.spawn(self._tick_forever)
+        self.spawn(self.vm_watch.run)
         _log.say("Listens.", part=self.kind, address=self.address)
 
     def note_contact(self, peer: str, generation: int) -> None:
@@ -161,6 +173,11 @@
     def on_configuration(self) -> None:
         """Take the configuration in force."""
 
+    def on_leaving(self) -> None:
+        """Learn that the platform takes this process's VM."""
+        self.is_draining = True
+        self.on_drain()
+
     def on_drain(self) -> None:
         """Start nothing new."""
 
--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -64,6 +64,7 @@
         fleet_key: str,
         clock: Callable[[], float],
         generation: Callable[[], int],
+        address: Callable[[], str],
         note_contact: Callable[[str, int], None],
         record: records.RequestRecord,
     ) -> None:
@@ -73,6 +74,7 @@
         self._fleet_key = fleet_key
         self._clock = clock
         self._generation = generation
+        self._address = address
         self._note_contact = note_contact
         self._record = record
         self._held_by_request: dict[str, _Held] = {}
@@ -213,7 +215,7 @@
         self, action: actions.Dispatch, exchange: exchange_module.Exchange
     ) -> sender.Parcel:
         envelope = attempt_message.to_envelope(
-            action.attempt,
+            action.attempt._replace(router=self._address()),
             self._clock(),
             generation=self._generation(),
             method=exchange.call.method,
--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -61,6 +61,7 @@
             fleet_key=self.keys.fleet[0],
             clock=self.clock,
             generation=lambda: self.generation,
+            address=lambda: self.address,
             note_contact=self.note_contact,
             record=self.record,
         )
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/vm_watch.py
@@ -0,0 +1,109 @@
+"""Telling processes that the platform is about to take their VMs.
+
+The platform's list of VMs lags, and 4,000 processes cannot all ask for it.
+The few that watch the store in a data centre ask every few seconds and tell
+the processes on leaving VMs. A process that is told drains and never takes
+it back: the list may show as live again what has long been told to leave.
+
+See Also:
+    ``daisypick_core.gate.drain_state``: how an agent weighs its signals.
+"""
+
+from collections.abc import Callable
+import random
+
+from daisypick_core.membership import directory as member_directory
+from daisypick_core.results import failure as failure_value
+import gevent
+
+from daisypick_node import logs
+from daisypick_node.http import client
+from daisypick_node.http import peers as peers_module
+from daisypick_node.http import routes
+from daisypick_node.platform import interface
+
+LEAVING = "/internal/leaving"
+LIST_SECONDS = 5.0
+
+_log = logs.PartLog("vm_watch")
+
+
+class VmWatch:
+    """Watches the list of VMs for one process, and takes the news."""
+
+    def __init__(
+        self,
+        *,
+        platform: interface.PlatformClient,
+        peers: peers_module.Peers,
+        is_watcher: Callable[[], bool],
+        members: Callable[[], list[member_directory.Member]],
+        take_leaving: Callable[[frozenset[str]], None],
+        on_leaving: Callable[[], None],
+        rng: random.Random,
+    ) -> None:
+        self._platform = platform
+        self._peers = peers
+        self._is_watcher = is_watcher
+        self._members = members
+        self._take_leaving = take_leaving
+        self._on_leaving = on_leaving
+        self._rng = rng
+        self._untold: set[str] = set()
+        self._told: set[str] = set()
+        self.is_leaving = False
+
+    def handlers(self) -> routes.Routes:
+        """Return the table of handlers."""
+        return {routes.Route("POST", LEAVING): self._serve_leaving}
+
+    def run(self) -> None:
+        """Ask for the list as long as the process lives."""
+        while True:
+            gevent.sleep(LIST_SECONDS * (0.5 + self._rng.random()))
+            if self._is_watcher():
+                self.look()
+
+    def look(self) -> None:
+        """Ask for the list once and tell the processes on leaving VMs."""
+        vms = self._platform.list_vms()
+        if failure_value.is_failure(vms):
+            return
+        leaving = frozenset(
+            vm.address for vm in vms if vm.state == interface.VM_LEAVING
+        )
+        # Members on leaving VMs are no longer believed to be alive, so they
+        # are noted first: one that cannot be told now is told next time.
+        self._untold.update(
+            member.address
+            for member in self._members()
+            if _is_on(member.address, leaving)
+        )
+        self._take_leaving(leaving)
+        for address in sorted(self._untold - self._told):
+            self._tell(address)
+
+    def _tell(self, address: str) -> None:
+        answer = self._peers.call(address, "POST", LEAVING)
+        if not failure_value.is_failure(answer):
+            self._told.add(address)
+            _log.say("Tells a process that its VM leaves.", address=address)
+
+    def _serve_leaving(self, call: routes.Call) -> routes.Reply:
+        del call
+        if not self.is_leaving:
+            self.is_leaving = True
+            self._on_leaving()
+        return routes.reply_json({"leaving": True})
+
+
+def _is_on(address: str, vms: frozenset[str]) -> bool:
+    """Tell whether a process is on one of the VMs.
+
+    Examples:
+        >>> _is_on("10.0.0.1:80", frozenset({"10.0.0.1"}))
+        True
+        >>> _is_on("10.0.0.1:80", frozenset({"10.0.0.1:81"}))
+        False
+    """
+    return address in vms or client.parse_address(address).host in vms
