Add the operators' command line

Cause: operators had a folder and no way to put it in force.

An apply compares what the folder applied last, the store and the folder, and refuses to undo what others changed. data-centre changes one value on top of what is in force.

Conclusion: a stale folder is a conflict told key by key, in place of a silent reversal, and never hinders taking a data centre out.

--- /dev/null
+++ b/packages/daisypick_cli/src/daisypick_cli/__main__.py
@@ -0,0 +1,6 @@
+"""``python -m daisypick_cli``."""
+
+from daisypick_cli import main
+
+if __name__ == "__main__":
+    main.main()
--- /dev/null
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/base.py
@@ -0,0 +1,243 @@
+"""Options, output and exit codes that the commands share."""
+
+from collections.abc import Iterable
+import os
+import pathlib
+import random
+import time
+import typing
+
+from cleo import helpers
+from cleo.commands import command
+from cleo.io.inputs import option as cleo_option
+from cleo.io.outputs import output as cleo_output
+from daisypick_core.configuration import check
+from daisypick_core.configuration import model
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+from daisypick_node.platform import budget as call_budget
+from daisypick_node.platform import http as _http_platform  # noqa: F401
+from daisypick_node.platform import interface
+import gevent
+import msgspec
+
+from daisypick_cli import applying
+from daisypick_cli import exit_codes
+from daisypick_cli import processes as fleet
+from daisypick_cli import publication
+
+# An apply reads some packs at once and is then done.
+_CALLS_PER_SECOND = 50.0
+_BURST = 500.0
+
+JSON_OPTION = helpers.option("json", description="Print JSON.")
+FOLDER_OPTION = helpers.option(
+    "folder",
+    description="Folder of TOML files [DAISYPICK_FOLDER]; default: "
+    "configuration.",
+    flag=False,
+)
+PLATFORM_OPTION = helpers.option(
+    "platform",
+    description="Address of the platform, host:port [DAISYPICK_PLATFORM].",
+    flag=False,
+)
+PLATFORM_CLIENT_OPTION = helpers.option(
+    "platform-client",
+    description="Registered client of the platform "
+    "[DAISYPICK_PLATFORM_CLIENT]; default: http.",
+    flag=False,
+)
+CA_OPTION = helpers.option(
+    "tls-ca",
+    description="CA file to check processes with [DAISYPICK_TLS_CA].",
+    flag=False,
+)
+WAIT_OPTION = helpers.option(
+    "wait",
+    description="Seconds to wait for the platform; default: "
+    f"{publication.PATIENCE_SECONDS:.0f}.",
+    flag=False,
+)
+STORE_OPTIONS = [
+    PLATFORM_OPTION,
+    PLATFORM_CLIENT_OPTION,
+    CA_OPTION,
+    WAIT_OPTION,
+    JSON_OPTION,
+]
+
+
+def explain_exit_codes(*numbers: int) -> str:
+    """Return the part of a help text that tells the exit codes."""
+    lines = [
+        f"  {number}  {exit_codes.MEANING_BY_CODE[number]}"
+        for number in (exit_codes.OK, exit_codes.USAGE, *numbers)
+    ]
+    return "\n".join(["", "Exit codes:", *lines])
+
+
+class OperatorCommand(command.Command):
+    """A command of the operators."""
+
+    def setting(self, name: str, default: str = "") -> str:
+        """Return an option, else its environment variable."""
+        given = self.option(name) if self._has_option(name) else None
+        variable = "DAISYPICK_" + name.replace("-", "_").upper()
+        return given or os.environ.get(variable, "") or default
+
+    def _has_option(self, name: str) -> bool:
+        options: list[cleo_option.Option] = self.definition.options
+        return any(option.name == name for option in options)
+
+    @property
+    def folder(self) -> pathlib.Path:
+        """The operators' folder."""
+        return pathlib.Path(self.setting("folder", "configuration"))
+
+    def say(self, value: object, lines: Iterable[str]) -> None:
+        """Print a value as JSON if asked for, else the lines."""
+        if self.option("json"):
+            lines = [msgspec.json.encode(value).decode()]
+        for line in lines:
+            self.io.write_line(line, type=cleo_output.Type.RAW)
+
+    def fail(self, failure: failure_value.Failure) -> int:
+        """Tell of a failure and return its exit code."""
+        value = {
+            "code": failure.code.number,
+            "title": failure.code.title,
+            "reason": failure.reason,
+        }
+        text = f"{failure.code.title}: {failure.reason}"
+        self._complain(value, [f"{text} [{failure.code.number}]"])
+        return exit_codes.of_failure(failure)
+
+    def fail_check(self, checked: check.Checked) -> int:
+        """Tell of all faults of a folder."""
+        faults = [
+            {
+                "file": fault.file,
+                "key": fault.key,
+                "code": fault.code.number,
+                "reason": fault.reason,
+            }
+            for fault in checked.faults
+        ]
+        self._complain({"faults": faults}, map(str, checked.faults))
+        return exit_codes.FAULTS
+
+    def fail_conflict(self, conflict: publication.Conflict) -> int:
+        """Tell of a lost race and of what others changed."""
+        value = {
+            "code": conflict.failure.code.number,
+            "reason": conflict.failure.reason,
+            "generation": conflict.generation,
+            "changes": [str(change) for change in conflict.changes],
+        }
+        lines = [
+            f"{conflict.failure.code.title}: {conflict.failure.reason}; "
+            f"in force is generation {conflict.generation}:",
+            *(f"  {change}" for change in conflict.changes),
+            "Merge their files into the folder and apply again, or undo "
+            f"their changes with --overwrite {conflict.generation}.",
+        ]
+        self._complain(value, lines)
+        return exit_codes.CONFLICT
+
+    def _complain(self, value: object, lines: Iterable[str]) -> None:
+        """Print to standard error, JSON to standard output."""
+        if self.option("json"):
+            self.say(value, [])
+            return
+        for line in lines:
+            self.io.write_error_line(line, type=cleo_output.Type.RAW)
+
+    def make_publisher(
+        self,
+    ) -> publication.Publisher | failure_value.Failure:
+        """Return the writer to the platform in the settings."""
+        address = self.setting("platform")
+        name = self.setting("platform-client", "http")
+        factory = interface.by_name.get(name)
+        if factory is None:
+            known = ", ".join(sorted(interface.by_name))
+            return _bad_setting(f"platform-client: {name!r} is not of: {known}")
+        budget = call_budget.CallBudget(rate=_CALLS_PER_SECOND, burst=_BURST)
+        try:
+            patience = float(
+                self.setting("wait", str(publication.PATIENCE_SECONDS))
+            )
+            client = factory(address=address, budget=budget)
+        except ValueError as error:
+            return _bad_setting(f"platform or wait: {error}")
+        return publication.Publisher(
+            client=client,
+            clock=time.monotonic,
+            sleep=gevent.sleep,
+            rng=random.Random(),
+            patience=patience,
+        )
+
+    def make_applier(self) -> applying.Applier | failure_value.Failure:
+        """Return what applies to the platform and the fleet."""
+        publisher = self.make_publisher()
+        if failure_value.is_failure(publisher):
+            return publisher
+        processes = self.make_processes()
+        if failure_value.is_failure(processes):
+            processes = None
+        return applying.Applier(publisher=publisher, processes=processes)
+
+    def make_processes(self) -> fleet.Processes | failure_value.Failure:
+        """Return the way to running processes.
+
+        The key is never an option: command lines show in lists of processes.
+        """
+        key = os.environ.get("DAISYPICK_OPERATOR_KEY", "")
+        if not key:
+            return _bad_setting("DAISYPICK_OPERATOR_KEY: is not set")
+        return fleet.Processes(
+            operator_key=key, ca_file=self.setting("tls-ca") or None
+        )
+
+    def read_stored(
+        self,
+    ) -> model.Configuration | failure_value.Failure:
+        """Return the configuration in the store."""
+        publisher = self.make_publisher()
+        if failure_value.is_failure(publisher):
+            return publisher
+        stored = publisher.read()
+        if failure_value.is_failure(stored):
+            return stored
+        return stored.configuration
+
+    def tell_outcome(self, outcome: applying.Outcome) -> int:
+        """Print what came of an apply and return the exit code."""
+        if isinstance(outcome, publication.Conflict):
+            return self.fail_conflict(outcome)
+        if failure_value.is_failure(outcome):
+            return self.fail(outcome)
+        applied = typing.cast(applying.Applied, outcome)
+        value = {
+            **applied._asdict(),
+            "changes": [str(change) for change in applied.changes],
+        }
+        self.say(value, _outcome_lines(applied))
+        return exit_codes.OK
+
+
+def _outcome_lines(applied: applying.Applied) -> Iterable[str]:
+    for change in applied.changes:
+        yield f"  {change}"
+    if applied.is_new:
+        yield f"Generation {applied.generation} is accepted."
+    else:
+        yield f"Nothing to change; generation {applied.generation} stays."
+    if applied.asked:
+        yield f"{applied.told} of {applied.asked} processes told have it."
+
+
+def _bad_setting(reason: str) -> failure_value.Failure:
+    return failure_value.Failure(code=codes.BAD_VALUE, reason=reason)
--- /dev/null
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/data_centre.py
@@ -0,0 +1,81 @@
+"""``data-centre out`` and ``data-centre in``."""
+
+from cleo import helpers
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+
+from daisypick_cli import exit_codes
+from daisypick_cli import folder as folder_files
+from daisypick_cli.commands import base
+
+_HELP = """\
+Writes a new file that sorts last in the folder and changes just this data
+centre in the configuration in force. Other differences between the folder and
+the configuration in force neither hinder the change nor go with it.
+
+Examples:
+  daisypick data-centre {word} varna
+""" + base.explain_exit_codes(
+    exit_codes.FAULTS,
+    exit_codes.CONFLICT,
+    exit_codes.UNAVAILABLE,
+    exit_codes.UNKNOWN,
+)
+
+
+class _DataCentreCommand(base.OperatorCommand):
+    is_in: bool
+    arguments = [
+        helpers.argument("data-centre", description="Name of the data centre.")
+    ]
+    options = [base.FOLDER_OPTION, *base.STORE_OPTIONS]
+
+    def handle(self) -> int:
+        """Write the file and apply the change."""
+        name = self.argument("data-centre")
+        checked = folder_files.check_folder(self.folder)
+        if checked.configuration is None:
+            return self.fail_check(checked)
+        entry = checked.configuration.data_centres_by_name.get(name)
+        if entry is None:
+            return self.fail(
+                failure_value.Failure(
+                    code=codes.DANGLING_NAME,
+                    reason=f"the folder has no data centre {name!r}",
+                )
+            )
+        applier = self.make_applier()
+        if failure_value.is_failure(applier):
+            return self.fail(applier)
+        if entry.is_in != self.is_in:
+            # The wish is on disk before the platform is asked: if it is
+            # down, the next apply carries the change.
+            file = folder_files.write_data_centre(
+                self.folder, name, is_in=self.is_in
+            )
+            if not self.option("json"):
+                self.line(f"Wrote {file}.")
+        return self.tell_outcome(
+            applier.set_data_centre(name, is_in=self.is_in)
+        )
+
+
+class DataCentreOutCommand(_DataCentreCommand):
+    """``daisypick data-centre out``."""
+
+    name = "data-centre out"
+    description = "Take a data centre out of service."
+    help = _HELP.format(word="out")
+    is_in = False
+
+
+class DataCentreInCommand(_DataCentreCommand):
+    """``daisypick data-centre in``."""
+
+    name = "data-centre in"
+    description = "Bring a data centre back into service."
+    help = _HELP.format(word="in")
+    is_in = True
+
+
+COMMANDS = [DataCentreOutCommand, DataCentreInCommand]
--- /dev/null
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/inspection.py
@@ -0,0 +1,198 @@
+"""``status``, ``dump`` and ``explain``."""
+
+import typing
+
+from cleo import helpers
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import msgspec
+
+from daisypick_cli import exit_codes
+from daisypick_cli import processes as fleet
+from daisypick_cli import status
+from daisypick_cli.commands import base
+
+_UNAVAILABLE_HELP = base.explain_exit_codes(
+    exit_codes.FAULTS, exit_codes.UNAVAILABLE
+)
+_ROUTERS_OPTION = helpers.option(
+    "router",
+    description="Address of a router to ask, host:port; may be repeated. "
+    "Without it, those that the agents know of are asked.",
+    flag=False,
+    multiple=True,
+)
+_LIMIT_OPTION = helpers.option(
+    "agents",
+    description="Agents to ask in each data centre; default: 100.",
+    flag=False,
+    default="100",
+)
+
+
+class _FleetCommand(base.OperatorCommand):
+    """A command that asks many processes."""
+
+    def find_fleet(self) -> status.Fleet | failure_value.Failure:
+        """Return the dumps of agents and routers."""
+        processes = self.make_processes()
+        if failure_value.is_failure(processes):
+            return processes
+        if not self.option("agents").isdecimal():
+            return failure_value.Failure(
+                code=codes.BAD_VALUE, reason="agents: must be a number"
+            )
+        current = self.read_stored()
+        if failure_value.is_failure(current):
+            return current
+        return status.ask_fleet(
+            processes,
+            current,
+            per_data_centre=int(self.option("agents")),
+            routers=self.option("router"),
+        )
+
+
+class StatusCommand(_FleetCommand):
+    """``daisypick status``."""
+
+    name = "status"
+    description = "Show the fleet at a glance."
+    help = (
+        """\
+Asks the agents in the configuration in force, and routers.
+
+Examples:
+  daisypick status
+  daisypick status --agents 5 --router 10.0.0.9:7000 --json
+"""
+        + _UNAVAILABLE_HELP
+    )
+    options = [_ROUTERS_OPTION, _LIMIT_OPTION, *base.STORE_OPTIONS]
+
+    def handle(self) -> int:
+        """Ask and sum up."""
+        found = self.find_fleet()
+        if failure_value.is_failure(found):
+            return self.fail(found)
+        summary = status.sum_up(found)
+        self.say(summary, status.to_lines(summary))
+        return exit_codes.OK
+
+
+class DumpCommand(base.OperatorCommand):
+    """``daisypick dump``."""
+
+    name = "dump"
+    description = "Print the state of a process as JSON."
+    help = (
+        """\
+Examples:
+  daisypick dump 10.0.0.9:7000
+"""
+        + _UNAVAILABLE_HELP
+    )
+    arguments = [helpers.argument("address", description="host:port.")]
+    options = [base.CA_OPTION, base.JSON_OPTION]
+
+    def handle(self) -> int:
+        """Fetch the dump."""
+        processes = self.make_processes()
+        if failure_value.is_failure(processes):
+            return self.fail(processes)
+        outcome = _call(processes.dump, self.argument("address"))
+        if failure_value.is_failure(outcome):
+            return self.fail(outcome)
+        text = msgspec.json.format(msgspec.json.encode(outcome), indent=2)
+        self.say(outcome, [text.decode()])
+        return exit_codes.OK
+
+
+class ExplainCommand(_FleetCommand):
+    """``daisypick explain``."""
+
+    name = "explain"
+    description = "Show what processes did with a request."
+    help = (
+        """\
+Asks one process, or those that status asks. Processes remember the latest
+requests only.
+
+Examples:
+  daisypick explain 0af3c1 --at 10.0.0.9:7000
+  daisypick explain 0af3c1
+"""
+        + _UNAVAILABLE_HELP
+    )
+    arguments = [
+        helpers.argument("request-id", description="Id of the request.")
+    ]
+    options = [
+        helpers.option("at", description="Address of a process.", flag=False),
+        _ROUTERS_OPTION,
+        _LIMIT_OPTION,
+        *base.STORE_OPTIONS,
+    ]
+
+    def handle(self) -> int:
+        """Ask and print the events."""
+        request_id = self.argument("request-id")
+        processes = self.make_processes()
+        if failure_value.is_failure(processes):
+            return self.fail(processes)
+        addresses = [self.option("at")] if self.option("at") else None
+        if addresses is None:
+            found = self.find_fleet()
+            if failure_value.is_failure(found):
+                return self.fail(found)
+            addresses = list(found.dump_by_address)
+        outcomes = processes.each(
+            lambda address: _call(
+                lambda one: processes.explain(one, request_id), address
+            ),
+            addresses,
+        )
+        return self._tell(request_id, outcomes)
+
+    def _tell(self, request_id: str, outcomes: dict[str, typing.Any]) -> int:
+        known = {
+            address: outcome
+            for address, outcome in outcomes.items()
+            if not failure_value.is_failure(outcome)
+        }
+        if not known:
+            return self.fail(_why_unknown(request_id, outcomes))
+        lines = [
+            f"{address}  {msgspec.json.encode(event).decode()}"
+            for address, outcome in known.items()
+            for event in outcome.get("events", [])
+        ]
+        self.say(known, lines)
+        return exit_codes.OK
+
+
+def _why_unknown(
+    request_id: str, outcomes: dict[str, typing.Any]
+) -> failure_value.Failure:
+    """Return the failure that kept the only process asked from answering."""
+    if len(outcomes) == 1:
+        return next(iter(outcomes.values()))
+    return failure_value.Failure(
+        code=codes.NOT_FOUND,
+        reason=f"request {request_id}: none of {len(outcomes)} processes "
+        "remembers it",
+    )
+
+
+def _call(
+    call: typing.Callable[[str], fleet.Json | failure_value.Failure],
+    address: str,
+) -> fleet.Json | failure_value.Failure:
+    """Call a process whose address was typed by hand."""
+    try:
+        return call(address)
+    except ValueError as error:
+        return failure_value.Failure(code=codes.BAD_VALUE, reason=str(error))
+
+
+COMMANDS = [StatusCommand, DumpCommand, ExplainCommand]
--- /dev/null
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/key.py
@@ -0,0 +1,35 @@
+"""``hash-key``."""
+
+import hashlib
+import sys
+
+from daisypick_cli import exit_codes
+from daisypick_cli.commands import base
+
+
+class HashKeyCommand(base.OperatorCommand):
+    """``daisypick hash-key``."""
+
+    name = "hash-key"
+    description = "Print the hash of an API key that is read from the input."
+    help = """\
+The key is read from standard input, so that it shows in no list of processes
+and no history of the shell. White space around it does not count.
+
+Examples:
+  daisypick hash-key < key-of-union.txt
+""" + base.explain_exit_codes(exit_codes.FAULTS)
+    options = [base.JSON_OPTION]
+
+    def handle(self) -> int:
+        """Hash the key."""
+        key = sys.stdin.readline().strip()
+        if not key:
+            self.line_error("no key on standard input")
+            return exit_codes.FAULTS
+        key_hash = hashlib.sha256(key.encode()).hexdigest()
+        self.say({"key_hash": key_hash}, [key_hash])
+        return exit_codes.OK
+
+
+COMMANDS = [HashKeyCommand]
--- /dev/null
+++ b/packages/daisypick_cli/src/daisypick_cli/status.py
@@ -0,0 +1,158 @@
+"""The fleet at a glance, summed up from the dumps of its processes."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import typing
+
+from daisypick_core.configuration import model
+from daisypick_core.results import failure as failure_value
+
+from daisypick_cli import processes as fleet
+
+
+class Fleet(typing.NamedTuple):
+    """What was found.
+
+    Attributes:
+        configuration: The configuration in the store.
+        dump_by_address: Dump or failure of each process that was asked.
+    """
+
+    configuration: model.Configuration
+    dump_by_address: dict[str, typing.Any]
+
+
+class DataCentreStatus(typing.TypedDict):
+    """One data centre, over the agents that were asked."""
+
+    name: str
+    is_in: bool
+    agents: int
+    answered: int
+    draining: int
+    behind: int
+    running: int
+    limit: int
+    waiting: int
+
+
+class RouterStatus(typing.TypedDict):
+    """One router."""
+
+    address: str
+    is_ready: bool
+    generation: int
+    queued: int
+    in_flight: int
+
+
+class Status(typing.TypedDict):
+    """The fleet."""
+
+    generation: int
+    organisations: int
+    services: int
+    data_centres: list[DataCentreStatus]
+    routers: list[RouterStatus]
+    unreachable: list[str]
+
+
+def ask_fleet(
+    processes: fleet.Processes,
+    configuration: model.Configuration,
+    *,
+    per_data_centre: int,
+    routers: Iterable[str],
+) -> Fleet:
+    """Return the dumps of agents, and of routers given or known to them."""
+    agents = fleet.choose(configuration, per_data_centre)
+    dumps = processes.each(processes.dump, agents)
+    wanted = set(routers) or {
+        router
+        for dump in dumps.values()
+        if not failure_value.is_failure(dump)
+        for router in dump.get("configuration", {}).get("routers", [])
+    }
+    dumps |= processes.each(processes.dump, sorted(wanted - dumps.keys()))
+    return Fleet(configuration=configuration, dump_by_address=dumps)
+
+
+def sum_up(found: Fleet) -> Status:
+    """Return the summary."""
+    dumps = {
+        address: dump
+        for address, dump in found.dump_by_address.items()
+        if not failure_value.is_failure(dump)
+    }
+    configuration = found.configuration
+    return Status(
+        generation=configuration.generation,
+        organisations=len(configuration.organisations_by_name),
+        services=len(configuration.services_by_name),
+        data_centres=[
+            _sum_up_data_centre(entry, found, dumps)
+            for entry in configuration.data_centres_by_name.values()
+        ],
+        routers=[
+            RouterStatus(
+                address=address,
+                is_ready=dump["is_ready"],
+                generation=dump["generation"],
+                queued=dump.get("queued", 0),
+                in_flight=dump.get("in_flight", 0),
+            )
+            for address, dump in dumps.items()
+            if dump.get("kind") == "router"
+        ],
+        unreachable=sorted(found.dump_by_address.keys() - dumps.keys()),
+    )
+
+
+def _sum_up_data_centre(
+    entry: model.DataCentre, found: Fleet, dumps: dict[str, typing.Any]
+) -> DataCentreStatus:
+    agents = {
+        server.agent
+        for server in found.configuration.backend_servers_by_name.values()
+        if server.data_centre == entry.name
+    }
+    answers = [dumps[agent] for agent in agents if agent in dumps]
+    loads = [answer.get("load", {}) for answer in answers]
+    generation = found.configuration.generation
+    return DataCentreStatus(
+        name=entry.name,
+        is_in=entry.is_in,
+        agents=len(agents),
+        answered=len(answers),
+        draining=sum(bool(load.get("is_draining")) for load in loads),
+        behind=sum(one["generation"] < generation for one in answers),
+        running=sum(load.get("running", 0) for load in loads),
+        limit=sum(load.get("limit", 0) for load in loads),
+        waiting=sum(load.get("waiting", 0) for load in loads),
+    )
+
+
+def to_lines(status: Status) -> Iterator[str]:
+    """Yield the summary for people."""
+    yield (
+        f"Generation {status['generation']}: "
+        f"{status['organisations']} organisations, "
+        f"{status['services']} services."
+    )
+    for one in status["data_centres"]:
+        yield (
+            f"{one['name']}: {'in' if one['is_in'] else 'out'}, "
+            f"{one['answered']} of {one['agents']} agents answered, "
+            f"{one['draining']} draining, {one['behind']} behind, "
+            f"running {one['running']} of {one['limit']}, "
+            f"waiting {one['waiting']}"
+        )
+    for one in status["routers"]:
+        yield (
+            f"router {one['address']}: "
+            f"{'ready' if one['is_ready'] else 'not ready'}, "
+            f"generation {one['generation']}, queued {one['queued']}, "
+            f"in flight {one['in_flight']}"
+        )
+    for address in status["unreachable"]:
+        yield f"unreachable: {address}"
--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -53,6 +53,7 @@
 TICK_SECONDS = 0.5
 MEMBERS_SECONDS = 5.0
 MEMBERS_TOLD = 4
+ROUTERS_SHOWN = 200
 
 _log = logs.PartLog("configuration")
 
@@ -149,8 +150,17 @@
             **self.holder.describe(),
             "is_watcher": self._is_watcher(now),
             "members": len(members),
+            "routers": self._routers(members),
         }
 
+    def _routers(self, members: list[member_directory.Member]) -> list[str]:
+        routers = sorted(
+            member.address
+            for member in members
+            if member.role == member_directory.ROUTER
+        )
+        return routers[:ROUTERS_SHOWN]
+
     def _carry_out(self, due: Iterable[actions.Action]) -> None:
         """Carry out actions; those that wait get a greenlet each."""
         for action in due:
