--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -10,35 +10,33 @@
 
 See Also:
     ``daisypick_core.gate.attempts``: what barred means.
+    ``daisypick_core.gate.drain_state``: why a gate drains.
     ``daisypick_core.fairness``: how the share order is computed.
 """
 
-import collections
-import typing
-
 from daisypick_core.fairness import share_order
 from daisypick_core.gate import actions
 from daisypick_core.gate import admission
 from daisypick_core.gate import attempts
 from daisypick_core.gate import concurrency
+from daisypick_core.gate import drain_state
+from daisypick_core.gate import running
+from daisypick_core.gate import waiting
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 
-DEFAULT_RETRY_AFTER = 1.0
-
+_DEADLINE_PASSED = failure_value.Failure(
+    code=codes.DEADLINE_PASSED, reason="waited past its deadline"
+)
 
-class GateLimits(typing.NamedTuple):
-    """Bounds of the gate's queues.
+# The rule refuses these offers each time they come, so they need no memory;
+# a flood of them must not fill the table and hasten its epochs.
+_REFUSED_BY_RULE = frozenset({codes.STALE_INCARNATION, codes.STALE_EPOCH})
 
-    Attributes:
-        waiting_per_organisation: Waiting attempts of one organisation.
-        waiting_in_all: Waiting attempts of all organisations.
-    """
 
-    waiting_per_organisation: int = 64
-    waiting_in_all: int = 1024
+GateLimits = waiting.GateLimits
 
 
 class Gate:
@@ -57,15 +55,9 @@
         self.limit = limit
         self.admission = admission.Admission()
         self.attempts = attempts.AttemptTable()
-        self.epoch = 0
         self.generation = 0
-        self._limits = limits
-        self._waiting_by_organisation: dict[
-            str, collections.deque[attempt_message.Attempt]
-        ] = {}
-        self._waiting_count = 0
-        self._claiming_by_id: dict[str, attempt_message.Attempt] = {}
-        self._running_by_id: dict[str, attempt_message.Attempt] = {}
+        self._waiting = waiting.WaitingRoom(order=order, limits=limits)
+        self._running = running.RunningTable()
 
     def load(self) -> load_message.Load:
         """Return the state that rides on every answer."""
@@ -74,15 +66,20 @@
             epoch=self.epoch,
             generation=self.generation,
             limit=self.limit.limit,
-            running=len(self._running_by_id) + len(self._claiming_by_id),
-            waiting=self._waiting_count,
+            running=len(self._running),
+            waiting=len(self._waiting),
             is_draining=not self.admission.is_open,
         )
 
+    @property
+    def epoch(self) -> int:
+        """Epoch of the attempt table, carried on every answer."""
+        return self.attempts.epoch
+
     @property
     def running_count(self) -> int:
         """Attempts that hold a slot."""
-        return len(self._running_by_id) + len(self._claiming_by_id)
+        return len(self._running)
 
     def offer(
         self, attempt: attempt_message.Attempt, now: float
@@ -97,42 +94,54 @@
             return [self._bar(attempt, refusal)]
         if self.attempts.state(attempt.attempt_id) is not None:
             return []
-        self._enqueue(attempt, now)
-        return self._fill(now)
+        self.attempts.set_state(attempt.attempt_id, attempts.WAITING)
+        dropped = self._waiting.add(attempt, now)
+        if dropped is None:
+            return self._fill(now)
+        return [self._bar(*dropped), *self._fill(now)]
 
     def withdraw(
-        self, attempt_id: str, now: float
+        self, attempt_id: str, now: float, *, epoch: int = 0
     ) -> tuple[attempts.AttemptStatus, list[actions.Action]]:
-        """Take an attempt back unless it has started.
+        """Take an attempt back unless it has started; tell what became of it.
 
         An attempt that is not known yet is barred as well: its offer may
         still be on the way, and must not start after "not run" was said.
+        One that is claimed just now may still start, so it is not "not run".
+
+        ``epoch`` is the attempt's own. An unknown attempt of a stale epoch
+        may have run and been forgotten, so "not run" would be a guess.
         """
         state = self.attempts.state(attempt_id)
         if state in (attempts.CLAIMING, attempts.RUNNING, attempts.DONE):
             return attempts.AttemptStatus(state=state, ran=True), []
+        if state is None and self.attempts.is_stale(epoch):
+            forgotten = attempts.AttemptStatus(
+                state=attempts.FORGOTTEN, ran=True
+            )
+            return forgotten, []
         actions_due: list[actions.Action] = []
-        if state == attempts.WAITING:
-            attempt = self._remove_waiting(attempt_id)
+        attempt = self._waiting.remove(attempt_id)
+        if attempt is None:
+            self.attempts.set_state(attempt_id, attempts.BARRED)
+        else:
             reason = failure_value.Failure(
                 code=codes.WITHDRAWN, reason="withdrawn by the router"
             )
             actions_due = [self._bar(attempt, reason)]
-        else:
-            self.attempts.set_state(attempt_id, attempts.BARRED)
         status = attempts.AttemptStatus(state=attempts.BARRED, ran=False)
         return status, actions_due + self._fill(now)
 
     def cancel(self, attempt_id: str, now: float) -> list[actions.Action]:
         """Stop an attempt that nobody waits for any more."""
-        attempt = self._running_by_id.get(attempt_id)
-        if attempt is None:
+        run = self._running.find(attempt_id)
+        if run is None:
             return self.withdraw(attempt_id, now)[1]
-        if not attempt.is_repeatable:
+        if not run.attempt.is_repeatable:
             # Cutting a payment in the middle leaves the caller with an
             # unknown outcome; it runs to its end and its answer is kept.
             return []
-        return [actions.Cancel(attempt=attempt)]
+        return [actions.Cancel(attempt=run.attempt)]
 
     def claim_settled(
         self,
@@ -140,61 +149,115 @@
         refusal: failure_value.Failure | None,
         now: float,
     ) -> list[actions.Action]:
-        """Note what became of a claim; ``None`` means it is granted."""
-        attempt = self._claiming_by_id.pop(attempt_id, None)
+        """Note what became of a claim; ``None`` means it is granted.
+
+        A doubled or late report of a claim that was settled before does
+        nothing: the attempt runs already or is barred for good.
+        """
+        attempt = self._running.end_claim(attempt_id)
         if attempt is None:
             return []
         if refusal is not None:
-            self.order.charge(attempt.organisation, -attempt.estimate)
-            return [self._bar(attempt, refusal), *self._fill(now)]
-        return [self._start(attempt)]
+            return [self._give_up(attempt, refusal), *self._fill(now)]
+        late = self._check_granted(attempt, now)
+        if late is not None:
+            # The store can take long to grant a claim. Started now, the
+            # attempt would run at a server that should be quiet by now, or
+            # for a caller that has been told of its passed deadline.
+            given_up = self._give_up(attempt, late)
+            return [given_up._replace(release_claim=True), *self._fill(now)]
+        return [self._start(attempt, now)]
+
+    def _check_granted(
+        self, attempt: attempt_message.Attempt, now: float
+    ) -> failure_value.Failure | None:
+        """Return why an attempt does not start although its key is its own."""
+        if not self.admission.is_open:
+            return self._draining(self.admission.reasons[0])
+        return _DEADLINE_PASSED if attempt.deadline <= now else None
 
     def progress(self, attempt_id: str, tokens: int, now: float) -> None:
         """Note tokens served beyond those already charged."""
-        del now
-        attempt = self._running_by_id.get(attempt_id)
-        if attempt is not None:
-            self.order.progress(attempt.attempt_id, tokens)
+        run = self._running.find(attempt_id)
+        if run is None:
+            return
+        self.order.progress(run.attempt, tokens)
+        if self._running.first_token(attempt_id) is not None:
+            self.limit.first_token(now - run.started_at, now)
 
     def finish(
-        self, attempt_id: str, *, cost: float, is_healthy: bool, now: float
+        self,
+        attempt_id: str,
+        *,
+        cost: float,
+        is_healthy: bool,
+        now: float,
+        has_run: bool = True,
     ) -> list[actions.Action]:
-        """Note the end of a running attempt and its true cost, tokens."""
-        attempt = self._running_by_id.pop(attempt_id, None)
-        if attempt is None:
+        """Note the end of a running attempt and its true cost, tokens.
+
+        ``has_run`` is false only if nothing of it reached the backend
+        server; the attempt is barred then, and its key may be claimed again.
+        """
+        run = self._running.finish(attempt_id)
+        if run is None:
             return []
-        self.attempts.set_state(attempt_id, attempts.DONE)
-        self.order.settle(attempt, cost)
-        self.limit.finished(is_healthy=is_healthy)
+        state = attempts.DONE if has_run else attempts.BARRED
+        self.attempts.set_state(attempt_id, state)
+        self.order.settle(run.attempt, cost)
+        self.limit.finished(
+            is_healthy=is_healthy, started_at=run.started_at, now=now
+        )
         return self._fill(now)
 
-    def drain(self, reason: str, now: float) -> list[actions.Action]:
-        """Start nothing new; give back all that waits as "not run"."""
+    def drain(
+        self, reason: str, now: float, generation: int | None = None
+    ) -> list[actions.Action]:
+        """Start nothing new; give back all that waits as "not run".
+
+        ``generation`` is that of the configuration which says so, if one
+        does; an older one than heard before changes nothing.
+        """
         del now
-        self.admission.close(reason)
-        return self._return_waiting(reason)
+        self.admission.close(reason, generation)
+        return self._return_waiting()
 
-    def undrain(self, reason: str, now: float) -> list[actions.Action]:
+    def undrain(
+        self, reason: str, now: float, generation: int | None = None
+    ) -> list[actions.Action]:
         """Take a reason for draining back; a return is a cold start."""
-        if self.admission.open(reason):
+        if self.admission.open(reason, generation):
             self.limit.restart()
         return self._fill(now)
 
+    def apply_drain_state(
+        self, state: drain_state.DrainState, now: float
+    ) -> list[actions.Action]:
+        """Take what a configuration and the VM's signals say.
+
+        Reasons of the configuration come and go with its generation. That
+        the VM leaves is only ever added: the platform's list lags, and may
+        show as live again what has long been told to leave.
+        """
+        self.generation = max(self.generation, state.generation)
+        actions_due: list[actions.Action] = []
+        for reason in sorted(state.reasons):
+            generation = state.generation
+            if reason not in drain_state.CONFIGURED_REASONS:
+                generation = None
+            actions_due += self.drain(reason, now, generation)
+        for reason in drain_state.CONFIGURED_REASONS:
+            if reason not in state.reasons:
+                actions_due += self.undrain(reason, now, state.generation)
+        return actions_due
+
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse what waited past its deadline, fill free slots."""
-        expired = [
-            attempt
-            for queue in self._waiting_by_organisation.values()
-            for attempt in queue
-            if attempt.deadline <= now
-        ]
+        self.attempts.advance(now)
         actions_due: list[actions.Action] = []
-        for attempt in expired:
-            self._remove_waiting(attempt.attempt_id)
-            reason = failure_value.Failure(
-                code=codes.DEADLINE_PASSED, reason="waited past its deadline"
-            )
-            actions_due.append(self._bar(attempt, reason))
+        for attempt in self._waiting.expire(now):
+            actions_due.append(self._bar(attempt, _DEADLINE_PASSED))
+        self._note_overdue(now)
         return actions_due + self._fill(now)
 
     def _check_offer(
@@ -205,6 +268,9 @@
             # After a restart the table is empty: an attempt that was sent to
             # the predecessor may have run there. Only the address in the
             # attempt can tell, so what is not for this start is refused.
+            # This holds for a router's first attempt as well, which cannot
+            # know the address: taken in, its doubled offer could run here
+            # after the predecessor has said "not run".
             return failure_value.Failure(
                 code=codes.STALE_INCARNATION,
                 reason=f"incarnation: {attempt.incarnation} is not this one",
@@ -216,105 +282,96 @@
             )
         if state is not None:
             return None
-        if not self.admission.is_open:
+        if self.attempts.is_stale(attempt.epoch):
+            # Settled attempts of that age are forgotten: this one may have
+            # run, or been reported as "not run". It must not start.
             return failure_value.Failure(
-                code=codes.DRAINING, reason=self.admission.reasons[0]
+                code=codes.STALE_EPOCH,
+                reason=f"epoch: {attempt.epoch} is not near {self.epoch}",
             )
+        refusal = self._check_start(attempt, now)
+        return refusal or self._waiting.check_bounds(attempt)
+
+    def _check_start(
+        self, attempt: attempt_message.Attempt, now: float
+    ) -> failure_value.Failure | None:
+        """Return why nothing starts now, or this attempt does not."""
+        if not self.admission.is_open:
+            return self._draining(self.admission.reasons[0])
         if attempt.deadline <= now:
             return failure_value.Failure(
                 code=codes.DEADLINE_PASSED, reason="deadline: already passed"
             )
-        return self._check_bounds(attempt)
+        return None
 
-    def _check_bounds(
-        self, attempt: attempt_message.Attempt
-    ) -> failure_value.Failure | None:
-        queue = self._waiting_by_organisation.get(attempt.organisation, ())
-        is_full = (
-            len(queue) >= self._limits.waiting_per_organisation
-            or self._waiting_count >= self._limits.waiting_in_all
-        )
-        if not is_full:
-            return None
-        return failure_value.Failure(
-            code=codes.AGENT_QUEUE_FULL,
-            reason=f"organisation: {attempt.organisation} waits enough here",
-            retry_after=DEFAULT_RETRY_AFTER,
-        )
+    def _draining(self, reason: str) -> failure_value.Failure:
+        is_fresh = reason == admission.NOT_CONFIGURED
+        code = codes.NOT_CONFIGURED if is_fresh else codes.DRAINING
+        return failure_value.Failure(code=code, reason=reason)
 
     def _bar(
         self,
         attempt: attempt_message.Attempt,
         reason: failure_value.Failure,
     ) -> actions.Refuse:
-        self.attempts.set_state(attempt.attempt_id, attempts.BARRED)
+        if reason.code not in _REFUSED_BY_RULE:
+            self.attempts.set_state(attempt.attempt_id, attempts.BARRED)
         return actions.Refuse(attempt=attempt, failure=reason)
 
-    def _enqueue(self, attempt: attempt_message.Attempt, now: float) -> None:
-        queue = self._waiting_by_organisation.get(attempt.organisation)
-        if queue is None:
-            queue = collections.deque()
-            self._waiting_by_organisation[attempt.organisation] = queue
-            self.order.arrive(attempt.organisation, now)
-        queue.append(attempt)
-        self._waiting_count += 1
-        self.attempts.set_state(attempt.attempt_id, attempts.WAITING)
+    def _give_up(
+        self,
+        attempt: attempt_message.Attempt,
+        reason: failure_value.Failure,
+    ) -> actions.Refuse:
+        """Bar an attempt that was charged and does not start."""
+        self.order.release(attempt)
+        return self._bar(attempt, reason)
 
-    def _remove_waiting(self, attempt_id: str) -> attempt_message.Attempt:
-        for organisation, queue in self._waiting_by_organisation.items():
-            for attempt in queue:
-                if attempt.attempt_id == attempt_id:
-                    queue.remove(attempt)
-                    self._waiting_count -= 1
-                    self._drop_if_empty(organisation)
-                    return attempt
-        raise ValueError(f"attempt_id: {attempt_id} does not wait")
-
-    def _drop_if_empty(self, organisation: str) -> None:
-        if not self._waiting_by_organisation[organisation]:
-            del self._waiting_by_organisation[organisation]
-            self.order.depart(organisation)
-
-    def _return_waiting(self, reason: str) -> list[actions.Action]:
-        refusal = failure_value.Failure(code=codes.DRAINING, reason=reason)
-        waiting = [
-            attempt
-            for queue in self._waiting_by_organisation.values()
-            for attempt in queue
-        ]
-        for organisation in list(self._waiting_by_organisation):
-            self._waiting_by_organisation[organisation].clear()
-            self._drop_if_empty(organisation)
-        self._waiting_count = 0
-        return [self._bar(attempt, refusal) for attempt in waiting]
+    def _return_waiting(self) -> list[actions.Action]:
+        if self.admission.is_open:
+            return []
+        refusal = self._draining(self.admission.reasons[0])
+        return [self._bar(a, refusal) for a in self._waiting.clear()]
+
+    def _note_overdue(self, now: float) -> None:
+        """Tell the limit of attempts that are silent for too long."""
+        overdue_after = self.limit.overdue_after
+        if overdue_after is None:
+            return
+        for run in self._running.take_overdue(now - overdue_after):
+            self.limit.overdue(run.started_at, now)
 
     def _fill(self, now: float) -> list[actions.Action]:
         """Give free slots to waiting attempts in the share order."""
         actions_due: list[actions.Action] = []
         if not self.admission.is_open:
             return actions_due
-        while (
-            self._waiting_by_organisation
-            and self.running_count < self.limit.limit
+        while len(self._waiting) and self.limit.allows(
+            running=len(self._running),
+            without_token=self._running.without_token,
         ):
-            organisation = self.order.pick(self._waiting_by_organisation, now)
-            attempt = self._waiting_by_organisation[organisation].popleft()
-            self._waiting_count -= 1
-            self._drop_if_empty(organisation)
-            self.order.charge(organisation, attempt.estimate)
-            actions_due.append(self._claim_or_start(attempt))
+            attempt = self._waiting.pop_next(now)
+            if attempt.deadline <= now:
+                # A process that was paused wakes with attempts whose routers
+                # have long told their callers that the deadline passed.
+                actions_due.append(self._bar(attempt, _DEADLINE_PASSED))
+                continue
+            self.order.start(attempt)
+            actions_due.append(self._claim_or_start(attempt, now))
         return actions_due
 
     def _claim_or_start(
-        self, attempt: attempt_message.Attempt
+        self, attempt: attempt_message.Attempt, now: float
     ) -> actions.Action:
         if attempt.is_repeatable or attempt.idempotency_key is None:
-            return self._start(attempt)
-        self._claiming_by_id[attempt.attempt_id] = attempt
+            return self._start(attempt, now)
+        self._running.claim(attempt)
         self.attempts.set_state(attempt.attempt_id, attempts.CLAIMING)
         return actions.Claim(attempt=attempt)
 
-    def _start(self, attempt: attempt_message.Attempt) -> actions.Start:
-        self._running_by_id[attempt.attempt_id] = attempt
+    def _start(
+        self, attempt: attempt_message.Attempt, now: float
+    ) -> actions.Start:
+        self._running.start(attempt, now)
         self.attempts.set_state(attempt.attempt_id, attempts.RUNNING)
         return actions.Start(attempt=attempt)
--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -64,7 +64,7 @@
 HEADERS_TOO_LARGE = define(1005, "Request headers are too large", 431)
 SLOW_SENDER = define(1006, "Request body came too slowly", 408)
 TOO_MANY_CONNECTIONS = define(1007, "Too many open requests", 429)
-CALLER_GONE = define(1008, "Caller closed the connection", 499)
+CALLER_GONE = define(1008, "Caller closed the connection", 499, RAN_UNKNOWN)
 
 ORGANISATION_QUEUE_FULL = define(2001, "Queue of the organisation is full", 429)
 ROUTER_FULL = define(2002, "Queue of the router is full", 503)
@@ -77,6 +77,7 @@
 STALE_INCARNATION = define(3002, "Attempt is for an earlier incarnation", 503)
 WITHDRAWN = define(3003, "Attempt was withdrawn before it started", 503)
 NOT_CONFIGURED = define(3004, "Process has no configuration yet", 503)
+STALE_EPOCH = define(3005, "Attempt is of an epoch that has passed", 503)
 
 KEY_IN_PROGRESS = define(
     4001, "Idempotency key is in progress", 409, RAN_UNKNOWN
@@ -87,6 +88,9 @@
 
 ENGINE_FAILED = define(5001, "Backend server failed", 502, RAN_UNKNOWN)
 ANSWER_BROKEN = define(5002, "Answer broke off", 502, RAN_UNKNOWN)
+ANSWER_DIFFERS = define(
+    5004, "Answer differs from its part already sent", 502, RAN_UNKNOWN
+)
 ENGINE_UNREACHABLE = define(5003, "Backend server is unreachable", 503)
 
 UNKNOWN_SETTING = define(6001, "Unknown key in configuration", 400)
@@ -96,6 +100,9 @@
     6004, "Configuration was changed by others", 409
 )
 BAD_FILE = define(6005, "Configuration file is unreadable", 400)
+MISSING_KEY = define(6006, "Required key in configuration is missing", 400)
+DUPLICATE_VALUE = define(6007, "Value in configuration is used twice", 400)
+BAD_CHUNK = define(6008, "Part of the configuration is damaged", 502)
 
 PLATFORM_UNAVAILABLE = define(7001, "Platform is unavailable", 503)
 PLATFORM_ANSWER_LOST = define(
