Point waiting work to idle agents

Cause: a router hears from a given agent so rarely that its loads are stale; near capacity work waited at one agent with slots free at others. Change: an idle agent tells two random peers each half second (gate/idle_peers.py); a peer at which an attempt waits points its router there (actions.Hint, Gate.note_idle, Dispatcher.hinted), which takes the attempt back. Agents never heard of are tried only when no known one is free, since the first attempt there comes back.

--- a/packages/daisypick_core/src/daisypick_core/gate/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/__init__.py
@@ -10,6 +10,7 @@
 * ``first_token``: the baseline of the time to first token.
 * ``running``: the attempts that hold a slot.
 * ``waiting``: the attempts that wait, and their bounds.
+* ``idle_peers``: sending waiting work to agents that are idle.
 * ``admission``: whether anything new may start (draining).
 * ``drain_state``: why a gate drains, from the configuration and the VM.
 """
--- a/packages/daisypick_core/src/daisypick_core/gate/actions.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/actions.py
@@ -8,6 +8,7 @@
 import typing
 
 from daisypick_core.messages import attempt as attempt_message
+from daisypick_core.messages import load as load_message
 from daisypick_core.results import failure as failure_value
 
 
@@ -44,4 +45,18 @@
     attempt: attempt_message.Attempt
 
 
-Action = Start | Claim | Refuse | Cancel
+class Hint(typing.NamedTuple):
+    """Tell the router of a waiting attempt of an idle agent.
+
+    Attributes:
+        attempt: The attempt that waits here.
+        agent: Address of the idle agent.
+        load: What that agent said of itself.
+    """
+
+    attempt: attempt_message.Attempt
+    agent: str
+    load: load_message.Load
+
+
+Action = Start | Claim | Refuse | Cancel | Hint
--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -20,6 +20,7 @@
 from daisypick_core.gate import attempts
 from daisypick_core.gate import concurrency
 from daisypick_core.gate import drain_state
+from daisypick_core.gate import idle_peers
 from daisypick_core.gate import running
 from daisypick_core.gate import waiting
 from daisypick_core.messages import attempt as attempt_message
@@ -57,6 +58,7 @@
         self.attempts = attempts.AttemptTable()
         self.generation = 0
         self._waiting = waiting.WaitingRoom(order=order, limits=limits)
+        self._idle_peers = idle_peers.IdlePeers()
         self._running = running.RunningTable()
 
     def load(self) -> load_message.Load:
@@ -95,10 +97,21 @@
         if self.attempts.state(attempt.attempt_id) is not None:
             return []
         self.attempts.set_state(attempt.attempt_id, attempts.WAITING)
+        due: list[actions.Action] = []
         dropped = self._waiting.add(attempt, now)
-        if dropped is None:
-            return self._fill(now)
-        return [self._bar(*dropped), *self._fill(now)]
+        if dropped is not None:
+            due.append(self._bar(*dropped))
+        due += self._fill(now)
+        if self.attempts.state(attempt.attempt_id) == attempts.WAITING:
+            due += self._hint([attempt], now)
+        return due
+
+    def note_idle(
+        self, peer: str, load: load_message.Load, now: float
+    ) -> list[actions.Action]:
+        """Take a peer's word that it has free slots and nothing waiting."""
+        self._idle_peers.note(peer, load, now)
+        return self._hint(self._waiting.heads(), now)
 
     def withdraw(
         self, attempt_id: str, now: float, *, epoch: int = 0
@@ -322,6 +335,19 @@
         refusal = self._draining(self.admission.reasons[0])
         return [self._bar(a, refusal) for a in self._waiting.clear()]
 
+    def _hint(
+        self, waiting_attempts: list[attempt_message.Attempt], now: float
+    ) -> list[actions.Action]:
+        """Tell routers of waiting attempts where a slot is free."""
+        due: list[actions.Action] = []
+        for attempt in waiting_attempts:
+            idle = self._idle_peers.take(now)
+            if idle is None:
+                break
+            peer, load = idle
+            due.append(actions.Hint(attempt=attempt, agent=peer, load=load))
+        return due
+
     def _note_overdue(self, now: float) -> None:
         """Tell the limit of attempts that are silent for too long."""
         overdue_after = self.limit.overdue_after
--- a/packages/daisypick_core/src/daisypick_core/gate/waiting.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/waiting.py
@@ -71,6 +71,10 @@
         self._queues.append(attempt.organisation, attempt.attempt_id, attempt)
         return dropped
 
+    def heads(self) -> list[attempt_message.Attempt]:
+        """Return the oldest waiting attempt of each organisation."""
+        return self._queues.heads()
+
     def remove(self, attempt_id: str) -> attempt_message.Attempt | None:
         """Take an attempt out, ``None`` if it does not wait."""
         attempt = self._queues.remove(attempt_id)
--- a/packages/daisypick_core/src/daisypick_core/queues/keyed_queues.py
+++ b/packages/daisypick_core/src/daisypick_core/queues/keyed_queues.py
@@ -112,6 +112,10 @@
         """Take the newest item of a key."""
         return self._pop_end(key, last=True)
 
+    def heads(self) -> list[Item]:
+        """Return the oldest item of each key, in turn."""
+        return [next(iter(q.values())) for q in self._queue_by_key.values()]
+
     def remove(self, item_id: str) -> Item | None:
         """Take an item out, ``None`` if it does not wait."""
         key = self._key_by_id.pop(item_id, None)
--- a/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
@@ -143,6 +143,20 @@
             return due + self._sender.send_service(service, now)
         return due + self._sender.send_free(service, now)
 
+    def hinted(
+        self, attempt_id: str, agent: str, load: load_message.Load, now: float
+    ) -> list[actions.Action]:
+        """Take word that an attempt waits while another agent is idle."""
+        due = self.hear(agent, load, now)
+        flight = self._sender.flights.find(attempt_id)
+        view = self._directory.find(agent)
+        if flight is None or view is None:
+            return due
+        service = self._directory.service(view.service)
+        if view in service.free and rebalance.may_withdraw(flight):
+            due.append(rebalance.withdraw(service, flight))
+        return due
+
     def started(self, attempt_id: str, now: float) -> list[actions.Action]:
         """Note that an attempt has left the agent's queue and runs."""
         due = self._run_timers(now)
--- a/packages/daisypick_core/src/daisypick_core/routing/rebalance.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/rebalance.py
@@ -51,10 +51,17 @@
     return actions.Withdraw(attempt=flight.attempt, agent=flight.agent)
 
 
+def may_withdraw(flight: flights.Flight) -> bool:
+    """Tell whether a flight waits and was not moved too often."""
+    if flight.started_at is not None or flight.is_withdrawing:
+        return False
+    return flight.job.withdrawals < _MOST_WITHDRAWALS
+
+
 def _is_worth_it(
     flight: flights.Flight, known: directory.Directory, now: float
 ) -> bool:
-    if flight.is_withdrawing or flight.job.withdrawals >= _MOST_WITHDRAWALS:
+    if not may_withdraw(flight):
         return False
     if now - flight.sent_at < SHORTEST_WAIT:
         return False
--- a/packages/daisypick_core/src/daisypick_core/routing/sender.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/sender.py
@@ -68,7 +68,7 @@
     ) -> list[actions.Action]:
         """Fill free slots only, one an organisation a turn."""
         due: list[actions.Action] = []
-        while len(service.free) and len(service.queues):
+        while service.has_free() and len(service.queues):
             organisation = service.queues.next_key()
             dispatch = self._send_one(service, organisation, now)
             if dispatch is None:
--- a/packages/daisypick_core/src/daisypick_core/routing/service_view.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/service_view.py
@@ -43,7 +43,8 @@
 
     Attributes:
         usable: Agents that may be sent to.
-        free: Those of them with free slots.
+        free: Those of them that were heard to have free slots.
+        unknown: Those of them that were never heard of and may be asked.
         queues: Requests that wait at the router, by organisation.
         waiting: Attempts that wait at agents, oldest first.
         waiting_by_organisation: How many of them each organisation has.
@@ -58,6 +59,9 @@
         self.free: indexed_set.IndexedSet[agents_view.AgentView] = (
             indexed_set.IndexedSet()
         )
+        self.unknown: indexed_set.IndexedSet[agents_view.AgentView] = (
+            indexed_set.IndexedSet()
+        )
         self.queues: keyed_queues.KeyedQueues[str, request_value.Job] = (
             keyed_queues.KeyedQueues()
         )
@@ -73,7 +77,9 @@
     def refresh(self, view: agents_view.AgentView, now: float) -> None:
         """Put an agent into the sets that it belongs to now."""
         is_usable = view.is_usable(now)
-        self.free.put(view, is_member=is_usable and view.free > 0)
+        is_free = is_usable and view.free > 0
+        self.free.put(view, is_member=is_free and view.load is not None)
+        self.unknown.put(view, is_member=is_free and view.load is None)
         if self.usable.put(view, is_member=is_usable):
             for organisation, room in self._room_by_organisation.items():
                 self._refresh_room(room, view, organisation, now)
@@ -90,9 +96,14 @@
         """Take an agent out for good."""
         self.usable.discard(view)
         self.free.discard(view)
+        self.unknown.discard(view)
         for room in self._room_by_organisation.values():
             room.agents.discard(view)
 
+    def has_free(self) -> bool:
+        """Tell whether an agent is believed to have free slots."""
+        return bool(len(self.free) or len(self.unknown))
+
     def room(self, organisation: str, now: float) -> Room:
         """Return where an organisation's attempts may wait."""
         room = self._room_by_organisation.get(organisation)
@@ -128,6 +139,10 @@
         """Return the agent for a job's next attempt, ``None`` if none."""
         if len(self.free):
             return _pick(self.free.items, job, policy, rng)
+        if len(self.unknown):
+            # Its incarnation is not known, so the first attempt comes back
+            # with it: worth it only when nobody known is free.
+            return _pick(self.unknown.items, job, policy, rng)
         organisation = job.request.organisation
         room = self.room(organisation, now)
         if self.waiting_by_organisation[organisation] >= room.allowance.value:
--- a/packages/daisypick_core/tests/gate/test_gate.py
+++ b/packages/daisypick_core/tests/gate/test_gate.py
@@ -143,3 +143,22 @@
     subject.offer(attempt, 0.0)
     (refused,) = subject.claim_settled("x", None, attempt.deadline)
     assert refused.failure.code == codes.DEADLINE_PASSED
+
+
+def test_waiting_attempt_is_pointed_to_an_idle_peer():
+    # One agent is idle while an attempt waits at another. The word of the
+    # idle one comes before the attempt or after it: its router is told in
+    # either case, once for each free slot.
+    idle = make_gate().load()
+    subject = make_gate()
+    subject.offer(make_attempt("x"), 0.0)
+    subject.offer(make_attempt("y"), 0.0)
+    (hint,) = subject.note_idle("b", idle, 0.1)
+    assert (hint.attempt.attempt_id, hint.agent) == ("y", "b")
+    assert subject.note_idle("c", idle, 0.2)[0].agent == "c"
+    subject = make_gate()
+    subject.offer(make_attempt("x"), 0.0)
+    assert subject.note_idle("b", idle, 0.1) == []
+    (hint,) = subject.offer(make_attempt("y"), 0.2)
+    assert hint.load == idle
+    assert subject.offer(make_attempt("z"), 0.3) == []
--- a/packages/daisypick_core/tests/routing/test_dispatcher.py
+++ b/packages/daisypick_core/tests/routing/test_dispatcher.py
@@ -241,3 +241,19 @@
     assert isinstance(cancel, actions.Cancel)
     assert dispatch.attempt.request_id == "r1"
     assert (subject.queued_count, subject.in_flight_count) == (0, 1)
+
+
+def test_hint_moves_the_waiting_request():
+    # The agent at which a request waits says that another one is idle. Only
+    # a request that still waits is taken back, and once.
+    subject = make_dispatcher(count=2)
+    for n in range(2):
+        subject.hear(f"127.0.0.1:{n}", make_load(running=1), 0.0)
+    (first,) = subject.submit(make_request("x"), 0.0)
+    attempt_id = first.attempt.attempt_id
+    (other,) = {"127.0.0.1:0", "127.0.0.1:1"} - {first.agent}
+    (due,) = subject.hinted(attempt_id, other, make_load(), 0.001)
+    assert isinstance(due, actions.Withdraw)
+    assert subject.hinted(attempt_id, other, make_load(), 0.002) == []
+    subject.started(attempt_id, 0.003)
+    assert subject.hinted(attempt_id, other, make_load(), 0.004) == []
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/dispatch_measure.py
@@ -0,0 +1,202 @@
+"""Measure waiting, picking and cold starts in the dispatch model.
+
+Usage: ``python -m daisypick_lab.dispatch_measure [SCENARIO...]`` prints a
+line of JSON for each scenario; without names all are run. Every figure is of
+virtual time and of the seed that is printed with it.
+"""
+
+from collections.abc import Callable
+import json
+import random
+import sys
+import time
+import typing
+
+from daisypick_core.routing import pick
+
+from daisypick_lab import dispatch_model
+from daisypick_lab import server_model
+
+Result = dict[str, typing.Any]
+Scenario = Callable[[], list[Result]]
+
+SEED = 1
+_ORGANISATIONS = 40
+_PREFIXES_EACH = 4
+
+by_name: dict[str, Scenario] = {}
+
+
+def register(name: str) -> Callable[[Scenario], Scenario]:
+    """Register a scenario under a name."""
+
+    def _add(scenario: Scenario) -> Scenario:
+        by_name[name] = scenario
+        return scenario
+
+    return _add
+
+
+class Arrivals:
+    """Requests of many organisations with heavy-tailed answers."""
+
+    def __init__(
+        self, *, fleet: dispatch_model.Fleet, routers: list[str]
+    ) -> None:
+        self._fleet = fleet
+        self._routers = routers
+        self._rng = random.Random(SEED)
+
+    def submit(self) -> None:
+        """Submit one request."""
+        rng = self._rng
+        organisation = rng.randrange(_ORGANISATIONS)
+        prefix = rng.randrange(_PREFIXES_EACH)
+        self._fleet.submit(
+            rng.choice(self._routers),
+            f"organisation-{organisation}",
+            min(1000, int(20 * rng.paretovariate(1.5))),
+            prefix=f"{organisation}/{prefix}",
+            patience=1000.0,
+        )
+
+    def at_rate(self, rate: float, until: float) -> None:
+        """Submit at random with a mean rate a second."""
+        self.submit()
+        if self._fleet.clock.now < until:
+            self._fleet.clock.after(
+                self._rng.expovariate(rate), self.at_rate, rate, until
+            )
+
+
+@register("backlog")
+def measure_backlog() -> list[Result]:
+    """Hold all the backlog at one of many routers, then at all."""
+    results = []
+    sizes = dispatch_model.Sizes(routers=200, agents=60, slots=8)
+    for holders in (1, 10, 200):
+        fleet = dispatch_model.Fleet(sizes=sizes, cold_slots=8, seed=SEED)
+        names = list(fleet.router_by_name)
+        arrivals = Arrivals(fleet=fleet, routers=names[:holders])
+        for _ in range(12_000):
+            arrivals.submit()
+        fleet.clock.run(5.0)
+        fleet.watch.clear()
+        fleet.clock.run(20.0)
+        results.append(
+            {"holders": holders, "left": fleet.watch.held}
+            | _waiting(fleet.watch)
+        )
+    return results
+
+
+@register("near_capacity")
+def measure_near_capacity() -> list[Result]:
+    """Arrive at 95 % of capacity at all of many routers."""
+    sizes = dispatch_model.Sizes(routers=200, agents=60, slots=8)
+    results = []
+    for seeks in (False, True):
+        fleet = dispatch_model.Fleet(
+            sizes=sizes, cold_slots=8, seeks=seeks, seed=SEED
+        )
+        arrivals = Arrivals(fleet=fleet, routers=list(fleet.router_by_name))
+        arrivals.at_rate(0.95 * 480 / 1.33, 40.0)
+        fleet.clock.run(10.0)
+        fleet.watch.clear()
+        fleet.clock.run(40.0)
+        results.append(
+            {"seeks": seeks} | _waiting(fleet.watch) | _first_token(fleet)
+        )
+    return results
+
+
+@register("pick")
+def measure_pick() -> list[Result]:
+    """Compare the policies, with two slow servers, at 70 % of capacity."""
+    results = []
+    for policy in sorted(pick.by_name):
+        sizes = dispatch_model.Sizes(routers=20, agents=40, slots=8)
+        fleet = dispatch_model.Fleet(
+            sizes=sizes, cold_slots=8, policy=policy, seed=SEED
+        )
+        for slow in ("agent-3", "agent-7"):
+            fleet.agent_by_name[slow].server.factor = 4.0
+        arrivals = Arrivals(fleet=fleet, routers=list(fleet.router_by_name))
+        arrivals.at_rate(0.7 * 320 / 1.33, 60.0)
+        fleet.clock.run(15.0)
+        fleet.watch.clear()
+        fleet.clock.run(60.0)
+        results.append({"policy": policy} | _first_token(fleet))
+    return results
+
+
+@register("cold")
+def measure_cold() -> list[Result]:
+    """Turn a third of the servers cold without a word, then count falls."""
+    results = []
+    for cold_slots in (8, 1):
+        sizes = dispatch_model.Sizes(routers=20, agents=30, slots=8)
+        times = server_model.ServerTimes(cold_seconds=8.0)
+        fleet = dispatch_model.Fleet(
+            sizes=sizes, times=times, cold_slots=cold_slots, seed=SEED
+        )
+        arrivals = Arrivals(fleet=fleet, routers=list(fleet.router_by_name))
+        arrivals.at_rate(0.6 * 240 / 1.33, 60.0)
+        fleet.clock.run(20.0)
+        for n in range(0, 30, 3):
+            fleet.agent_by_name[f"agent-{n}"].server.turn_cold()
+        fleet.clock.run(120.0)
+        servers = [agent.server for agent in fleet.agent_by_name.values()]
+        results.append(
+            {
+                "cold_slots": cold_slots,
+                "falls": sum(server.falls for server in servers),
+                "broken": fleet.watch.cut,
+                "failed": len(fleet.watch.failures),
+                "finished": fleet.watch.finished,
+                "returns": dict(fleet.watch.returns_by_title),
+                "attempts_per_start": _attempts(fleet.watch),
+            }
+            | _first_token(fleet)
+        )
+    return results
+
+
+def _waiting(watch: dispatch_model.Watch) -> Result:
+    watch.note()
+    return {
+        "utilisation": round(watch.utilisation, 4),
+        "idle_slot_seconds": round(watch.idle_for_held, 2),
+        "attempts_per_start": _attempts(watch),
+        "returns": dict(watch.returns_by_title),
+        "notices_per_agent_second": round(watch.notices / 60 / 30, 2),
+    }
+
+
+def _attempts(watch: dispatch_model.Watch) -> float:
+    return round(watch.attempts / max(1, len(watch.starts)), 3)
+
+
+def _first_token(fleet: dispatch_model.Fleet) -> Result:
+    servers = [agent.server for agent in fleet.agent_by_name.values()]
+    hits = sum(server.hits for server in servers)
+    misses = sum(server.misses for server in servers)
+    return {
+        "first_token_p50": round(fleet.watch.percentile(50), 3),
+        "first_token_p95": round(fleet.watch.percentile(95), 3),
+        "prefix_hits": round(hits / max(1, hits + misses), 3),
+    }
+
+
+def main(names: list[str]) -> None:
+    """Run scenarios and print their results."""
+    for name in names or sorted(by_name):
+        began = time.perf_counter()
+        for result in by_name[name]():
+            line = {"scenario": name, "seed": SEED} | result
+            print(json.dumps(line), flush=True)
+        print(f"# {name}: {time.perf_counter() - began:.1f} s", flush=True)
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- a/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
@@ -6,6 +6,7 @@
 policy sends them. It is no simulator of a cluster: one service, no platform.
 """
 
+import collections
 import random
 import types
 import typing
@@ -17,6 +18,7 @@
 from daisypick_core.gate import concurrency
 from daisypick_core.gate import drain_state
 from daisypick_core.gate import gate as core_gate
+from daisypick_core.gate import idle_peers
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
@@ -64,6 +66,9 @@
         cut: Answers that broke off.
         first_tokens: Seconds from arrival to first token.
         starts: Time and agent of each start.
+        returns_by_title: Attempts that came back "not run", by code.
+        notices: Words of idle agents to peers.
+        idle_for_held: Slot-seconds free for which there was held work.
     """
 
     def __init__(self, *, clock: virtual_clock.VirtualClock) -> None:
@@ -79,6 +84,9 @@
         self.cut = 0
         self.first_tokens: list[float] = []
         self.starts: list[tuple[float, str]] = []
+        self.returns_by_title: collections.Counter[str] = collections.Counter()
+        self.idle_for_held = 0.0
+        self.notices = 0
         self._clock = clock
         self._since = 0.0
 
@@ -90,6 +98,7 @@
             self.slot_seconds_while_held += span * self.limit
             idle = max(0, self.limit - self.running)
             self.idle_while_held += span * idle
+            self.idle_for_held += span * min(idle, self.held)
         self._since = now
         self.held += held
         self.running += running
@@ -99,15 +108,20 @@
         """Start the measures of waiting anew, after a warm-up."""
         self.note()
         self.idle_while_held = 0.0
+        self.idle_for_held = 0.0
         self.slot_seconds_while_held = 0.0
+        self.attempts = 0
+        self.notices = 0
+        self.returns_by_title.clear()
         self.first_tokens.clear()
+        self.starts.clear()
 
     @property
     def utilisation(self) -> float:
-        """Share of the slots that ran while any router held work."""
+        """Share of the slots that ran, of those that held work could fill."""
         if not self.slot_seconds_while_held:
             return 1.0
-        return 1.0 - self.idle_while_held / self.slot_seconds_while_held
+        return 1.0 - self.idle_for_held / self.slot_seconds_while_held
 
     def percentile(self, percent: float) -> float:
         """Return a percentile of the times to first token, seconds."""
@@ -133,6 +147,9 @@
         self.server = server_model.ServerModel(
             clock=fleet.clock, times=fleet.times
         )
+        self.seeker = idle_peers.IdleSeeker(
+            rng=random.Random(f"{fleet.seed} {name}")
+        )
         self._fleet = fleet
         self._limit = 0
         fleet.clock.every(TICK, self._tick)
@@ -150,6 +167,28 @@
         if status.state == attempts.BARRED and not due:
             self._answer(attempt, "returned", _WITHDRAWN)
 
+    def seek(self) -> None:
+        """Tell some peers if there is nothing to do here."""
+        now = self._fleet.clock.now
+        load = self.gate.load()
+        if not self._fleet.seeks or not self.seeker.is_due(
+            free=load.free, waiting=load.waiting, now=now
+        ):
+            return
+        self.seeker.told(now)
+        for _ in range(idle_peers.PEERS_TOLD):
+            peer = self._fleet.rng.choice(self._fleet.agents)
+            self._fleet.watch.notices += 1
+            self._fleet.network.send(
+                self.name, peer.name, peer.noticed, self.name, load
+            )
+
+    def noticed(self, peer: str, load: load_message.Load) -> None:
+        """Take an idle peer's word."""
+        now = self._fleet.clock.now
+        if peer != self.name:
+            self.perform(self.gate.note_idle(peer, load, now))
+
     def configure(self, configuration: model.Configuration) -> None:
         """Take a configuration, late or crossed as it may come."""
         state = drain_state.derive(configuration, self.name)
@@ -167,12 +206,17 @@
                 self._start(action.attempt)
             elif isinstance(action, gate_actions.Refuse):
                 self._answer(action.attempt, "returned", action.failure)
+            elif isinstance(action, gate_actions.Hint):
+                self._answer(
+                    action.attempt, "hinted", action.agent, action.load
+                )
         limit = self.gate.limit.limit if self.gate.admission.is_open else 0
         self._fleet.watch.note(limit=limit - self._limit)
         self._limit = limit
 
     def _tick(self) -> None:
         self.perform(self.gate.tick(self._fleet.clock.now))
+        self.seek()
 
     def _start(self, attempt: attempt_message.Attempt) -> None:
         watch = self._fleet.watch
@@ -208,6 +252,7 @@
         else:
             self._answer(attempt, "broken", _ENGINE_FAILED)
         self.perform(due)
+        self.seek()
 
     def _answer(
         self,
@@ -269,6 +314,9 @@
             sent_at = self._sent_at_by_request.pop(request_id, None)
             if sent_at is not None:
                 self._fleet.watch.first_tokens.append(now - sent_at)
+        elif event == "returned":
+            title = arguments[0].code.title
+            self._fleet.watch.returns_by_title[title] += 1
         elif event == "finished":
             self._fleet.watch.finished += 1
         elif event == "broken":
@@ -330,11 +378,14 @@
         times: server_model.ServerTimes = server_model.ServerTimes(),  # noqa: B008
         policy: str = "least_of_two",
         cold_slots: int = 1,
+        seeks: bool = True,
         seed: int = 1,
     ) -> None:
         self.sizes = sizes
         self.times = times
         self.cold_slots = cold_slots
+        self.seeks = seeks
+        self.rng = random.Random(f"{seed} peers")
         self.seed = seed
         self.clock = virtual_clock.VirtualClock()
         self.network = virtual_clock.Network(clock=self.clock, delay=DELAY)
@@ -348,6 +399,7 @@
             )
             for n in range(sizes.agents)
         }
+        self.agents = list(self.agent_by_name.values())
         self.router_by_name = {
             f"router-{n}": RouterModel(
                 fleet=self, name=f"router-{n}", policy=policy
--- a/packages/daisypick_lab/tests/test_dispatch_model.py
+++ b/packages/daisypick_lab/tests/test_dispatch_model.py
@@ -138,3 +138,18 @@
     assert {f.ran for f in fleet.watch.failures} == {"no"}
     assert fleet.watch.finished + refused == fleet.watch.submitted
     assert (fleet.watch.cut, fleet.watch.held) == (0, 0)
+
+
+def test_one_router_with_all_the_backlog_keeps_all_slots_busy():
+    # One of fifty routers holds everything. No slot may be free meanwhile.
+    sizes = dispatch_model.Sizes(routers=50, agents=12, slots=8)
+    fleet = dispatch_model.Fleet(sizes=sizes, cold_slots=8)
+    rng = random.Random(1)
+    for n in range(2500):
+        fleet.submit("router-7", f"organisation-{n % 8}", rng.randrange(1, 80))
+    fleet.clock.run(2.0)
+    fleet.watch.clear()
+    fleet.clock.run(12.0)
+    fleet.watch.note()
+    assert fleet.watch.held > 500
+    assert fleet.watch.utilisation >= 0.99
