Measure the fairness gap with the core's own objects

Change: gates, orders and tally nodes run under a virtual clock against three baselines, with faults of the network, of agents and of views.

--- a/packages/daisypick_core/src/daisypick_core/fairness/head.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/head.py
@@ -24,6 +24,7 @@
 
 import collections
 from collections.abc import Mapping
+from collections.abc import Sequence
 
 from daisypick_core.fairness import fan_in
 from daisypick_core.fairness import reports
@@ -88,18 +89,13 @@
         self._note_source(report, now)
         self._service.set_quiet(self._fan_in.silence)
         self._service.note_largest(report.largest)
-        marked = self._marked(report)
-        for organisation, virtual in report.virtual_by_organisation.items():
-            if organisation not in marked:
-                self._service.seed(organisation, virtual, now)
+        self._take_over_all(report, now)
         self._service.set_reference(report.fleet_time)
         for organisation in report.reach_by_organisation:
             self._service.activate(organisation, now)
         for incarnation, rows in report.rows_by_incarnation.items():
             for row in rows:
                 self._count(incarnation, row, now)
-        for organisation in marked:
-            self._catch_up(organisation, report, now)
         self._service.refresh(self._reach, now)
         return self._answer(report, self._asked(report))
 
@@ -136,38 +132,56 @@
         growth = self._tally.merge(incarnation, row.organisation, mark, now)
         self._service.grow(row.organisation, growth, now)
 
-    def _marked(self, report: reports.RelayReport) -> set[str]:
-        """Return the taken-over organisations that were counted before."""
-        return {
-            row.organisation
-            for incarnation, rows in report.rows_by_incarnation.items()
-            for row in rows
-            if row.organisation in report.virtual_by_organisation
-            and self._tally.get(tally.Key(incarnation, row.organisation))
+    def _take_over_all(self, report: reports.RelayReport, now: float) -> None:
+        """Go on from what another head has said of organisations."""
+        marks_by_organisation: dict[str, list[tuple[str, tally.Mark]]] = {
+            organisation: [] for organisation in report.virtual_by_organisation
         }
+        for incarnation, rows in report.rows_by_incarnation.items():
+            for row in rows:
+                marks = marks_by_organisation.get(row.organisation)
+                if marks is not None:
+                    mark = tally.Mark(row.served, row.included)
+                    marks.append((incarnation, mark))
+        for organisation, virtual in report.virtual_by_organisation.items():
+            marks = marks_by_organisation[organisation]
+            self._take_over(organisation, virtual, marks, now)
 
-    def _catch_up(
-        self, organisation: str, report: reports.RelayReport, now: float
+    def _take_over(
+        self,
+        organisation: str,
+        virtual: float,
+        marks: Sequence[tuple[str, tally.Mark]],
+        now: float,
     ) -> None:
-        """Raise an organisation that this head held before.
-
-        Two values are at hand: what was counted here with what grew since by
-        the collector's marks, and what the other head said with what it had
-        not acknowledged. Each counts no token twice and may miss some, so
-        the higher is closer. The first wins after a partition, when each
-        head saw its side; the second when only this head was cut off.
+        """Go on from what another head has said of an organisation.
+
+        If this head held the organisation before, two values are at hand:
+        what was counted here and grew since by the collector's marks, and
+        what the other head said with what it has not acknowledged. Each
+        counts no token twice and may miss some, so the higher is closer. The
+        first wins after a partition, when each head saw its side; the second
+        when only this head was cut off. The old marks must go with the old
+        count: the next collector's growth since then is in the new value,
+        and would be counted again.
         """
-        unacknowledged = sum(
-            row.served - row.included
-            for rows in report.rows_by_incarnation.values()
-            for row in rows
-            if row.organisation == organisation
+        known = [
+            self._tally.get(tally.Key(incarnation, organisation))
+            for incarnation, _ in marks
+        ]
+        own = self._service.virtual(organisation)
+        if own is None or not any(known):
+            self._service.seed(organisation, virtual, now)
+            return
+        own_growth = sum(
+            max(0.0, mark.served - (before or mark).served)
+            for before, (_, mark) in zip(known, marks, strict=True)
         )
-        virtual = report.virtual_by_organisation[organisation]
+        other_growth = sum(mark.served - mark.included for _, mark in marks)
         share = self._service.share(organisation)
-        self._service.raise_to(
-            organisation, virtual + unacknowledged / share, now
-        )
+        if virtual + other_growth / share > own + own_growth / share:
+            self._tally.drop(organisation)
+            self._service.restart_from(organisation, virtual, now)
 
     def _asked(self, report: reports.RelayReport) -> list[reports.HeadRow]:
         asked = set(report.reach_by_organisation)
--- a/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
@@ -32,7 +32,7 @@
 from daisypick_core.messages import attempt as attempt_message
 
 DEFAULT_SHARE = 1.0
-DEFAULT_POLICY = "damped"
+DEFAULT_POLICY = "damped_by_reach"
 DEFAULT_GAIN = 2.0
 IDLE_SECONDS = 5.0
 
--- a/packages/daisypick_core/src/daisypick_core/fairness/tally.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/tally.py
@@ -46,6 +46,13 @@
     organisation: str
 
 
+class _Entry(typing.NamedTuple):
+    """A mark and when it was last reported."""
+
+    mark: Mark
+    refreshed: float
+
+
 def join(one: Mark, other: Mark) -> Mark:
     """Return the least mark that contains both."""
     return Mark(
@@ -63,19 +70,28 @@
     """
 
     def __init__(self) -> None:
-        self._mark_by_key: dict[Key, Mark] = {}
-        self._refreshed_by_key: dict[Key, float] = {}
+        self._entries_by_organisation: dict[str, dict[str, _Entry]] = {}
 
     def __len__(self) -> int:
-        return len(self._mark_by_key)
+        return sum(map(len, self._entries_by_organisation.values()))
 
     def get(self, key: Key) -> Mark | None:
         """Return a mark, ``None`` if it is not known."""
-        return self._mark_by_key.get(key)
+        entries = self._entries_by_organisation.get(key.organisation, {})
+        entry = entries.get(key.incarnation)
+        return None if entry is None else entry.mark
 
     def items(self) -> Iterator[tuple[Key, Mark]]:
         """Yield all marks."""
-        yield from self._mark_by_key.items()
+        for organisation, entries in self._entries_by_organisation.items():
+            for incarnation, entry in entries.items():
+                yield Key(incarnation, organisation), entry.mark
+
+    def of(self, organisation: str) -> Iterator[tuple[Key, Mark]]:
+        """Yield the marks of an organisation."""
+        entries = self._entries_by_organisation.get(organisation, {})
+        for incarnation, entry in entries.items():
+            yield Key(incarnation, organisation), entry.mark
 
     def merge(
         self, incarnation: str, organisation: str, mark: Mark, now: float
@@ -87,40 +103,48 @@
         whose mark was dropped count its whole past again, and its
         organisations would be starved for it.
         """
-        key = Key(incarnation=incarnation, organisation=organisation)
-        before = self._mark_by_key.get(key)
-        base = mark.included if before is None else before.served
-        after = mark if before is None else join(before, mark)
-        self._mark_by_key[key] = after
-        self._refreshed_by_key[key] = now
-        return max(0.0, after.served - base)
+        entries = self._entries_by_organisation.setdefault(organisation, {})
+        before = entries.get(incarnation)
+        if before is None:
+            entries[incarnation] = _Entry(mark=mark, refreshed=now)
+            return max(0.0, mark.served - mark.included)
+        after = join(before.mark, mark)
+        entries[incarnation] = _Entry(
+            mark=after, refreshed=max(now, before.refreshed)
+        )
+        return after.served - before.mark.served
 
     def merge_all(self, other: "Tally") -> None:
         """Join every mark of another tally."""
-        for key, mark in other.items():
-            self.merge(
-                key.incarnation,
-                key.organisation,
-                mark,
-                other._refreshed_by_key[key],
-            )
+        for organisation, entries in other._entries_by_organisation.items():
+            for incarnation, entry in entries.items():
+                self.merge(
+                    incarnation, organisation, entry.mark, entry.refreshed
+                )
 
     def acknowledge(self, key: Key, served: float) -> None:
         """Note that a head has counted ``served`` tokens of a mark."""
-        mark = self._mark_by_key.get(key)
-        if mark is not None:
-            self._mark_by_key[key] = join(
-                mark, Mark(served=mark.served, included=served)
-            )
+        entries = self._entries_by_organisation.get(key.organisation, {})
+        entry = entries.get(key.incarnation)
+        if entry is not None:
+            mark = join(entry.mark, Mark(entry.mark.served, served))
+            entries[key.incarnation] = entry._replace(mark=mark)
+
+    def drop(self, organisation: str) -> None:
+        """Drop the marks of an organisation."""
+        self._entries_by_organisation.pop(organisation, None)
 
     def drop_older(self, moment: float) -> list[Key]:
         """Drop marks that were not refreshed since ``moment``."""
         dropped = [
-            key
-            for key, refreshed in self._refreshed_by_key.items()
-            if refreshed < moment
+            Key(incarnation, organisation)
+            for organisation, entries in self._entries_by_organisation.items()
+            for incarnation, entry in entries.items()
+            if entry.refreshed < moment
         ]
         for key in dropped:
-            del self._mark_by_key[key]
-            del self._refreshed_by_key[key]
+            entries = self._entries_by_organisation[key.organisation]
+            del entries[key.incarnation]
+            if not entries:
+                del self._entries_by_organisation[key.organisation]
         return dropped
--- a/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
@@ -137,10 +137,13 @@
         else:
             state.seed = max(state.seed, virtual)
 
-    def raise_to(self, organisation: str, virtual: float, now: float) -> None:
-        """Raise a virtual service that is too low."""
+    def restart_from(
+        self, organisation: str, virtual: float, now: float
+    ) -> None:
+        """Drop what was counted here for what another head has said."""
         state = self._state(organisation, now)
-        state.seed += max(0.0, virtual - state.virtual)
+        state.seed = virtual
+        state.grown = 0.0
 
     def activate(self, organisation: str, now: float) -> None:
         """Note that an organisation waits; lift it if it was idle."""
--- a/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
@@ -24,6 +24,12 @@
 
 SERVICE = "desk"
 ONE_QUEUE = "everyone"
+# How gates and routers order what waits.
+BY_ORDER = "by_order"  # The gate's share order.
+FIRST_COME = "first_come"  # The gate in the order of arrival.
+ROUTER_FAIR = "router_fair"  # That, behind routers that are fair each.
+ROUTERS = 6
+ROUTER_WINDOW = 4
 NETWORK_DELAY = 0.003
 CALL_TIMEOUT = 1.0
 PARETO_SHAPE = 1.5
@@ -40,16 +46,19 @@
         share: Its share.
         reach: Part of the agents that it reaches, above 0 up to 1.
         depth: Attempts that it keeps waiting at each of them.
-        first_at: When it begins to send, seconds.
-        last_at: When it stops sending, seconds.
+        routers: Routers that it calls; only ``ROUTER_FAIR`` tells them
+            apart.
+        off_from: When it stops sending, seconds.
+        off_until: When it sends again.
     """
 
     name: str
     share: float
     reach: float = 1.0
     depth: int = 2
-    first_at: float = 0.0
-    last_at: float = float("inf")
+    routers: tuple[int, ...] = tuple(range(ROUTERS))
+    off_from: float = float("inf")
+    off_until: float = float("inf")
 
 
 class Faults(typing.NamedTuple):
@@ -78,7 +87,7 @@
         policy: Order policy of the gates.
         gain: Its gain.
         has_tally: Whether agents exchange reports.
-        is_first_come: Whether gates serve in the order of arrival.
+        mode: ``BY_ORDER``, ``FIRST_COME`` or ``ROUTER_FAIR``.
         estimator: Name of the cost estimator.
         period: Seconds between reports.
         faults: What the network does.
@@ -93,7 +102,7 @@
     policy: str = share_order.DEFAULT_POLICY
     gain: float = share_order.DEFAULT_GAIN
     has_tally: bool = True
-    is_first_come: bool = False
+    mode: str = BY_ORDER
     estimator: str = "learned_mean"
     period: float = 1.0
     faults: Faults = Faults()
@@ -172,6 +181,9 @@
         self.longest_pause_by_tenant: dict[str, float] = {}
         self._started_at_by_tenant: dict[str, float] = {}
         self.messages = 0
+        self._sent_by_router = [
+            collections.Counter[str]() for _ in range(ROUTERS)
+        ]
         self._tenant_by_name = {one.name: one for one in settings.tenants}
         self._rng = random.Random(settings.seed)
         self._ids = itertools.count()
@@ -236,17 +248,45 @@
     def _start_agent(self, index: int) -> None:
         agent = self.agents[index]
         self._tick(agent)
+        moment = self.now + NETWORK_DELAY
+        if self.settings.mode == ROUTER_FAIR:
+            for router in range(ROUTERS):
+                for _ in range(ROUTER_WINDOW):
+                    self._offer_next(agent, router, moment)
+            return
         for tenant in self.settings.tenants:
-            if index < tenant.reach * self.settings.agents:
-                first_at = max(self.now, tenant.first_at)
+            if self._reaches(tenant, agent):
                 for _ in range(tenant.depth):
-                    self._offer_later(agent, tenant, first_at + NETWORK_DELAY)
+                    self._offer_later(agent, tenant, moment)
+
+    def _reaches(self, tenant: Tenant, agent: Agent) -> bool:
+        index = self._index_by_address[agent.address]
+        return index < tenant.reach * self.settings.agents
+
+    def _offer_next(self, agent: Agent, router: int, moment: float) -> None:
+        """Offer an attempt of the organisation that a router puts next."""
+        sent = self._sent_by_router[router]
+        tenant = min(
+            (
+                one
+                for one in self.settings.tenants
+                if router in one.routers and self._reaches(one, agent)
+            ),
+            key=lambda one: sent[one.name] / one.share,
+        )
+        sent[tenant.name] += 1
+        self._offer_later(agent, tenant, moment, router=router)
 
-    def _offer_later(self, agent: Agent, tenant: Tenant, moment: float) -> None:
-        self.at(moment, lambda: self._offer(agent, tenant))
+    def _offer_later(
+        self, agent: Agent, tenant: Tenant, moment: float, router: int = 0
+    ) -> None:
+        self.at(moment, lambda: self._offer(agent, tenant, router))
 
-    def _offer(self, agent: Agent, tenant: Tenant) -> None:
-        if not agent.is_alive or self.now >= tenant.last_at:
+    def _offer(self, agent: Agent, tenant: Tenant, router: int) -> None:
+        if not agent.is_alive:
+            return
+        if tenant.off_from <= self.now < tenant.off_until:
+            self._offer_later(agent, tenant, tenant.off_until, router)
             return
         cost = min(
             LARGEST_COST,
@@ -255,17 +295,17 @@
         hint = cost * HINT_ERROR ** self._rng.uniform(-1.0, 1.0)
         attempt_id = str(next(self._ids))
         self._offer_by_id[attempt_id] = (tenant.name, cost, hint)
-        is_one_queue = self.settings.is_first_come
+        is_by_order = self.settings.mode == BY_ORDER
         attempt = attempt_message.Attempt(
             attempt_id=attempt_id,
             request_id=attempt_id,
-            organisation=ONE_QUEUE if is_one_queue else tenant.name,
+            organisation=tenant.name if is_by_order else ONE_QUEUE,
             service=SERVICE,
             estimate=self._estimator.estimate(SERVICE, tenant.name, hint=hint),
             deadline=float("inf"),
             incarnation=agent.incarnation,
             epoch=0,
-            router="",
+            router=str(router),
         )
         self._carry_out(agent, agent.gate.offer(attempt, self.now))
 
@@ -286,16 +326,20 @@
             cost=cost,
             speed=agent.speed,
         )
-        tenant = self._tenant_by_name[name]
-        self._offer_later(agent, tenant, self.now + 2 * NETWORK_DELAY)
+        moment = self.now + 2 * NETWORK_DELAY
+        router = int(attempt.router)
+        if self.settings.mode == ROUTER_FAIR:
+            self._offer_next(agent, router, moment)
+        else:
+            tenant = self._tenant_by_name[name]
+            self._offer_later(agent, tenant, moment)
         self.at(
             self.now + cost / agent.speed,
             lambda: self._finish(agent, attempt.attempt_id),
         )
 
     def _note_start(self, name: str) -> None:
-        tenant = self._tenant_by_name[name]
-        before = self._started_at_by_tenant.get(name, tenant.first_at)
+        before = self._started_at_by_tenant.get(name, 0.0)
         longest = self.longest_pause_by_tenant.get(name, 0.0)
         self.longest_pause_by_tenant[name] = max(longest, self.now - before)
         self._started_at_by_tenant[name] = self.now
--- a/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
@@ -5,15 +5,22 @@
 largest requests (``fairness_fleet.LARGEST_COST`` tokens) per unit of share.
 """
 
+import argparse
 from collections.abc import Callable
+from collections.abc import Iterator
 import itertools
+import sys
 import typing
 
+import msgspec
+
+from daisypick_lab import fairness_faults
 from daisypick_lab import fairness_fleet
 
 SAMPLE_SECONDS = 0.5
 WARM_UP_SECONDS = 30.0
 SHARES = (1.0, 1.0, 1.0, 1.0, 4.0, 4.0, 16.0, 16.0)
+FLOODER = 0
 PERIODS = (0.5, 1.0, 2.0, 5.0)
 
 
@@ -28,8 +35,8 @@
             slots are free and the first to come takes them.
         gap: Largest gap in any interval after ``WARM_UP_SECONDS``.
         half_gap: The same in the first half of that time.
-        longest_pause: Longest time without a start of an organisation with
-            share 1, seconds.
+        longest_pause: Longest time without a start of any organisation with
+            share 1 that floods nobody, in the whole fleet, seconds.
         messages: Reports a second and agent.
     """
 
@@ -43,20 +50,22 @@
     messages: float
 
 
-def make_tenants(
-    *, flood_depth: int = 2, flood_name: str = "t0"
-) -> tuple[fairness_fleet.Tenant, ...]:
-    """Return eight backlogged organisations, two of them not everywhere."""
-    reach_by_index = {4: 0.25, 5: 0.5}
-    return tuple(
-        fairness_fleet.Tenant(
-            name=f"t{index}",
-            share=share,
-            reach=reach_by_index.get(index, 1.0),
-            depth=flood_depth if f"t{index}" == flood_name else 2,
-        )
+def make_tenants(*, flood_depth: int = 2) -> tuple[fairness_fleet.Tenant, ...]:
+    """Return eight backlogged organisations, spread unevenly.
+
+    ``t0`` may flood: ``flood_depth`` of its attempts wait at each agent.
+    ``t3`` and ``t4`` are behind one router each, ``t4`` reaches a quarter of
+    the agents and ``t5`` half of them.
+    """
+    tenants = [
+        fairness_fleet.Tenant(name=f"t{index}", share=share)
         for index, share in enumerate(SHARES)
-    )
+    ]
+    tenants[FLOODER] = tenants[FLOODER]._replace(depth=flood_depth)
+    tenants[3] = tenants[3]._replace(routers=(0,))
+    tenants[4] = tenants[4]._replace(reach=0.25, routers=(1,))
+    tenants[5] = tenants[5]._replace(reach=0.5)
+    return tuple(tenants)
 
 
 class _IntervalGap:
@@ -89,7 +98,7 @@
     seconds: float,
     *,
     warm_up: float = WARM_UP_SECONDS,
-    faults: Callable[[fairness_fleet.Fleet], None] | None = None,
+    plan: Callable[[fairness_fleet.Fleet], None] | None = None,
 ) -> Measurement:
     """Run one fleet and return what it showed.
 
@@ -98,11 +107,11 @@
         settings: The fleet.
         seconds: Length of the run.
         warm_up: Seconds before intervals are measured.
-        faults: Plans faults on the fleet before it runs.
+        plan: Plans faults on the fleet before it runs.
     """
     fleet = fairness_fleet.Fleet(settings)
-    if faults is not None:
-        faults(fleet)
+    if plan is not None:
+        plan(fleet)
     band = _IntervalGap()
     start_gap = half_gap = 0.0
     while fleet.now < seconds:
@@ -111,7 +120,6 @@
         virtual_by_name = {
             tenant.name: served[tenant.name] / tenant.share
             for tenant in settings.tenants
-            if tenant.first_at <= warm_up
         }
         spread = max(virtual_by_name.values()) - min(virtual_by_name.values())
         start_gap = max(start_gap, spread)
@@ -141,3 +149,144 @@
 
 def _in_requests(tokens: float) -> float:
     return round(tokens / fairness_fleet.LARGEST_COST, 2)
+
+
+class Run(typing.NamedTuple):
+    """A run to do.
+
+    Attributes:
+        name: Its name in the result.
+        settings: The fleet.
+        seconds: Its length.
+        warm_up: Seconds before intervals are measured.
+        plan: Plans faults on the fleet before it runs.
+    """
+
+    name: str
+    settings: fairness_fleet.FleetSettings
+    seconds: float
+    warm_up: float = WARM_UP_SECONDS
+    plan: Callable[[fairness_fleet.Fleet], None] | None = None
+
+
+def _baselines(seconds: float, seed: int) -> Iterator[Run]:
+    """Yield every order with the same organisations and costs."""
+    for depth in (2, 64):
+        tenants = make_tenants(flood_depth=depth)
+        common = fairness_fleet.FleetSettings(tenants=tenants, seed=seed)
+        alone = common._replace(has_tally=False)
+        for mode in (fairness_fleet.FIRST_COME, fairness_fleet.ROUTER_FAIR):
+            yield Run(
+                f"{mode}, flooder keeps {depth}",
+                alone._replace(mode=mode),
+                seconds,
+            )
+        yield Run(
+            f"own_service, flooder keeps {depth}",
+            alone._replace(policy="own_service"),
+            seconds,
+        )
+        for policy in ("fleet_totals", "damped", "damped_by_reach"):
+            for period in PERIODS:
+                yield Run(
+                    f"{policy}, flooder keeps {depth}",
+                    common._replace(policy=policy, period=period),
+                    seconds,
+                )
+
+
+def _variations(seconds: float, seed: int) -> Iterator[Run]:
+    """Yield runs of the order in production that differ in one thing."""
+    tenants = make_tenants()
+    common = fairness_fleet.FleetSettings(
+        tenants=tenants, period=2.0, seed=seed
+    )
+    for factor in (1, 4):
+        yield Run(f"length x{factor}", common, factor * seconds)
+    for depth in (16, 256):
+        flooded = make_tenants(flood_depth=depth)
+        yield Run(
+            f"flooder keeps {depth}", common._replace(tenants=flooded), seconds
+        )
+    for gain in (1.0, 4.0):
+        yield Run(f"gain {gain}", common._replace(gain=gain), seconds)
+    for estimator in ("hint", "corrected_hint"):
+        yield Run(
+            f"estimator {estimator}",
+            common._replace(estimator=estimator),
+            seconds,
+        )
+    yield Run(
+        "agents of 20, 50, 100 tokens/s",
+        common._replace(speeds=(20.0, 50.0, 100.0)),
+        seconds,
+    )
+    back = list(tenants)
+    back[6] = back[6]._replace(off_from=60.0, off_until=120.0)
+    yield Run(
+        "idle for 60 s and back",
+        common._replace(tenants=tuple(back)),
+        seconds,
+        warm_up=125.0,
+    )
+
+
+def _fault_runs(seconds: float, seed: int) -> Iterator[Run]:
+    """Yield runs with one fault each."""
+    common = fairness_fleet.FleetSettings(
+        tenants=make_tenants(), period=2.0, seed=seed
+    )
+    for name, faults in (
+        ("a fifth lost", fairness_fleet.Faults(lost=0.2)),
+        ("half doubled", fairness_fleet.Faults(doubled=0.5)),
+        ("half late and crossed", fairness_fleet.Faults(late=0.5)),
+        ("all of these", fairness_fleet.Faults(0.2, 0.5, 0.5)),
+    ):
+        yield Run(name, common._replace(faults=faults), seconds)
+    for name, plan in fairness_faults.plan_by_name.items():
+        yield Run(name, common, seconds, plan=plan)
+
+
+def run_all(*, seconds: float, seed: int) -> list[Measurement]:
+    """Measure everything and return the measurements in order."""
+    runs = itertools.chain(
+        _baselines(seconds, seed),
+        _variations(seconds, seed),
+        _fault_runs(seconds, seed),
+    )
+    return [
+        measure(
+            run.name,
+            run.settings,
+            run.seconds,
+            warm_up=run.warm_up,
+            plan=run.plan,
+        )
+        for run in runs
+    ]
+
+
+def main(arguments: list[str]) -> int:
+    """Run from the command line."""
+    parser = argparse.ArgumentParser(description="Measure the fairness gap.")
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser.add_argument("--seconds", type=float, default=240.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args(arguments)
+    measurements = run_all(seconds=options.seconds, seed=options.seed)
+    if options.json:
+        rows = [measurement._asdict() for measurement in measurements]
+        sys.stdout.write(msgspec.json.encode(rows).decode() + "\n")
+        return 0
+    for measurement in measurements:
+        print(
+            f"{measurement.name:34} T {measurement.period:3} "
+            f"gap {measurement.gap:8} first half {measurement.half_gap:8} "
+            f"from start {measurement.start_gap:8} "
+            f"pause {measurement.longest_pause:6}"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
