--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -64,6 +64,7 @@
         fleet_key: str,
         clock: Callable[[], float],
         generation: Callable[[], int],
+        address: Callable[[], str],
         note_contact: Callable[[str, int], None],
         record: records.RequestRecord,
     ) -> None:
@@ -73,6 +74,7 @@
         self._fleet_key = fleet_key
         self._clock = clock
         self._generation = generation
+        self._address = address
         self._note_contact = note_contact
         self._record = record
         self._held_by_request: dict[str, _Held] = {}
@@ -124,6 +126,10 @@
         """Note that an attempt runs."""
         self.perform(self.dispatcher.started(attempt_id, self._clock()))
 
+    def first_token(self, attempt_id: str) -> None:
+        """Note the first token of an answer."""
+        self.dispatcher.first_token(attempt_id, self._clock())
+
     def finished(self, attempt_id: str) -> None:
         """Note that a whole answer is there."""
         self.perform(self.dispatcher.finished(attempt_id, self._clock()))
@@ -209,7 +215,7 @@
         self, action: actions.Dispatch, exchange: exchange_module.Exchange
     ) -> sender.Parcel:
         envelope = attempt_message.to_envelope(
-            action.attempt,
+            action.attempt._replace(router=self._address()),
             self._clock(),
             generation=self._generation(),
             method=exchange.call.method,
--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -34,8 +34,7 @@
         clock: Callable[[], float] = time.monotonic,
         rng: random.Random | None = None,
     ) -> None:
-        super().__init__(settings=settings, clock=clock)
-        self.platform = platform
+        super().__init__(settings=settings, platform=platform, clock=clock)
         self._pool = client.ClientPool(
             timeout=settings.progress_timeout, ca_file=settings.tls_ca or None
         )
@@ -62,6 +61,7 @@
             fleet_key=self.keys.fleet[0],
             clock=self.clock,
             generation=lambda: self.generation,
+            address=lambda: self.address,
             note_contact=self.note_contact,
             record=self.record,
         )
@@ -87,9 +87,6 @@
         """Return the bounds on callers' connections."""
         return server_module.ServerLimits(body_bytes=self.settings.body_bytes)
 
-    def note_contact(self, peer: str, generation: int) -> None:
-        """Learn that a peer has a generation."""
-
     def on_start(self) -> None:
         """Watch the backlog."""
         dispatcher = self.driver.dispatcher
@@ -127,9 +124,21 @@
             for server in configuration.backend_servers_by_name.values()
             if configuration.data_centres_by_name[server.data_centre].is_in
         ]
+        self.driver.dispatcher.set_queue_bounds(
+            {
+                name: organisation.max_queued
+                for name, organisation in (
+                    configuration.organisations_by_name.items()
+                )
+            }
+        )
         self.driver.set_agents(addresses)
         self._pool.keep_only(frozenset(entry.address for entry in addresses))
 
+    def on_drain(self) -> None:
+        """Refuse new requests; finish those it holds."""
+        self.driver.dispatcher.close()
+
     def is_idle(self) -> bool:
         """Tell whether the router holds no request."""
         return self.driver.held_count == 0
