Correct routers' hints at the gate

Cause: a learned mean cannot tell a large request from a small one, so several large ones of an organisation start before any shows. Change: the order corrects the router's estimate by the learned ratio of costs to hints, per service and organisation.

--- a/packages/daisypick_core/src/daisypick_core/fairness/estimators.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/estimators.py
@@ -133,24 +133,37 @@
 
 @register("corrected_hint")
 class CorrectedHint:
-    """Multiply the hint by the organisation's mean ratio of cost to hint.
+    """Multiply the hint by the mean ratio of cost to hint.
 
-    Better than the mean where hints are steadily wrong by the same factor.
+    A hint that is off by much still tells large requests from small ones,
+    which no mean does; the ratio takes out what is steadily wrong.
     """
 
     def __init__(self, *, limit: int = DEFAULT_LIMIT) -> None:
-        self._ratios = _BoundedMeans(limit)
+        self._costs = _BoundedMeans(limit)
+        self._hints = _BoundedMeans(limit)
 
     def estimate(
         self, service: str, organisation: str, *, hint: float
     ) -> float:
-        """Return the corrected hint."""
-        ratio = self._ratios.get((service, organisation))
-        return hint if ratio is None else hint * ratio
+        """Return the hint times the organisation's ratio, or the service's."""
+        for key in ((service, organisation), (service, "")):
+            mean_cost = self._costs.get(key)
+            mean_hint = self._hints.get(key)
+            if mean_cost is not None and mean_hint:
+                return hint * mean_cost / mean_hint
+        return hint
 
     def learn(
         self, service: str, organisation: str, *, hint: float, cost: float
     ) -> None:
-        """Move the organisation's ratio of cost to hint."""
-        if hint > 0.0:
-            self._ratios.learn((service, organisation), cost / hint)
+        """Move the means of costs and of hints.
+
+        Their ratio is learned rather than the mean of single ratios, which
+        one tiny hint would throw off.
+        """
+        if hint <= 0.0:
+            return
+        for key in ((service, organisation), (service, "")):
+            self._costs.learn(key, cost)
+            self._hints.learn(key, hint)
--- a/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
@@ -27,12 +27,14 @@
 from collections.abc import Mapping
 import typing
 
+from daisypick_core.fairness import estimators
 from daisypick_core.fairness import order_policies
 from daisypick_core.fairness import service_account
 from daisypick_core.messages import attempt as attempt_message
 
 DEFAULT_SHARE = 1.0
 DEFAULT_POLICY = "damped_by_reach"
+DEFAULT_ESTIMATOR = "corrected_hint"
 DEFAULT_GAIN = 2.0
 IDLE_SECONDS = 5.0
 
@@ -61,10 +63,12 @@
         share_by_organisation: Mapping[str, float],
         policy: str = DEFAULT_POLICY,
         gain: float = DEFAULT_GAIN,
+        estimator: str = DEFAULT_ESTIMATOR,
     ) -> None:
         self._share_by_organisation = dict(share_by_organisation)
         self._policy = order_policies.by_name[policy]
         self._gain = gain
+        self._estimator = estimators.by_name[estimator]()
         self._account_by_organisation: dict[
             str, service_account.ServiceAccount
         ] = {}
@@ -116,11 +120,15 @@
         account.settle(run, tokens)
 
     def start(self, attempt: attempt_message.Attempt) -> None:
-        """Charge the estimate of an attempt that takes a slot."""
+        """Charge the expected cost of an attempt that takes a slot.
+
+        The router's estimate is a hint; what it is worth is learned here.
+        """
         account = self._account(attempt.organisation)
-        self._run_by_attempt[attempt.attempt_id] = account.start(
-            attempt.estimate
+        expected = self._estimator.estimate(
+            attempt.service, attempt.organisation, hint=attempt.estimate
         )
+        self._run_by_attempt[attempt.attempt_id] = account.start(expected)
 
     def release(self, attempt: attempt_message.Attempt) -> None:
         """Give back the charge of an attempt that never ran."""
@@ -139,6 +147,12 @@
         run = self._run_by_attempt.pop(attempt.attempt_id, None)
         if run is not None:
             self._account(attempt.organisation).settle(run, cost)
+            self._estimator.learn(
+                attempt.service,
+                attempt.organisation,
+                hint=attempt.estimate,
+                cost=cost,
+            )
             self._largest_cost = max(self._largest_cost, cost)
 
     def pick(self, organisations: Iterable[str], now: float) -> str:
--- a/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
@@ -13,7 +13,6 @@
 import random
 import typing
 
-from daisypick_core.fairness import estimators
 from daisypick_core.fairness import reports
 from daisypick_core.fairness import share_order
 from daisypick_core.fairness import tally_node
@@ -103,7 +102,7 @@
     gain: float = share_order.DEFAULT_GAIN
     has_tally: bool = True
     mode: str = BY_ORDER
-    estimator: str = "learned_mean"
+    estimator: str = share_order.DEFAULT_ESTIMATOR
     period: float = 1.0
     faults: Faults = Faults()
     seed: int = 1
@@ -133,6 +132,7 @@
             share_by_organisation=shares,
             policy=settings.policy,
             gain=settings.gain,
+            estimator=settings.estimator,
         )
         self.gate = gate_module.Gate(
             incarnation=self.incarnation,
@@ -188,8 +188,7 @@
         self._rng = random.Random(settings.seed)
         self._ids = itertools.count()
         self._events: list[tuple[float, int, Callable[[], None]]] = []
-        self._estimator = estimators.by_name[settings.estimator]()
-        self._offer_by_id: dict[str, tuple[str, int, float]] = {}
+        self._offer_by_id: dict[str, tuple[str, int]] = {}
         self._index_by_address = {
             agent.address: index for index, agent in enumerate(self.agents)
         }
@@ -294,14 +293,14 @@
         )
         hint = cost * HINT_ERROR ** self._rng.uniform(-1.0, 1.0)
         attempt_id = str(next(self._ids))
-        self._offer_by_id[attempt_id] = (tenant.name, cost, hint)
+        self._offer_by_id[attempt_id] = (tenant.name, cost)
         is_by_order = self.settings.mode == BY_ORDER
         attempt = attempt_message.Attempt(
             attempt_id=attempt_id,
             request_id=attempt_id,
             organisation=tenant.name if is_by_order else ONE_QUEUE,
             service=SERVICE,
-            estimate=self._estimator.estimate(SERVICE, tenant.name, hint=hint),
+            estimate=hint,
             deadline=float("inf"),
             incarnation=agent.incarnation,
             epoch=0,
@@ -317,7 +316,7 @@
                 self._run(agent, action.attempt)
 
     def _run(self, agent: Agent, attempt: attempt_message.Attempt) -> None:
-        name, cost, _ = self._offer_by_id[attempt.attempt_id]
+        name, cost = self._offer_by_id.pop(attempt.attempt_id)
         self._note_start(name)
         agent.running_by_id[attempt.attempt_id] = _Running(
             tenant=name,
@@ -349,8 +348,6 @@
             return
         run = agent.running_by_id.pop(attempt_id)
         self.finished_by_tenant[run.tenant] += run.cost
-        _, _, hint = self._offer_by_id.pop(attempt_id)
-        self._estimator.learn(SERVICE, run.tenant, hint=hint, cost=run.cost)
         self._carry_out(
             agent,
             agent.gate.finish(
--- a/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
@@ -210,7 +210,7 @@
         )
     for gain in (1.0, 4.0):
         yield Run(f"gain {gain}", common._replace(gain=gain), seconds)
-    for estimator in ("hint", "corrected_hint"):
+    for estimator in ("hint", "learned_mean"):
         yield Run(
             f"estimator {estimator}",
             common._replace(estimator=estimator),
