Never ask an operator's command line for more

A node that was offered a root by an operator and lacked chunks took 'operator' for a peer that is ahead and asked it for its root; in the daemon the call raised on the address.

Change: an offer makes no claim. The test of it failed before.

Conclusion: an incomplete offer costs nothing, the next contact completes it.

--- a/packages/daisypick_core/src/daisypick_core/configuration/spread.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/spread.py
@@ -205,6 +205,8 @@
     def _note_root(
         self, source: str, root: root_object.Root | None, now: float
     ) -> None:
+        if source == actions.OPERATOR:
+            return
         generation = root.generation if root else 0
         has_claimed = self._claims.claim(source)
         self._claims.set(source, generation)
--- a/packages/daisypick_core/tests/configuration/test_spread.py
+++ b/packages/daisypick_core/tests/configuration/test_spread.py
@@ -234,6 +234,23 @@
     assert len(holder.hear("p2", 3, 1.2)) == 1
 
 
+def test_incomplete_offer_is_not_asked_for_more():
+    # An operator's command line offers a change to a node that is several
+    # generations behind, with the latest chunks only, and is gone. Nobody can
+    # be asked at that address; the node goes on with the next peer it hears.
+    holder = bring_up(1)
+    new = Source(6)
+    answer = wire.RootAnswer(root=new.root, chunk_by_hash={})
+    (ask,) = holder.take_root(actions.OPERATOR, answer, 1.0)
+    due = holder.take_chunks(ask.source, DOWN, 1.0)
+    for now in (2.0, 10.0, 20.0):
+        due += holder.tick(now)
+    asked = [a.source for a in due if isinstance(a, actions.FetchRoot)]
+    assert actions.OPERATOR not in asked
+    run(holder, holder.hear("p1", 6, 20.0), {"p1": new}, now=20.0)
+    assert holder.generation == 6
+
+
 def test_silent_source_is_replaced():
     holder = bring_up(2)
     (ask,) = holder.hear("p1", 3, 1.0)
--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -92,6 +92,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         limits: rounds.SpreadLimits = rounds.DEFAULT_LIMITS,
+        watch_seconds: float = WATCH_SECONDS,
     ) -> None:
         self.holder = spread.Holder(rng=rng, limits=limits)
         self._own = member_directory.Member(
@@ -104,6 +105,7 @@
         self._install = install
         self._clock = clock
         self._rng = rng
+        self._watch_seconds = watch_seconds
         self._greenlets = gevent.pool.Group()
         self._installed = 0
         self._next_members = 0.0
@@ -316,7 +318,7 @@
                 configuration_store.KIND,
                 configuration_store.ROOT,
                 after_version=self._version,
-                timeout=WATCH_SECONDS,
+                timeout=self._watch_seconds,
             )
             if failure_value.is_failure(stored):
                 gevent.sleep(WATCH_PAUSE * (0.5 + self._rng.random()))
--- a/packages/daisypick_node/tests/test_configuration_service.py
+++ b/packages/daisypick_node/tests/test_configuration_service.py
@@ -22,7 +22,8 @@
 KEYS = keys_module.Keys(fleet=("fleet-key",), operator=("operator-key",))
 # A node that took itself for a watcher learns otherwise only when its watch
 # ends, so conditions get longer than that to come true.
-WAIT = configuration_service.WATCH_SECONDS + 15.0
+WATCH_SECONDS = 1.0
+WAIT = WATCH_SECONDS + 20.0
 
 
 class Node:
@@ -43,6 +44,7 @@
             limits=rounds.SpreadLimits(
                 exchange_seconds=0.5, start_retry=0.2, suspend_seconds=0.2
             ),
+            watch_seconds=WATCH_SECONDS,
         )
         self.server = server_module.Server(
             listen="127.0.0.1:0", routes=self.service.handlers(), keys=KEYS
