Run an embedded fleet under load: demo and measure

Change: a load generator over real sockets that checks every answer, a fleet in one process, samples of service, backlog and slots, and the commands 'daisypick demo' and 'daisypick measure' with a comparison.

--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/callers.py
@@ -0,0 +1,294 @@
+"""One call of a caller over a real socket, and whether its answer is right.
+
+Answers of the stand-ins are functions of the request and carry a checksum,
+so a caller can tell an answer that is whole and its own from one that is
+cut, crossed or somebody else's.
+"""
+
+from collections.abc import Callable
+import time
+import typing
+
+from daisypick_node.http import client
+from daisypick_standins.engine import text
+import msgspec
+
+CHAT = "/v1/chat/completions"
+WHOLE = "whole"
+REFUSED = "refused"
+BROKEN = "broken"
+WRONG = "wrong"
+RAN_NO = "no"
+RAN_UNKNOWN = "unknown"
+_EVENT = b"data: "
+_DONE = b"[DONE]"
+
+
+class ChatCall(typing.NamedTuple):
+    """A call of a model service.
+
+    Attributes:
+        service: Name of the service.
+        marker: Name of this call, unique in a run.
+        prompt: Without the marker, which is added at its end.
+        tokens: Length of the answer.
+        max_tokens: The hint about it, off by some factor.
+        is_stream: Whether the answer is streamed.
+    """
+
+    service: str
+    marker: str
+    prompt: str
+    tokens: int
+    max_tokens: int
+    is_stream: bool
+
+    def body(self) -> bytes:
+        """Return the body of the request."""
+        directive = f"[marker={self.marker} tokens={self.tokens}]"
+        content = f"{self.prompt} {directive}"
+        fields: dict[str, typing.Any] = {
+            "model": self.service,
+            "messages": [{"role": "user", "content": content}],
+            "max_tokens": self.max_tokens,
+            "stream": self.is_stream,
+        }
+        if self.is_stream:
+            fields["stream_options"] = {"include_usage": True}
+        return msgspec.json.encode(fields)
+
+
+class PlainCall(typing.NamedTuple):
+    """A call of a plain service that may not be repeated."""
+
+    service: str
+    marker: str
+    path: str
+    idempotency_key: str
+
+
+class Answered(typing.NamedTuple):
+    """What came of a call.
+
+    Attributes:
+        outcome: One of the constants of this module.
+        reason: What was wrong, ``""`` if nothing.
+        code: Number of the result code of a refusal, else 0.
+        ran: ``RAN_NO`` or ``RAN_UNKNOWN`` of a refusal.
+        retry_after: Seconds that a refusal asks for.
+        first_token_seconds: Time to the first token of a stream.
+        prompt_tokens: As ``usage`` has it.
+        completion_tokens: As ``usage`` has it.
+    """
+
+    outcome: str
+    reason: str = ""
+    code: int = 0
+    ran: str = ""
+    retry_after: float = 0.0
+    first_token_seconds: float = 0.0
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class _Message(msgspec.Struct):
+    content: str = ""
+
+
+class _Choice(msgspec.Struct):
+    message: _Message | None = None
+    delta: _Message | None = None
+
+
+class _Body(msgspec.Struct):
+    choices: list[_Choice] = []
+    usage: _Usage | None = None
+    error: dict[str, typing.Any] | None = None
+
+
+class _Problem(msgspec.Struct):
+    code: int = 0
+    title: str = ""
+    detail: str = ""
+    ran: str = RAN_UNKNOWN
+
+
+class _PlainBody(msgspec.Struct):
+    marker: str
+    run: int
+
+
+_body_decoder = msgspec.json.Decoder(_Body)
+NoteTokens = Callable[[int], None]
+
+
+class Caller:
+    """Calls routers with the key of one organisation."""
+
+    def __init__(
+        self,
+        *,
+        key: str,
+        pool: client.ClientPool,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._headers = {
+            "Authorization": f"Bearer {key}",
+            "Content-Type": "application/json",
+        }
+        self._pool = pool
+        self._clock = clock
+
+    def chat(
+        self, router: str, call: ChatCall, note_tokens: NoteTokens
+    ) -> Answered:
+        """Call a model service; report tokens as they come."""
+        started_at = self._clock()
+        try:
+            response = self._pool.request(
+                router, "POST", CHAT, body=call.body(), headers=self._headers
+            )
+            if response.status_code != 200:
+                return _refusal(response)
+            if not call.is_stream:
+                return _check_whole(call, bytes(response.read()))
+            reader = _StreamReader(call, started_at, self._clock)
+            try:
+                while data := client.read_available(response):
+                    note_tokens(reader.feed(data))
+            finally:
+                client.abandon(response)
+            return reader.finish()
+        except client.CALL_ERRORS as error:
+            return _broken(error)
+
+    def plain(self, router: str, call: PlainCall) -> Answered:
+        """Call a plain service once."""
+        headers = {
+            **self._headers,
+            "Idempotency-Key": call.idempotency_key,
+            "X-Marker": call.marker,
+        }
+        path = f"/services/{call.service}{call.path}"
+        try:
+            response = self._pool.request(
+                router, "POST", path, body=b"{}", headers=headers
+            )
+            if response.status_code != 201:
+                return _refusal(response)
+            return _check_plain(call, bytes(response.read()))
+        except client.CALL_ERRORS as error:
+            return _broken(error)
+
+
+class _StreamReader:
+    """Reads the events of one stream."""
+
+    def __init__(
+        self, call: ChatCall, started_at: float, clock: Callable[[], float]
+    ) -> None:
+        self._call = call
+        self._started_at = started_at
+        self._clock = clock
+        self._rest = b""
+        self._parts: list[str] = []
+        self._usage = _Usage()
+        self._first_token_seconds = 0.0
+        self._is_done = False
+        self._error = ""
+
+    def feed(self, data: bytes) -> int:
+        """Take bytes in; return how many tokens they held."""
+        *events, self._rest = (self._rest + data).split(b"\n\n")
+        count = 0
+        for event in events:
+            payload = event.removeprefix(_EVENT)
+            if payload == _DONE:
+                self._is_done = True
+                continue
+            count += self._take(_body_decoder.decode(payload))
+        if count and not self._first_token_seconds:
+            self._first_token_seconds = self._clock() - self._started_at
+        return count
+
+    def _take(self, body: _Body) -> int:
+        if body.error is not None:
+            self._error = str(body.error.get("title", "error in the stream"))
+        if body.usage is not None:
+            self._usage = body.usage
+        count = 0
+        for choice in body.choices:
+            if choice.delta is not None and choice.delta.content:
+                self._parts.append(choice.delta.content)
+                count += 1
+        return count
+
+    def finish(self) -> Answered:
+        """Return the verdict on the whole stream."""
+        if self._error or not self._is_done:
+            return Answered(BROKEN, self._error or "no end mark")
+        wrong = text.check("".join(self._parts), self._call.marker)
+        return Answered(
+            WRONG if wrong else WHOLE,
+            wrong,
+            first_token_seconds=self._first_token_seconds,
+            prompt_tokens=self._usage.prompt_tokens,
+            completion_tokens=self._usage.completion_tokens,
+        )
+
+
+def _check_whole(call: ChatCall, data: bytes) -> Answered:
+    body = _body_decoder.decode(data)
+    message = body.choices[0].message if body.choices else None
+    content = message.content if message else ""
+    usage = body.usage or _Usage()
+    wrong = text.check(content, call.marker)
+    return Answered(
+        WRONG if wrong else WHOLE,
+        wrong,
+        prompt_tokens=usage.prompt_tokens,
+        completion_tokens=usage.completion_tokens,
+    )
+
+
+def _check_plain(call: PlainCall, data: bytes) -> Answered:
+    body = msgspec.json.decode(data, type=_PlainBody)
+    if body.marker != call.marker:
+        return Answered(WRONG, f"answer to {body.marker}, not {call.marker}")
+    if body.run != 1:
+        return Answered(WRONG, f"{call.marker} ran {body.run} times")
+    return Answered(WHOLE)
+
+
+def _refusal(response: client.Response) -> Answered:
+    data = bytes(response.read())
+    try:
+        problem = msgspec.json.decode(data, type=_Problem)
+    except msgspec.MsgspecError:
+        problem = _Problem(title=f"status {response.status_code}")
+    return Answered(
+        REFUSED,
+        f"{problem.title}: {problem.detail}",
+        code=problem.code,
+        ran=problem.ran,
+        retry_after=_seconds(response.get("retry-after")),
+    )
+
+
+def _broken(error: Exception) -> Answered:
+    reason = f"{type(error).__name__}: {error}"
+    if isinstance(error, client.NotConnectedError):
+        return Answered(REFUSED, reason, ran=RAN_NO)
+    return Answered(BROKEN, reason, ran=RAN_UNKNOWN)
+
+
+def _seconds(value: typing.Any) -> float:
+    try:
+        return float(value)
+    except (TypeError, ValueError):
+        return 0.0
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/load.py
@@ -0,0 +1,296 @@
+"""Load over real sockets: organisations with their ways of calling.
+
+Each organisation keeps a number of workers busy (a closed loop) or sends at
+a rate. Prompts of an organisation share a long prefix, lengths of answers are
+heavy-tailed, and the hint about a length is off by up to eight times. Plain
+calls carry an idempotency key; some are sent through two routers at once, and
+those that fail are sent again through the next router.
+"""
+
+from collections.abc import Sequence
+import itertools
+import random
+import time
+import typing
+
+from daisypick_node.http import client
+import gevent
+from gevent import event
+
+from daisypick_lab import callers
+from daisypick_lab import tally as tally_module
+
+_PARETO_SHAPE = 1.6
+_LONGEST_FACTOR = 12
+_HINT_DOUBLINGS = 3.0
+_WORDS_OF_PREFIX = ("row", "plot", "saw", "boot", "sole", "stitch", "farm")
+_BACKOFF_SECONDS = 0.25
+_LONGEST_BACKOFF = 2.0
+_PLAIN_ATTEMPTS = 8
+_CALL_TIMEOUT = 30.0
+
+
+class Profile(typing.NamedTuple):
+    """How an organisation calls.
+
+    Attributes:
+        name: Name of the organisation.
+        key: Its API key.
+        share: Its share of capacity.
+        model_service: Service of its chat calls.
+        plain_service: Service of its plain calls, ``""`` for none.
+        workers: Calls that it keeps open; with a rate, the most at once.
+        rate: Calls a second; 0 for a closed loop.
+        pause: Seconds between two calls of a worker, on average.
+        shortest: Tokens of its shortest answers.
+        prefix_characters: Length of the prefix that its prompts share.
+        stream_share: Part of its chat calls that are streamed.
+        plain_share: Part of its calls that are plain.
+        twice_share: Part of its plain calls sent through two routers at once.
+        routers: Numbers of the routers that it calls, empty for all.
+    """
+
+    name: str
+    key: str
+    share: float
+    model_service: str
+    plain_service: str = ""
+    workers: int = 4
+    rate: float = 0.0
+    pause: float = 0.0
+    shortest: int = 8
+    prefix_characters: int = 512
+    stream_share: float = 0.8
+    plain_share: float = 0.0
+    twice_share: float = 0.2
+    routers: tuple[int, ...] = ()
+
+    @property
+    def longest(self) -> int:
+        """Tokens of its longest answers."""
+        return self.shortest * _LONGEST_FACTOR
+
+
+class LoadGenerator:
+    """Sends the calls of all organisations and tallies the answers.
+
+    Attributes:
+        tally: What was measured so far.
+    """
+
+    def __init__(
+        self,
+        *,
+        profiles: Sequence[Profile],
+        routers: Sequence[str],
+        seed: int,
+        tally: tally_module.Tally | None = None,
+    ) -> None:
+        self.profiles = tuple(profiles)
+        self.tally = tally or tally_module.Tally()
+        self._routers = tuple(routers)
+        self._seed = seed
+        self._pool = client.ClientPool(timeout=_CALL_TIMEOUT)
+        self._stopped = event.Event()
+        self._workers: list[gevent.Greenlet] = []
+
+    def start(self) -> None:
+        """Begin to call."""
+        for profile in self.profiles:
+            self.tally.of(profile.name)
+            for number in range(profile.workers):
+                worker = _Worker(self, profile, number, self._seed)
+                self._workers.append(gevent.spawn(worker.run))
+
+    def stop(self, timeout: float) -> bool:
+        """Begin no new call; tell whether all calls ended in time."""
+        self._stopped.set()
+        gevent.joinall(self._workers, timeout=timeout)
+        is_done = all(worker.ready() for worker in self._workers)
+        gevent.killall(self._workers)
+        for worker in self._workers:
+            worker.get()  # Raises what the worker died of.
+        self._pool.close()
+        return is_done
+
+    @property
+    def is_stopped(self) -> bool:
+        """Whether no new call may begin."""
+        return self._stopped.is_set()
+
+    def pause(self, seconds: float) -> None:
+        """Wait, but not beyond the stop."""
+        self._stopped.wait(seconds)
+
+    def caller(self, profile: Profile) -> callers.Caller:
+        """Return a caller with the organisation's key."""
+        return callers.Caller(key=profile.key, pool=self._pool)
+
+    def routers_of(self, profile: Profile) -> tuple[str, ...]:
+        """Return the addresses of the routers that it calls."""
+        numbers = profile.routers or range(len(self._routers))
+        return tuple(self._routers[number] for number in numbers)
+
+
+class _Worker:
+    """One greenlet that makes call after call for an organisation."""
+
+    def __init__(
+        self,
+        load: LoadGenerator,
+        profile: Profile,
+        number: int,
+        seed: int,
+    ) -> None:
+        self._load = load
+        self._profile = profile
+        self._own = load.tally.of(profile.name)
+        self._caller = load.caller(profile)
+        self._routers = load.routers_of(profile)
+        self._rng = random.Random(f"{seed}/{profile.name}/{number}")
+        self._names = (
+            f"{profile.name}.{number}.{n}" for n in itertools.count()
+        )
+        self._prefix = make_prefix(profile)
+
+    def run(self) -> None:
+        """Call until the load stops."""
+        self._load.pause(self._rng.random() * _BACKOFF_SECONDS)
+        while not self._load.is_stopped:
+            if self._rng.random() < self._profile.plain_share:
+                self._call_plain()
+            else:
+                self._call_chat()
+            self._load.pause(self._pause_seconds())
+
+    def _pause_seconds(self) -> float:
+        profile = self._profile
+        if profile.rate:
+            return self._rng.expovariate(profile.rate / profile.workers)
+        if profile.pause:
+            return self._rng.expovariate(1.0 / profile.pause)
+        return 0.0
+
+    def _call_chat(self) -> None:
+        call = self._make_chat_call()
+        self._own.sent += 1
+        self._own.open_count += 1
+        self._own.waiting_count += 1
+        meter = _TokenMeter(self._own)
+        router = self._rng.choice(self._routers)
+        answered = self._caller.chat(router, call, meter.note)
+        meter.finish(answered)
+        self._own.open_count -= 1
+        self._count(call.marker, [answered])
+        self._back_off(answered, 0)
+
+    def _call_plain(self) -> None:
+        """Send a call under one key until it has an answer."""
+        marker = f"{tally_module.PLAIN_PREFIX}{next(self._names)}"
+        call = callers.PlainCall(
+            service=self._profile.plain_service,
+            marker=marker,
+            path="/bookings",
+            idempotency_key=f"key-{marker}",
+        )
+        self._own.sent += 1
+        self._own.open_count += 1
+        all_answered: list[callers.Answered] = []
+        for attempt in range(_PLAIN_ATTEMPTS):
+            router = self._routers[attempt % len(self._routers)]
+            all_answered += self._send_plain(router, call, attempt)
+            if any(a.outcome == callers.WHOLE for a in all_answered):
+                break
+            self._back_off(all_answered[-1], attempt)
+        self._own.open_count -= 1
+        self._count(marker, all_answered)
+
+    def _send_plain(
+        self, router: str, call: callers.PlainCall, attempt: int
+    ) -> list[callers.Answered]:
+        if attempt or self._rng.random() >= self._profile.twice_share:
+            return [self._caller.plain(router, call)]
+        sent = [
+            gevent.spawn(self._caller.plain, address, call)
+            for address in self._routers[:2]
+        ]
+        return [greenlet.get() for greenlet in sent]
+
+    def _count(self, marker: str, answered: list[callers.Answered]) -> None:
+        """Count a call by its best answer and note what it was told."""
+        whole = [a for a in answered if a.outcome == callers.WHOLE]
+        wrong = [a for a in answered if a.outcome == callers.WRONG]
+        final = (wrong or whole or answered[-1:])[0]
+        self._load.tally.count(self._profile.name, marker, final)
+        if all(a.ran == callers.RAN_NO for a in answered):
+            self._load.tally.told_not_run.add(marker)
+
+    def _back_off(self, answered: callers.Answered, attempt: int) -> None:
+        if answered.outcome == callers.WHOLE:
+            return
+        seconds = answered.retry_after or _BACKOFF_SECONDS * 2**attempt
+        gevent.sleep(
+            min(seconds, _LONGEST_BACKOFF) * (0.5 + self._rng.random())
+        )
+
+    def _make_chat_call(self) -> callers.ChatCall:
+        tokens = self._draw_tokens()
+        factor = 2.0 ** (self._rng.random() * _HINT_DOUBLINGS)
+        marker = next(self._names)
+        return callers.ChatCall(
+            service=self._profile.model_service,
+            marker=marker,
+            prompt=f"{self._prefix} visit {marker}",
+            tokens=tokens,
+            max_tokens=int(tokens * factor) + 1,
+            is_stream=self._rng.random() < self._profile.stream_share,
+        )
+
+    def _draw_tokens(self) -> int:
+        drawn = self._rng.paretovariate(_PARETO_SHAPE) * self._profile.shortest
+        return int(min(drawn, self._profile.longest))
+
+
+class _TokenMeter:
+    """Books the tokens of one answer while it comes."""
+
+    def __init__(self, own: tally_module.OrganisationTally) -> None:
+        self._own = own
+        self._booked = 0
+        self._last_at: float | None = None
+        self._is_waiting = True
+
+    def note(self, count: int) -> None:
+        """Book tokens of a stream."""
+        if not count:
+            return
+        now = time.monotonic()
+        if self._last_at is not None:
+            self._own.token_gap.record((now - self._last_at) / count)
+        self._last_at = now
+        self._leave_queue()
+        self._booked += count
+        self._own.tokens += count
+
+    def finish(self, answered: callers.Answered) -> None:
+        """Book what the usage says beyond the tokens of the stream."""
+        self._leave_queue()
+        total = answered.prompt_tokens + answered.completion_tokens
+        if total:
+            self._own.tokens += total - self._booked
+
+    def _leave_queue(self) -> None:
+        if self._is_waiting:
+            self._is_waiting = False
+            self._own.waiting_count -= 1
+
+
+def make_prefix(profile: Profile) -> str:
+    """Return the prefix that all prompts of an organisation share."""
+    rng = random.Random(profile.name)
+    words = [profile.name]
+    size = len(profile.name)
+    while size < profile.prefix_characters:
+        words.append(rng.choice(_WORDS_OF_PREFIX))
+        size += len(words[-1]) + 1
+    return " ".join(words)
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/results.py
@@ -0,0 +1,245 @@
+"""The result of a run as data, and how it is made from samples."""
+
+from collections.abc import Sequence
+import importlib.metadata
+import typing
+
+import msgspec
+
+from daisypick_lab import callers
+from daisypick_lab import sampler
+from daisypick_lab import shapes
+from daisypick_lab import tally as tally_module
+
+STEADY = "steady"
+OUT = "out"
+BACK = "back"
+
+
+class OrganisationResult(msgspec.Struct, kw_only=True):
+    """One organisation; times in seconds.
+
+    Attributes:
+        due: Part of the backlogged organisations' service that its share
+            gives it in the steady phase; ``None`` if it was not backlogged.
+        received: Part of that service that it got.
+    """
+
+    name: str
+    share: float
+    sent: int
+    whole: int
+    refused: int
+    broken: int
+    wrong: int
+    tokens: int
+    due: float | None
+    received: float | None
+    first_token_p50: float
+    first_token_p95: float
+    token_gap_p95: float
+
+
+class FairnessResult(msgspec.Struct, kw_only=True):
+    """The fairness gap of the steady phase.
+
+    Attributes:
+        gap: Largest gap between two backlogged organisations over any span,
+            tokens per unit of share.
+        largest_request: Cost of the largest request, tokens.
+        backlogged: The organisations that count.
+    """
+
+    gap: float
+    largest_request: int
+    backlogged: list[str]
+
+
+class PhaseResult(msgspec.Struct, kw_only=True):
+    """One phase of a run."""
+
+    name: str
+    seconds: float
+    utilisation: float
+    tokens_per_second: float
+    whole: int
+    refused: int
+    broken: int
+    wrong: int
+    first_token_p50: float
+    first_token_p95: float
+
+
+class LeavingResult(msgspec.Struct, kw_only=True):
+    """A data centre out and back.
+
+    Attributes:
+        out_in_force: Seconds from acceptance until all processes know.
+        last_new_work: Seconds from acceptance to the last call that began
+            in the data centre, to a tenth of a second.
+        back_in_force: Seconds from acceptance until all processes know.
+    """
+
+    data_centre: str
+    out_in_force: float
+    last_new_work: float
+    back_in_force: float
+
+
+class ControlResult(msgspec.Struct, kw_only=True):
+    """Control traffic, bytes a second for each process on average."""
+
+    bytes_per_second: float
+    processes: int
+
+
+class VerdictResult(msgspec.Struct, kw_only=True):
+    """What must not happen; each is a list of what did."""
+
+    wrong: list[str]
+    broken: list[str]
+    ran_twice: list[str]
+    untrue_refusals: list[str]
+    unfinished: bool
+
+    @property
+    def is_clean(self) -> bool:
+        """Whether none of it happened."""
+        return not (
+            self.wrong
+            or self.broken
+            or self.ran_twice
+            or self.untrue_refusals
+            or self.unfinished
+        )
+
+
+class Result(msgspec.Struct, kw_only=True):
+    """All that a run measured."""
+
+    deployment: str
+    seed: int
+    version: str
+    seconds: float
+    organisations: list[OrganisationResult]
+    fairness: FairnessResult
+    phases: list[PhaseResult]
+    leaving: LeavingResult
+    control: ControlResult
+    refusals_by_code: dict[str, int]
+    verdict: VerdictResult
+
+
+def version() -> str:
+    """Return the version of this package."""
+    try:
+        return importlib.metadata.version("daisypick_lab")
+    except importlib.metadata.PackageNotFoundError:
+        return "0.1.0"
+
+
+def fairness(
+    shape: shapes.Shape, samples: Sequence[sampler.Sample]
+) -> FairnessResult:
+    """Return the fairness gap over samples."""
+    names = sampler.backlogged(samples)
+    shares = {p.name: p.share for p in shape.profiles if p.name in names}
+    services = [sample.tokens_by_organisation for sample in samples]
+    return FairnessResult(
+        gap=tally_module.largest_gap(services, shares),
+        largest_request=max(map(_largest_request, shape.profiles)),
+        backlogged=sorted(names),
+    )
+
+
+def organisations(
+    shape: shapes.Shape,
+    tally: tally_module.Tally,
+    samples: Sequence[sampler.Sample],
+) -> list[OrganisationResult]:
+    """Return the result of each organisation.
+
+    Args:
+        shape: The deployment.
+        tally: What was measured over the whole run.
+        samples: Those of the steady phase, for due and received.
+    """
+    names = set(sampler.backlogged(samples))
+    shares = {p.name: p.share for p in shape.profiles if p.name in names}
+    served = {name: _served(samples, name) for name in names}
+    all_served = sum(served.values()) or 1.0
+    found = []
+    for profile in shape.profiles:
+        own = tally.of(profile.name)
+        is_backlogged = profile.name in names
+        due = profile.share / sum(shares.values()) if is_backlogged else None
+        received = served[profile.name] / all_served if is_backlogged else None
+        found.append(_organisation(profile, own, due, received))
+    return found
+
+
+def phase(
+    name: str, tally: tally_module.Tally, samples: Sequence[sampler.Sample]
+) -> PhaseResult:
+    """Return the result of one phase."""
+    measured = tally.by_phase.get(name, tally_module.PhaseTally())
+    seconds = samples[-1].at - samples[0].at if samples else 0.0
+    tokens = sum(
+        _served(samples, organisation) for organisation in tally.by_organisation
+    )
+    return PhaseResult(
+        name=name,
+        seconds=seconds,
+        utilisation=sampler.utilisation(samples),
+        tokens_per_second=tokens / seconds if seconds else 0.0,
+        **_outcomes(measured.outcomes),
+        first_token_p50=measured.first_token.percentile(50),
+        first_token_p95=measured.first_token.percentile(95),
+    )
+
+
+def last_new_work(
+    samples: Sequence[sampler.Sample], accepted_at: float
+) -> float:
+    """Return the seconds to the last begun call after an acceptance."""
+    last = 0.0
+    for before, after in zip(samples, samples[1:], strict=False):
+        if after.runs_in_leaving > before.runs_in_leaving:
+            last = max(last, after.at - accepted_at)
+    return last
+
+
+def _organisation(
+    profile: typing.Any,
+    own: tally_module.OrganisationTally,
+    due: float | None,
+    received: float | None,
+) -> OrganisationResult:
+    return OrganisationResult(
+        name=profile.name,
+        share=profile.share,
+        sent=own.sent,
+        **_outcomes(own.outcomes),
+        tokens=int(own.tokens),
+        due=due,
+        received=received,
+        first_token_p50=own.first_token.percentile(50),
+        first_token_p95=own.first_token.percentile(95),
+        token_gap_p95=own.token_gap.percentile(95),
+    )
+
+
+def _outcomes(outcomes: typing.Mapping[str, int]) -> dict[str, int]:
+    names = (callers.WHOLE, callers.REFUSED, callers.BROKEN, callers.WRONG)
+    return {name: outcomes.get(name, 0) for name in names}
+
+
+def _served(samples: Sequence[sampler.Sample], organisation: str) -> float:
+    if not samples:
+        return 0.0
+    first = samples[0].tokens_by_organisation.get(organisation, 0.0)
+    return samples[-1].tokens_by_organisation.get(organisation, 0.0) - first
+
+
+def _largest_request(profile: typing.Any) -> int:
+    return profile.longest + profile.prefix_characters // 4
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/run.py
@@ -0,0 +1,165 @@
+"""One run: an embedded fleet under load, a data centre out and back."""
+
+import collections
+from collections.abc import Callable
+import time
+import typing
+
+import gevent
+
+from daisypick_lab import embedded
+from daisypick_lab import load
+from daisypick_lab import results
+from daisypick_lab import sampler as sampler_module
+from daisypick_lab import shapes
+
+_FINISH_SECONDS = 45.0
+_RAMP = "ramp"
+
+
+class Plan(typing.NamedTuple):
+    """Lengths of the phases, seconds.
+
+    Attributes:
+        ramp: Under load before anything is measured: the cold start.
+        steady: Measured for fairness and utilisation.
+        out: With one data centre out.
+        back: With all of them in again.
+    """
+
+    ramp: float = 4.0
+    steady: float = 14.0
+    out: float = 8.0
+    back: float = 8.0
+
+
+QUICK = Plan(ramp=2.0, steady=3.0, out=3.0, back=3.0)
+Say = Callable[[str], None]
+
+
+class _Clocked(typing.NamedTuple):
+    """When a phase began and ended, monotonic seconds."""
+
+    start: float
+    end: float
+
+
+class Run:
+    """A fleet, its load and what is measured of both."""
+
+    def __init__(
+        self, *, shape: shapes.Shape, plan: Plan, seed: int, say: Say
+    ) -> None:
+        self._shape = shape
+        self._plan = plan
+        self._seed = seed
+        self._say = say
+        self._fleet = embedded.EmbeddedFleet(shape=shape, seed=seed)
+        self._spans: dict[str, _Clocked] = {}
+
+    def run(self) -> results.Result:
+        """Run all phases and return what was measured."""
+        started_at = time.monotonic()
+        try:
+            self._fleet.start()
+            return self._run_phases(started_at)
+        finally:
+            self._fleet.stop()
+
+    def _run_phases(self, started_at: float) -> results.Result:
+        generator = load.LoadGenerator(
+            profiles=self._shape.profiles,
+            routers=self._fleet.router_addresses,
+            seed=self._seed,
+        )
+        sampler = sampler_module.Sampler(
+            fleet=self._fleet, tally=generator.tally
+        )
+        sampler.start()
+        generator.start()
+        self._phase(generator, _RAMP, self._plan.ramp)
+        self._phase(generator, results.STEADY, self._plan.steady)
+        leaving = self._leave_and_return(generator, sampler)
+        self._say("Ends the load; what is open finishes.")
+        is_done = generator.stop(_FINISH_SECONDS)
+        sampler.stop()
+        return self._result(generator, sampler, leaving, is_done, started_at)
+
+    def _phase(
+        self, generator: load.LoadGenerator, name: str, seconds: float
+    ) -> None:
+        self._say(f"Phase {name}, {seconds:.0f} s.")
+        generator.tally.phase = name
+        start = time.monotonic()
+        gevent.sleep(seconds)
+        self._spans[name] = _Clocked(start, time.monotonic())
+
+    def _leave_and_return(
+        self,
+        generator: load.LoadGenerator,
+        sampler: sampler_module.Sampler,
+    ) -> results.LeavingResult:
+        name = self._shape.leaving
+        self._say(f"Takes data centre {name} out.")
+        seconds_out = self._fleet.set_data_centre(name, is_in=False)
+        accepted_at = time.monotonic() - seconds_out
+        self._phase(generator, results.OUT, self._plan.out)
+        samples = sampler.between(accepted_at, time.monotonic())
+        self._say(f"Brings data centre {name} back in.")
+        seconds_in = self._fleet.set_data_centre(name, is_in=True)
+        self._phase(generator, results.BACK, self._plan.back)
+        return results.LeavingResult(
+            data_centre=name,
+            out_in_force=seconds_out,
+            last_new_work=results.last_new_work(samples, accepted_at),
+            back_in_force=seconds_in,
+        )
+
+    def _result(
+        self,
+        generator: load.LoadGenerator,
+        sampler: sampler_module.Sampler,
+        leaving: results.LeavingResult,
+        is_done: bool,
+        started_at: float,
+    ) -> results.Result:
+        tally = generator.tally
+        steady = sampler.between(*self._spans[results.STEADY])
+        phases = [
+            results.phase(name, tally, sampler.between(*self._spans[name]))
+            for name in (results.STEADY, results.OUT, results.BACK)
+        ]
+        refusals: collections.Counter[str] = collections.Counter()
+        for own in tally.by_organisation.values():
+            for code, count in own.refusals_by_code.items():
+                refusals[str(code)] += count
+        verdict = tally.verdict(self._fleet.runs_by_marker())
+        return results.Result(
+            deployment=self._shape.name,
+            seed=self._seed,
+            version=results.version(),
+            seconds=time.monotonic() - started_at,
+            organisations=results.organisations(self._shape, tally, steady),
+            fairness=results.fairness(self._shape, steady),
+            phases=phases,
+            leaving=leaving,
+            control=self._control(steady),
+            refusals_by_code=dict(refusals),
+            verdict=results.VerdictResult(
+                wrong=list(verdict.wrong),
+                broken=list(verdict.broken),
+                ran_twice=list(verdict.ran_twice),
+                untrue_refusals=list(verdict.untrue_refusals),
+                unfinished=not is_done,
+            ),
+        )
+
+    def _control(
+        self, samples: list[sampler_module.Sample]
+    ) -> results.ControlResult:
+        count = len(self._fleet.processes)
+        seconds = samples[-1].at - samples[0].at
+        size = samples[-1].control_bytes - samples[0].control_bytes
+        return results.ControlResult(
+            bytes_per_second=size / seconds / count, processes=count
+        )
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/shapes.py
@@ -0,0 +1,167 @@
+"""What an embedded fleet consists of, and today's deployments of the brief.
+
+Examples:
+    >>> [len(s.data_centres) for s in (DEMO, UNION, KOPACKA)]
+    [2, 4, 3]
+    >>> len(UNION.profiles), UNION.replicas, UNION.plain_replicas
+    (16, 6, 4)
+"""
+
+import typing
+
+from daisypick_standins.engine import settings as engine_settings
+
+from daisypick_lab import load
+
+_LARGE = 4
+_FLOOD = 40
+
+
+class Shape(typing.NamedTuple):
+    """A fleet and its load.
+
+    Attributes:
+        name: Name of the deployment.
+        data_centres: Names of the data centres.
+        routers: Routers.
+        model_service: Name of the model service.
+        replicas: Its backend servers, spread over the data centres.
+        plain_service: Name of the plain service.
+        plain_replicas: Its backend servers.
+        engine: What its engines are like.
+        profiles: Its organisations and how they call.
+        leaving: The data centre that operators take out and bring back.
+    """
+
+    name: str
+    data_centres: tuple[str, ...]
+    routers: int
+    model_service: str
+    replicas: int
+    plain_service: str
+    plain_replicas: int
+    engine: engine_settings.EngineSettings
+    profiles: tuple[load.Profile, ...]
+    leaving: str
+
+
+_ENGINE = engine_settings.EngineSettings(
+    slots=6,
+    cold_slots=2,
+    token_interval=0.04,
+    full_slowdown=1.25,
+    warm_tokens=32,
+    warm_seconds=60.0,
+)
+
+
+def _organisation(
+    name: str, share: float, services: tuple[str, str], **fields: typing.Any
+) -> load.Profile:
+    model_service, plain_service = services
+    return load.Profile(
+        name=name,
+        key=f"{name}-demo-key",
+        share=share,
+        model_service=model_service,
+        plain_service=plain_service,
+        **fields,
+    )
+
+
+def _sixteen(
+    names: tuple[str, ...], services: tuple[str, str]
+) -> tuple[load.Profile, ...]:
+    """Return a few large, many small organisations, a quarter not backlogged.
+
+    One of the large ones floods, one calls a single router only.
+    """
+    profiles = []
+    for number, name in enumerate(names):
+        is_large = number < _LARGE
+        fields: dict[str, typing.Any] = {"workers": 12 if is_large else 6}
+        if number == 0:
+            fields["workers"] = _FLOOD
+        if number == 1:
+            fields["routers"] = (0,)
+        if number % _LARGE == _LARGE - 1:
+            fields |= {"workers": 1, "pause": 1.0, "plain_share": 0.5}
+        share = float(_LARGE) if is_large else 1.0
+        profiles.append(_organisation(name, share, services, **fields))
+    return tuple(profiles)
+
+
+_DEMO_SERVICES = ("assistant", "desk")
+DEMO = Shape(
+    name="demo",
+    data_centres=("sofia", "plovdiv"),
+    routers=2,
+    model_service="assistant",
+    replicas=4,
+    plain_service="desk",
+    plain_replicas=1,
+    engine=_ENGINE,
+    profiles=(
+        _organisation("rila-farm", 1.0, _DEMO_SERVICES, workers=_FLOOD),
+        _organisation("pirin-farm", 1.0, _DEMO_SERVICES, workers=6),
+        _organisation("vitosha-farm", 1.0, _DEMO_SERVICES, workers=6),
+        _organisation(
+            "rodopi-farm", 1.0, _DEMO_SERVICES, workers=6, routers=(0,)
+        ),
+        _organisation("strandzha-farm", 2.0, _DEMO_SERVICES, workers=10),
+        _organisation("balkan-farms", 4.0, _DEMO_SERVICES, workers=16),
+        _organisation(
+            "family-desk",
+            2.0,
+            _DEMO_SERVICES,
+            workers=2,
+            pause=0.3,
+            plain_share=0.7,
+        ),
+        _organisation(
+            "school-trips",
+            1.0,
+            _DEMO_SERVICES,
+            workers=1,
+            pause=0.5,
+            plain_share=0.3,
+        ),
+    ),
+    leaving="plovdiv",
+)
+
+_UNION_SERVICES = ("assistant", "desk")
+UNION = Shape(
+    name="union",
+    data_centres=("sofia", "plovdiv", "varna", "burgas"),
+    routers=4,
+    model_service="assistant",
+    replicas=6,
+    plain_service="desk",
+    plain_replicas=4,
+    engine=_ENGINE._replace(slots=4),
+    profiles=_sixteen(
+        tuple(f"farm-{number:02}" for number in range(1, 17)),
+        _UNION_SERVICES,
+    ),
+    leaving="plovdiv",
+)
+
+_KOPACKA_SERVICES = ("assistant", "ordering")
+KOPACKA = Shape(
+    name="kopacka",
+    data_centres=("praha", "brno", "plzen"),
+    routers=3,
+    model_service="assistant",
+    replicas=5,
+    plain_service="ordering",
+    plain_replicas=3,
+    engine=_ENGINE._replace(slots=4),
+    profiles=_sixteen(
+        tuple(f"workshop-{number:02}" for number in range(1, 17)),
+        _KOPACKA_SERVICES,
+    ),
+    leaving="brno",
+)
+
+by_name = {shape.name: shape for shape in (DEMO, UNION, KOPACKA)}
--- /dev/null
+++ b/packages/daisypick_lab/tests/test_run.py
@@ -0,0 +1,42 @@
+from daisypick_lab import comparison
+from daisypick_lab import report
+from daisypick_lab import results
+from daisypick_lab import run
+from daisypick_lab import shapes
+import msgspec
+
+
+def test_small_run_and_its_result(tmp_path):
+    # A whole fleet over real sockets, while a data centre goes out under load
+    # and comes back: each answer must be whole and its own, nothing may run
+    # twice, and what is refused as "not run" must not have run.
+    shape = shapes.DEMO._replace(
+        engine=shapes.DEMO.engine._replace(token_interval=0.002),
+        profiles=tuple(
+            profile._replace(workers=min(2, profile.workers))
+            for profile in shapes.DEMO.profiles
+        ),
+    )
+    plan = run.Plan(ramp=0.2, steady=0.3, out=0.3, back=0.3)
+    said = []
+    subject = run.Run(shape=shape, plan=plan, seed=1, say=said.append)
+    result = subject.run()
+    assert result.verdict == results.VerdictResult(
+        wrong=[],
+        broken=[],
+        ran_twice=[],
+        untrue_refusals=[],
+        unfinished=False,
+    )
+    assert [phase.name for phase in result.phases] == ["steady", "out", "back"]
+    assert sum(own.whole for own in result.organisations) > 20
+    assert all(own.wrong + own.broken == 0 for own in result.organisations)
+    text = report.render(result)
+    assert "verdict: good" in text
+    assert "balkan-farms" in text
+    file = tmp_path / "earlier.json"
+    file.write_bytes(msgspec.json.encode([result]))
+    assert comparison.read(str(file)) == [result]
+    assert "demo steady: utilisation" in comparison.render([result], [result])
+    file.write_bytes(b"[{}]")
+    assert comparison.read(str(file)).startswith(f"compare: {file}: ")
--- /dev/null
+++ b/packages/daisypick_lab/tests/test_tally.py
@@ -0,0 +1,28 @@
+from daisypick_lab import callers
+from daisypick_lab import tally
+
+
+def test_verdict_compares_with_what_ran():
+    subject = tally.Tally()
+    subject.count("union", "a", callers.Answered(callers.WRONG, "other"))
+    subject.count("union", "b", callers.Answered(callers.BROKEN, "cut"))
+    refused = callers.Answered(callers.REFUSED, "full", code=2001, ran="no")
+    subject.count("union", "c", refused)
+    subject.told_not_run = {"c", "d"}
+    verdict = subject.verdict({"c": 1, "plain-e": 2, "f": 2})
+    assert verdict.wrong == ("union a: other",)
+    assert verdict.broken == ("union b: cut",)
+    assert verdict.untrue_refusals == ("c",)
+    assert verdict.ran_twice == ("plain-e",)
+    assert not verdict.is_clean
+    assert subject.of("union").refusals_by_code == {2001: 1}
+    assert tally.Tally().verdict({"f": 2}).is_clean
+
+
+def test_percentiles():
+    latency = tally.Latency()
+    assert latency.percentile(95) == 0.0
+    for milliseconds in range(1, 101):
+        latency.record(milliseconds / 1000)
+    assert abs(latency.percentile(50) - 0.050) < 0.001
+    assert abs(latency.percentile(95) - 0.095) < 0.001
