--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -53,6 +53,7 @@
 TICK_SECONDS = 0.5
 MEMBERS_SECONDS = 5.0
 MEMBERS_TOLD = 4
+ROUTERS_SHOWN = 200
 
 _log = logs.PartLog("configuration")
 
@@ -147,10 +148,19 @@
         members = self.directory.members(now)
         return {
             **self.holder.describe(),
-            "is_watcher": self._is_watcher(now),
+            "is_watcher": self.is_watcher(),
             "members": len(members),
+            "routers": self._routers(members),
         }
 
+    def _routers(self, members: list[member_directory.Member]) -> list[str]:
+        routers = sorted(
+            member.address
+            for member in members
+            if member.role == member_directory.ROUTER
+        )
+        return routers[:ROUTERS_SHOWN]
+
     def _carry_out(self, due: Iterable[actions.Action]) -> None:
         """Carry out actions; those that wait get a greenlet each."""
         for action in due:
@@ -290,8 +300,9 @@
         addresses.discard(self._own.address)
         self.holder.set_peers(sorted(addresses), near)
 
-    def _is_watcher(self, now: float) -> bool:
+    def is_watcher(self) -> bool:
         """Tell whether this process is one of those that watch the store."""
+        now = self._clock()
         live = self.directory.live(self._own.role, self._own.data_centre, now)
         key = f"configuration/{self._own.role}/{self._own.data_centre}"
         chosen = placement.ranked(key, live)[:WATCHERS_PER_ROLE]
@@ -299,7 +310,7 @@
 
     def _watch_forever(self) -> None:
         while True:
-            if not self._is_watcher(self._clock()):
+            if not self.is_watcher():
                 gevent.sleep(MEMBERS_SECONDS)
                 continue
             stored = self._platform.watch(
