Prefer the prefix's agents, set slow ones aside, give up silent ones

Change: policy prefix_affinity (rendezvous hash, the same at all routers, load first), TypicalFirstToken and the set of slow agents, used last; hedge: a repeatable request that a silent agent does not give back within a second goes elsewhere on the retry budget. Policies take a pick.Choice. Split: routing/returns.py.

--- a/packages/daisypick_core/src/daisypick_core/routing/agents.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/agents.py
@@ -11,6 +11,8 @@
 # Beyond this many waiting attempts a slot, one of an organisation is enough.
 _CROWDED_PER_SLOT = 8
 _SMOOTHING = 0.2
+# A load that is older says nothing of free slots, seconds.
+_STALE_LOAD = 1.0
 
 
 class AgentView:
@@ -32,6 +34,10 @@
         drains: Times it was found draining since it last was not.
         first_token: Moving average of the time to first token, seconds,
             ``None`` before the first.
+        first_token_samples: How many times are in it.
+        slow_until: Time until which it is set aside as slow.
+        times_slow: How often it was, without a break.
+        heard_at: Time of the load, seconds.
     """
 
     def __init__(
@@ -56,14 +62,19 @@
         self.failures = 0
         self.drains = 0
         self.first_token: float | None = None
+        self.first_token_samples = 0
+        self.slow_until = 0.0
+        self.times_slow = 0
+        self.heard_at = float("-inf")
 
-    def hear(self, load: load_message.Load) -> None:
+    def hear(self, load: load_message.Load, now: float) -> None:
         """Take the load of an answer."""
         if self.load and self.load.incarnation != load.incarnation:
             self.suspended_until = 0.0
             self.failures = 0
-            self.first_token = None
+            self.forget_first_tokens()
         self.load = load
+        self.heard_at = now
         self.sent_since_load = 0
         if not load.is_draining:
             self.drains = 0
@@ -93,6 +104,16 @@
         if self.first_token is None:
             self.first_token = seconds
         self.first_token += _SMOOTHING * (seconds - self.first_token)
+        self.first_token_samples += 1
+
+    def forget_first_tokens(self) -> None:
+        """Judge the agent's speed anew."""
+        self.first_token = None
+        self.first_token_samples = 0
+
+    def may_be_free(self, now: float) -> bool:
+        """Tell whether a slot is free, or the load too old to deny it."""
+        return self.free > 0 or now - self.heard_at > _STALE_LOAD
 
     def is_usable(self, now: float) -> bool:
         """Tell whether attempts may be sent at all."""
--- a/packages/daisypick_core/src/daisypick_core/routing/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/directory.py
@@ -13,6 +13,7 @@
 from daisypick_core.results import failure as failure_value
 from daisypick_core.routing import agents as agents_view
 from daisypick_core.routing import backoff
+from daisypick_core.routing import outliers
 from daisypick_core.routing import request as request_value
 from daisypick_core.routing import service_view
 from daisypick_core.routing import timers
@@ -65,6 +66,8 @@
         for address, entry in entries.items():
             if address not in self._view_by_address:
                 self._add(entry, now)
+        for service in self._service_by_name.values():
+            service.rank_again()
         return gone
 
     def hear(
@@ -75,7 +78,7 @@
     ) -> None:
         """Take an agent's load."""
         was_draining = view.is_draining
-        view.hear(load)
+        view.hear(load, now)
         if load.is_draining and not was_draining:
             self._probe_later(view, now)
         self.refresh(view, now)
@@ -149,6 +152,31 @@
         self._suspend(view, max(pause, refusal.retry_after or 0.0), now)
         self.refresh(view, now)
 
+    def note_first_token(
+        self, view: agents_view.AgentView, seconds: float, now: float
+    ) -> None:
+        """Take a time to first token; set a slow agent aside."""
+        service = self.service(view.service)
+        service.typical_first_token.learn(seconds)
+        view.note_first_token(seconds)
+        view.failures = 0
+        if view.first_token_samples < outliers.LEAST_SAMPLES:
+            return
+        if not service.typical_first_token.is_outlier(view.first_token or 0.0):
+            view.times_slow = 0
+            return
+        pause = backoff.pause(
+            view.times_slow,
+            self._rng,
+            base=outliers.SET_ASIDE,
+            longest=outliers.LONGEST_SET_ASIDE,
+        )
+        view.times_slow += 1
+        view.slow_until = now + pause
+        view.forget_first_tokens()
+        self._timers.add(now + pause, timers.WakeAgent(address=view.address))
+        self.refresh(view, now)
+
     def _suspend(
         self, view: agents_view.AgentView, pause: float, now: float
     ) -> None:
--- a/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
@@ -21,16 +21,15 @@
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 from daisypick_core.routing import actions
-from daisypick_core.routing import agents as agents_view
 from daisypick_core.routing import backlog
 from daisypick_core.routing import directory
-from daisypick_core.routing import flights
 from daisypick_core.routing import pick
 from daisypick_core.routing import rebalance
 from daisypick_core.routing import refusals
 from daisypick_core.routing import request as request_value
 from daisypick_core.routing import retries
 from daisypick_core.routing import retry_budget
+from daisypick_core.routing import returns
 from daisypick_core.routing import sender
 from daisypick_core.routing import timers
 
@@ -38,8 +37,6 @@
 DispatcherLimits = request_value.DispatcherLimits
 AgentAddress = request_value.AgentAddress
 
-_RETRY_AFTER = 1.0
-
 
 class Dispatcher:
     """Sends requests to agents and decides on their retries."""
@@ -70,6 +67,12 @@
             known=self._directory,
             bounds=self._bounds,
         )
+        self._returns = returns.Returns(
+            known=self._directory,
+            outgoing=self._sender,
+            decisions=self._retries,
+            clock=self._timers,
+        )
         self._closed: failure_value.Failure | None = None
 
     def set_agents(
@@ -85,7 +88,7 @@
         for service in self._directory.services():
             for flight in list(service.waiting.values()):
                 if flight.agent in gone and not flight.is_withdrawing:
-                    due.append(rebalance.withdraw(service, flight))
+                    due.append(rebalance.withdraw(service, flight, now))
         return due + self._sender.send_all(now)
 
     def set_queue_bounds(
@@ -112,15 +115,15 @@
 
     def submit(self, request: Request, now: float) -> list[actions.Action]:
         """Take a caller's request."""
-        due = self._run_timers(now)
+        due = self._returns.run_timers(now)
         job = request_value.Job(request=request)
         verdict = self._closed or self._bounds.check(
             request, self._directory.services()
         )
         if isinstance(verdict, failure_value.Failure):
-            return [*due, self._fail(job, verdict)]
+            return [*due, self._returns.fail(job, verdict)]
         if verdict is not None:
-            due.append(self._fail(verdict.job, verdict.failure))
+            due.append(self._returns.fail(verdict.job, verdict.failure))
         self._retries.budget.earn()
         service = self._directory.service(request.service)
         service.queues.append(request.organisation, request.request_id, job)
@@ -132,7 +135,7 @@
         self, agent: str, load: load_message.Load, now: float
     ) -> list[actions.Action]:
         """Take an agent's load."""
-        due = self._run_timers(now)
+        due = self._returns.run_timers(now)
         view = self._directory.find(agent)
         if view is None:
             return due
@@ -154,12 +157,12 @@
             return due
         service = self._directory.service(view.service)
         if view in service.free and rebalance.may_withdraw(flight):
-            due.append(rebalance.withdraw(service, flight))
+            due.append(rebalance.withdraw(service, flight, now))
         return due
 
     def started(self, attempt_id: str, now: float) -> list[actions.Action]:
         """Note that an attempt has left the agent's queue and runs."""
-        due = self._run_timers(now)
+        due = self._returns.run_timers(now)
         flight = self._sender.flights.find(attempt_id)
         if flight is None or flight.started_at is not None:
             return due
@@ -178,36 +181,36 @@
             return
         view = self._directory.find(flight.agent)
         if view is not None:
-            view.note_first_token(now - flight.started_at)
-            view.failures = 0
+            seconds = now - flight.started_at
+            self._directory.note_first_token(view, seconds, now)
 
     def returned(
         self, attempt_id: str, refusal: failure_value.Failure, now: float
     ) -> list[actions.Action]:
         """Note that an attempt came back and never ran."""
-        due = self._run_timers(now)
+        due = self._returns.run_timers(now)
         flight = self._sender.land(attempt_id, now)
         if flight is None:
             return due
         job = flight.job
         view = self._directory.find(flight.agent)
         if refusal.code.number in refusals.FINAL:
-            due.append(self._fail(job, refusal))
-            return due + self._send_like(job.request, now)
+            due.append(self._returns.fail(job, refusal))
+            return due + self._returns.send_like(job.request, now)
         if view is not None:
             view.came_back()
             self._directory.note_refusal(
                 view, job.request.organisation, refusal, now
             )
-        if self._is_renewed(flight, refusal, view):
+        if self._returns.is_renewed(flight, refusal, view):
             return [*due, self._sender.dispatch(job, view, now)]
-        return due + self._move(flight, refusal, now)
+        return due + self._returns.move(flight, refusal, now)
 
     def broken(
         self, attempt_id: str, refusal: failure_value.Failure, now: float
     ) -> list[actions.Action]:
         """Note that an attempt may have run and has no answer."""
-        due = self._run_timers(now)
+        due = self._returns.run_timers(now)
         flight = self._sender.land(attempt_id, now)
         if flight is None:
             return due
@@ -219,30 +222,30 @@
             self._directory.note_failure(view, refusal, now)
         is_futile = refusal.code.number in refusals.NO_RETRY
         if is_futile or self._retries.broke(job, now) == retries.SPENT:
-            due.append(self._fail(job, refusal))
-        return due + self._send_like(job.request, now)
+            due.append(self._returns.fail(job, refusal))
+        return due + self._returns.send_like(job.request, now)
 
     def finished(self, attempt_id: str, now: float) -> list[actions.Action]:
         """Note that an attempt's whole answer has arrived."""
-        due = self._run_timers(now)
+        due = self._returns.run_timers(now)
         flight = self._sender.land(attempt_id, now)
         if flight is None:
             return due
         view = self._directory.find(flight.agent)
         if view is not None:
             view.failures = 0
-        return due + self._send_like(flight.job.request, now)
+        return due + self._returns.send_like(flight.job.request, now)
 
     def cancel(self, request_id: str, now: float) -> list[actions.Action]:
         """Forget a request whose caller has gone."""
-        due = self._run_timers(now)
+        due = self._returns.run_timers(now)
         flight = self._sender.flights.find_request(request_id)
         if flight is not None:
             self._sender.land(flight.attempt.attempt_id, now)
             due.append(
                 actions.Cancel(attempt=flight.attempt, agent=flight.agent)
             )
-            return due + self._send_like(flight.job.request, now)
+            return due + self._returns.send_like(flight.job.request, now)
         self._retries.forget(request_id)
         for service in self._directory.services():
             service.queues.remove(request_id)
@@ -250,11 +253,12 @@
 
     def tick(self, now: float) -> list[actions.Action]:
         """Fail what waited past its deadline, send what can be sent."""
-        due = self._run_timers(now)
+        due = self._returns.run_timers(now)
         self._retries.budget.trickle(now)
         for service in self._directory.services():
             for job in service.queues.expire(now):
-                due.append(self._expire(job))
+                due.append(self._returns.expire(job))
+            due += self._returns.hedge(service, now)
             due += self._sender.send_free(service, now)
         return due
 
@@ -277,94 +281,3 @@
     def in_flight_count(self) -> int:
         """Requests that are out at agents."""
         return len(self._sender.flights)
-
-    def _run_timers(self, now: float) -> list[actions.Action]:
-        due: list[actions.Action] = []
-        for timer in self._timers.pop_due(now):
-            if isinstance(timer, timers.WakeAgent):
-                service = self._directory.wake(timer.address, now)
-                if service is not None:
-                    due += self._sender.send_service(service, now)
-            elif isinstance(timer, timers.WakeRoom):
-                service = self._directory.wake_room(timer, now)
-                if service is not None:
-                    due += self._sender.send_organisation(
-                        service, timer.organisation, now
-                    )
-            else:
-                job = self._retries.release(timer.request_id, now)
-                if job is not None:
-                    due += self._requeue(job, now)
-        return due
-
-    def _move(
-        self,
-        flight: flights.Flight,
-        refusal: failure_value.Failure,
-        now: float,
-    ) -> list[actions.Action]:
-        """Send what came back "not run" elsewhere, now or after a pause."""
-        job = flight.job
-        job.avoid = flight.agent
-        verdict = self._retries.returned(job, refusal, now)
-        if verdict == retries.NOW:
-            return self._requeue(job, now)
-        due: list[actions.Action] = []
-        if verdict == retries.SPENT:
-            spent = failure_value.Failure(
-                code=codes.RETRIES_SPENT,
-                reason=refusal.reason,
-                retry_after=refusal.retry_after or _RETRY_AFTER,
-            )
-            due.append(self._fail(job, spent))
-        return due + self._send_like(job.request, now)
-
-    def _is_renewed(
-        self,
-        flight: flights.Flight,
-        refusal: failure_value.Failure,
-        view: agents_view.AgentView | None,
-    ) -> bool:
-        """Tell whether the agent takes work under its new address.
-
-        The refusal brought the agent's incarnation and epoch along, so the
-        next attempt may go there at once.
-        """
-        if refusal.code not in (codes.STALE_INCARNATION, codes.STALE_EPOCH):
-            return False
-        if view is None or view.load is None or not view.free:
-            return False
-        heard = (view.load.incarnation, view.load.epoch)
-        return heard != (flight.attempt.incarnation, flight.attempt.epoch)
-
-    def _requeue(
-        self, job: request_value.Job, now: float
-    ) -> list[actions.Action]:
-        if job.deadline <= now:
-            return [self._expire(job)]
-        request = job.request
-        service = self._directory.service(request.service)
-        service.queues.prepend(request.organisation, request.request_id, job)
-        return self._send_like(request, now)
-
-    def _send_like(self, request: Request, now: float) -> list[actions.Action]:
-        """Send requests of the same service and organisation."""
-        service = self._directory.service(request.service)
-        return self._sender.send_organisation(
-            service, request.organisation, now
-        )
-
-    def _fail(
-        self, job: request_value.Job, refusal: failure_value.Failure
-    ) -> actions.Fail:
-        return actions.Fail(
-            request_id=job.request.request_id,
-            failure=refusals.as_answer(job, refusal),
-        )
-
-    def _expire(self, job: request_value.Job) -> actions.Fail:
-        refusal = failure_value.Failure(
-            code=codes.DEADLINE_PASSED,
-            reason="waited past its deadline at the router",
-        )
-        return self._fail(job, refusal)
--- a/packages/daisypick_core/src/daisypick_core/routing/flights.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/flights.py
@@ -14,6 +14,7 @@
         sent_at: Time at which it was sent, seconds.
         started_at: Time at which it left the agent's queue, if it has.
         is_withdrawing: Whether the router is taking it back.
+        withdrawn_at: Time at which it last asked for it, seconds.
     """
 
     __slots__ = (
@@ -23,6 +24,7 @@
         "sent_at",
         "started_at",
         "is_withdrawing",
+        "withdrawn_at",
     )
 
     def __init__(
@@ -39,6 +41,7 @@
         self.sent_at = sent_at
         self.started_at: float | None = None
         self.is_withdrawing = False
+        self.withdrawn_at = 0.0
 
 
 class FlightTable:
--- a/packages/daisypick_core/src/daisypick_core/routing/rebalance.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/rebalance.py
@@ -37,15 +37,16 @@
         if len(due) >= slots:
             break
         if _is_worth_it(flight, known, now):
-            due.append(withdraw(service, flight))
+            due.append(withdraw(service, flight, now))
     return due
 
 
 def withdraw(
-    service: service_view.ServiceView, flight: flights.Flight
+    service: service_view.ServiceView, flight: flights.Flight, now: float
 ) -> actions.Withdraw:
     """Start to take a waiting attempt back."""
     flight.is_withdrawing = True
+    flight.withdrawn_at = now
     flight.job.withdrawals += 1
     service.withdrawing += 1
     return actions.Withdraw(attempt=flight.attempt, agent=flight.agent)
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/routing/returns.py
@@ -0,0 +1,157 @@
+"""What becomes of requests that came back or waited too long.
+
+They go out again at once or after a pause, or get their final answer.
+"""
+
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+from daisypick_core.routing import actions
+from daisypick_core.routing import agents as agents_view
+from daisypick_core.routing import directory
+from daisypick_core.routing import flights
+from daisypick_core.routing import hedge as hedge_module
+from daisypick_core.routing import refusals
+from daisypick_core.routing import request as request_value
+from daisypick_core.routing import retries
+from daisypick_core.routing import sender
+from daisypick_core.routing import service_view
+from daisypick_core.routing import timers
+
+_RETRY_AFTER = 1.0
+_SILENT = failure_value.Failure(
+    code=codes.PEER_UNREACHABLE, reason="agent: does not answer"
+)
+
+
+class Returns:
+    """Sends requests out again, or answers them."""
+
+    def __init__(
+        self,
+        *,
+        known: directory.Directory,
+        outgoing: sender.Sender,
+        decisions: retries.Retries,
+        clock: timers.Timers,
+    ) -> None:
+        self._directory = known
+        self._sender = outgoing
+        self._retries = decisions
+        self._timers = clock
+
+    def run_timers(self, now: float) -> list[actions.Action]:
+        """Wake agents and requests whose time has come."""
+        due: list[actions.Action] = []
+        for timer in self._timers.pop_due(now):
+            if isinstance(timer, timers.WakeAgent):
+                service = self._directory.wake(timer.address, now)
+                if service is not None:
+                    due += self._sender.send_service(service, now)
+            elif isinstance(timer, timers.WakeRoom):
+                service = self._directory.wake_room(timer, now)
+                if service is not None:
+                    due += self._sender.send_organisation(
+                        service, timer.organisation, now
+                    )
+            else:
+                job = self._retries.release(timer.request_id, now)
+                if job is not None:
+                    due += self.requeue(job, now)
+        return due
+
+    def move(
+        self,
+        flight: flights.Flight,
+        refusal: failure_value.Failure,
+        now: float,
+    ) -> list[actions.Action]:
+        """Send what came back "not run" elsewhere, now or after a pause."""
+        job = flight.job
+        job.avoid = flight.agent
+        verdict = self._retries.returned(job, refusal, now)
+        if verdict == retries.NOW:
+            return self.requeue(job, now)
+        due: list[actions.Action] = []
+        if verdict == retries.SPENT:
+            spent = failure_value.Failure(
+                code=codes.RETRIES_SPENT,
+                reason=refusal.reason,
+                retry_after=refusal.retry_after or _RETRY_AFTER,
+            )
+            due.append(self.fail(job, spent))
+        return due + self.send_like(job.request, now)
+
+    def hedge(
+        self, service: service_view.ServiceView, now: float
+    ) -> list[actions.Action]:
+        """Send elsewhere what silent agents do not give back."""
+        due: list[actions.Action] = []
+        for flight in hedge_module.find_silent(
+            service, self._retries.budget, now
+        ):
+            attempt = flight.attempt
+            self._sender.land(attempt.attempt_id, now)
+            due.append(actions.Cancel(attempt=attempt, agent=flight.agent))
+            job = flight.job
+            job.avoid = flight.agent
+            job.may_have_run = True
+            view = self._directory.find(flight.agent)
+            if view is not None:
+                self._directory.note_failure(view, _SILENT, now)
+            due += self.requeue(job, now)
+        return due
+
+    def is_renewed(
+        self,
+        flight: flights.Flight,
+        refusal: failure_value.Failure,
+        view: agents_view.AgentView | None,
+    ) -> bool:
+        """Tell whether the agent takes work under its new address.
+
+        The refusal brought the agent's incarnation and epoch along, so the
+        next attempt may go there at once.
+        """
+        if refusal.code not in (codes.STALE_INCARNATION, codes.STALE_EPOCH):
+            return False
+        if view is None or view.load is None or not view.free:
+            return False
+        heard = (view.load.incarnation, view.load.epoch)
+        return heard != (flight.attempt.incarnation, flight.attempt.epoch)
+
+    def requeue(
+        self, job: request_value.Job, now: float
+    ) -> list[actions.Action]:
+        """Put a job before the others of its organisation and send."""
+        if job.deadline <= now:
+            return [self.expire(job)]
+        request = job.request
+        service = self._directory.service(request.service)
+        service.queues.prepend(request.organisation, request.request_id, job)
+        return self.send_like(request, now)
+
+    def send_like(
+        self, request: request_value.Request, now: float
+    ) -> list[actions.Action]:
+        """Send requests of the same service and organisation."""
+        service = self._directory.service(request.service)
+        return self._sender.send_organisation(
+            service, request.organisation, now
+        )
+
+    def fail(
+        self, job: request_value.Job, refusal: failure_value.Failure
+    ) -> actions.Fail:
+        """Give a job its final answer."""
+        return actions.Fail(
+            request_id=job.request.request_id,
+            failure=refusals.as_answer(job, refusal),
+        )
+
+    def expire(self, job: request_value.Job) -> actions.Fail:
+        """Give a job whose deadline has passed its final answer."""
+        refusal = failure_value.Failure(
+            code=codes.DEADLINE_PASSED,
+            reason="waited past its deadline at the router",
+        )
+        return self.fail(job, refusal)
--- a/packages/daisypick_core/src/daisypick_core/routing/service_view.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/service_view.py
@@ -17,9 +17,11 @@
 
 from daisypick_core.queues import indexed_set
 from daisypick_core.queues import keyed_queues
+from daisypick_core.routing import affinity
 from daisypick_core.routing import agents as agents_view
 from daisypick_core.routing import allowance
 from daisypick_core.routing import flights
+from daisypick_core.routing import outliers
 from daisypick_core.routing import pick
 from daisypick_core.routing import request as request_value
 
@@ -44,11 +46,13 @@
     Attributes:
         usable: Agents that may be sent to.
         free: Those of them that were heard to have free slots.
+        slow: Those that would be in ``free`` but are set aside.
         unknown: Those of them that were never heard of and may be asked.
         queues: Requests that wait at the router, by organisation.
         waiting: Attempts that wait at agents, oldest first.
         waiting_by_organisation: How many of them each organisation has.
         withdrawing: How many of them the router is taking back.
+        typical_first_token: What is usual for the service.
     """
 
     def __init__(self, *, window: int) -> None:
@@ -72,13 +76,23 @@
             collections.Counter()
         )
         self.withdrawing = 0
+        self.slow: indexed_set.IndexedSet[agents_view.AgentView] = (
+            indexed_set.IndexedSet()
+        )
+        self.typical_first_token = outliers.TypicalFirstToken()
+        self._view_by_address: dict[str, agents_view.AgentView] = {}
+        self._ranking = affinity.PrefixRanking()
         self._room_by_organisation: dict[str, Room] = {}
 
     def refresh(self, view: agents_view.AgentView, now: float) -> None:
         """Put an agent into the sets that it belongs to now."""
         is_usable = view.is_usable(now)
+        self._view_by_address[view.address] = view
         is_free = is_usable and view.free > 0
-        self.free.put(view, is_member=is_free and view.load is not None)
+        is_known = is_free and view.load is not None
+        is_slow = view.slow_until > now
+        self.free.put(view, is_member=is_known and not is_slow)
+        self.slow.put(view, is_member=is_known and is_slow)
         self.unknown.put(view, is_member=is_free and view.load is None)
         if self.usable.put(view, is_member=is_usable):
             for organisation, room in self._room_by_organisation.items():
@@ -97,12 +111,38 @@
         self.usable.discard(view)
         self.free.discard(view)
         self.unknown.discard(view)
+        self.slow.discard(view)
+        self._view_by_address.pop(view.address, None)
         for room in self._room_by_organisation.values():
             room.agents.discard(view)
 
     def has_free(self) -> bool:
         """Tell whether an agent is believed to have free slots."""
-        return bool(len(self.free) or len(self.unknown))
+        return bool(len(self.free) or len(self.unknown) or len(self.slow))
+
+    def rank_again(self) -> None:
+        """Note that agents have come or gone."""
+        self._ranking.set_addresses(self._view_by_address)
+
+    def preferred(
+        self, request: request_value.Request, now: float
+    ) -> list[agents_view.AgentView]:
+        """Return agents for a request's prefix that may have a free slot."""
+        organisation = request.organisation
+        if not request.prefix:
+            return []
+        ranked = map(
+            self._view_by_address.get, self._ranking.rank(request.prefix)
+        )
+        return [
+            view
+            for view in ranked
+            if view is not None
+            and view in self.usable
+            and view.slow_until <= now
+            and view.may_be_free(now)
+            and (view.free or view.has_room(organisation, self._window, now))
+        ]
 
     def room(self, organisation: str, now: float) -> Room:
         """Return where an organisation's attempts may wait."""
@@ -137,12 +177,11 @@
         now: float,
     ) -> agents_view.AgentView | None:
         """Return the agent for a job's next attempt, ``None`` if none."""
-        if len(self.free):
-            return _pick(self.free.items, job, policy, rng)
-        if len(self.unknown):
-            # Its incarnation is not known, so the first attempt comes back
-            # with it: worth it only when nobody known is free.
-            return _pick(self.unknown.items, job, policy, rng)
+        # The incarnation of an unknown agent is not known, so that the first
+        # attempt comes back with it: worth it when nobody known is free.
+        for agents in (self.free, self.unknown, self.slow):
+            if len(agents):
+                return self._pick(agents.items, job, policy, rng, now)
         organisation = job.request.organisation
         room = self.room(organisation, now)
         if self.waiting_by_organisation[organisation] >= room.allowance.value:
@@ -150,7 +189,7 @@
         for _ in range(_TRIES):
             if not len(room.agents):
                 return None
-            view = _pick(room.agents.items, job, policy, rng)
+            view = self._pick(room.agents.items, job, policy, rng, now)
             if view.has_room(organisation, self._window, now):
                 return view
             room.agents.discard(view)
@@ -168,17 +207,26 @@
         )
         room.agents.put(view, is_member=has_room)
 
-
-def _pick(
-    candidates: list[agents_view.AgentView],
-    job: request_value.Job,
-    policy: pick.Policy,
-    rng: random.Random,
-) -> agents_view.AgentView:
-    """Apply a policy; do not go back to who has just refused the job."""
-    view = policy(candidates, job.request.prefix, rng)
-    if view.address != job.avoid or len(candidates) == 1:
-        return view
-    position = rng.randrange(len(candidates) - 1)
-    other = candidates[position]
-    return candidates[-1] if other is view else other
+    def _pick(
+        self,
+        candidates: list[agents_view.AgentView],
+        job: request_value.Job,
+        policy: pick.Policy,
+        rng: random.Random,
+        now: float,
+    ) -> agents_view.AgentView:
+        """Apply a policy; do not go back to who has just refused the job."""
+        choice = pick.Choice(
+            candidates=candidates,
+            preferred=lambda: [
+                view
+                for view in self.preferred(job.request, now)
+                if view.address != job.avoid
+            ],
+        )
+        view = policy(choice, rng)
+        if view.address != job.avoid or len(candidates) == 1:
+            return view
+        position = rng.randrange(len(candidates) - 1)
+        other = candidates[position]
+        return candidates[-1] if other is view else other
--- a/packages/daisypick_core/tests/routing/test_dispatcher.py
+++ b/packages/daisypick_core/tests/routing/test_dispatcher.py
@@ -257,3 +257,78 @@
     assert subject.hinted(attempt_id, other, make_load(), 0.002) == []
     subject.started(attempt_id, 0.003)
     assert subject.hinted(attempt_id, other, make_load(), 0.004) == []
+
+
+def test_silent_agent_does_not_keep_what_may_be_repeated():
+    # An agent hangs with two requests waiting. The router asks for both and
+    # hears nothing. The one that may be repeated goes elsewhere; the other
+    # one may be running there and must not.
+    subject = make_dispatcher(count=2)
+    busy, free = "127.0.0.1:0", "127.0.0.1:1"
+    subject.hear(free, make_load(running=1), 0.0)
+    subject.hear(busy, make_load(limit=2), 0.0)
+    subject.submit(make_request("x"), 0.0)
+    subject.submit(make_request("y", is_repeatable=False), 0.0)
+    subject.hear(busy, make_load(running=1), 0.1)
+    due = subject.hear(free, make_load(limit=3), 0.2)
+    assert {a.attempt.request_id for a in due} == {"x", "y"}
+    assert subject.tick(0.9) == []
+    cancel, dispatch = subject.tick(1.5)
+    assert isinstance(cancel, actions.Cancel)
+    assert (dispatch.attempt.request_id, dispatch.agent) == ("x", free)
+    assert subject.tick(9.0) == []
+    refusal = refuse(codes.WITHDRAWN)
+    assert subject.returned(cancel.attempt.attempt_id, refusal, 9.0) == []
+
+
+def test_slow_agent_is_used_only_when_no_other_is_free():
+    # One of two agents needs ten times as long to its first token. It is
+    # set aside, but a slow slot is better than none.
+    subject = make_dispatcher(count=2)
+    slow = "127.0.0.1:0"
+    for n in range(60):
+        now = float(n)
+        for address in (slow, "127.0.0.1:1"):
+            subject.hear(address, make_load(limit=8), now)
+        (due,) = dispatches(subject.submit(make_request(f"r{n}"), now))
+        subject.started(due.attempt.attempt_id, now)
+        pause = 1.0 if due.agent == slow else 0.1
+        subject.first_token(due.attempt.attempt_id, now + pause)
+        subject.finished(due.attempt.attempt_id, now + pause)
+    for address in (slow, "127.0.0.1:1"):
+        subject.hear(address, make_load(limit=4), 60.0)
+    agents = [
+        due.agent
+        for n in range(8)
+        for due in subject.submit(make_request(f"s{n}"), 60.0)
+    ]
+    assert agents == 4 * ["127.0.0.1:1"] + 4 * [slow]
+
+
+def test_prefix_goes_to_its_agent_until_that_is_full():
+    # All routers send a prefix to the same agent without a word among
+    # them, but never past its free slots while others have some.
+    firsts = set()
+    for seed in range(5):
+        subject = dispatcher.Dispatcher(
+            router=f"127.0.0.1:{seed}",
+            rng=random.Random(seed),
+            policy="prefix_affinity",
+        )
+        agents = [
+            dispatcher.AgentAddress(
+                address=f"127.0.0.1:{n}", service="desk", data_centre="sofia"
+            )
+            for n in range(9)
+        ]
+        subject.set_agents(agents, 0.0)
+        for agent in agents:
+            subject.hear(agent.address, make_load(limit=2), 0.0)
+        sent = [
+            due.agent
+            for n in range(18)
+            for due in subject.submit(make_request(f"r{n}", prefix="p"), 0.0)
+        ]
+        firsts.add(tuple(sent[:6]))
+        assert sorted(sent) == sorted(2 * [a.address for a in agents])
+    assert len(firsts) == 1
