Tell all agents of a data centre that goes out

Change: data-centre out and in offer the change to every agent of that data centre, which are its gates. Exchanges come every 2 s and a round has 5 notices. The page of the configuration's keys is generated from the types and checked by the linter.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,10 @@
 lint: install
 	$(VENV)/bin/ruff check packages spec tools
 	$(PYTHON) tools/check_imports.py packages spec tools
+	$(PYTHON) tools/write_configuration_page.py --check
+
+docs: install
+	$(PYTHON) tools/write_configuration_page.py
 
 test: install
 	$(PYTHON) -m pytest
--- a/packages/daisypick_cli/src/daisypick_cli/applying.py
+++ b/packages/daisypick_cli/src/daisypick_cli/applying.py
@@ -121,7 +121,9 @@
             )
             outcome = self._publish(wanted, stored)
             if isinstance(outcome, publication.Published):
-                return self._spread(outcome, stored.configuration, wanted)
+                return self._spread(
+                    outcome, stored.configuration, wanted, urgent=name
+                )
             if not isinstance(outcome, publication.Conflict):
                 return outcome
         return outcome
@@ -144,14 +146,31 @@
         published: publication.Published,
         before: model.Configuration,
         wanted: model.Configuration,
+        *,
+        urgent: str = "",
     ) -> Applied:
-        """Tell some processes, so that the store is not needed any more."""
+        """Tell some processes, so that the store is not needed any more.
+
+        Args:
+            published: What was accepted.
+            before: The configuration before it.
+            wanted: The configuration that was accepted.
+            urgent: A data centre whose agents are all told. They are the
+                gates: once they know, nothing new starts there, whatever the
+                rest of the fleet still believes.
+        """
         told = asked = 0
         if self._processes is not None:
             offer = wire.RootAnswer(
                 root=published.root, chunk_by_hash=published.chunk_by_hash
             )
             addresses = fleet.choose(wanted, fleet.TOLD_PER_DATA_CENTRE)
+            addresses += [
+                server.agent
+                for server in wanted.backend_servers_by_name.values()
+                if server.data_centre == urgent
+                and server.agent not in addresses
+            ]
             replies = self._processes.each(
                 lambda address: self._processes.offer(address, offer),
                 addresses,
--- a/packages/daisypick_cli/tests/test_main.py
+++ b/packages/daisypick_cli/tests/test_main.py
@@ -208,6 +208,10 @@
     code, _, error = run(f"explain r1 --at {agent.address}")
     assert (code, "[7005]" in error) == (exit_codes.UNAVAILABLE, True)
     assert run("dump nowhere")[0] == exit_codes.FAULTS
+    # An apply tells two agents of each data centre; a data centre that goes
+    # out is told in all its agents, of which sofia has three.
+    code, found = run_json("data-centre out sofia")
+    assert (code, found["asked"], found["told"]) == (exit_codes.OK, 5, 1)
     monkeypatch.setenv("DAISYPICK_OPERATOR_KEY", "wrong")
     assert run(f"dump {agent.address}")[0] == exit_codes.UNAVAILABLE
 
--- a/packages/daisypick_core/src/daisypick_core/configuration/model.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/model.py
@@ -51,7 +51,7 @@
 
     Attributes:
         name: Unique name; callers name it as ``model`` or in the path.
-        kind: ``MODEL`` or ``PLAIN``.
+        kind: ``model`` or ``plain``.
         model: Name of the model that the engines load.
         version: Version of the model.
         adapters: Adapters that the engines load.
--- a/packages/daisypick_core/src/daisypick_core/configuration/rounds.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/rounds.py
@@ -39,9 +39,9 @@
         batch: Chunks asked for at once.
     """
 
-    exchange_seconds: float = 4.0
+    exchange_seconds: float = 2.0
     notice_seconds: float = 1.0
-    notice_fanout: int = 3
+    notice_fanout: int = 5
     fetch_timeout: float = 3.0
     suspend_seconds: float = 5.0
     start_peers: int = 3
