Let an offer complete a fetch, and keep chunks of former trees in use

Cause: trying the commands as a new user, an apply told '0 of 4 processes have it' of a process that was up: the offer was dropped because the process had begun to read the same root from the store; and a change that was taken back was offered without its chunks, which older packs held.

Change: chunks of the root that is being fetched are used whoever brings them; chunks of former trees are taken from where they are; an offer bears all chunks that differ from the tree before it.

Three tests failed before and pass.

Conclusion: a data centre that goes out and comes back moves its root only.

--- a/packages/daisypick_cli/src/daisypick_cli/commands/inspection.py
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/inspection.py
@@ -177,10 +177,13 @@
     """Return the failure that kept the only process asked from answering."""
     if len(outcomes) == 1:
         return next(iter(outcomes.values()))
+    silent = sum(
+        outcome.code == codes.PEER_UNREACHABLE for outcome in outcomes.values()
+    )
     return failure_value.Failure(
         code=codes.NOT_FOUND,
-        reason=f"request {request_id}: none of {len(outcomes)} processes "
-        "remembers it",
+        reason=f"request {request_id}: of {len(outcomes)} processes asked, "
+        f"none remembers it; {silent} did not answer",
     )
 
 
--- a/packages/daisypick_cli/src/daisypick_cli/publication.py
+++ b/packages/daisypick_cli/src/daisypick_cli/publication.py
@@ -157,7 +157,11 @@
             packs=(*old_packs, *pack_by_name),
             recent=(*recent, change_id)[-RECENT_LIMIT:],
         )
-        return _Change(root=root, pack_by_name=pack_by_name, fresh=fresh)
+        return _Change(
+            root=root,
+            pack_by_name=pack_by_name,
+            differing=_differing_chunks(tree, base),
+        )
 
     def _write_pack(
         self, name: str, pack: bytes
@@ -241,7 +245,7 @@
     def _accepted(self, change: "_Change") -> Published:
         self._clear(change.root)
         return Published(
-            root=change.root, is_new=True, chunk_by_hash=change.fresh
+            root=change.root, is_new=True, chunk_by_hash=change.differing
         )
 
     def _clear(self, root: root_object.Root) -> None:
@@ -283,11 +287,27 @@
 
 
 class _Change(typing.NamedTuple):
-    """A change that is ready to be written."""
+    """A change that is ready to be written.
+
+    Attributes:
+        root: The root to write.
+        pack_by_name: The packs to write before it.
+        differing: Chunks that the tree before it lacks.
+    """
 
     root: root_object.Root
     pack_by_name: dict[str, bytes]
-    fresh: dict[str, bytes]
+    differing: dict[str, bytes]
+
+
+def _differing_chunks(
+    tree: chunks.Tree, base: configuration_store.StoredConfiguration
+) -> dict[str, bytes]:
+    if base.root is None:
+        return tree.chunk_by_hash
+    held = base.chunk_by_hash | tree.chunk_by_hash
+    changed = chunks.changed_chunks(base.root.top, tree.top, held)
+    return {chunk_hash: held[chunk_hash] for chunk_hash in changed}
 
 
 def _make_packs(chunk_by_hash: Mapping[str, bytes]) -> Iterator[bytes]:
--- a/packages/daisypick_cli/tests/test_publication.py
+++ b/packages/daisypick_cli/tests/test_publication.py
@@ -190,6 +190,15 @@
     assert len(held.root.packs) < 10
 
 
+def test_change_that_is_taken_back_is_published_with_its_chunks(platform):
+    # The store holds the former chunks in an older pack; a process that is
+    # told of the change need not, and gets all that differs.
+    first = publish(platform, make_configuration(a=1.0))
+    publish(platform, make_configuration(a=2.0), 2)
+    back = publish(platform, make_configuration(a=1.0), 3)
+    assert back.chunk_by_hash == first.chunk_by_hash
+
+
 def test_large_configuration_fits_the_objects_of_the_store(platform):
     names = {f"organisation-{n:05}": 1.0 + n for n in range(25_000)}
     assert publish(platform, make_configuration(**names)).is_new
--- a/packages/daisypick_core/src/daisypick_core/configuration/fetch.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/fetch.py
@@ -86,5 +86,8 @@
 
     def _want(self, chunk_hash: str) -> None:
         is_held = self._holdings.is_live(chunk_hash)
-        if not is_held and chunk_hash not in self.staged:
-            self._wanted.add(chunk_hash)
+        if is_held or chunk_hash in self.staged:
+            return
+        self._wanted.add(chunk_hash)
+        # A chunk of a former tree is there, but what is below it may not be.
+        self._spare |= self._holdings.give([chunk_hash])
--- a/packages/daisypick_core/src/daisypick_core/configuration/spread.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/spread.py
@@ -278,7 +278,7 @@
     ) -> list[actions.Action]:
         if self._fetch is not None:
             if root.generation <= self._fetch.root.generation:
-                return []
+                return self._help_fetch(root, chunk_by_hash, now)
             self._staged = self._fetch.staged
         self._fetch = tree_fetch.Fetch(
             root=root,
@@ -290,6 +290,19 @@
         self._fetch.offer(chunk_by_hash)
         return self._go_on(now)
 
+    def _help_fetch(
+        self,
+        root: root_object.Root,
+        chunk_by_hash: Mapping[str, bytes],
+        now: float,
+    ) -> list[actions.Action]:
+        """Use what came with the root that is being fetched already."""
+        fetch = self._fetch
+        assert fetch is not None
+        if root.digest == fetch.root.digest:
+            fetch.offer(chunk_by_hash)
+        return self._go_on(now) if fetch.is_whole else []
+
     def _go_on(self, now: float) -> list[actions.Action]:
         """Take the next step of the fetch."""
         fetch = self._fetch
--- a/packages/daisypick_core/tests/configuration/test_spread.py
+++ b/packages/daisypick_core/tests/configuration/test_spread.py
@@ -251,6 +251,34 @@
     assert holder.generation == 6
 
 
+def test_offer_completes_a_fetch_that_is_under_way():
+    # A watcher has begun to read a change from the store, which is slow, when
+    # the operator's command line offers the same change with its chunks.
+    holder = bring_up(1)
+    new = Source(6)
+    answer = wire.RootAnswer(root=new.root, chunk_by_hash={})
+    assert len(holder.take_root(actions.STORE, answer, 1.0)) == 1
+    assert holder.take_root("p1", answer, 1.0) == []
+    offer = answer._replace(chunk_by_hash=new.chunk_by_hash)
+    due = holder.take_root(actions.OPERATOR, offer, 1.0)
+    assert isinstance(due[0], actions.PutInForce)
+    assert holder.take_chunks(actions.STORE, new.packs["news"], 2.0) == []
+    assert holder.generation == 6
+
+
+def test_change_that_is_taken_back_moves_no_chunk():
+    # A data centre goes out and comes back: the tree is the former one again,
+    # whose chunks the node has kept.
+    holder = bring_up(1)
+    run(holder, holder.hear("p1", 2, 1.0), {"p1": Source(2)}, now=1.0)
+    back = root_object.make_root(
+        generation=3, change_id="c3", top=Source(1).root.top
+    )
+    answer = wire.RootAnswer(root=back, chunk_by_hash={})
+    due = holder.take_root("p1", answer, 2.0)
+    assert due[0].configuration == make_configuration(1)._replace(generation=3)
+
+
 def test_silent_source_is_replaced():
     holder = bring_up(2)
     (ask,) = holder.hear("p1", 3, 1.0)
