Carry hints of idle agents over the sockets; judge streams only

Cause: the core's hints had no way between processes; whole answers, whose first byte comes with their last, counted as leaps of the first token. Change: POST /internal/idle from an idle agent to two peers each half second, a BEAT frame with the hint on the stream of the waiting attempt; Attempt, Envelope and Request carry is_stream (default False); routers keep the agents of a data centre that is out, marked so (AgentAddress.is_in). Conclusion: hints cost one exchange each half second and idle agent.

--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -195,7 +195,7 @@
         if run is None:
             return
         self.order.progress(run.attempt, tokens)
-        if self._running.first_token(attempt_id) is not None:
+        if tokens and self._running.first_token(attempt_id) is not None:
             self.limit.first_token(now - run.started_at, now)
 
     def finish(
--- a/packages/daisypick_core/src/daisypick_core/gate/running.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/running.py
@@ -35,7 +35,7 @@
 
     @property
     def without_token(self) -> int:
-        """Attempts that hold a slot and have shown no first token."""
+        """Attempts that hold a slot and have still to show a first token."""
         return len(self._claiming_by_id) + len(self._silent_by_id)
 
     def claim(self, attempt: attempt_message.Attempt) -> None:
@@ -50,6 +50,9 @@
         """Give a slot to an attempt that starts."""
         run = Run(attempt=attempt, started_at=now)
         self._run_by_id[attempt.attempt_id] = run
+        if not attempt.is_stream:
+            # A whole answer shows no first token: its silence says nothing.
+            return
         self._silent_by_id[attempt.attempt_id] = run
 
     def find(self, attempt_id: str) -> Run | None:
--- a/packages/daisypick_core/src/daisypick_core/messages/attempt.py
+++ b/packages/daisypick_core/src/daisypick_core/messages/attempt.py
@@ -26,6 +26,8 @@
         idempotency_key: The caller's key, if any.
         fingerprint: Hash of method, path and body, to tell reuse of a key.
         prefix: Hash of the prompt's prefix for affinity, ``""`` if none.
+        is_stream: Whether the answer streams, so that its first token shows
+            how fast the backend server is.
     """
 
     attempt_id: str
@@ -41,6 +43,7 @@
     idempotency_key: str | None = None
     fingerprint: str = ""
     prefix: str = ""
+    is_stream: bool = False
 
 
 class Envelope(typing.TypedDict):
@@ -64,6 +67,7 @@
     idempotency_key: str | None
     fingerprint: str
     prefix: str
+    is_stream: bool
     generation: int
     method: str
     path: str
@@ -86,6 +90,7 @@
         idempotency_key=envelope["idempotency_key"],
         fingerprint=envelope["fingerprint"],
         prefix=envelope["prefix"],
+        is_stream=envelope["is_stream"],
     )
 
 
@@ -113,6 +118,7 @@
         idempotency_key=attempt.idempotency_key,
         fingerprint=attempt.fingerprint,
         prefix=attempt.prefix,
+        is_stream=attempt.is_stream,
         generation=generation,
         method=method,
         path=path,
--- a/packages/daisypick_core/src/daisypick_core/messages/frame.py
+++ b/packages/daisypick_core/src/daisypick_core/messages/frame.py
@@ -41,6 +41,8 @@
         reason: Sentence for people (``REFUSED``).
         retry_after: Seconds (``REFUSED``).
         size: Bytes of the whole answer (``END``).
+        idle_agent: Agent that could start the attempt now (``BEAT``).
+        idle_load: What that agent said of itself (``BEAT``).
     """
 
     load: load_message.Load
@@ -52,6 +54,8 @@
     reason: str
     retry_after: float | None
     size: int
+    idle_agent: str
+    idle_load: load_message.Load
 
 
 class Frame(typing.NamedTuple):
--- a/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
@@ -179,6 +179,9 @@
         flight = self._sender.flights.find(attempt_id)
         if flight is None or flight.started_at is None:
             return
+        if not flight.attempt.is_stream:
+            # The first byte of a whole answer comes with its last.
+            return
         view = self._directory.find(flight.agent)
         if view is not None:
             seconds = now - flight.started_at
--- a/packages/daisypick_core/src/daisypick_core/routing/request.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/request.py
@@ -16,6 +16,7 @@
         idempotency_key: The caller's key, if any.
         fingerprint: Hash of method, path and body.
         prefix: Hash of the prompt's prefix, ``""`` if none.
+        is_stream: Whether the answer streams.
     """
 
     request_id: str
@@ -27,6 +28,7 @@
     idempotency_key: str | None = None
     fingerprint: str = ""
     prefix: str = ""
+    is_stream: bool = False
 
 
 class DispatcherLimits(typing.NamedTuple):
--- a/packages/daisypick_core/src/daisypick_core/routing/sender.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/sender.py
@@ -146,6 +146,7 @@
             idempotency_key=request.idempotency_key,
             fingerprint=request.fingerprint,
             prefix=request.prefix,
+            is_stream=request.is_stream,
         )
 
     def leave_agent_queue(
--- a/packages/daisypick_core/tests/gate/test_gate.py
+++ b/packages/daisypick_core/tests/gate/test_gate.py
@@ -162,3 +162,23 @@
     (hint,) = subject.offer(make_attempt("y"), 0.2)
     assert hint.load == idle
     assert subject.offer(make_attempt("z"), 0.3) == []
+
+
+def test_whole_answers_are_no_sign_of_a_cold_server():
+    # Callers of whole answers get their first byte with the last. Taken for
+    # first tokens, a few long ones would make a warm server look cold.
+    subject = make_gate(slots=4)
+    for n in range(9):
+        now = float(n)
+        subject.offer(make_attempt(f"s{n}", is_stream=True), now)
+        subject.progress(f"s{n}", 1, now + 0.1)
+        subject.finish(f"s{n}", cost=1.0, is_healthy=True, now=now + 0.5)
+    for n in range(3):
+        subject.offer(make_attempt(f"w{n}"), 10.0)
+    subject.tick(50.0)
+    for n in range(3):
+        subject.progress(f"w{n}", 100, 50.0)
+    assert (subject.limit.limit, subject.limit.is_suspicious) == (4, False)
+    subject.offer(make_attempt("t", is_stream=True), 50.0)
+    subject.tick(60.0)
+    assert subject.limit.is_suspicious
--- a/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
@@ -464,6 +464,7 @@
                 estimate=float(tokens),
                 deadline=self.clock.now + patience,
                 prefix=prefix,
+                is_stream=True,
             )
         )
 
--- a/packages/daisypick_node/src/daisypick_node/agent/answers.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/answers.py
@@ -12,6 +12,7 @@
 import typing
 
 from daisypick_core.messages import frame
+from daisypick_core.messages import load as load_message
 from daisypick_core.results import failure as failure_value
 import gevent.event
 
@@ -30,6 +31,13 @@
     headers: list[tuple[str, str]]
 
 
+class Hint(typing.NamedTuple):
+    """Word of an agent that could start a waiting attempt now."""
+
+    agent: str
+    load: load_message.Load
+
+
 class Answer:
     """One attempt's answer, growing.
 
@@ -42,6 +50,7 @@
         finished_at: Time of the end, ``None`` before.
         reader_count: Readers that follow the answer now.
         last_read_at: Time when the last reader left.
+        hints: Idle agents that the readers have not been told of.
     """
 
     def __init__(self) -> None:
@@ -53,6 +62,7 @@
         self.finished_at: float | None = None
         self.reader_count = 0
         self.last_read_at = 0.0
+        self.hints: list[Hint] = []
         self._changed = gevent.event.Event()
 
     @property
@@ -70,6 +80,11 @@
         self._changed.clear()
         return has_changed
 
+    def hint(self, hint: Hint) -> None:
+        """Have the readers told of an idle agent."""
+        self.hints.append(hint)
+        self.notify()
+
     def start(self) -> None:
         """Note that the attempt runs."""
         self.is_started = True
@@ -203,7 +218,8 @@
 
     def _ready_frames(self) -> list[frame.Frame]:
         answer = self._answer
-        ready: list[frame.Frame] = []
+        ready = [_hint_frame(hint) for hint in answer.hints]
+        answer.hints.clear()
         if answer.is_started and not self._has_started:
             self._has_started = True
             ready.append(
@@ -228,6 +244,11 @@
     return frame.Frame(kind=frame.HEAD, detail=detail)
 
 
+def _hint_frame(hint: Hint) -> frame.Frame:
+    detail = frame.Detail(idle_agent=hint.agent, idle_load=hint.load)
+    return frame.Frame(kind=frame.BEAT, detail=detail)
+
+
 def _last_frame(answer: Answer, detail: frame.Detail) -> frame.Frame:
     if answer.usage is not None:
         detail["prompt_tokens"] = answer.usage.prompt_tokens
--- a/packages/daisypick_node/src/daisypick_node/agent/attempt_routes.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/attempt_routes.py
@@ -4,6 +4,10 @@
 * ``GET /internal/attempts/ID?from=N``: go on with that answer from byte N.
 * ``POST /internal/withdraw``: bar this unless it has started.
 * ``POST /internal/cancel``: nobody waits for this any more.
+
+Idle agents use one more:
+
+* ``POST /internal/idle``: the sender has free slots and nothing waiting.
 """
 
 from collections.abc import Callable
@@ -27,6 +31,7 @@
 ATTEMPTS = "/internal/attempts"
 WITHDRAW = "/internal/withdraw"
 CANCEL = "/internal/cancel"
+IDLE = "/internal/idle"
 BEAT_SECONDS = 1.0
 
 
@@ -37,6 +42,13 @@
     epoch: int
 
 
+class IdleWord(typing.TypedDict):
+    """An agent's word that it has free slots and nothing waiting."""
+
+    agent: str
+    load: load_message.Load
+
+
 class Status(typing.TypedDict):
     """What became of an attempt."""
 
@@ -66,6 +78,7 @@
             routes.Route("GET", ATTEMPTS + "/"): self._resume,
             routes.Route("POST", WITHDRAW): self._withdraw,
             routes.Route("POST", CANCEL): self._cancel,
+            routes.Route("POST", IDLE): self._note_idle,
         }
 
     def _offer(self, call: routes.Call) -> routes.Reply:
@@ -145,13 +158,27 @@
         self._driver.cancel(naming["attempt_id"])
         return routes.reply_json({"load": self._driver.gate.load()})
 
+    def _note_idle(self, call: routes.Call) -> routes.Reply:
+        word = _read_message(call, IdleWord)
+        if failure_value.is_failure(word):
+            return routes.reply_failure(word)
+        self._note_contact(word["agent"], word["load"].generation)
+        self._driver.note_idle(word["agent"], word["load"])
+        return routes.reply_json({})
+
 
 def _read_naming(call: routes.Call) -> Naming | failure_value.Failure:
+    return _read_message(call, Naming)
+
+
+def _read_message(
+    call: routes.Call, message_type: type[typing.Any]
+) -> typing.Any:
     body = call.read_body()
     if failure_value.is_failure(body):
         return body
     try:
-        return msgspec.json.decode(body, type=Naming)
+        return msgspec.json.decode(body, type=message_type)
     except msgspec.MsgspecError as error:
         return failure_value.Failure(
             code=codes.BAD_MESSAGE, reason=f"body: {error}"
--- a/packages/daisypick_node/src/daisypick_node/agent/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/driver.py
@@ -13,6 +13,7 @@
 from daisypick_core.gate import drain_state
 from daisypick_core.gate import gate as core_gate
 from daisypick_core.messages import frame
+from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 import gevent
@@ -134,6 +135,15 @@
             request_id = work.attempt.request_id
             self._note(request_id, f"refused: {failure.reason}", attempt_id)
 
+    def hint(self, action: actions.Hint) -> None:
+        """Tell an attempt's reader of an idle agent."""
+        answer = self.answers.get_or_make(action.attempt.attempt_id)
+        answer.hint(answers.Hint(agent=action.agent, load=action.load))
+
+    def note_idle(self, peer: str, load: load_message.Load) -> None:
+        """Take a peer's word that it is idle."""
+        self.perform(self.gate.note_idle(peer, load, self._clock()))
+
     def claim(self, action: actions.Claim) -> None:
         """Claim an attempt's key, then tell the gate."""
         gevent.spawn(self._claim, action)
@@ -217,6 +227,11 @@
     driver.claim(action)
 
 
+@_perform.register
+def _perform_hint(action: actions.Hint, driver: GateDriver) -> None:
+    driver.hint(action)
+
+
 @_perform.register
 def _perform_cancel(action: actions.Cancel, driver: GateDriver) -> None:
     driver.stop(action.attempt.attempt_id)
--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -1,6 +1,7 @@
 """The agent as a process: ``daisypickd agent``."""
 
 from collections.abc import Callable
+import random
 import time
 import typing
 import uuid
@@ -17,6 +18,7 @@
 from daisypick_node.agent import attempt_routes
 from daisypick_node.agent import claimant as claimant_module
 from daisypick_node.agent import driver as driver_module
+from daisypick_node.agent import idle_word
 from daisypick_node.agent import runner
 from daisypick_node.http import client
 from daisypick_node.http import routes
@@ -45,6 +47,12 @@
         )
         self._pool = client.ClientPool(timeout=settings.engine_timeout)
         self.driver = self._make_driver()
+        self.idle_word = idle_word.IdleWord(
+            name=settings.name,
+            gate=self.gate,
+            peers=self.peers,
+            rng=random.Random(),
+        )
         self._apply_drain_state()
 
     def _make_driver(self) -> driver_module.GateDriver:
@@ -93,6 +101,7 @@
     def on_tick(self) -> None:
         """Let time pass at the gate."""
         self.driver.tick()
+        self.idle_word.tick(self.clock())
 
     def on_configuration(self) -> None:
         """Take shares, slots and the state of the data centre."""
@@ -104,6 +113,7 @@
                 )
             }
         )
+        self.idle_word.set_configuration(self.configuration)
         server = self.configuration.backend_servers_by_name.get(
             self.settings.name
         )
--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -122,6 +122,14 @@
         self._note_contact(agent, load.generation)
         self.perform(self.dispatcher.hear(agent, load, self._clock()))
 
+    def hinted(
+        self, attempt_id: str, agent: str, load: load_message.Load
+    ) -> None:
+        """Learn that an attempt waits while another agent is idle."""
+        self.perform(
+            self.dispatcher.hinted(attempt_id, agent, load, self._clock())
+        )
+
     def started(self, attempt_id: str) -> None:
         """Note that an attempt runs."""
         self.perform(self.dispatcher.started(attempt_id, self._clock()))
@@ -287,4 +295,5 @@
         idempotency_key=exchange.idempotency_key,
         fingerprint=exchange.fingerprint,
         prefix=exchange.prefix,
+        is_stream=exchange.is_stream,
     )
--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -120,9 +120,11 @@
                 address=server.agent,
                 service=server.service,
                 data_centre=server.data_centre,
+                is_in=configuration.data_centres_by_name[
+                    server.data_centre
+                ].is_in,
             )
             for server in configuration.backend_servers_by_name.values()
-            if configuration.data_centres_by_name[server.data_centre].is_in
         ]
         self.driver.dispatcher.set_queue_bounds(
             {
--- a/packages/daisypick_node/src/daisypick_node/router/sender.py
+++ b/packages/daisypick_node/src/daisypick_node/router/sender.py
@@ -35,6 +35,11 @@
     def hear(self, agent: str, load: load_message.Load) -> None:
         """Take an agent's load."""
 
+    def hinted(
+        self, attempt_id: str, agent: str, load: load_message.Load
+    ) -> None:
+        """Learn that the attempt waits while another agent is idle."""
+
     def started(self, attempt_id: str) -> None:
         """Note that the attempt runs."""
 
@@ -238,7 +243,12 @@
 
 @_handles(frame.BEAT)
 def _handle_beat(sender: Sender, part: frame.Frame) -> bool:
-    del sender, part
+    if part.detail is not None and "idle_agent" in part.detail:
+        sender.events.hinted(
+            sender.attempt.attempt_id,
+            part.detail["idle_agent"],
+            part.detail["idle_load"],
+        )
     return False
 
 
