Take a boot id with the head of an answer, prefixes by default

Cause: the agent looked at the boot id when an answer had ended; a server that restarts got its full load for as long as the first answer took. Change: the runner reports the boot id with the answer's head; Outcome no longer carries it. The router's default policy is prefix_affinity. Test: over sockets, a server of four slots that restarts runs no more than its two cold ones, seen while its first answer has only begun. Conclusion: being cold shows with the first byte of the first answer.

--- a/packages/daisypick_node/src/daisypick_node/agent/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/driver.py
@@ -185,8 +185,6 @@
         attempt_id = work.attempt.attempt_id
         self.answers.note_finished(attempt_id, now)
         self._note(work.attempt.request_id, "ended", attempt_id)
-        if outcome.boot_id:
-            self.gate.limit.boot_seen(outcome.boot_id)
         self.perform(
             self.gate.finish(
                 attempt_id,
@@ -203,7 +201,7 @@
 
 
 _CANCELLED = runner_module.Outcome(
-    cost=0.0, is_healthy=True, boot_id="", first_byte_seconds=0.0
+    cost=0.0, is_healthy=True, first_byte_seconds=0.0
 )
 
 
--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -67,6 +67,7 @@
                 gather_seconds=self.settings.gather_seconds,
                 clock=self.clock,
                 note_progress=self._note_progress,
+                note_boot=self.gate.limit.boot_seen,
             ),
             claimant=claimant_module.ObjectClaimant(platform=self.platform),
             server="",
--- a/packages/daisypick_node/src/daisypick_node/agent/runner.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/runner.py
@@ -42,13 +42,11 @@
     Attributes:
         cost: Tokens charged for it.
         is_healthy: Whether the backend server did its work.
-        boot_id: Boot id of the backend server, ``""`` if it gave none.
         first_byte_seconds: Time to the first byte of the body.
     """
 
     cost: float
     is_healthy: bool
-    boot_id: str
     first_byte_seconds: float
 
 
@@ -72,11 +70,13 @@
         gather_seconds: float,
         clock: Callable[[], float],
         note_progress: Callable[[str, int], None],
+        note_boot: Callable[[str], None],
     ) -> None:
         self._pool = pool
         self._gather_seconds = gather_seconds
         self._clock = clock
         self._note_progress = note_progress
+        self._note_boot = note_boot
 
     def run(self, work: Work, server: str, answer: answers.Answer) -> Outcome:
         """Call the backend server and fill the answer."""
@@ -89,8 +89,10 @@
         first_byte_at = None
         try:
             boot_id = str(response.get(BOOT_ID, ""))
+            if boot_id:
+                self._note_boot(boot_id)
             if _is_refusal(work.attempt, response.status_code):
-                return self._fail(answer, _engine_failure(response), boot_id)
+                return self._fail(answer, _engine_failure(response))
             meter = self._open(answer, response)
             while data := client.read_available(response):
                 first_byte_at = first_byte_at or self._clock()
@@ -108,7 +110,7 @@
         if not meter.has_end_mark():
             return self._fail(answer, _broken_failure(None))
         return self._finish(
-            answer, meter, boot_id, (first_byte_at or started_at) - started_at
+            answer, meter, (first_byte_at or started_at) - started_at
         )
 
     def _send(self, work: Work, server: str) -> client.Response:
@@ -138,7 +140,6 @@
         self,
         answer: answers.Answer,
         meter: usage_module.UsageMeter,
-        boot_id: str,
         first_byte_seconds: float,
     ) -> Outcome:
         usage = meter.total(bytes(answer.data))
@@ -148,7 +149,6 @@
         return Outcome(
             cost=float(usage.prompt_tokens + usage.completion_tokens),
             is_healthy=is_healthy,
-            boot_id=boot_id,
             first_byte_seconds=first_byte_seconds,
         )
 
@@ -156,13 +156,11 @@
         self,
         answer: answers.Answer,
         failure: failure_value.Failure,
-        boot_id: str = "",
     ) -> Outcome:
         answer.fail(failure, self._clock())
         return Outcome(
             cost=0.0,
             is_healthy=False,
-            boot_id=boot_id,
             first_byte_seconds=0.0,
         )
 
--- a/packages/daisypick_node/src/daisypick_node/settings.py
+++ b/packages/daisypick_node/src/daisypick_node/settings.py
@@ -115,7 +115,8 @@
         "unless the caller asks for less.",
     )
     pick_policy: str = pydantic.Field(
-        default="least_of_two", description="Registered pick policy."
+        default="prefix_affinity",
+        description="Registered pick policy.",
     )
     body_bytes: int = pydantic.Field(
         default=8_388_608, gt=0, description="Largest body of a request, bytes."
--- /dev/null
+++ b/packages/daisypick_node/tests/test_cold_start.py
@@ -0,0 +1,71 @@
+from daisypick_node.agent import runner
+import fleet as fleet_module
+import gevent
+import gevent.event
+import pytest
+
+
+@pytest.fixture
+def make_fleet():
+    fleets = []
+
+    def _make(*engines):
+        fleets.append(fleet_module.Fleet(list(engines)))
+        return fleets[-1]
+
+    yield _make
+    for fleet in fleets:
+        fleet.stop()
+
+
+class RestartingEngine:
+    """An engine that names its boot id and can hold its answers."""
+
+    def __init__(self):
+        self.boot_id = "first"
+        self.go_on = gevent.event.Event()
+        self.go_on.set()
+        self.running = 0
+        self.most_running = 0
+
+    def __call__(self, environ, start_response):
+        start_response(
+            "200 OK",
+            [
+                ("Content-Type", "text/event-stream"),
+                (runner.BOOT_ID, self.boot_id),
+            ],
+        )
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        yield b"data: one\n\n"
+        self.go_on.wait()
+        self.running -= 1
+        yield b"data: [DONE]\n\n"
+
+
+def chat(fleet):
+    return fleet.call("POST", fleet_module.CHAT, fleet_module.BODY).read()
+
+
+def test_restarted_server_gets_its_cold_load_at_once(make_fleet):
+    # A warm server of four slots restarts and says nothing but its new boot
+    # id. The first answer after that has only begun when eight requests
+    # come: no more than the two that a cold server bears may run.
+    answer = RestartingEngine()
+    fleet = make_fleet(fleet_module.make_engine(answer))
+    gate = fleet.agents[0].gate
+    while gate.limit.is_cold:
+        chat(fleet)
+    assert gate.limit.limit == 4
+    answer.boot_id = "second"
+    answer.go_on.clear()
+    answer.most_running = 0
+    calls = [gevent.spawn(chat, fleet)]
+    fleet_module.wait_until(lambda: gate.limit.is_cold)
+    assert gate.limit.limit == 2
+    calls += [gevent.spawn(chat, fleet) for _ in range(8)]
+    fleet_module.wait_until(lambda: gate.load().waiting >= 2)
+    assert answer.most_running <= 2
+    answer.go_on.set()
+    assert {call.get() for call in calls} == {b"data: one\n\ndata: [DONE]\n\n"}
