--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,11 @@
 	$(VENV)/bin/ruff check packages spec tools
 	$(PYTHON) tools/check_imports.py packages spec tools
 	$(PYTHON) tools/write_configuration_page.py --check
+	$(PYTHON) tools/write_reference_pages.py --check
 
 docs: install
 	$(PYTHON) tools/write_configuration_page.py
+	$(PYTHON) tools/write_reference_pages.py
 
 test: install
 	$(PYTHON) -m pytest
