Measure what the path costs: make bench

The engine stand-in now gives a step's tokens at the step's end: before, an idle engine finished the sleep of its last step first, which blurred the first token by 0 to 20 ms.

--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(PYTHON) -m daisypick_cli demo
 
 bench: install
-	$(PYTHON) -m daisypick_lab.bench
+	$(PYTHON) -m daisypick_lab.bench --page docs/MEASUREMENTS.md
 
 capacity: install
 	$(PYTHON) -m daisypick_lab.capacity
--- a/packages/daisypick_lab/src/daisypick_lab/sampler.py
+++ b/packages/daisypick_lab/src/daisypick_lab/sampler.py
@@ -19,7 +19,7 @@
         at: Seconds, monotonic.
         tokens_by_organisation: Tokens served so far.
         waiting_by_organisation: Calls that have shown no byte.
-        busy: Slots in use at engines whose data centre is in.
+        busy: Slots spoken for at engines whose data centre is in.
         slots: Slots of those engines.
         runs_in_leaving: Calls begun in the data centre that leaves.
         control_bytes: Bytes of control so far.
@@ -79,7 +79,7 @@
             waiting_by_organisation={
                 name: own.waiting_count for name, own in by_organisation.items()
             },
-            busy=sum(load.running for load in loads),
+            busy=sum(min(load.slots, load.open) for load in loads),
             slots=sum(load.slots for load in loads),
             runs_in_leaving=fleet.runs_in(fleet.shape.leaving),
             control_bytes=fleet.control_bytes(),
--- a/packages/daisypick_standins/src/daisypick_standins/engine/batch.py
+++ b/packages/daisypick_standins/src/daisypick_standins/engine/batch.py
@@ -1,9 +1,10 @@
 """Continuous batching as a cost model, free of I/O and clocks.
 
-The batch advances in steps. In a step each running generation that has read
-its prompt makes one token; the others share the step's prefill. A fuller
-batch makes longer steps. Requests are let in as they come; the engine knows
-no priorities. In the cold start, more than it bears makes it fail.
+The batch advances in steps; what comes during one joins the next. In a step
+each running generation that has read its prompt makes one token; the others
+share the step's prefill. A fuller batch makes longer steps. Requests are let
+in as they come; the engine knows no priorities. In the cold start, more than
+it bears makes it fail.
 """
 
 import collections
@@ -67,6 +68,11 @@
     slots: int
     cached_tokens: int
 
+    @property
+    def open(self) -> int:
+        """Requests that run or wait."""
+        return self.running + self.waiting
+
 
 class Batch:
     """All generations of one engine."""
@@ -85,6 +91,7 @@
         self._running: list[Generation] = []
         self._waiting: collections.deque[Generation] = collections.deque()
         self._down_until = now
+        self._seconds = 0.0
         self.runs_by_marker: collections.Counter[str] = collections.Counter()
         self.busy_slot_seconds = 0.0
         self.most_running = 0
@@ -111,7 +118,6 @@
                 self.crash(now)
             return False
         self._waiting.append(generation)
-        self._admit(now)
         return True
 
     def cancel(self, generation: Generation) -> None:
@@ -136,14 +142,18 @@
         for generation in failed:
             generation.end(FAILED)
 
-    def step(self, now: float) -> float:
-        """Advance by one step; return its length, 0 if there is no work."""
+    def begin_step(self, now: float) -> float:
+        """Begin a step; return its length, 0 if there is no work."""
         self._admit(now)
         if not self._running:
             return 0.0
-        seconds = self._step_seconds(now)
-        self.busy_slot_seconds += seconds * len(self._running)
-        prefill = self._settings.prefill_rate * seconds
+        self._seconds = self._step_seconds(now)
+        return self._seconds
+
+    def end_step(self) -> None:
+        """Do the work of the step that was begun."""
+        self.busy_slot_seconds += self._seconds * len(self._running)
+        prefill = self._settings.prefill_rate * self._seconds
         for generation in list(self._running):
             if generation.prefill_left > 0:
                 read = min(prefill, generation.prefill_left)
@@ -153,7 +163,6 @@
                 generation.advance()
                 self.warmth.serve(1)
         self._running = [g for g in self._running if not g.outcome]
-        return seconds
 
     def _admit(self, now: float) -> None:
         while self._waiting and len(self._running) < self._settings.slots:
--- a/packages/daisypick_standins/src/daisypick_standins/engine/server.py
+++ b/packages/daisypick_standins/src/daisypick_standins/engine/server.py
@@ -113,9 +113,10 @@
             now = self._clock()
             if not self._loads or now - self._loads[-1][0] > _CHECK_SECONDS:
                 self._loads.append((now, self.batch.load()))
-            seconds = self.batch.step(now)
+            seconds = self.batch.begin_step(now)
             if seconds:
                 gevent.sleep(seconds * self.faults.slow)
+                self.batch.end_step()
             else:
                 self._work.clear()
                 self._work.wait(_CHECK_SECONDS)
--- a/packages/daisypick_standins/tests/engine/test_batch.py
+++ b/packages/daisypick_standins/tests/engine/test_batch.py
@@ -14,16 +14,23 @@
     return engine_batch.Batch(settings=settings, now=0.0)
 
 
+def _step(subject, now=0.0):
+    seconds = subject.begin_step(now)
+    subject.end_step()
+    return seconds
+
+
 def test_batch_shares_steps_and_queues_beyond_its_slots():
     subject = _make_batch(slots=2, cold_slots=2, warm_tokens=1)
     subject.warmth.serve(1)
     generations = [_make() for _ in range(3)]
     assert all(subject.submit(g, 0.0) for g in generations)
+    assert subject.begin_step(0.0) == 1.5
     assert subject.load()[:3] == (2, 1, 2)
-    assert subject.step(0.0) == 1.5
+    subject.end_step()
     assert [g.emitted for g in generations] == [1, 1, 0]
     for now in (1.0, 2.0, 3.0):
-        subject.step(now)
+        _step(subject, now)
     assert [g.outcome for g in generations] == ["done", "done", ""]
     assert generations[2].emitted == 1
     assert subject.runs_by_marker == {"m": 3}
@@ -35,12 +42,12 @@
     subject.submit(first, 0.0)
     steps = 0
     while not first.emitted:
-        subject.step(float(steps))
+        _step(subject, float(steps))
         steps += 1
     assert steps == 3
     second = _make("x" * 1024 + "[marker=n tokens=3]")
     subject.submit(second, 9.0)
-    subject.step(9.0)
+    _step(subject, 9.0)
     assert (second.cached_tokens, second.emitted) == (256, 1)
 
 
@@ -67,7 +74,7 @@
     subject.submit(first, 0.0)
     subject.submit(second, 0.0)
     subject.cancel(first)
-    subject.step(0.0)
+    _step(subject, 0.0)
     assert (first.outcome, second.emitted) == ("cancelled", 1)
 
 
