--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,10 @@
 lint: install
 	$(VENV)/bin/ruff check packages spec tools
 	$(PYTHON) tools/check_imports.py packages spec tools
+	$(PYTHON) tools/write_configuration_page.py --check
+
+docs: install
+	$(PYTHON) tools/write_configuration_page.py
 
 test: install
 	$(PYTHON) -m pytest
@@ -35,6 +39,6 @@
 	$(PYTHON) -m daisypick_lab.bench --page docs/MEASUREMENTS.md
 
 capacity: install
-	$(PYTHON) -m daisypick_lab.capacity
+	$(PYTHON) -m daisypick_lab.capacity --page docs/CAPACITY.md
 
 ci: format-check lint test
