--- a/packages/daisypick_core/src/daisypick_core/configuration/spread.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/spread.py
@@ -205,6 +205,8 @@
     def _note_root(
         self, source: str, root: root_object.Root | None, now: float
     ) -> None:
+        if source == actions.OPERATOR:
+            return
         generation = root.generation if root else 0
         has_claimed = self._claims.claim(source)
         self._claims.set(source, generation)
@@ -276,7 +278,7 @@
     ) -> list[actions.Action]:
         if self._fetch is not None:
             if root.generation <= self._fetch.root.generation:
-                return []
+                return self._help_fetch(root, chunk_by_hash, now)
             self._staged = self._fetch.staged
         self._fetch = tree_fetch.Fetch(
             root=root,
@@ -288,6 +290,19 @@
         self._fetch.offer(chunk_by_hash)
         return self._go_on(now)
 
+    def _help_fetch(
+        self,
+        root: root_object.Root,
+        chunk_by_hash: Mapping[str, bytes],
+        now: float,
+    ) -> list[actions.Action]:
+        """Use what came with the root that is being fetched already."""
+        fetch = self._fetch
+        assert fetch is not None
+        if root.digest == fetch.root.digest:
+            fetch.offer(chunk_by_hash)
+        return self._go_on(now) if fetch.is_whole else []
+
     def _go_on(self, now: float) -> list[actions.Action]:
         """Take the next step of the fetch."""
         fetch = self._fetch
--- a/packages/daisypick_node/src/daisypick_node/agent/answers.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/answers.py
@@ -12,6 +12,7 @@
 import typing
 
 from daisypick_core.messages import frame
+from daisypick_core.messages import load as load_message
 from daisypick_core.results import failure as failure_value
 import gevent.event
 
@@ -30,6 +31,13 @@
     headers: list[tuple[str, str]]
 
 
+class Hint(typing.NamedTuple):
+    """Word of an agent that could start a waiting attempt now."""
+
+    agent: str
+    load: load_message.Load
+
+
 class Answer:
     """One attempt's answer, growing.
 
@@ -42,6 +50,7 @@
         finished_at: Time of the end, ``None`` before.
         reader_count: Readers that follow the answer now.
         last_read_at: Time when the last reader left.
+        hints: Idle agents that the readers have not been told of.
     """
 
     def __init__(self) -> None:
@@ -53,6 +62,7 @@
         self.finished_at: float | None = None
         self.reader_count = 0
         self.last_read_at = 0.0
+        self.hints: list[Hint] = []
         self._changed = gevent.event.Event()
 
     @property
@@ -70,6 +80,11 @@
         self._changed.clear()
         return has_changed
 
+    def hint(self, hint: Hint) -> None:
+        """Have the readers told of an idle agent."""
+        self.hints.append(hint)
+        self.notify()
+
     def start(self) -> None:
         """Note that the attempt runs."""
         self.is_started = True
@@ -105,6 +120,7 @@
         self._keep_seconds = keep_seconds
         self._keep_bytes = keep_bytes
         self._answer_by_attempt: dict[str, Answer] = {}
+        self._open_ids: set[str] = set()
         self._finished_ids: collections.deque[str] = collections.deque()
         self._kept_bytes = 0
 
@@ -114,13 +130,18 @@
 
     def get_or_make(self, attempt_id: str) -> Answer:
         """Return the answer of an attempt, a new one if need be."""
-        return self._answer_by_attempt.setdefault(attempt_id, Answer())
+        answer = self._answer_by_attempt.get(attempt_id)
+        if answer is None:
+            answer = self._answer_by_attempt[attempt_id] = Answer()
+            self._open_ids.add(attempt_id)
+        return answer
 
     def note_finished(self, attempt_id: str, now: float) -> None:
         """Count a finished answer and drop what is over the bounds."""
         answer = self._answer_by_attempt.get(attempt_id)
         if answer is None:
             return
+        self._open_ids.discard(attempt_id)
         self._finished_ids.append(attempt_id)
         self._kept_bytes += len(answer.data)
         self.forget_old(now)
@@ -149,12 +170,17 @@
         """Return attempts that nobody has read for ``grace`` seconds."""
         return [
             attempt_id
-            for attempt_id, answer in self._answer_by_attempt.items()
-            if not answer.is_over
-            and not answer.reader_count
-            and now - answer.last_read_at > grace
+            for attempt_id in self._open_ids
+            if self._is_abandoned(
+                self._answer_by_attempt[attempt_id], now, grace
+            )
         ]
 
+    def _is_abandoned(self, answer: Answer, now: float, grace: float) -> bool:
+        if answer.is_over or answer.reader_count:
+            return False
+        return now - answer.last_read_at > grace
+
 
 class Follower:
     """One reader's way through an answer, from an offset to its end.
@@ -203,7 +229,8 @@
 
     def _ready_frames(self) -> list[frame.Frame]:
         answer = self._answer
-        ready: list[frame.Frame] = []
+        ready = [_hint_frame(hint) for hint in answer.hints]
+        answer.hints.clear()
         if answer.is_started and not self._has_started:
             self._has_started = True
             ready.append(
@@ -228,6 +255,11 @@
     return frame.Frame(kind=frame.HEAD, detail=detail)
 
 
+def _hint_frame(hint: Hint) -> frame.Frame:
+    detail = frame.Detail(idle_agent=hint.agent, idle_load=hint.load)
+    return frame.Frame(kind=frame.BEAT, detail=detail)
+
+
 def _last_frame(answer: Answer, detail: frame.Detail) -> frame.Frame:
     if answer.usage is not None:
         detail["prompt_tokens"] = answer.usage.prompt_tokens
