Exchange service between agents over HTTP

Change: each agent process drives its tally node, serves reports under /internal/tally and shows collector, heads and agents in its dump.

--- a/packages/daisypick_core/src/daisypick_core/fairness/head.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/head.py
@@ -147,6 +147,9 @@
         keeps it, which misses nothing, and takes the other as lower bound.
         """
         values = report.virtual_by_organisation
+        is_joining = values and not self._service.has_reference
+        if is_joining and report.fleet_time is not None:
+            self._service.lift_all_but(values, report.fleet_time)
         if now < self._settled_at:
             return {
                 organisation
--- a/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
@@ -24,6 +24,7 @@
     20.0
 """
 
+from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 import math
@@ -94,6 +95,11 @@
             return self._reference
         return self.mean
 
+    @property
+    def has_reference(self) -> bool:
+        """Whether the virtual time over all heads is known."""
+        return self._reference is not None
+
     @property
     def largest_lag(self) -> float:
         """Bound to which lags are clamped, tokens per share."""
@@ -117,11 +123,8 @@
 
     def set_reference(self, time: float | None) -> None:
         """Take the virtual time over all heads, if it is known."""
-        if time is None:
-            return
-        if self._reference is None:
-            self._lift_all(time)
-        self._reference = time
+        if time is not None:
+            self._reference = time
 
     def note_largest(self, tokens: float) -> None:
         """Note the size of a large request."""
@@ -151,6 +154,17 @@
         )
         return True
 
+    def lift_all_but(self, organisations: Container[str], time: float) -> None:
+        """Lift what was counted from 0 before the fleet's time was known.
+
+        A head that has just started may count its own agent's service alone
+        for a moment. Left there, an organisation that no other head told of
+        would seem to lag by the whole past.
+        """
+        for organisation, state in self._state_by_organisation.items():
+            if organisation not in organisations:
+                state.move_to(max(time, state.virtual))
+
     def activate(self, organisation: str, now: float) -> None:
         """Note that an organisation waits; lift it if it was idle."""
         state = self._state(organisation, now)
@@ -188,15 +202,6 @@
             if self._state_by_organisation[organisation].touched_at < moment:
                 del self._state_by_organisation[organisation]
 
-    def _lift_all(self, time: float) -> None:
-        """Lift what was counted from 0 before the fleet's time was known.
-
-        A head that has just started counts its own agent's service alone.
-        Left there, its organisations would seem to lag by the whole past.
-        """
-        for state in self._state_by_organisation.values():
-            state.move_to(max(time, state.virtual))
-
     def share(self, organisation: str) -> float:
         """Return the share of an organisation."""
         return self._share_by_organisation.get(organisation, DEFAULT_SHARE)
--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -20,6 +20,7 @@
 from daisypick_node.agent import driver as driver_module
 from daisypick_node.agent import idle_word
 from daisypick_node.agent import runner
+from daisypick_node.agent import tally_service
 from daisypick_node.http import client
 from daisypick_node.http import routes
 from daisypick_node.platform import interface
@@ -53,6 +54,15 @@
             peers=self.peers,
             rng=random.Random(),
         )
+        self.tally = tally_service.TallyService(
+            name=settings.name,
+            incarnation=self.gate.incarnation,
+            order=self.order,
+            peers=self.peers,
+            members=lambda: self.follower.directory.members(self.clock()),
+            clock=self.clock,
+            rng=random.Random(),
+        )
         self._apply_drain_state()
 
     def _make_driver(self) -> driver_module.GateDriver:
@@ -85,7 +95,7 @@
             clock=self.clock,
             note_contact=self.note_contact,
         )
-        return attempts.handlers()
+        return {**attempts.handlers(), **self.tally.handlers()}
 
     def on_start(self) -> None:
         """Watch the load."""
@@ -103,6 +113,7 @@
         """Let time pass at the gate."""
         self.driver.tick()
         self.idle_word.tick(self.clock())
+        self.tally.tick()
 
     def on_configuration(self) -> None:
         """Take shares, slots and the state of the data centre."""
@@ -115,6 +126,7 @@
             }
         )
         self.idle_word.set_configuration(self.configuration)
+        self.tally.set_configuration(self.configuration)
         server = self.configuration.backend_servers_by_name.get(
             self.settings.name
         )
@@ -150,6 +162,7 @@
 
     def stop(self) -> None:
         """Stop at once."""
+        self.tally.stop()
         super().stop()
         self._pool.close()
 
@@ -161,4 +174,5 @@
             "load": self.gate.load()._asdict(),
             "draining": self.gate.admission.reasons,
             "server": self.driver.server,
+            "tally": self.tally.describe(),
         }
--- /dev/null
+++ b/packages/daisypick_node/tests/agent/test_tally_service.py
@@ -0,0 +1,55 @@
+from daisypick_core.membership import directory as member_directory
+import fleet as fleet_module
+import pytest
+
+
+@pytest.fixture
+def fleet():
+    engines = [
+        fleet_module.make_engine(fleet_module.answer_plain()) for _ in range(3)
+    ]
+    subject = fleet_module.Fleet(engines)
+    for agent in subject.agents:
+        for number, one in enumerate(subject.wires):
+            member = member_directory.Member(
+                one.address, member_directory.AGENT, f"dc{number}"
+            )
+            agent.follower.directory.hear(member, agent.clock())
+    yield subject
+    subject.stop()
+
+
+def wait_until_picked(fleet, expected):
+    agents = fleet.agents
+    fleet_module.wait_until(
+        lambda: (
+            [agent.order.pick(["farm", "studio"], 0.0) for agent in agents]
+            == [expected] * len(agents)
+        ),
+        seconds=20.0,
+    )
+
+
+def test_service_at_one_agent_counts_at_the_others(fleet):
+    # "farm" is served at one agent only. The others, which have served
+    # neither, must learn it over the sockets and put "studio" first. Then the
+    # agent that collects becomes unreachable, service comes for "studio" at
+    # another agent, and word of it must get through all the same.
+    for agent in fleet.agents:
+        agent.order.arrive("farm", 0.0)
+        agent.order.arrive("studio", 0.0)
+        assert agent.order.pick(["farm", "studio"], 0.0) == "farm"
+    fleet.agents[0].order.charge("farm", 500.0)
+    wait_until_picked(fleet, "studio")
+    nodes = [agent.tally.node for agent in fleet.agents]
+    assert {node.heads for node in nodes} == {nodes[0].heads}
+    fleet_module.wait_until(
+        lambda: [node.known_agents for node in nodes] == [3, 3, 3]
+    )
+
+    head = nodes[0].heads[0]
+    addresses = [one.address for one in fleet.wires]
+    fleet.wires[addresses.index(head)].is_down = True
+    fleet.agents[1].order.charge("studio", 5000.0)
+    wait_until_picked(fleet, "farm")
+    assert fleet.agents[0].describe()["tally"]["agents"] >= 2
