--- a/packages/daisypick_core/src/daisypick_core/claims/batcher.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/batcher.py
@@ -1,7 +1,7 @@
 """Commits the claims of many agents in few writes.
 
 Claims of a shard that arrive while a write of it is under way go together
-into the next one. Of each shard one call is under way at a time. Which
+into the next one. Of each shard one write is under way at a time. Which
 process is the batcher of a shard is advice: several at once see conflicts,
 read again and go on, and the conditional update lets only one of two claims
 of a key pass.
@@ -35,9 +35,16 @@
 
 # Claims that one write carries, so that the object stays small.
 BATCH_CLAIMS = 512
+# Spans read at once by a batcher that takes a shard over.
+READS_AT_ONCE = 16
 
 _RETRIED = frozenset(
-    {codes.PLATFORM_CONFLICT, codes.PLATFORM_ANSWER_LOST, codes.NOT_FOUND}
+    {
+        codes.PLATFORM_CONFLICT,
+        codes.PLATFORM_ANSWER_LOST,
+        codes.PLATFORM_BUDGET_SPENT,
+        codes.NOT_FOUND,
+    }
 )
 
 
@@ -46,6 +53,8 @@
 
     Attributes:
         write_interval: Seconds between two writes of one shard, at least.
+            With ``entry.SHARD_COUNT`` it bounds what all claims of the fleet
+            together take of the store's writes, whatever their number.
         retry_delay: Seconds before the store is tried again, about.
         patience: Seconds after which a claim that is not settled is
             ``Unavailable``.
@@ -54,7 +63,7 @@
             memory.
     """
 
-    write_interval: float = 0.1
+    write_interval: float = 0.3
     retry_delay: float = 0.05
     patience: float = 2.0
     claims: int = 4096
@@ -74,7 +83,7 @@
     def __init__(self, *, number: int, now: float) -> None:
         self.view = shard_view.ShardView(number=number, now=now)
         self.waiting_by_ticket: dict[int, _Waiting] = {}
-        self.call: actions.StoreCall | None = None
+        self.call_by_id: dict[int, actions.StoreCall] = {}
         self.decision: shard_view.Decision | None = None
         self.not_before = now
         self.used_at = now
@@ -109,7 +118,7 @@
         times += [
             work.not_before
             for work in self._work_by_shard.values()
-            if work.waiting_by_ticket and work.call is None
+            if work.waiting_by_ticket and not work.call_by_id
         ]
         return min(times, default=None)
 
@@ -151,9 +160,8 @@
         The result of a call that is no longer waited for is ignored.
         """
         work = self._work_by_shard.get(shard_value.shard_of_name(call.name))
-        if work is None or work.call is not call:
+        if work is None or work.call_by_id.pop(id(call), None) is not call:
             return []
-        work.call = None
         if failure_value.is_failure(result):
             due = self._failed(work, call, result, now)
         elif isinstance(call, actions.Read):
@@ -169,7 +177,7 @@
             due += self._give_up(work, now)
             due += self._advance(work, now)
             is_idle = now - work.used_at > self._limits.idle
-            if is_idle and not work.waiting_by_ticket and not work.call:
+            if is_idle and not work.waiting_by_ticket and not work.call_by_id:
                 del self._work_by_shard[number]
         return due
 
@@ -177,17 +185,20 @@
         self, work: _ShardWork, now: float
     ) -> list[actions.BatcherAction]:
         """Begin the next call that the shard's claims need."""
-        is_busy = work.call is not None or not work.waiting_by_ticket
+        is_busy = bool(work.call_by_id) or not work.waiting_by_ticket
         if is_busy or now < work.not_before:
             return []
         view = work.view
         if not view.is_fresh:
             name = shard_value.head_name(view.number)
             return [self._begin(work, actions.Read(name=name))]
-        missing = view.missing_span()
-        if missing is not None:
-            name = shard_value.span_name(view.number, missing)
-            return [self._begin(work, actions.Read(name=name))]
+        missing = view.missing_spans()
+        if missing:
+            names = [
+                shard_value.span_name(view.number, span)
+                for span in missing[:READS_AT_ONCE]
+            ]
+            return [self._begin(work, actions.Read(name=n)) for n in names]
         if self._must_seal(view):
             return [self._begin(work, self._seal(view))]
         return self._commit(work, now)
@@ -195,7 +206,7 @@
     def _begin(
         self, work: _ShardWork, call: actions.StoreCall
     ) -> actions.StoreCall:
-        work.call = call
+        work.call_by_id[id(call)] = call
         return call
 
     def _must_seal(self, view: shard_view.ShardView) -> bool:
@@ -309,12 +320,14 @@
         if isinstance(call, actions.Write) and span is not None:
             # Another batcher wrote this span, or our own write of it took
             # effect and its answer was lost: go on with what is stored.
-            work.call = actions.Read(name=call.name)
-            return [work.call]
+            return [self._begin(work, actions.Read(name=call.name))]
         # Whoever was faster, or our own lost write, has changed the head; a
         # span that is gone was forgotten under a newer head.
         view.is_fresh = False
         delay = self._limits.retry_delay * self._rng.uniform(0.5, 1.5)
+        if failure.code == codes.PLATFORM_BUDGET_SPENT:
+            # Nothing was sent; claims gather for one larger write.
+            delay = failure.retry_after or self._limits.write_interval
         work.not_before = now + delay
         return []
 
--- a/packages/daisypick_core/src/daisypick_core/claims/entry.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/entry.py
@@ -21,7 +21,7 @@
 
 # Part of the protocol and no setting: two agents with different counts would
 # look for one key in two shards, and both would be granted it.
-SHARD_COUNT = 128
+SHARD_COUNT = 64
 
 _DIGEST_BYTES = 16
 _SHARD_BITS_FROM = 4
--- a/packages/daisypick_core/src/daisypick_core/claims/shard.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/shard.py
@@ -31,7 +31,7 @@
 from daisypick_core.claims import outcomes
 
 # Entries that a head holds before they move into a span.
-HEAD_ENTRIES = 128
+HEAD_ENTRIES = 64
 
 Entries = tuple[claim_entry.Entry, ...]
 EntryByDigest = Mapping[str, claim_entry.Entry]
--- a/packages/daisypick_core/src/daisypick_core/claims/shard_view.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/shard_view.py
@@ -73,12 +73,13 @@
         self._entries_by_span[span] = shard_value.by_digest(entries)
         self._version_by_span[span] = version
 
-    def missing_span(self) -> int | None:
-        """Return the newest span that counts and is not held yet."""
-        for span in reversed(self.head.spans):
-            if span not in self._entries_by_span:
-                return span
-        return None
+    def missing_spans(self) -> list[int]:
+        """Return the spans that count and are not held yet, newest first."""
+        return [
+            span
+            for span in reversed(self.head.spans)
+            if span not in self._entries_by_span
+        ]
 
     def has_span(self, span: int) -> bool:
         """Tell whether a span is held."""
--- a/packages/daisypick_core/tests/claims/test_batcher.py
+++ b/packages/daisypick_core/tests/claims/test_batcher.py
@@ -6,6 +6,8 @@
 from daisypick_core.claims import outcomes
 from daisypick_core.claims import shard
 from daisypick_core.claims import shard_view
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
 from daisypick_lab import memory_store
 
 
@@ -135,6 +137,17 @@
     assert (subject.waiting_count, subject.wake_at()) == (0, None)
 
 
+def test_spent_budget_delays_a_claim_and_does_not_refuse_it():
+    subject = make_batcher()
+    (read,) = subject.submit(1, make_claim("x"), 0.0)
+    spent = failure_value.Failure(
+        code=codes.PLATFORM_BUDGET_SPENT, reason="x", retry_after=0.7
+    )
+    assert subject.done(read, spent, 0.0) == []
+    assert (subject.wake_at(), subject.tick(0.6)) == (0.7, [])
+    assert subject.tick(0.7) == [read]
+
+
 def test_two_batchers_at_once_grant_a_key_once():
     # Two agents take themselves for the batcher of a shard. Both read the
     # head before either writes. The second write is refused for its version;
--- a/packages/daisypick_lab/src/daisypick_lab/memory_store.py
+++ b/packages/daisypick_lab/src/daisypick_lab/memory_store.py
@@ -27,6 +27,7 @@
     Attributes:
         is_down: Whether every call fails, surely without effect.
         loses_answers: Whether answers are lost; writes take effect.
+        loses_calls: Whether calls are lost; to the caller it looks the same.
         reads: Reads so far.
         writes: Writes so far, with those that failed.
         bytes_written: Bytes of all writes.
@@ -35,6 +36,7 @@
     def __init__(self) -> None:
         self.is_down = False
         self.loses_answers = False
+        self.loses_calls = False
         self.reads = 0
         self.writes = 0
         self.bytes_written = 0
@@ -54,6 +56,8 @@
             self.writes += 1
         if self.is_down:
             return _fail(codes.PLATFORM_UNAVAILABLE, "the store is down")
+        if self.loses_calls:
+            return _fail(codes.PLATFORM_ANSWER_LOST, "the call was lost")
         result = self._apply(call)
         if self.loses_answers:
             return _fail(codes.PLATFORM_ANSWER_LOST, "the answer was lost")
