--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,12 @@
 lint: install
 	$(VENV)/bin/ruff check packages spec tools
 	$(PYTHON) tools/check_imports.py packages spec tools
+	$(PYTHON) tools/write_configuration_page.py --check
+	$(PYTHON) tools/write_reference_pages.py --check
+
+docs: install
+	$(PYTHON) tools/write_configuration_page.py
+	$(PYTHON) tools/write_reference_pages.py
 
 test: install
 	$(PYTHON) -m pytest
@@ -32,9 +38,9 @@
 	$(PYTHON) -m daisypick_cli demo
 
 bench: install
-	$(PYTHON) -m daisypick_lab.bench
+	$(PYTHON) -m daisypick_lab.bench --page docs/MEASUREMENTS.md
 
 capacity: install
-	$(PYTHON) -m daisypick_lab.capacity
+	$(PYTHON) -m daisypick_lab.capacity --page docs/CAPACITY.md
 
 ci: format-check lint test
--- a/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/share_order.py
@@ -27,12 +27,14 @@
 from collections.abc import Mapping
 import typing
 
+from daisypick_core.fairness import estimators
 from daisypick_core.fairness import order_policies
 from daisypick_core.fairness import service_account
 from daisypick_core.messages import attempt as attempt_message
 
 DEFAULT_SHARE = 1.0
-DEFAULT_POLICY = "damped"
+DEFAULT_POLICY = "damped_by_reach"
+DEFAULT_ESTIMATOR = "corrected_hint"
 DEFAULT_GAIN = 2.0
 IDLE_SECONDS = 5.0
 
@@ -41,12 +43,13 @@
     """What the fleet's heads know of one organisation.
 
     Attributes:
-        virtual: Virtual service across the fleet, tokens per share.
-        included: This gate's served tokens that ``virtual`` contains.
+        lag: Virtual service across the fleet less the fleet's virtual time,
+            tokens per share; negative when it is behind.
+        included: This gate's served tokens that ``lag`` contains.
         reach: Agents at which the organisation waits.
     """
 
-    virtual: float
+    lag: float
     included: float
     reach: int
 
@@ -60,17 +63,18 @@
         share_by_organisation: Mapping[str, float],
         policy: str = DEFAULT_POLICY,
         gain: float = DEFAULT_GAIN,
+        estimator: str = DEFAULT_ESTIMATOR,
     ) -> None:
         self._share_by_organisation = dict(share_by_organisation)
         self._policy = order_policies.by_name[policy]
         self._gain = gain
+        self._estimator = estimators.by_name[estimator]()
         self._account_by_organisation: dict[
             str, service_account.ServiceAccount
         ] = {}
         self._run_by_attempt: dict[str, service_account.Run] = {}
         self._active: set[str] = set()
         self._agents = 1
-        self._fleet_time = 0.0
         self._now = 0.0
         self._largest_cost = 0.0
 
@@ -116,11 +120,15 @@
         account.settle(run, tokens)
 
     def start(self, attempt: attempt_message.Attempt) -> None:
-        """Charge the estimate of an attempt that takes a slot."""
+        """Charge the expected cost of an attempt that takes a slot.
+
+        The router's estimate is a hint; what it is worth is learned here.
+        """
         account = self._account(attempt.organisation)
-        self._run_by_attempt[attempt.attempt_id] = account.start(
-            attempt.estimate
+        expected = self._estimator.estimate(
+            attempt.service, attempt.organisation, hint=attempt.estimate
         )
+        self._run_by_attempt[attempt.attempt_id] = account.start(expected)
 
     def release(self, attempt: attempt_message.Attempt) -> None:
         """Give back the charge of an attempt that never ran."""
@@ -139,6 +147,12 @@
         run = self._run_by_attempt.pop(attempt.attempt_id, None)
         if run is not None:
             self._account(attempt.organisation).settle(run, cost)
+            self._estimator.learn(
+                attempt.service,
+                attempt.organisation,
+                hint=attempt.estimate,
+                cost=cost,
+            )
             self._largest_cost = max(self._largest_cost, cost)
 
     def pick(self, organisations: Iterable[str], now: float) -> str:
@@ -146,22 +160,21 @@
         self._now = max(self._now, now)
         return min(organisations, key=lambda o: (self._key(o), o))
 
-    def set_fleet(self, *, agents: int, fleet_time: float) -> None:
-        """Take the size of the service and the fleet's virtual time."""
+    def set_agents(self, agents: int) -> None:
+        """Take the number of agents of the service."""
         self._agents = max(1, agents)
-        self._fleet_time = max(self._fleet_time, fleet_time)
 
     def hear(self, organisation: str, service: FleetService) -> None:
         """Take what the fleet's heads know of an organisation.
 
-        Answers can be doubled, late or crossed; ``included`` only grows, so
-        an older one is told by it and dropped.
+        ``included`` only grows, so an answer that was overtaken by a later
+        one is told by it and dropped.
         """
         account = self._account_by_organisation.get(organisation)
         if account is None or service.included < account.included:
             return
         account.included = min(service.included, account.served)
-        account.fleet_virtual = service.virtual
+        account.fleet_lag = service.lag
         account.reach = service.reach
         account.lift = 0.0
 
@@ -204,14 +217,11 @@
 
     def _key(self, organisation: str) -> float:
         account = self._account(organisation)
-        lag = 0.0
-        if account.fleet_virtual is not None:
-            lag = account.fleet_virtual - self._fleet_time
         share = self._share(organisation)
         state = order_policies.OrganisationState(
             own_total=account.charged / share + account.lift,
             since_report=self._own(organisation),
-            fleet_lag=lag,
+            fleet_lag=account.fleet_lag,
             agents=self._agents,
             reach=account.reach or self._agents,
             gain=self._gain,
--- a/packages/daisypick_core/src/daisypick_core/routing/rebalance.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/rebalance.py
@@ -37,24 +37,32 @@
         if len(due) >= slots:
             break
         if _is_worth_it(flight, known, now):
-            due.append(withdraw(service, flight))
+            due.append(withdraw(service, flight, now))
     return due
 
 
 def withdraw(
-    service: service_view.ServiceView, flight: flights.Flight
+    service: service_view.ServiceView, flight: flights.Flight, now: float
 ) -> actions.Withdraw:
     """Start to take a waiting attempt back."""
     flight.is_withdrawing = True
+    flight.withdrawn_at = now
     flight.job.withdrawals += 1
     service.withdrawing += 1
     return actions.Withdraw(attempt=flight.attempt, agent=flight.agent)
 
 
+def may_withdraw(flight: flights.Flight) -> bool:
+    """Tell whether a flight waits and was not moved too often."""
+    if flight.started_at is not None or flight.is_withdrawing:
+        return False
+    return flight.job.withdrawals < _MOST_WITHDRAWALS
+
+
 def _is_worth_it(
     flight: flights.Flight, known: directory.Directory, now: float
 ) -> bool:
-    if flight.is_withdrawing or flight.job.withdrawals >= _MOST_WITHDRAWALS:
+    if not may_withdraw(flight):
         return False
     if now - flight.sent_at < SHORTEST_WAIT:
         return False
--- a/packages/daisypick_core/tests/gate/test_gate.py
+++ b/packages/daisypick_core/tests/gate/test_gate.py
@@ -143,3 +143,42 @@
     subject.offer(attempt, 0.0)
     (refused,) = subject.claim_settled("x", None, attempt.deadline)
     assert refused.failure.code == codes.DEADLINE_PASSED
+
+
+def test_waiting_attempt_is_pointed_to_an_idle_peer():
+    # One agent is idle while an attempt waits at another. The word of the
+    # idle one comes before the attempt or after it: its router is told in
+    # either case, once for each free slot.
+    idle = make_gate().load()
+    subject = make_gate()
+    subject.offer(make_attempt("x"), 0.0)
+    subject.offer(make_attempt("y"), 0.0)
+    (hint,) = subject.note_idle("b", idle, 0.1)
+    assert (hint.attempt.attempt_id, hint.agent) == ("y", "b")
+    assert subject.note_idle("c", idle, 0.2)[0].agent == "c"
+    subject = make_gate()
+    subject.offer(make_attempt("x"), 0.0)
+    assert subject.note_idle("b", idle, 0.1) == []
+    (hint,) = subject.offer(make_attempt("y"), 0.2)
+    assert hint.load == idle
+    assert subject.offer(make_attempt("z"), 0.3) == []
+
+
+def test_whole_answers_are_no_sign_of_a_cold_server():
+    # Callers of whole answers get their first byte with the last. Taken for
+    # first tokens, a few long ones would make a warm server look cold.
+    subject = make_gate(slots=4)
+    for n in range(9):
+        now = float(n)
+        subject.offer(make_attempt(f"s{n}", is_stream=True), now)
+        subject.progress(f"s{n}", 1, now + 0.1)
+        subject.finish(f"s{n}", cost=1.0, is_healthy=True, now=now + 0.5)
+    for n in range(3):
+        subject.offer(make_attempt(f"w{n}"), 10.0)
+    subject.tick(50.0)
+    for n in range(3):
+        subject.progress(f"w{n}", 100, 50.0)
+    assert (subject.limit.limit, subject.limit.is_suspicious) == (4, False)
+    subject.offer(make_attempt("t", is_stream=True), 50.0)
+    subject.tick(60.0)
+    assert subject.limit.is_suspicious
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
@@ -0,0 +1,292 @@
+"""Measures the fairness gap: ``python -m daisypick_lab.fairness_model``.
+
+The gap is the largest difference, between any two backlogged organisations
+and over the whole run, of tokens served per unit of share. It is given in
+largest requests (``fairness_fleet.LARGEST_COST`` tokens) per unit of share.
+"""
+
+import argparse
+from collections.abc import Callable
+from collections.abc import Iterator
+import itertools
+import sys
+import typing
+
+import msgspec
+
+from daisypick_lab import fairness_faults
+from daisypick_lab import fairness_fleet
+
+SAMPLE_SECONDS = 0.5
+WARM_UP_SECONDS = 30.0
+SHARES = (1.0, 1.0, 1.0, 1.0, 4.0, 4.0, 16.0, 16.0)
+FLOODER = 0
+PERIODS = (0.5, 1.0, 2.0, 5.0)
+
+
+class Measurement(typing.NamedTuple):
+    """What one run showed; gaps in largest requests per unit of share.
+
+    Attributes:
+        name: Name of the run.
+        period: Seconds between reports, 0 without them.
+        seconds: Length of the run.
+        start_gap: Largest gap in service counted from the start, when all
+            slots are free and the first to come takes them.
+        gap: Largest gap in any interval after ``WARM_UP_SECONDS``.
+        half_gap: The same in the first half of that time.
+        longest_pause: Longest time without a start of any organisation with
+            share 1 that floods nobody, in the whole fleet, seconds.
+        messages: Reports a second and agent.
+    """
+
+    name: str
+    period: float
+    seconds: float
+    start_gap: float
+    gap: float
+    half_gap: float
+    longest_pause: float
+    messages: float
+
+
+def make_tenants(*, flood_depth: int = 2) -> tuple[fairness_fleet.Tenant, ...]:
+    """Return eight backlogged organisations, spread unevenly.
+
+    ``t0`` may flood: ``flood_depth`` of its attempts wait at each agent.
+    ``t3`` and ``t4`` are behind one router each, ``t4`` reaches a quarter of
+    the agents and ``t5`` half of them.
+    """
+    tenants = [
+        fairness_fleet.Tenant(name=f"t{index}", share=share)
+        for index, share in enumerate(SHARES)
+    ]
+    tenants[FLOODER] = tenants[FLOODER]._replace(depth=flood_depth)
+    tenants[3] = tenants[3]._replace(routers=(0,))
+    tenants[4] = tenants[4]._replace(reach=0.25, routers=(1,))
+    tenants[5] = tenants[5]._replace(reach=0.5)
+    return tuple(tenants)
+
+
+class _IntervalGap:
+    """Largest gap of any two organisations in any interval.
+
+    The service difference of a pair moves within a band; the width of the
+    band is the largest gap that any interval can show.
+    """
+
+    def __init__(self) -> None:
+        self._band_by_pair: dict[tuple[str, str], tuple[float, float]] = {}
+
+    def add(self, virtual_by_name: dict[str, float]) -> None:
+        for pair in itertools.combinations(sorted(virtual_by_name), 2):
+            difference = virtual_by_name[pair[0]] - virtual_by_name[pair[1]]
+            low, high = self._band_by_pair.get(pair, (difference, difference))
+            self._band_by_pair[pair] = (
+                min(low, difference),
+                max(high, difference),
+            )
+
+    @property
+    def tokens(self) -> float:
+        return max(high - low for low, high in self._band_by_pair.values())
+
+
+def measure(
+    name: str,
+    settings: fairness_fleet.FleetSettings,
+    seconds: float,
+    *,
+    warm_up: float = WARM_UP_SECONDS,
+    plan: Callable[[fairness_fleet.Fleet], None] | None = None,
+) -> Measurement:
+    """Run one fleet and return what it showed.
+
+    Args:
+        name: Name of the run.
+        settings: The fleet.
+        seconds: Length of the run.
+        warm_up: Seconds before intervals are measured.
+        plan: Plans faults on the fleet before it runs.
+    """
+    fleet = fairness_fleet.Fleet(settings)
+    if plan is not None:
+        plan(fleet)
+    band = _IntervalGap()
+    start_gap = half_gap = 0.0
+    while fleet.now < seconds:
+        fleet.run_until(fleet.now + SAMPLE_SECONDS)
+        served = fleet.served_by_tenant()
+        virtual_by_name = {
+            tenant.name: served[tenant.name] / tenant.share
+            for tenant in settings.tenants
+        }
+        spread = max(virtual_by_name.values()) - min(virtual_by_name.values())
+        start_gap = max(start_gap, spread)
+        if fleet.now >= warm_up:
+            band.add(virtual_by_name)
+        if fleet.now <= (warm_up + seconds) / 2 and fleet.now >= warm_up:
+            half_gap = band.tokens
+    pauses = fleet.longest_pause_by_tenant
+    return Measurement(
+        name=name,
+        period=settings.period if settings.has_tally else 0.0,
+        seconds=seconds,
+        start_gap=_in_requests(start_gap),
+        gap=_in_requests(band.tokens),
+        half_gap=_in_requests(half_gap),
+        longest_pause=round(
+            max(
+                pauses.get(tenant.name, seconds)
+                for tenant in settings.tenants
+                if tenant.share == 1.0 and tenant.depth == 2
+            ),
+            2,
+        ),
+        messages=round(fleet.messages / seconds / settings.agents, 2),
+    )
+
+
+def _in_requests(tokens: float) -> float:
+    return round(tokens / fairness_fleet.LARGEST_COST, 2)
+
+
+class Run(typing.NamedTuple):
+    """A run to do.
+
+    Attributes:
+        name: Its name in the result.
+        settings: The fleet.
+        seconds: Its length.
+        warm_up: Seconds before intervals are measured.
+        plan: Plans faults on the fleet before it runs.
+    """
+
+    name: str
+    settings: fairness_fleet.FleetSettings
+    seconds: float
+    warm_up: float = WARM_UP_SECONDS
+    plan: Callable[[fairness_fleet.Fleet], None] | None = None
+
+
+def _baselines(seconds: float, seed: int) -> Iterator[Run]:
+    """Yield every order with the same organisations and costs."""
+    for depth in (2, 64):
+        tenants = make_tenants(flood_depth=depth)
+        common = fairness_fleet.FleetSettings(tenants=tenants, seed=seed)
+        alone = common._replace(has_tally=False)
+        for mode in (fairness_fleet.FIRST_COME, fairness_fleet.ROUTER_FAIR):
+            yield Run(
+                f"{mode}, flooder keeps {depth}",
+                alone._replace(mode=mode),
+                seconds,
+            )
+        yield Run(
+            f"own_service, flooder keeps {depth}",
+            alone._replace(policy="own_service"),
+            seconds,
+        )
+        for policy in ("fleet_totals", "damped", "damped_by_reach"):
+            for period in PERIODS:
+                yield Run(
+                    f"{policy}, flooder keeps {depth}",
+                    common._replace(policy=policy, period=period),
+                    seconds,
+                )
+
+
+def _variations(seconds: float, seed: int) -> Iterator[Run]:
+    """Yield runs of the order in production that differ in one thing."""
+    tenants = make_tenants()
+    common = fairness_fleet.FleetSettings(
+        tenants=tenants, period=2.0, seed=seed
+    )
+    for factor in (1, 4):
+        yield Run(f"length x{factor}", common, factor * seconds)
+    for depth in (16, 256):
+        flooded = make_tenants(flood_depth=depth)
+        yield Run(
+            f"flooder keeps {depth}", common._replace(tenants=flooded), seconds
+        )
+    for gain in (1.0, 4.0):
+        yield Run(f"gain {gain}", common._replace(gain=gain), seconds)
+    for estimator in ("hint", "learned_mean"):
+        yield Run(
+            f"estimator {estimator}",
+            common._replace(estimator=estimator),
+            seconds,
+        )
+    yield Run(
+        "agents of 20, 50, 100 tokens/s",
+        common._replace(speeds=(20.0, 50.0, 100.0)),
+        seconds,
+    )
+    back = list(tenants)
+    back[6] = back[6]._replace(off_from=60.0, off_until=120.0)
+    yield Run(
+        "idle for 60 s and back",
+        common._replace(tenants=tuple(back)),
+        seconds,
+        warm_up=125.0,
+    )
+
+
+def _fault_runs(seconds: float, seed: int) -> Iterator[Run]:
+    """Yield runs with one fault each."""
+    common = fairness_fleet.FleetSettings(
+        tenants=make_tenants(), period=2.0, seed=seed
+    )
+    for name, faults in (
+        ("a fifth lost", fairness_fleet.Faults(lost=0.2)),
+        ("half doubled", fairness_fleet.Faults(doubled=0.5)),
+        ("half late and crossed", fairness_fleet.Faults(late=0.5)),
+        ("all of these", fairness_fleet.Faults(0.2, 0.5, 0.5)),
+    ):
+        yield Run(name, common._replace(faults=faults), seconds)
+    for name, plan in fairness_faults.plan_by_name.items():
+        yield Run(name, common, seconds, plan=plan)
+
+
+def run_all(*, seconds: float, seed: int) -> list[Measurement]:
+    """Measure everything and return the measurements in order."""
+    runs = itertools.chain(
+        _baselines(seconds, seed),
+        _variations(seconds, seed),
+        _fault_runs(seconds, seed),
+    )
+    return [
+        measure(
+            run.name,
+            run.settings,
+            run.seconds,
+            warm_up=run.warm_up,
+            plan=run.plan,
+        )
+        for run in runs
+    ]
+
+
+def main(arguments: list[str]) -> int:
+    """Run from the command line."""
+    parser = argparse.ArgumentParser(description="Measure the fairness gap.")
+    parser.add_argument("--json", action="store_true", help="print JSON")
+    parser.add_argument("--seconds", type=float, default=240.0)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args(arguments)
+    measurements = run_all(seconds=options.seconds, seed=options.seed)
+    if options.json:
+        rows = [measurement._asdict() for measurement in measurements]
+        sys.stdout.write(msgspec.json.encode(rows).decode() + "\n")
+        return 0
+    for measurement in measurements:
+        print(
+            f"{measurement.name:34} T {measurement.period:3} "
+            f"gap {measurement.gap:8} first half {measurement.half_gap:8} "
+            f"from start {measurement.start_gap:8} "
+            f"pause {measurement.longest_pause:6}"
+        )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -53,6 +53,7 @@
 TICK_SECONDS = 0.5
 MEMBERS_SECONDS = 5.0
 MEMBERS_TOLD = 4
+ROUTERS_SHOWN = 200
 
 _log = logs.PartLog("configuration")
 
@@ -91,6 +92,7 @@
         clock: Callable[[], float],
         rng: random.Random,
         limits: rounds.SpreadLimits = rounds.DEFAULT_LIMITS,
+        watch_seconds: float = WATCH_SECONDS,
     ) -> None:
         self.holder = spread.Holder(rng=rng, limits=limits)
         self._own = member_directory.Member(
@@ -103,6 +105,7 @@
         self._install = install
         self._clock = clock
         self._rng = rng
+        self._watch_seconds = watch_seconds
         self._greenlets = gevent.pool.Group()
         self._installed = 0
         self._next_members = 0.0
@@ -147,10 +150,19 @@
         members = self.directory.members(now)
         return {
             **self.holder.describe(),
-            "is_watcher": self._is_watcher(now),
+            "is_watcher": self.is_watcher(),
             "members": len(members),
+            "routers": self._routers(members),
         }
 
+    def _routers(self, members: list[member_directory.Member]) -> list[str]:
+        routers = sorted(
+            member.address
+            for member in members
+            if member.role == member_directory.ROUTER
+        )
+        return routers[:ROUTERS_SHOWN]
+
     def _carry_out(self, due: Iterable[actions.Action]) -> None:
         """Carry out actions; those that wait get a greenlet each."""
         for action in due:
@@ -290,8 +302,9 @@
         addresses.discard(self._own.address)
         self.holder.set_peers(sorted(addresses), near)
 
-    def _is_watcher(self, now: float) -> bool:
+    def is_watcher(self) -> bool:
         """Tell whether this process is one of those that watch the store."""
+        now = self._clock()
         live = self.directory.live(self._own.role, self._own.data_centre, now)
         key = f"configuration/{self._own.role}/{self._own.data_centre}"
         chosen = placement.ranked(key, live)[:WATCHERS_PER_ROLE]
@@ -299,14 +312,14 @@
 
     def _watch_forever(self) -> None:
         while True:
-            if not self._is_watcher(self._clock()):
+            if not self.is_watcher():
                 gevent.sleep(MEMBERS_SECONDS)
                 continue
             stored = self._platform.watch(
                 configuration_store.KIND,
                 configuration_store.ROOT,
                 after_version=self._version,
-                timeout=WATCH_SECONDS,
+                timeout=self._watch_seconds,
             )
             if failure_value.is_failure(stored):
                 gevent.sleep(WATCH_PAUSE * (0.5 + self._rng.random()))
--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -64,6 +64,7 @@
         fleet_key: str,
         clock: Callable[[], float],
         generation: Callable[[], int],
+        address: Callable[[], str],
         note_contact: Callable[[str, int], None],
         record: records.RequestRecord,
     ) -> None:
@@ -73,6 +74,7 @@
         self._fleet_key = fleet_key
         self._clock = clock
         self._generation = generation
+        self._address = address
         self._note_contact = note_contact
         self._record = record
         self._held_by_request: dict[str, _Held] = {}
@@ -120,6 +122,14 @@
         self._note_contact(agent, load.generation)
         self.perform(self.dispatcher.hear(agent, load, self._clock()))
 
+    def hinted(
+        self, attempt_id: str, agent: str, load: load_message.Load
+    ) -> None:
+        """Learn that an attempt waits while another agent is idle."""
+        self.perform(
+            self.dispatcher.hinted(attempt_id, agent, load, self._clock())
+        )
+
     def started(self, attempt_id: str) -> None:
         """Note that an attempt runs."""
         self.perform(self.dispatcher.started(attempt_id, self._clock()))
@@ -213,7 +223,7 @@
         self, action: actions.Dispatch, exchange: exchange_module.Exchange
     ) -> sender.Parcel:
         envelope = attempt_message.to_envelope(
-            action.attempt,
+            action.attempt._replace(router=self._address()),
             self._clock(),
             generation=self._generation(),
             method=exchange.call.method,
@@ -285,4 +295,5 @@
         idempotency_key=exchange.idempotency_key,
         fingerprint=exchange.fingerprint,
         prefix=exchange.prefix,
+        is_stream=exchange.is_stream,
     )
--- a/packages/daisypick_node/tests/test_configuration_service.py
+++ b/packages/daisypick_node/tests/test_configuration_service.py
@@ -20,7 +20,10 @@
 import pytest
 
 KEYS = keys_module.Keys(fleet=("fleet-key",), operator=("operator-key",))
-WAIT = 20.0
+# A node that took itself for a watcher learns otherwise only when its watch
+# ends, so conditions get longer than that to come true.
+WATCH_SECONDS = 1.0
+WAIT = WATCH_SECONDS + 20.0
 
 
 class Node:
@@ -41,6 +44,7 @@
             limits=rounds.SpreadLimits(
                 exchange_seconds=0.5, start_retry=0.2, suspend_seconds=0.2
             ),
+            watch_seconds=WATCH_SECONDS,
         )
         self.server = server_module.Server(
             listen="127.0.0.1:0", routes=self.service.handlers(), keys=KEYS
