Take the start of a holder into a module of its own

Change: starting.Start keeps who was asked, until when, and when to ask again. No behaviour changes.

Conclusion: the holder reads as contact, fetch and adoption.

--- a/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/__init__.py
@@ -19,6 +19,7 @@
 How it reaches every process:
 
 * ``spread``: the holder of a process, driven by contacts and ticks.
+* ``starting``: whom it has asked at the start.
 * ``rounds``: when it tells peers, or asks the store.
 * ``spread_actions``: what it asks its driver to do.
 * ``holdings``, ``fetch``, ``claimed``: its chunks, its fetch on the way, and
--- a/packages/daisypick_core/src/daisypick_core/configuration/spread.py
+++ b/packages/daisypick_core/src/daisypick_core/configuration/spread.py
@@ -47,6 +47,7 @@
 from daisypick_core.configuration import root as root_object
 from daisypick_core.configuration import rounds
 from daisypick_core.configuration import spread_actions as actions
+from daisypick_core.configuration import starting
 from daisypick_core.configuration import wire
 from daisypick_core.results import failure as failure_value
 
@@ -85,10 +86,7 @@
         self._asked: tuple[str, float] | None = None
         self._rejected: set[str] = set()
         self._quiet_until = 0.0
-        self._collecting: set[str] = set()
-        self._collect_until = 0.0
-        self._next_start = 0.0
-        self._is_starting = False
+        self._start = starting.Start(rng=rng, limits=limits)
 
     @property
     def generation(self) -> int:
@@ -103,7 +101,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether a configuration is in force and the start is over."""
-        return self.generation > 0 and not self._is_starting
+        return self.generation > 0 and not self._start.is_under_way
 
     def set_peers(self, peers: Sequence[str], near: Sequence[str]) -> None:
         """Take the addresses of live peers, and of those close by."""
@@ -111,10 +109,8 @@
 
     def start(self, now: float) -> list[actions.Action]:
         """Ask the store and several peers for their generations."""
-        self._is_starting = True
         sources = [STORE, *self._rounds.start(now)]
-        self._collecting = set(sources)
-        self._collect_until = now + self._limits.fetch_timeout
+        self._start.begin(sources, now)
         return [actions.FetchRoot(source=one, have="") for one in sources]
 
     def hear(
@@ -143,7 +139,7 @@
         root = answer.root
         self._compare(source, root)
         self._note_root(source, root, now)
-        if source in self._collecting:
+        if self._start.is_asked(source):
             return self._collected(source, now)
         if root is None or root.generation <= self.generation:
             return self._ask_best(now)
@@ -173,15 +169,13 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Let time pass; call this about once a second or more often."""
         due: list[actions.Action] = []
-        if self._collecting and now >= self._collect_until:
-            for source in sorted(self._collecting):
-                due += self._source_failed(source, now)
+        for source in self._start.overdue(now):
+            due += self._source_failed(source, now)
         due += self._give_up_slow(now)
-        if self._is_starting and not self._collecting and not self._is_busy():
-            due += self._start_again(now)
+        due += self._start_again(now)
         due += self._ask_best(now)
         due += self._rounds.due_notices(self.generation, now)
-        if not self._collecting:
+        if not self._start.is_collecting:
             due += self._rounds.due_exchanges(self.generation, now)
         return due
 
@@ -220,7 +214,8 @@
 
     def _ask_best(self, now: float) -> list[actions.Action]:
         """Ask the source with the highest generation, if it is news."""
-        if self._is_busy() or self._collecting or now < self._quiet_until:
+        is_held_back = self._start.is_collecting or now < self._quiet_until
+        if self._is_busy() or is_held_back:
             return []
         source = self._claims.best(above=self.generation, now=now)
         if source is None:
@@ -229,24 +224,22 @@
         return [actions.FetchRoot(source=source, have=self.top)]
 
     def _collected(self, source: str, now: float) -> list[actions.Action]:
-        self._collecting.discard(source)
-        if self._collecting:
+        if not self._start.settle(source, now):
             return []
-        self._next_start = now + self._limits.start_retry * (
-            0.5 + self._rng.random()
-        )
         self._end_start()
         return self._ask_best(now)
 
     def _end_start(self) -> None:
         """Be ready unless a source that answers is known to be ahead."""
         is_behind = self._claims.is_ahead(self.generation)
-        if self.generation > 0 and not self._collecting and not is_behind:
-            self._is_starting = False
+        is_waiting = self._start.is_collecting or is_behind
+        if self.generation > 0 and not is_waiting:
+            self._start.is_under_way = False
 
     def _start_again(self, now: float) -> list[actions.Action]:
-        self._end_start()
-        if not self._is_starting or now < self._next_start:
+        if self._start.is_under_way and not self._is_busy():
+            self._end_start()
+        if self._is_busy() or not self._start.may_ask_again(now):
             return []
         return self.start(now)
 
@@ -255,7 +248,7 @@
         if self._fetch is not None and self._fetch.source == source:
             self._staged = self._fetch.staged
             self._fetch = None
-        if source in self._collecting:
+        if self._start.is_asked(source):
             return self._collected(source, now)
         return self._ask_best(now)
 
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/configuration/starting.py
@@ -0,0 +1,72 @@
+"""The start of a process that has nothing yet.
+
+It asks the store and several peers, and waits for all of them to answer,
+fail or run out of time before it chooses: the first answer may be from one
+that is behind.
+
+Examples:
+    >>> start = Start(rng=random.Random(1), limits=rounds.DEFAULT_LIMITS)
+    >>> start.begin(["store", "p1"], 0.0)
+    >>> start.settle("store", 0.1), start.is_collecting
+    (False, True)
+    >>> start.overdue(2.9), start.overdue(3.0)
+    ([], ['p1'])
+    >>> start.settle("p1", 3.0), start.is_collecting
+    (True, False)
+"""
+
+from collections.abc import Iterable
+import random
+
+from daisypick_core.configuration import rounds
+
+
+class Start:
+    """Who was asked at the start and has not answered.
+
+    Attributes:
+        is_under_way: Whether the process is not ready yet.
+    """
+
+    def __init__(
+        self, *, rng: random.Random, limits: rounds.SpreadLimits
+    ) -> None:
+        self.is_under_way = False
+        self._rng = rng
+        self._limits = limits
+        self._asked: set[str] = set()
+        self._until = 0.0
+        self._next_round = 0.0
+
+    @property
+    def is_collecting(self) -> bool:
+        """Whether some answer is still waited for."""
+        return bool(self._asked)
+
+    def begin(self, sources: Iterable[str], now: float) -> None:
+        """Note a round of questions."""
+        self.is_under_way = True
+        self._asked = set(sources)
+        self._until = now + self._limits.fetch_timeout
+
+    def is_asked(self, source: str) -> bool:
+        """Tell whether a source's answer is waited for."""
+        return source in self._asked
+
+    def settle(self, source: str, now: float) -> bool:
+        """Note an answer or a failure; return whether it was the last."""
+        self._asked.discard(source)
+        if self._asked:
+            return False
+        pause = self._limits.start_retry * (0.5 + self._rng.random())
+        self._next_round = now + pause
+        return True
+
+    def overdue(self, now: float) -> list[str]:
+        """Return the sources that have run out of time."""
+        return sorted(self._asked) if now >= self._until else []
+
+    def may_ask_again(self, now: float) -> bool:
+        """Tell whether another round is due."""
+        is_due = now >= self._next_round
+        return self.is_under_way and not self._asked and is_due
