Take only what changed of a configuration at the router

Change: sections that are the same objects are skipped; organisations are indexed by difference, all old key hashes going before new ones come.

Conclusion: what is left is looking at 22,000 entries; it needs the names that changed, which the holder knows.

--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -6,6 +6,7 @@
 import time
 import typing
 
+from daisypick_core.configuration import model
 from daisypick_core.routing import dispatcher as core_dispatcher
 
 from daisypick_node import process
@@ -18,6 +19,7 @@
 from daisypick_node.router import caller_routes
 from daisypick_node.router import driver as driver_module
 from daisypick_node.router import exchange as exchange_module
+from daisypick_node.router import organisation_index
 
 
 class RouterProcess(process.Process):
@@ -38,7 +40,8 @@
         self._pool = client.ClientPool(
             timeout=settings.progress_timeout, ca_file=settings.tls_ca or None
         )
-        self._organisation_by_hash: dict[str, str] = {}
+        self._organisations = organisation_index.OrganisationIndex()
+        self._taken = model.EMPTY
         self._open_by_organisation: collections.Counter[str] = (
             collections.Counter()
         )
@@ -70,7 +73,7 @@
         """Return the router's table of handlers."""
         context = exchange_module.Context(
             configuration=lambda: self.configuration,
-            organisation_by_hash=self._organisation_by_hash,
+            organisation_by_hash=self._organisations.name_by_hash,
             open_by_organisation=self._open_by_organisation,
             request_timeout=self.settings.request_timeout,
         )
@@ -109,12 +112,35 @@
         self.driver.tick()
 
     def on_configuration(self) -> None:
-        """Take organisations' keys and the agents."""
+        """Take organisations' keys and the agents, if they changed.
+
+        A change of one organisation leaves the other sections the very same
+        objects. Taking 3,300 agents anew at each of 12,000 changes a day
+        would hold up every stream of the router.
+        """
+        configuration, taken = self.configuration, self._taken
+        self._taken = configuration
+        if (
+            configuration.organisations_by_name
+            is not taken.organisations_by_name
+        ):
+            self._take_organisations()
+        if (
+            configuration.backend_servers_by_name
+            is not taken.backend_servers_by_name
+            or configuration.data_centres_by_name
+            is not taken.data_centres_by_name
+        ):
+            self._take_agents()
+
+    def _take_organisations(self) -> None:
+        self._organisations.take(self.configuration.organisations_by_name)
+        self.driver.dispatcher.set_queue_bounds(
+            self._organisations.max_queued_by_name
+        )
+
+    def _take_agents(self) -> None:
         configuration = self.configuration
-        self._organisation_by_hash.clear()
-        for organisation in configuration.organisations_by_name.values():
-            for key_hash in organisation.key_hashes:
-                self._organisation_by_hash[key_hash] = organisation.name
         addresses = [
             core_dispatcher.AgentAddress(
                 address=server.agent,
@@ -126,14 +152,6 @@
             )
             for server in configuration.backend_servers_by_name.values()
         ]
-        self.driver.dispatcher.set_queue_bounds(
-            {
-                name: organisation.max_queued
-                for name, organisation in (
-                    configuration.organisations_by_name.items()
-                )
-            }
-        )
         self.driver.set_agents(addresses)
         self._pool.keep_only(frozenset(entry.address for entry in addresses))
 
