Let a contact without an address hold nothing up

Cause: the address of a peer that is ahead comes with messages; a malformed one raised in the greenlet of the fetch, and the next news waited for the fetch's timeout.

Change: such a call fails like one to a process that does not answer.

Conclusion: every call reports back.

--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -212,7 +212,7 @@
         if action.source == actions.STORE:
             return self._read_stored_root()
         path = f"{ROOT}?{urllib.parse.urlencode({'have': action.have})}"
-        data = self._peers.call(action.source, "GET", path)
+        data = self._call(action.source, "GET", path)
         if failure_value.is_failure(data):
             return data
         return wire.decode_answer(data)
@@ -233,18 +233,29 @@
                 code=codes.NOT_FOUND, reason="offer: chunks are missing"
             )
         path = CHUNK + ",".join(action.hashes)
-        data = self._peers.call(action.source, "GET", path)
+        data = self._call(action.source, "GET", path)
         if failure_value.is_failure(data):
             return data
         return wire.decode_chunks(data)
 
     def _notify(self, peer: str) -> None:
-        data = self._peers.call(peer, "POST", NOTICE, self._make_notice())
+        data = self._call(peer, "POST", NOTICE, self._make_notice())
         self._note_outcome(peer, data)
         notice = peers_module.decode(data, Notice)
         if not failure_value.is_failure(notice):
             self._hear(notice)
 
+    def _call(
+        self, address: str, method: str, path: str, message: object = None
+    ) -> bytes | failure_value.Failure:
+        """Call a peer whose address came with a message of another one."""
+        try:
+            return self._peers.call(address, method, path, message)
+        except ValueError as error:
+            return failure_value.Failure(
+                code=codes.PEER_UNREACHABLE, reason=str(error)
+            )
+
     def _note_outcome(self, source: str, outcome: object) -> None:
         if source in (actions.STORE, actions.OPERATOR):
             return
--- a/packages/daisypick_node/tests/test_configuration_service.py
+++ b/packages/daisypick_node/tests/test_configuration_service.py
@@ -42,7 +42,11 @@
             clock=time.monotonic,
             rng=random.Random(len(seeds)),
             limits=rounds.SpreadLimits(
-                exchange_seconds=0.5, start_retry=0.2, suspend_seconds=0.2
+                exchange_seconds=0.5,
+                start_retry=0.2,
+                suspend_seconds=0.2,
+                # Every call reports back by itself.
+                fetch_timeout=1000.0,
             ),
             watch_seconds=WATCH_SECONDS,
         )
@@ -160,6 +164,17 @@
     late.stop()
 
 
+def test_contact_without_an_address_holds_nothing_up(platform, nodes):
+    # A message names a peer that is ahead by an address that is none. Were
+    # the call to end its greenlet, the next news would wait for a timeout.
+    store(platform, 1)
+    wait_until(all_at(nodes, 1))
+    nodes[0].service.note_contact("nowhere", 7)
+    wait_until(lambda: not nodes[0].service.holder._is_busy())
+    store(platform, 2)
+    wait_until(all_at(nodes, 2))
+
+
 def test_node_without_store_and_peers_waits(platform):
     platform.set_faults(faults.Faults(outage=faults.UNAVAILABLE))
     node = Node(platform, ["127.0.0.1:1"])
