Find the live agents of a service

Cause: collectors are picked among the agents of one service in a data centre, and the directory knew roles only.

Change: members listed by the configuration bear their service, and live_agents(service, data_centre, now) returns those that are alive.

Conclusion: what peers tell of an agent needs no service, all know it.

--- a/packages/daisypick_core/src/daisypick_core/membership/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/membership/directory.py
@@ -40,11 +40,14 @@
         address: ``host:port``.
         role: ``ROUTER`` or ``AGENT``.
         data_centre: Name of its data centre.
+        service: Name of the service of an agent's backend server; ``""``
+            if unknown, which only the configuration tells.
     """
 
     address: str
     role: str
     data_centre: str
+    service: str = ""
 
 
 class Sighting(typing.NamedTuple):
@@ -104,6 +107,23 @@
             if (member.role, member.data_centre) == (role, data_centre)
         )
 
+    def live_agents(
+        self, service: str, data_centre: str, now: float
+    ) -> list[str]:
+        """Return the live agents of a service in a data centre, sorted.
+
+        The own process counts if the configuration names it so.
+        """
+        return sorted(
+            member.address
+            for member in self._listed_by_address.values()
+            if (member.service, member.data_centre) == (service, data_centre)
+            and (
+                member.address == self._own.address
+                or self._is_live(member.address, now)
+            )
+        )
+
     def members(self, now: float) -> list[Member]:
         """Return all live members but the own process."""
         known = {**self._listed_by_address, **self._heard_by_address}
--- a/packages/daisypick_core/tests/membership/test_directory.py
+++ b/packages/daisypick_core/tests/membership/test_directory.py
@@ -2,8 +2,8 @@
 
 from daisypick_core.membership import directory
 
-OWN = directory.Member("10.0.0.1:80", directory.AGENT, "sofia")
-LISTED = directory.Member("10.0.0.2:80", directory.AGENT, "sofia")
+OWN = directory.Member("10.0.0.1:80", directory.AGENT, "sofia", "desk")
+LISTED = directory.Member("10.0.0.2:80", directory.AGENT, "sofia", "desk")
 ROUTER = directory.Member("10.0.0.3:80", directory.ROUTER, "varna")
 
 
@@ -53,3 +53,17 @@
     subject = make_directory()
     subject.set_leaving(["10.0.0.2"])
     assert subject.live(directory.AGENT, "sofia", 0.0) == [OWN.address]
+
+
+def test_live_agents_are_those_of_the_service():
+    subject = make_directory()
+    other = directory.Member("10.0.0.4:80", directory.AGENT, "sofia", "chat")
+    subject.set_listed([OWN, LISTED, other])
+    both = [OWN.address, LISTED.address]
+    assert subject.live_agents("desk", "sofia", 0.0) == both
+    # What a peer tells of an agent does not bear its service.
+    subject.hear(LISTED._replace(service=""), 1.0)
+    assert subject.live_agents("desk", "sofia", 1.0) == both
+    subject.fail(LISTED.address, 2.0)
+    assert subject.live_agents("desk", "sofia", 2.0) == [OWN.address]
+    assert subject.live_agents("chat", "varna", 2.0) == []
--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -299,6 +299,7 @@
                 address=server.agent,
                 role=member_directory.AGENT,
                 data_centre=server.data_centre,
+                service=server.service,
             )
             for server in servers
         )
