--- a/packages/daisypick_lab/src/daisypick_lab/comparison.py
+++ b/packages/daisypick_lab/src/daisypick_lab/comparison.py
@@ -32,6 +32,7 @@
 def measures(result: results.Result) -> dict[str, float]:
     """Return the figures that are compared, by name with unit."""
     found = {
+        "falls of cold servers": float(result.falls),
         "fairness gap (tokens per share)": result.fairness.gap,
         "control (bytes/s a process)": result.control.bytes_per_second,
         "out in force (s)": result.leaving.out_in_force,
--- a/packages/daisypick_lab/src/daisypick_lab/embedded.py
+++ b/packages/daisypick_lab/src/daisypick_lab/embedded.py
@@ -167,6 +167,16 @@
                 total += self.plain_services[name].runs_by_marker.total()
         return total
 
+    def falls(self) -> int:
+        """Return how often a cold engine got more than it bears."""
+        return sum(engine.batch.fall_count for engine in self.engines.values())
+
+    def restart_engines(self, data_centre: str) -> None:
+        """Start the engines of a data centre anew, with new boot ids."""
+        for name, engine in self.engines.items():
+            if self.data_centre_by_server[name] == data_centre:
+                engine.batch.warmth.restart(time.monotonic())
+
     def control_bytes(self) -> int:
         """Return the bytes of control among processes and to the platform."""
         peers = sum(p.peers.traffic.bytes for p in self.processes)
--- a/packages/daisypick_lab/src/daisypick_lab/report.py
+++ b/packages/daisypick_lab/src/daisypick_lab/report.py
@@ -125,6 +125,7 @@
         f"{leaving.last_new_work:.1f} s, back in force after "
         f"{leaving.back_in_force:.2f} s"
     )
+    yield f"falls of cold backend servers: {result.falls}"
     codes = ", ".join(
         f"{code}: {count}"
         for code, count in sorted(result.refusals_by_code.items())
--- a/packages/daisypick_lab/src/daisypick_lab/results.py
+++ b/packages/daisypick_lab/src/daisypick_lab/results.py
@@ -115,12 +115,18 @@
 
 
 class Result(msgspec.Struct, kw_only=True):
-    """All that a run measured."""
+    """All that a run measured.
+
+    Attributes:
+        falls: Times that a backend server in its cold start got more than
+            it bears.
+    """
 
     deployment: str
     seed: int
     version: str
     seconds: float
+    falls: int
     organisations: list[OrganisationResult]
     fairness: FairnessResult
     phases: list[PhaseResult]
--- a/packages/daisypick_standins/src/daisypick_standins/engine/batch.py
+++ b/packages/daisypick_standins/src/daisypick_standins/engine/batch.py
@@ -96,6 +96,7 @@
         self.busy_slot_seconds = 0.0
         self.most_running = 0
         self.cancelled_count = 0
+        self.fall_count = 0
 
     def load(self) -> Load:
         """Return the load as it is now."""
@@ -114,6 +115,7 @@
         """Let a request in; false if it was too much and failed."""
         count = len(self._running) + len(self._waiting) + 1
         if self.warmth.is_cold(now) and count > self.warmth.bears(now):
+            self.fall_count += 1
             if self._settings.cold_failure == engine_settings.CRASH:
                 self.crash(now)
             return False
--- a/packages/daisypick_standins/tests/engine/test_batch.py
+++ b/packages/daisypick_standins/tests/engine/test_batch.py
@@ -59,6 +59,7 @@
     assert not subject.submit(_make(), 0.0)
     assert first.outcome == engine_batch.FAILED
     assert subject.warmth.boot_id != boot_id
+    assert subject.fall_count == 1
     assert not subject.is_up(4.9)
     assert subject.is_up(5.0)
     kind = _make_batch(cold_slots=1, cold_failure=engine_settings.ERROR)
