--- a/packages/daisypick_lab/src/daisypick_lab/commands.py
+++ b/packages/daisypick_lab/src/daisypick_lab/commands.py
@@ -54,7 +54,7 @@
         """Run the demo."""
         seed = _read_seed(self.option("seed"))
         if seed is None:
-            self.line_error("seed: is no whole number")
+            self.line_error(_bad_seed(self.option("seed")))
             return EXIT_USAGE
         if self.option("serve"):
             return self._serve(seed)
@@ -119,10 +119,13 @@
         """Measure."""
         seed = _read_seed(self.option("seed"))
         names = tuple(self.option("deployment")) or _DEPLOYMENTS
-        unknown = [name for name in names if name not in _DEPLOYMENTS]
-        if seed is None or unknown:
-            self.line_error(f"deployment or seed: unknown {unknown}")
+        if seed is None:
+            self.line_error(_bad_seed(self.option("seed")))
             return EXIT_USAGE
+        for name in names:
+            if name not in _DEPLOYMENTS:
+                self.line_error(f"deployment: {name!r} is unknown")
+                return EXIT_USAGE
         earlier = comparison.read(self.option("compare"))
         if isinstance(earlier, str):
             self.line_error(earlier)
@@ -168,6 +171,10 @@
         return None
 
 
+def _bad_seed(text: str) -> str:
+    return f"seed: {text!r} is no whole number"
+
+
 def _describe(fleet: embedded.EmbeddedFleet) -> list[str]:
     """Return addresses and a line to try."""
     router = fleet.router_addresses[0]
