--- a/packages/daisypick_lab/src/daisypick_lab/capacity/__init__.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/__init__.py
@@ -5,7 +5,6 @@
 state, messages, processor time and memory at the size of ``size``.
 
 * ``size``: the size to design for, and the budgets.
-* ``fit``: a line through measured points, with its residual.
 * ``slopes``: the registry of what is measured.
 * ``configuration_slopes``, ``serving_slopes``, ``tally_slopes``,
   ``claim_slopes``, ``exchange_slopes``: the measurements.
--- a/packages/daisypick_lab/src/daisypick_lab/capacity/slopes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/slopes.py
@@ -10,7 +10,7 @@
 import tracemalloc
 import typing
 
-from daisypick_lab.capacity import fit
+from daisypick_lab import fit
 
 Measurement = Callable[[int], float]
 REPEATS = 5
@@ -69,7 +69,7 @@
     """Measure a registered slope."""
     slope = by_name[name]
     values = {x: slope.measure_at(x) for x in slope.points}
-    line = fit.fit_line(list(values), list(values.values()))
+    line = fit.fit(list(values), list(values.values()))
     return Measured(
         name=name,
         unit=slope.unit,
--- a/packages/daisypick_lab/src/daisypick_lab/fit.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fit.py
@@ -29,6 +29,10 @@
     residual: float
     points: tuple[tuple[float, float], ...]
 
+    def at(self, x: float) -> float:
+        """Return the value of the line at ``x``."""
+        return self.intercept + self.slope * x
+
 
 def fit(xs: Sequence[float], ys: Sequence[float]) -> Line:
     """Return the line through at least four points.
