Claim in batches at the agents; give a retry the first answer

Cause: the agent claimed each key as an object of its own: a write a request, never forgotten, and a retry of a finished or running key was refused (409). Change: claim_service carries out the core's claimant and batcher over the platform's client and /internal/claims between agents; same_answer copies the holder's answer, as it grows, to the retry; a call that never reached the backend server gives its key back. Conclusion: a key through two routers at once, also with the store's answer lost, runs once and both callers read the same answer.

--- a/packages/daisypick_core/src/daisypick_core/claims/claimant.py
+++ b/packages/daisypick_core/src/daisypick_core/claims/claimant.py
@@ -68,8 +68,14 @@
         """Claims without a verdict."""
         return len(self._pursuit_by_attempt)
 
-    def set_agents(self, agents: Iterable[str]) -> None:
-        """Take the addresses among which batchers are picked."""
+    def set_agents(
+        self, agents: Iterable[str], *, agent: str | None = None
+    ) -> None:
+        """Take the addresses among which batchers are picked.
+
+        ``agent`` is this agent's own address, if it is known anew.
+        """
+        self._agent = agent or self._agent
         self._agents = tuple({*agents, self._agent})
         self._batcher_by_shard.clear()
 
--- a/packages/daisypick_core/tests/claims/test_at_most_once.py
+++ b/packages/daisypick_core/tests/claims/test_at_most_once.py
@@ -431,7 +431,7 @@
     derandomize=True,
     database=None,
     deadline=None,
-    max_examples=150,
+    max_examples=250,
     stateful_step_count=60,
     suppress_health_check=list(hypothesis.HealthCheck),
 )
--- a/packages/daisypick_node/src/daisypick_node/agent/__init__.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/__init__.py
@@ -6,4 +6,6 @@
 * ``runner``: one attempt's call to the backend server.
 * ``usage``: tokens counted in an answer as it streams.
 * ``attempt_routes``: what routers ask of the agent.
+* ``claim_service``: claims idempotency keys, its own and as a batcher.
+* ``same_answer``: gives a retry of a key the answer of the first call.
 """
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/agent/claim_service.py
@@ -0,0 +1,326 @@
+"""Claims idempotency keys for the agent, and commits those of others.
+
+The core decides (``daisypick_core.claims``); this carries it out: store calls
+over the platform's client, claims and questions between agents as JSON.
+
+* ``POST /internal/claims``: commit this claim, as the batcher of its shard.
+* ``POST /internal/claims/ask``: what became of the attempt of this entry?
+
+Each claim waits in a greenlet of its own for its verdict. The core settles
+every claim within its patience, so none waits for ever.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import functools
+import itertools
+import random
+import typing
+
+from daisypick_core.claims import actions
+from daisypick_core.claims import batcher as core_batcher
+from daisypick_core.claims import claimant as core_claimant
+from daisypick_core.claims import entry as claim_entry
+from daisypick_core.claims import holder as claim_holder
+from daisypick_core.claims import outcomes
+from daisypick_core.claims import verdicts
+from daisypick_core.configuration import model
+from daisypick_core.gate import actions as gate_actions
+from daisypick_core.gate import attempts
+from daisypick_core.gate import gate as core_gate
+from daisypick_core.messages import attempt as attempt_message
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import gevent
+import gevent.event
+import msgspec
+
+from daisypick_node.http import peers as peers_module
+from daisypick_node.http import routes
+from daisypick_node.platform import interface
+
+KIND = "claims"
+CLAIMS = "/internal/claims"
+ASK = "/internal/claims/ask"
+
+# Below the time-out of calls between processes, so that a claim is answered
+# "unavailable" rather than not at all.
+BATCHER_PATIENCE = 1.5
+
+
+class OutcomeMessage(typing.TypedDict):
+    """An outcome on the wire: its kind and what goes with it."""
+
+    kind: str
+    entry: typing.NotRequired[claim_entry.Entry]
+    reason: typing.NotRequired[str]
+
+
+class StatusMessage(typing.TypedDict):
+    """What became of an attempt."""
+
+    state: str
+    ran: bool
+
+
+class ClaimService:
+    """Claimant and batcher of one agent."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        gate: core_gate.Gate,
+        platform: interface.PlatformClient,
+        peers: peers_module.Peers,
+        clock: Callable[[], float],
+        rng: random.Random,
+    ) -> None:
+        self._name = name
+        self._gate = gate
+        self._platform = platform
+        self._peers = peers
+        self._clock = clock
+        self._address = ""
+        self._claimant = core_claimant.Claimant(agent="")
+        self._batcher = core_batcher.Batcher(
+            rng=rng,
+            limits=core_batcher.BatcherLimits(patience=BATCHER_PATIENCE),
+        )
+        self._tickets = itertools.count()
+        self._settled_by_ticket: dict[int, gevent.event.AsyncResult] = {}
+        self._verdict_by_attempt: dict[str, gevent.event.AsyncResult] = {}
+        self._perform_gate: Callable[[list[gate_actions.Action]], None] = (
+            lambda due: None
+        )
+
+    def connect(
+        self, perform_gate: Callable[[list[gate_actions.Action]], None]
+    ) -> None:
+        """Take who carries out the gate's actions."""
+        self._perform_gate = perform_gate
+
+    def set_configuration(self, configuration: model.Configuration) -> None:
+        """Take the addresses of this agent and of all agents.
+
+        Batchers are picked by the configuration alone: it is the same
+        everywhere, and a batcher that does not answer is replaced at once.
+        """
+        servers = configuration.backend_servers_by_name
+        own = servers.get(self._name)
+        if own is not None:
+            self._address = own.agent
+        agents = [server.agent for server in servers.values()]
+        self._claimant.set_agents(agents, agent=self._address)
+
+    def claim(self, attempt: attempt_message.Attempt) -> verdicts.Verdict:
+        """Claim an attempt's key; wait for the verdict."""
+        verdict = gevent.event.AsyncResult()
+        self._verdict_by_attempt[attempt.attempt_id] = verdict
+        self._pursue(self._claimant.claim(attempt, self._clock()))
+        return verdict.get()
+
+    def release(self, attempt: attempt_message.Attempt) -> None:
+        """Give back the key of an attempt that is barred."""
+        self._pursue(self._claimant.release(attempt))
+
+    def tick(self) -> None:
+        """Let time pass."""
+        now = self._clock()
+        self._pursue(self._claimant.tick(now))
+        self._commit(self._batcher.tick(now))
+
+    def handlers(self) -> routes.Routes:
+        """Return the table of handlers."""
+        return {
+            routes.Route("POST", CLAIMS): self._serve_claim,
+            routes.Route("POST", ASK): self._serve_ask,
+        }
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the claims' state for a dump."""
+        return {
+            "pending": self._claimant.pending_count,
+            "batched": self._batcher.waiting_count,
+            "shards": self._batcher.shards,
+        }
+
+    # The claimant's actions.
+
+    def _pursue(self, due: Iterable[actions.ClaimantAction]) -> None:
+        for action in due:
+            if isinstance(action, actions.Conclude):
+                waiter = self._verdict_by_attempt.pop(action.attempt_id)
+                waiter.set(action.verdict)
+            else:
+                gevent.spawn(_handler_by_action[type(action)], self, action)
+
+    def _commit_claim(self, action: actions.Commit) -> None:
+        outcome = self._submit(action.batcher, action.claim)
+        now = self._clock()
+        if failure_value.is_failure(outcome):
+            due = self._claimant.batcher_failed(
+                action.attempt_id, action.batcher, now
+            )
+        else:
+            due = self._claimant.committed(action.attempt_id, outcome, now)
+        self._pursue(due)
+
+    def _release_claim(self, action: actions.Release) -> None:
+        self._submit(action.batcher, action.claim)
+
+    def _ask_holder(self, action: actions.Ask) -> None:
+        status = self._question(action.holder)
+        self._pursue(
+            self._claimant.answered(
+                action.attempt_id, action.holder, status, self._clock()
+            )
+        )
+
+    def _submit(
+        self, batcher: str, claim: outcomes.Claim
+    ) -> outcomes.Outcome | failure_value.Failure:
+        if batcher == self._address:
+            return self._submit_here(claim)
+        answer = self._peers.call(batcher, "POST", CLAIMS, claim)
+        message = peers_module.decode(answer, OutcomeMessage)
+        if failure_value.is_failure(message):
+            return message
+        return _from_message(message)
+
+    def _question(
+        self, holder: claim_entry.Entry
+    ) -> attempts.AttemptStatus | None:
+        if holder.agent == self._address:
+            return self._answer_here(holder)
+        answer = self._peers.call(holder.agent, "POST", ASK, holder)
+        status = peers_module.decode(answer, StatusMessage)
+        if failure_value.is_failure(status):
+            return None
+        return attempts.AttemptStatus(**status)
+
+    def _answer_here(self, holder: claim_entry.Entry) -> attempts.AttemptStatus:
+        status, due = claim_holder.answer(self._gate, holder, self._clock())
+        self._perform_gate(due)
+        return status
+
+    # The batcher's actions.
+
+    def _submit_here(self, claim: outcomes.Claim) -> outcomes.Outcome:
+        ticket = next(self._tickets)
+        settled = gevent.event.AsyncResult()
+        self._settled_by_ticket[ticket] = settled
+        self._commit(self._batcher.submit(ticket, claim, self._clock()))
+        return settled.get()
+
+    def _commit(self, due: Iterable[actions.BatcherAction]) -> None:
+        for action in due:
+            if isinstance(action, actions.Settle):
+                waiter = self._settled_by_ticket.pop(action.ticket)
+                waiter.set(action.outcome)
+            else:
+                gevent.spawn(self._call_store, action)
+
+    def _call_store(self, call: actions.StoreCall) -> None:
+        result = _carry_out(call, self._platform)
+        if isinstance(result, interface.StoredObject):
+            result = actions.Stored(version=result.version, value=result.value)
+        if result is not None:
+            self._commit(self._batcher.done(call, result, self._clock()))
+
+    # What other agents ask.
+
+    def _serve_claim(self, call: routes.Call) -> routes.Reply:
+        claim = _read(call, outcomes.Claim)
+        if failure_value.is_failure(claim):
+            return routes.reply_failure(claim)
+        outcome = self._submit_here(claim)
+        return routes.reply_json(_to_message(outcome))
+
+    def _serve_ask(self, call: routes.Call) -> routes.Reply:
+        holder = _read(call, claim_entry.Entry)
+        if failure_value.is_failure(holder):
+            return routes.reply_failure(holder)
+        status = self._answer_here(holder)
+        return routes.reply_json(
+            StatusMessage(state=status.state, ran=status.ran)
+        )
+
+
+_handler_by_action: dict[type, Callable[..., None]] = {
+    actions.Commit: ClaimService._commit_claim,
+    actions.Release: ClaimService._release_claim,
+    actions.Ask: ClaimService._ask_holder,
+}
+
+
+@functools.singledispatch
+def _carry_out(
+    call: typing.Any, platform: interface.PlatformClient
+) -> interface.StoredObject | failure_value.Failure | None:
+    raise TypeError(f"call: {type(call).__name__} has no handler")
+
+
+@_carry_out.register
+def _carry_out_read(
+    call: actions.Read, platform: interface.PlatformClient
+) -> interface.StoredObject | failure_value.Failure:
+    return platform.get(KIND, call.name)
+
+
+@_carry_out.register
+def _carry_out_write(
+    call: actions.Write, platform: interface.PlatformClient
+) -> interface.StoredObject | failure_value.Failure:
+    return platform.put(KIND, call.name, call.value, if_version=call.if_version)
+
+
+@_carry_out.register
+def _carry_out_delete(
+    call: actions.Delete, platform: interface.PlatformClient
+) -> failure_value.Failure | None:
+    return platform.delete(KIND, call.name, if_version=call.if_version)
+
+
+def _to_message(outcome: outcomes.Outcome) -> OutcomeMessage:
+    kind = type(outcome).__name__
+    if isinstance(outcome, outcomes.Unavailable):
+        return OutcomeMessage(kind=kind, reason=outcome.reason)
+    return OutcomeMessage(kind=kind, entry=outcome[0])
+
+
+def _from_message(
+    message: OutcomeMessage,
+) -> outcomes.Outcome | failure_value.Failure:
+    """Return the outcome of a message; a failure if there is none in it."""
+    make = _outcome_by_kind.get(message["kind"])
+    content = message.get("entry", message.get("reason"))
+    if make is None or content is None:
+        return failure_value.Failure(
+            code=codes.BAD_MESSAGE, reason=f"kind: {message['kind']}"
+        )
+    return make(content)
+
+
+_outcome_by_kind: dict[str, Callable[..., outcomes.Outcome]] = {
+    kind.__name__: kind
+    for kind in (
+        outcomes.Granted,
+        outcomes.Held,
+        outcomes.KeyReused,
+        outcomes.Unavailable,
+    )
+}
+
+
+def _read(call: routes.Call, message_type: type[typing.Any]) -> typing.Any:
+    """Return the typed message in a call's body, or a failure."""
+    body = call.read_body()
+    if failure_value.is_failure(body):
+        return body
+    try:
+        return msgspec.json.decode(body, type=message_type)
+    except msgspec.MsgspecError as error:
+        return failure_value.Failure(
+            code=codes.BAD_MESSAGE, reason=f"body: {error}"
+        )
--- a/packages/daisypick_node/src/daisypick_node/agent/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/driver.py
@@ -8,10 +8,13 @@
 import functools
 import typing
 
+from daisypick_core.claims import entry as claim_entry
+from daisypick_core.claims import verdicts
 from daisypick_core.gate import actions
 from daisypick_core.gate import attempts
 from daisypick_core.gate import drain_state
 from daisypick_core.gate import gate as core_gate
+from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.messages import frame
 from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
@@ -21,8 +24,9 @@
 from daisypick_node import logs
 from daisypick_node import records
 from daisypick_node.agent import answers
-from daisypick_node.agent import claimant as claimant_module
+from daisypick_node.agent import claim_service
 from daisypick_node.agent import runner as runner_module
+from daisypick_node.agent import same_answer as same_answer_module
 
 _log = logs.PartLog("agent.driver")
 ABANDON_SECONDS = 10.0
@@ -43,7 +47,8 @@
         gate: core_gate.Gate,
         store: answers.AnswerStore,
         runner: runner_module.Runner,
-        claimant: claimant_module.Claimant,
+        claims: claim_service.ClaimService,
+        same_answer: same_answer_module.SameAnswer,
         server: str,
         clock: Callable[[], float],
         record: records.RequestRecord,
@@ -52,7 +57,9 @@
         self.answers = store
         self.server = server
         self._runner = runner
-        self._claimant = claimant
+        self._claims = claims
+        self._same_answer = same_answer
+        self._holder_by_attempt: dict[str, claim_entry.Entry] = {}
         self._clock = clock
         self._record = record
         self._work_by_attempt: dict[str, runner_module.Work] = {}
@@ -129,6 +136,10 @@
         answer = self.answers.get_or_make(attempt_id)
         if answer.is_over:
             return
+        holder = self._holder_by_attempt.pop(attempt_id, None)
+        if holder is not None:
+            gevent.spawn(self._copy, attempt_id, holder, answer, failure)
+            return
         answer.fail(failure, self._clock())
         self.answers.note_finished(attempt_id, self._clock())
         if work is not None:
@@ -144,6 +155,10 @@
         """Take a peer's word that it is idle."""
         self.perform(self.gate.note_idle(peer, load, self._clock()))
 
+    def release(self, attempt: attempt_message.Attempt) -> None:
+        """Give back the key of an attempt that is barred."""
+        self._claims.release(attempt)
+
     def claim(self, action: actions.Claim) -> None:
         """Claim an attempt's key, then tell the gate."""
         gevent.spawn(self._claim, action)
@@ -155,13 +170,25 @@
             greenlet.kill(block=False)
 
     def _claim(self, action: actions.Claim) -> None:
-        refusal = self._claimant.claim(action.attempt)
+        attempt_id = action.attempt.attempt_id
+        verdict = self._claims.claim(action.attempt)
+        if isinstance(verdict, verdicts.SameAnswer):
+            self._holder_by_attempt[attempt_id] = verdict.holder
         self.perform(
-            self.gate.claim_settled(
-                action.attempt.attempt_id, refusal, self._clock()
-            )
+            self.gate.claim_settled(attempt_id, verdict.refusal, self._clock())
         )
 
+    def _copy(
+        self,
+        attempt_id: str,
+        holder: claim_entry.Entry,
+        answer: answers.Answer,
+        otherwise: failure_value.Failure,
+    ) -> None:
+        """Give a refused attempt the answer of the one that holds its key."""
+        self._same_answer.copy(holder, answer, otherwise)
+        self.answers.note_finished(attempt_id, self._clock())
+
     def _run(self, work: runner_module.Work, answer: answers.Answer) -> None:
         attempt_id = work.attempt.attempt_id
         outcome = _CANCELLED
@@ -185,14 +212,18 @@
         attempt_id = work.attempt.attempt_id
         self.answers.note_finished(attempt_id, now)
         self._note(work.attempt.request_id, "ended", attempt_id)
+        has_run = not _has_never_arrived(answer)
         self.perform(
             self.gate.finish(
                 attempt_id,
                 cost=outcome.cost,
                 is_healthy=outcome.is_healthy,
                 now=now,
+                has_run=has_run,
             )
         )
+        if not has_run and work.attempt.idempotency_key is not None:
+            self._claims.release(work.attempt)
 
     def _note(self, request_id: str, event: str, attempt_id: str) -> None:
         self._record.note(
@@ -218,6 +249,8 @@
 @_perform.register
 def _perform_refuse(action: actions.Refuse, driver: GateDriver) -> None:
     driver.refuse(action.attempt.attempt_id, action.failure)
+    if action.release_claim:
+        driver.release(action.attempt)
 
 
 @_perform.register
@@ -235,6 +268,12 @@
     driver.stop(action.attempt.attempt_id)
 
 
+def _has_never_arrived(answer: answers.Answer) -> bool:
+    """Tell whether the attempt surely did not reach the backend server."""
+    failure = answer.failure
+    return failure is not None and failure.code == codes.ENGINE_UNREACHABLE
+
+
 def _cancelled_failure() -> failure_value.Failure:
     return failure_value.Failure(
         code=codes.CALLER_GONE, reason="attempt: cancelled while it ran"
--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -16,10 +16,11 @@
 from daisypick_node import settings as settings_module
 from daisypick_node.agent import answers
 from daisypick_node.agent import attempt_routes
-from daisypick_node.agent import claimant as claimant_module
+from daisypick_node.agent import claim_service
 from daisypick_node.agent import driver as driver_module
 from daisypick_node.agent import idle_word
 from daisypick_node.agent import runner
+from daisypick_node.agent import same_answer
 from daisypick_node.agent import tally_service
 from daisypick_node.http import client
 from daisypick_node.http import routes
@@ -47,7 +48,16 @@
             limit=concurrency.ConcurrencyLimit(slots=1, cold_slots=1),
         )
         self._pool = client.ClientPool(timeout=settings.engine_timeout)
+        self.claims = claim_service.ClaimService(
+            name=settings.name,
+            gate=self.gate,
+            platform=platform,
+            peers=self.peers,
+            clock=clock,
+            rng=random.Random(),
+        )
         self.driver = self._make_driver()
+        self.claims.connect(self.driver.perform)
         self.idle_word = idle_word.IdleWord(
             name=settings.name,
             gate=self.gate,
@@ -66,12 +76,13 @@
         self._apply_drain_state()
 
     def _make_driver(self) -> driver_module.GateDriver:
+        store = answers.AnswerStore(
+            keep_seconds=self.settings.keep_answer_seconds,
+            keep_bytes=self.settings.keep_answer_bytes,
+        )
         return driver_module.GateDriver(
             gate=self.gate,
-            store=answers.AnswerStore(
-                keep_seconds=self.settings.keep_answer_seconds,
-                keep_bytes=self.settings.keep_answer_bytes,
-            ),
+            store=store,
             runner=runner.Runner(
                 pool=self._pool,
                 gather_seconds=self.settings.gather_seconds,
@@ -79,7 +90,15 @@
                 note_progress=self._note_progress,
                 note_boot=self.gate.limit.boot_seen,
             ),
-            claimant=claimant_module.ObjectClaimant(platform=self.platform),
+            claims=self.claims,
+            same_answer=same_answer.SameAnswer(
+                store=store,
+                pool=self._pool,
+                fleet_key=settings_module.split_list(
+                    self.settings.fleet_keys.get_secret_value()
+                )[0],
+                clock=self.clock,
+            ),
             server="",
             clock=self.clock,
             record=self.record,
@@ -95,7 +114,11 @@
             clock=self.clock,
             note_contact=self.note_contact,
         )
-        return {**attempts.handlers(), **self.tally.handlers()}
+        return {
+            **attempts.handlers(),
+            **self.claims.handlers(),
+            **self.tally.handlers(),
+        }
 
     def on_start(self) -> None:
         """Watch the load."""
@@ -112,6 +135,7 @@
     def on_tick(self) -> None:
         """Let time pass at the gate."""
         self.driver.tick()
+        self.claims.tick()
         self.idle_word.tick(self.clock())
         self.tally.tick()
 
@@ -127,6 +151,7 @@
         )
         self.idle_word.set_configuration(self.configuration)
         self.tally.set_configuration(self.configuration)
+        self.claims.set_configuration(self.configuration)
         server = self.configuration.backend_servers_by_name.get(
             self.settings.name
         )
@@ -174,5 +199,6 @@
             "load": self.gate.load()._asdict(),
             "draining": self.gate.admission.reasons,
             "server": self.driver.server,
+            "claims": self.claims.describe(),
             "tally": self.tally.describe(),
         }
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/agent/same_answer.py
@@ -0,0 +1,161 @@
+"""Gives a retry of an idempotency key the answer of the first call.
+
+The attempt of the retry does not run. Its answer is copied, as it grows, from
+the attempt that holds the key: from this agent's own memory or from the other
+agent, resumed from the byte reached where a connection breaks.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import urllib.parse
+
+from daisypick_core.claims import entry as claim_entry
+from daisypick_core.messages import frame
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+import gevent
+import msgspec
+
+from daisypick_node.agent import answers
+from daisypick_node.http import client
+
+ATTEMPTS = "/internal/attempts"
+RESUME_PAUSES = (0.0, 0.2, 0.5)
+BEAT_SECONDS = 1.0
+
+
+class SameAnswer:
+    """Copies answers of holders."""
+
+    def __init__(
+        self,
+        *,
+        store: answers.AnswerStore,
+        pool: client.ClientPool,
+        fleet_key: str,
+        clock: Callable[[], float],
+    ) -> None:
+        self._store = store
+        self._pool = pool
+        self._headers = {"Authorization": f"Bearer {fleet_key}"}
+        self._clock = clock
+
+    def copy(
+        self,
+        holder: claim_entry.Entry,
+        answer: answers.Answer,
+        otherwise: failure_value.Failure,
+    ) -> None:
+        """Fill ``answer`` from the holder's; ``otherwise`` if there is none."""
+        failure = self._copy(holder, answer, otherwise)
+        if failure is not None:
+            answer.fail(failure, self._clock())
+
+    def _copy(
+        self,
+        holder: claim_entry.Entry,
+        answer: answers.Answer,
+        otherwise: failure_value.Failure,
+    ) -> failure_value.Failure | None:
+        kept = self._store.get(holder.attempt_id)
+        if kept is not None:
+            frames = _frames_here(kept, len(answer.data))
+            return self._take(frames, answer, otherwise)
+        for pause in RESUME_PAUSES:
+            gevent.sleep(pause)
+            try:
+                response = self._ask(holder, len(answer.data))
+            except client.CALL_ERRORS:
+                continue
+            if response.status_code != 200:
+                client.abandon(response)
+                return _unknown("agent: the answer is no longer kept")
+            try:
+                frames = _frames_of(response)
+                return self._take(frames, answer, otherwise)
+            except (*client.CALL_ERRORS, EOFError, msgspec.MsgspecError):
+                self._pool.forget(holder.agent)
+            finally:
+                client.abandon(response)
+        return _unknown("agent: the answer's holder cannot be reached")
+
+    def _ask(self, holder: claim_entry.Entry, offset: int) -> client.Response:
+        attempt_id = urllib.parse.quote(holder.attempt_id)
+        return self._pool.request(
+            holder.agent,
+            "GET",
+            f"{ATTEMPTS}/{attempt_id}?from={offset}",
+            headers=self._headers,
+        )
+
+    def _take(
+        self,
+        frames: Iterator[frame.Frame],
+        answer: answers.Answer,
+        otherwise: failure_value.Failure,
+    ) -> failure_value.Failure | None:
+        """Take frames to the last one; return why there is no answer.
+
+        Raises:
+            EOFError: The frames end before the last one.
+        """
+        for part in frames:
+            if part.kind == frame.HEAD and answer.head is None:
+                answer.start()
+                answer.set_head(_head(part))
+            elif part.kind == frame.DATA:
+                answer.append(part.data)
+            elif part.kind == frame.END:
+                answer.finish(answers.Usage(), self._clock())
+                return None
+            elif part.kind == frame.REFUSED:
+                return _refusal(part, otherwise)
+        raise EOFError("frames")
+
+
+def _frames_here(kept: answers.Answer, offset: int) -> Iterator[frame.Frame]:
+    follower = answers.Follower(
+        answer=kept,
+        offset=offset,
+        beat_seconds=BEAT_SECONDS,
+        describe=lambda: frame.Detail(),
+    )
+    kept.reader_count += 1
+    try:
+        for ready in follower.frames():
+            yield from ready
+    finally:
+        kept.reader_count -= 1
+
+
+def _frames_of(response: client.Response) -> Iterator[frame.Frame]:
+    rest = b""
+    while data := client.read_available(response):
+        parts, rest = frame.decode_lines(rest + data)
+        yield from parts
+
+
+def _head(part: frame.Frame) -> answers.Head:
+    assert part.detail is not None
+    return answers.Head(
+        status=part.detail["status"], headers=part.detail["headers"]
+    )
+
+
+def _refusal(
+    part: frame.Frame, otherwise: failure_value.Failure
+) -> failure_value.Failure:
+    """Return what a holder's failure means for the retry.
+
+    A holder that did not run after all has given its key back: the caller
+    may come again. Anything else is as unknown here as it is there.
+    """
+    assert part.detail is not None
+    code = codes.by_number.get(part.detail["code"], codes.OUTCOME_UNKNOWN)
+    if code.ran == codes.RAN_NO:
+        return otherwise
+    return failure_value.Failure(code=code, reason=part.detail["reason"])
+
+
+def _unknown(reason: str) -> failure_value.Failure:
+    return failure_value.Failure(code=codes.OUTCOME_UNKNOWN, reason=reason)
--- /dev/null
+++ b/packages/daisypick_node/tests/test_at_most_once.py
@@ -0,0 +1,106 @@
+from daisypick_standins.platform import faults
+import fleet as fleet_module
+import gevent
+import gevent.event
+import pytest
+
+BOOKINGS = "/services/desk/bookings"
+
+
+class Desk:
+    """A booking desk that waits for the test in the middle of a booking."""
+
+    def __init__(self):
+        self.go_on = gevent.event.Event()
+
+    def __call__(self, environ, start_response):
+        self.go_on.wait()
+        start_response("200 OK", [("Content-Length", "6")])
+        return [b"plot 7"]
+
+
+@pytest.fixture
+def desk():
+    return Desk()
+
+
+@pytest.fixture
+def fleet(desk):
+    engines = [fleet_module.make_engine(desk, "desk") for _ in range(2)]
+    fleet = fleet_module.Fleet(engines, router_count=2)
+    yield fleet
+    fleet.stop()
+
+
+def book(fleet, router=0, body=b"plot 7", key="k"):
+    return fleet.call(
+        "POST", BOOKINGS, body, router=router, Idempotency_Key=key
+    )
+
+
+def runs(fleet):
+    return sum(len(engine.calls) for engine in fleet.engines)
+
+
+@pytest.mark.parametrize("fault", ["lose_answers", "out"])
+def test_key_through_two_routers_at_once_books_once(fleet, desk, fault):
+    # A family's browser sends one booking through two routers at once, and
+    # the store's answer to the claim is lost after it took effect, or the
+    # first data centre is out. The desk is called once; both callers read the
+    # same confirmation.
+    if fault == "lose_answers":
+        fleet.platform.set_faults(faults.Faults(lose_answers=1))
+    else:
+        fleet.out = {0}
+        fleet.configure()
+    calls = [gevent.spawn(book, fleet, router) for router in (0, 1)]
+    fleet_module.wait_until(lambda: runs(fleet) == 1)
+    desk.go_on.set()
+    answers = [call.get(timeout=10) for call in calls]
+    assert [answer.status_code for answer in answers] == [200, 200]
+    assert [answer.read() for answer in answers] == [b"plot 7", b"plot 7"]
+    assert runs(fleet) == 1
+
+
+def test_retry_of_a_finished_key_gets_the_first_answer(fleet, desk):
+    desk.go_on.set()
+    for router in (0, 1, 0, 1):
+        assert book(fleet, router).read() == b"plot 7"
+    assert runs(fleet) == 1
+    reused = book(fleet, 1, body=b"plot 8")
+    assert (reused.status_code, b'"ran":"no"' in reused.read()) == (422, True)
+    assert book(fleet, 1, body=b"plot 8", key="l").status_code == 200
+    assert runs(fleet) == 2
+
+
+def test_retry_after_the_agent_restarted_is_unknown_for_good(fleet, desk):
+    # The desk has the booking, and the agent dies before it hears the end.
+    # Nobody can know any more: the first caller and each retry are told
+    # "unknown", and the desk is not called again.
+    first = gevent.spawn(book, fleet)
+    fleet_module.wait_until(lambda: runs(fleet) == 1)
+    place = next(n for n in (0, 1) if fleet.engines[n].calls)
+    address = fleet.agents[place].address
+    fleet.agents[place].stop()
+    fleet.agents[place] = fleet.make_agent(place, listen=address)
+    fleet.configure()
+    desk.go_on.set()
+    assert b'"ran":"unknown"' in first.get(timeout=20).read()
+    for router in (0, 1):
+        assert b'"ran":"unknown"' in book(fleet, router).read()
+    assert runs(fleet) == 1
+
+
+def test_store_down_refuses_bookings_as_not_run_and_then_recovers(fleet, desk):
+    desk.go_on.set()
+    outage = faults.Faults(outage=faults.UNAVAILABLE)
+    fleet.platform.set_faults(outage)
+    refused = book(fleet)
+    assert (refused.status_code, b'"ran":"no"' in refused.read()) == (
+        503,
+        True,
+    )
+    assert runs(fleet) == 0
+    fleet.platform.set_faults(faults.Faults())
+    fleet_module.wait_until(lambda: book(fleet).status_code == 200)
+    assert runs(fleet) == 1
