Run the processes under test from the tests' own paths

Cause: 2 of 6 tests failed once in 9 runs, started without make: the child processes then came from whatever was installed, not from this tree. Ruled out: load (six runs at once all pass). Change: children get the test's module paths. Conclusion: the failure was the harness's; watch it all the same.

--- a/packages/daisypick_lab/tests/processes/process_fleet.py
+++ b/packages/daisypick_lab/tests/processes/process_fleet.py
@@ -6,6 +6,7 @@
 
 import hashlib
 import json
+import os
 import random
 import signal
 import subprocess
@@ -46,6 +47,7 @@
                 OPERATOR_KEY,
                 *arguments,
             ],
+            env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
             stdout=subprocess.DEVNULL,
             stderr=subprocess.DEVNULL,
         )
