Pace reports by rows, spread the roles, test each fault

In tests of takeover a head that restarted settled on its own collector's word alone, and organisations that a head had not seen for a while were lifted although they waited. Change: the receiver's pace counts rows; 6 agents a collector, 20 a head; a head settles when a third of the agents report to it.

--- a/packages/daisypick_core/src/daisypick_core/fairness/collector.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/collector.py
@@ -230,7 +230,7 @@
         )
 
     def _note_agent(self, report: reports.AgentReport, now: float) -> None:
-        self._fan_in.note(report.incarnation, now)
+        self._fan_in.note(report.incarnation, now, rows=len(report.rows))
         agent = self._agent_by_incarnation.setdefault(
             report.incarnation, _Agent()
         )
@@ -317,21 +317,19 @@
             largest=self._largest,
             rows_by_incarnation=rows_by_incarnation,
             reach_by_organisation=reach,
-            virtual_by_organisation=self._values_for(head, organisations, now),
+            virtual_by_organisation=self._values_for(view, organisations),
         )
 
     def _values_for(
-        self, head: str, organisations: Iterable[str], now: float
+        self, view: _HeadView, organisations: Iterable[str]
     ) -> dict[str, float]:
-        """Return what a head that is not in use or not settled can follow."""
-        is_settled = self._view(head).settled_at < float("inf")
+        """Return the values of other heads, which this one can follow."""
         return {
             organisation: self._known_by_organisation[organisation].virtual
             for organisation in sorted(organisations)
             if organisation in self._known_by_organisation
-            and not (
-                is_settled and self._head_in_use(organisation, now) == head
-            )
+            and self._known_by_organisation[organisation].head
+            != view.incarnation
         }
 
     def _sweep(self, now: float) -> None:
--- a/packages/daisypick_core/src/daisypick_core/fairness/head.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/head.py
@@ -34,6 +34,8 @@
 # A partition between regions lasts minutes. A head that is cut off and comes
 # back still knows what it counted before, and so counts nothing twice.
 RETAIN_SECONDS = 600.0
+# Part of the agents believed to be alive that must report to a new head.
+SETTLE_PART = 1.0 / 3.0
 _SWEEP_SECONDS = 60.0
 
 
@@ -65,6 +67,7 @@
         self._source_by_incarnation: dict[str, _Source] = {}
         self._reach: collections.Counter[str] = collections.Counter()
         self._agents = 0
+        self._expected_agents = 1
         self._reported_at: float | None = None
         self._settled_at = float("inf")
         self._swept_at = 0.0
@@ -76,6 +79,10 @@
         """Take the shares of a new configuration."""
         self._service.set_shares(share_by_organisation)
 
+    def expect(self, agents: int) -> None:
+        """Take how many agents of the service are believed to be alive."""
+        self._expected_agents = agents
+
     def receive(
         self, report: reports.RelayReport, now: float
     ) -> reports.RelayAnswer:
@@ -92,6 +99,7 @@
         self._note_gap(now)
         self._service.set_quiet(self._fan_in.silence)
         self._service.note_largest(report.largest)
+        self._note_settling(now)
         replaced = self._take_values(report, now)
         self._service.set_reference(report.fleet_time)
         for organisation in report.reach_by_organisation:
@@ -114,12 +122,25 @@
         """
         before = self._reported_at
         if before is None or now - before > self._fan_in.silence:
-            self._settled_at = now + self._fan_in.silence
+            self._settled_at = float("inf")
             self._tally = tally.Tally()
+            self._service.forget_reference()
         self._reported_at = now
 
+    def _note_settling(self, now: float) -> None:
+        """Start to settle when enough agents are heard.
+
+        After a restart a head may hear its own collector only, while the
+        others still take it for dead. Settled by that alone, it would be
+        believed with next to nothing counted.
+        """
+        is_heard = self._agents >= SETTLE_PART * self._expected_agents
+        if is_heard and self._settled_at == float("inf"):
+            self._settled_at = now + self._fan_in.silence
+
     def _note_source(self, report: reports.RelayReport, now: float) -> None:
-        self._fan_in.note(report.incarnation, now)
+        rows = len(report.reach_by_organisation)
+        self._fan_in.note(report.incarnation, now, rows=rows)
         source = self._source_by_incarnation.setdefault(
             report.incarnation, _Source()
         )
@@ -147,9 +168,6 @@
         keeps it, which misses nothing, and takes the other as lower bound.
         """
         values = report.virtual_by_organisation
-        is_joining = values and not self._service.has_reference
-        if is_joining and report.fleet_time is not None:
-            self._service.lift_all_but(values, report.fleet_time)
         if now < self._settled_at:
             return {
                 organisation
--- a/packages/daisypick_core/src/daisypick_core/fairness/placement.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/placement.py
@@ -12,8 +12,8 @@
     >>> rest = [agent for agent in agents if agent != first]
     >>> pick("desk/sofia", rest) == ranked("desk/sofia", agents)[1]
     True
-    >>> count_heads(4), count_heads(275)
-    (1, 3)
+    >>> count_heads(4), count_heads(275), count_collectors(23)
+    (1, 14, 4)
 
 References:
     D. Thaler, C. Ravishankar: "Using name-based mappings to increase hit
@@ -25,7 +25,8 @@
 
 import xxhash
 
-AGENTS_PER_HEAD = 100
+AGENTS_PER_HEAD = 20
+AGENTS_PER_COLLECTOR = 6
 
 
 def ranked(key: str, candidates: Iterable[str]) -> list[str]:
@@ -49,5 +50,10 @@
     return max(1, math.ceil(agents / AGENTS_PER_HEAD))
 
 
+def count_collectors(agents: int) -> int:
+    """Return how many collectors a service has in a data centre."""
+    return max(1, math.ceil(agents / AGENTS_PER_COLLECTOR))
+
+
 def _weight(key: str, candidate: str) -> int:
     return xxhash.xxh3_64_intdigest(f"{key}|{candidate}".encode())
--- a/packages/daisypick_core/src/daisypick_core/fairness/tally_node.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/tally_node.py
@@ -117,6 +117,7 @@
     def set_agents(self, agents: Iterable[TallyAgent]) -> None:
         """Take the agents of the service that are believed to be alive."""
         self._agents = tuple(agents)
+        self._head.expect(len(self._agents))
         self._place()
 
     def tick(self, now: float) -> list[Send]:
@@ -257,9 +258,10 @@
         ]
         addresses = [agent.address for agent in usable] or [self._address]
         collector_key = f"{self._service}/{self._data_centre}/collector"
-        self._collector_address = placement.pick(
-            collector_key, near or [self._address]
-        )
+        collectors = placement.ranked(collector_key, near or [self._address])[
+            : placement.count_collectors(len(near))
+        ]
+        self._collector_address = placement.pick(self._address, collectors)
         self._heads = placement.ranked(f"{self._service}/head", addresses)[
             : placement.count_heads(len(self._agents)) + 1
         ]
--- a/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/virtual_service.py
@@ -24,7 +24,6 @@
     20.0
 """
 
-from collections.abc import Container
 from collections.abc import Iterable
 from collections.abc import Mapping
 import math
@@ -95,15 +94,10 @@
             return self._reference
         return self.mean
 
-    @property
-    def has_reference(self) -> bool:
-        """Whether the virtual time over all heads is known."""
-        return self._reference is not None
-
     @property
     def largest_lag(self) -> float:
         """Bound to which lags are clamped, tokens per share."""
-        if not self._least_share or not self._rate:
+        if not (self._least_share and self._rate and self._largest):
             return float("inf")
         by_requests = CLAMP_REQUESTS * self._largest / self._least_share
         return max(by_requests, CLAMP_SECONDS * self._rate)
@@ -126,6 +120,10 @@
         if time is not None:
             self._reference = time
 
+    def forget_reference(self) -> None:
+        """Drop a virtual time that may be from long ago."""
+        self._reference = None
+
     def note_largest(self, tokens: float) -> None:
         """Note the size of a large request."""
         self._largest = max(self._largest, tokens)
@@ -143,28 +141,23 @@
         """
         state = self._state(organisation, now)
         state.floor = max(state.floor, virtual)
+        state.waited_at = now
 
     def go_on_from(self, organisation: str, virtual: float, now: float) -> bool:
-        """Replace what was counted here if another head has counted more."""
+        """Replace what was counted here if another head has counted more.
+
+        Either way the organisation is not back from idle: the other head has
+        seen it wait while this one was away.
+        """
         state = self._state_by_organisation.get(organisation)
         if state is not None and state.counted >= virtual:
+            state.waited_at = now
             return False
         self._state_by_organisation[organisation] = _State(
             counted=virtual, now=now, waited_at=now
         )
         return True
 
-    def lift_all_but(self, organisations: Container[str], time: float) -> None:
-        """Lift what was counted from 0 before the fleet's time was known.
-
-        A head that has just started may count its own agent's service alone
-        for a moment. Left there, an organisation that no other head told of
-        would seem to lag by the whole past.
-        """
-        for organisation, state in self._state_by_organisation.items():
-            if organisation not in organisations:
-                state.move_to(max(time, state.virtual))
-
     def activate(self, organisation: str, now: float) -> None:
         """Note that an organisation waits; lift it if it was idle."""
         state = self._state(organisation, now)
--- /dev/null
+++ b/packages/daisypick_core/tests/fairness/test_collector.py
@@ -0,0 +1,126 @@
+from daisypick_core.fairness import collector
+from daisypick_core.fairness import fan_in
+from daisypick_core.fairness import reports
+
+HEADS = ["h1:80", "h2:80"]
+
+
+def make_collector():
+    return collector.Collector(
+        incarnation="c1", service="desk", heads_of=lambda organisation: HEADS
+    )
+
+
+def make_report(sequence, *rows, incarnation="a1"):
+    return reports.AgentReport(
+        incarnation=incarnation,
+        sequence=sequence,
+        service="desk",
+        largest=5.0,
+        rows=[reports.AgentRow(*row) for row in rows],
+    )
+
+
+def make_answer(report, virtual, *, head="h1", settled_for=9.0):
+    return reports.RelayAnswer(
+        head=head,
+        settled_for=settled_for,
+        sequence=report.sequence,
+        next_report_in=1.0,
+        agents=1,
+        fleet_time=5.0,
+        active_share=1.0,
+        rows=[reports.HeadRow("union", virtual, 3)],
+    )
+
+
+def relay(subject, now):
+    return dict(subject.make_relays(HEADS, now))
+
+
+def ask(subject, sequence, now, served=10.0):
+    row = ("union", served, 0.0, True)
+    return subject.receive(make_report(sequence, row), now)
+
+
+def test_marks_are_sent_until_each_head_has_them():
+    # An answer is lost: what it acknowledged is sent again to that head, and
+    # to that head only.
+    subject = make_collector()
+    ask(subject, 1, 0.0)
+    first = relay(subject, 0.0)
+    assert set(first) == set(HEADS)
+    subject.answered("h1:80", make_answer(first["h1:80"], 10.0), 0.0)
+    second = relay(subject, 1.0)
+    assert second["h1:80"].rows_by_incarnation == {}
+    assert second["h2:80"].rows_by_incarnation == {
+        "a1": [reports.RelayRow("union", 10.0, 10.0)]
+    }
+    subject.answered("h2:80", make_answer(first["h2:80"], 99.0), 1.0)
+    assert relay(subject, 2.0)["h2:80"].rows_by_incarnation
+    assert ask(subject, 2, 2.0).rows == [
+        reports.FleetRow("union", 10.0, 10.0, 3)
+    ]
+
+
+def test_head_that_has_counted_longer_is_in_use():
+    # The first head restarts and lacks some growth. Its values may not
+    # replace those of the second, which has counted all along.
+    subject = make_collector()
+    ask(subject, 1, 0.0)
+    sent = relay(subject, 0.0)
+    first = make_answer(sent["h1:80"], 4.0, settled_for=5.0)
+    subject.answered("h1:80", first, 0.0)
+    second = make_answer(sent["h2:80"], 10.0, head="h2", settled_for=500.0)
+    subject.answered("h2:80", second, 0.0)
+    assert ask(subject, 2, 0.5).rows[0].virtual == 10.0
+    sent = relay(subject, 1.0)
+    assert sent["h1:80"].virtual_by_organisation == {"union": 10.0}
+    assert sent["h2:80"].virtual_by_organisation == {}
+
+
+def test_restarted_head_is_sent_everything():
+    subject = make_collector()
+    ask(subject, 1, 0.0)
+    sent = relay(subject, 0.0)
+    subject.answered("h1:80", make_answer(sent["h1:80"], 10.0), 0.0)
+    sent = relay(subject, 1.0)["h1:80"]
+    refusal = make_answer(sent, 0.0, head="h1b", settled_for=0.0)
+    subject.answered("h1:80", refusal._replace(rows=[]), 1.0)
+    again = relay(subject, 1.0)["h1:80"]
+    assert again.head == "h1b"
+    assert again.rows_by_incarnation["a1"][0].served == 10.0
+    assert again.virtual_by_organisation == {"union": 10.0}
+
+
+def test_late_report_does_not_bring_back_who_waited():
+    subject = make_collector()
+    ask(subject, 1, 0.0)
+    subject.receive(make_report(3), 0.0)
+    ask(subject, 2, 0.0, served=30.0)
+    sent = relay(subject, 0.0)["h1:80"]
+    assert sent.reach_by_organisation == {}
+    assert sent.rows_by_incarnation["a1"][0].served == 30.0
+
+
+def test_old_values_are_not_told():
+    # No head has answered for a while. A value from then, set against a
+    # virtual time of now, would look like a huge lag.
+    subject = make_collector()
+    ask(subject, 1, 0.0)
+    sent = relay(subject, 0.0)
+    subject.answered("h1:80", make_answer(sent["h1:80"], 10.0), 0.0)
+    assert ask(subject, 2, 1.0).rows
+    answer = ask(subject, 3, 30.0)
+    assert (answer.rows, answer.agents) == ([], 0)
+
+
+def test_receiver_sets_the_pace():
+    subject = make_collector()
+    for number in range(60):
+        report = make_report(1, incarnation=f"a{number}")
+        answer = subject.receive(report, 0.0)
+    assert answer.next_report_in == 60 / fan_in.REPORTS_PER_SECOND
+    rows = [(f"o{n}", 1.0, 0.0, True) for n in range(1500)]
+    answer = subject.receive(make_report(2, *rows), 0.0)
+    assert answer.next_report_in == 1500 / fan_in.ROWS_PER_SECOND
--- /dev/null
+++ b/packages/daisypick_core/tests/fairness/test_tally_node.py
@@ -0,0 +1,120 @@
+from daisypick_core.fairness import reports
+from daisypick_core.fairness import share_order
+from daisypick_core.fairness import tally_node
+
+COUNT = 12
+
+
+def make_nodes(count=COUNT):
+    addresses = [f"10.0.0.{n}:80" for n in range(count)]
+    agents = [tally_node.TallyAgent(one, "sofia") for one in addresses]
+    nodes = {}
+    for address in addresses:
+        order = share_order.ShareOrder(share_by_organisation={})
+        order.arrive("union", 0.0)
+        order.arrive("farm", 0.0)
+        node = tally_node.TallyNode(
+            address=address,
+            data_centre="sofia",
+            service="desk",
+            incarnation=f"i{address}",
+            order=order,
+            share_by_organisation={},
+        )
+        node.set_agents(agents)
+        nodes[address] = (node, order)
+    return nodes
+
+
+def exchange(nodes, start, end, dead=()):
+    """Let the nodes exchange; reports to dead ones get no answer."""
+    for step in range(round(start * 4), round(end * 4)):
+        now = step / 4
+        for address, (node, _) in nodes.items():
+            if address in dead:
+                continue
+            for send in node.tick(now):
+                if send.address in dead:
+                    node.failed(send.address, now)
+                    continue
+                answer = nodes[send.address][0].receive(send.report, now)
+                node.answered(send.address, answer, now)
+
+
+def lags(nodes, organisation, dead=()):
+    return {
+        round(order.accounts()[organisation].fleet_lag, 3)
+        for address, (_, order) in nodes.items()
+        if address not in dead
+    }
+
+
+def test_all_agents_learn_the_same_lag():
+    nodes = make_nodes()
+    for _, order in nodes.values():
+        order.charge("union", 10.0)
+    exchange(nodes, 0.0, 12.0)
+    assert lags(nodes, "union") == {60.0}
+    assert lags(nodes, "farm") == {-60.0}
+    first = next(iter(nodes.values()))
+    assert (first[0].known_agents, first[1].accounts()["farm"].reach) == (
+        12,
+        12,
+    )
+
+
+def test_collector_and_heads_die():
+    # A collector and every head die at once. Each agent is told of no answer
+    # twice, then others hold the roles; service that comes meanwhile must
+    # show at all agents within 12 s.
+    nodes = make_nodes()
+    exchange(nodes, 0.0, 12.0)
+    some = next(iter(nodes.values()))[0]
+    dead = {some.collector_address, *some.heads}
+    alive = next(one for one in nodes if one not in dead)
+    nodes[alive][1].charge("union", 100.0)
+    exchange(nodes, 12.0, 24.0, dead=dead)
+    assert lags(nodes, "union", dead) == {50.0}
+    exchange(nodes, 24.0, 40.0)
+    assert lags(nodes, "union") == {50.0}
+
+
+def test_one_lost_call_moves_no_role():
+    nodes = make_nodes()
+    node = next(iter(nodes.values()))[0]
+    role = next(one for one in node.heads if one != "10.0.0.0:80")
+    heads = node.heads
+    node.failed(role, 0.0)
+    assert node.heads == heads
+    node.failed(role, 0.0)
+    assert role not in node.heads
+    node.tick(tally_node.SUSPECT_SECONDS)
+    assert node.heads == heads
+
+
+def test_rows_of_a_report_are_bounded_and_take_turns():
+    # 22,000 organisations grow at one agent. Each report is bounded, and
+    # those left out come first in the next.
+    order = share_order.ShareOrder(share_by_organisation={})
+    node = tally_node.TallyNode(
+        address="10.0.0.1:80",
+        data_centre="sofia",
+        service="desk",
+        incarnation="a1",
+        order=order,
+        share_by_organisation={},
+    )
+    node.set_agents([tally_node.TallyAgent("10.0.0.2:80", "sofia")])
+    for number in range(22_000):
+        order.charge(f"o{number}", 5.0)
+    seen = set()
+    for step in range(3):
+        reported = [
+            send.report
+            for send in node.tick(2.0 * step)
+            if isinstance(send.report, reports.AgentReport)
+        ]
+        rows = reported[0].rows
+        assert len(rows) == tally_node.MAX_ROWS
+        seen.update(row.organisation for row in rows)
+    assert len(seen) == 3 * tally_node.MAX_ROWS
