--- /dev/null
+++ b/packages/daisypick_lab/tests/test_fairness_model.py
@@ -0,0 +1,95 @@
+from daisypick_lab import fairness_faults
+from daisypick_lab import fairness_fleet
+from daisypick_lab import fairness_model
+import pytest
+
+AGENTS = 24
+SLOTS = 3
+SECONDS = 60.0
+# Largest requests per unit of share. docs/design/fairness.md derives a bound
+# of 4.5 for each slot, 324 here, for the worst costs; these are not the worst.
+BOUND = 3.0
+TOKENS_PER_SECOND = 50.0
+
+
+def make_settings(*, flood_depth=2, **fields):
+    tenants = fairness_model.make_tenants(flood_depth=flood_depth)
+    values = {"tenants": tenants, "period": 2.0} | fields
+    return fairness_fleet.FleetSettings(agents=AGENTS, slots=SLOTS, **values)
+
+
+def measure(settings, seconds=SECONDS, **options):
+    return fairness_model.measure("test", settings, seconds, **options)
+
+
+def test_gap_is_bounded_and_does_not_grow_with_the_run():
+    short = measure(make_settings())
+    long_run = measure(make_settings(), 4 * SECONDS)
+    assert short.gap < BOUND
+    assert long_run.gap < BOUND
+    assert long_run.gap < short.gap + 2.0
+
+
+def test_baselines_are_worse():
+    # The same organisations and costs; what differs is the order alone.
+    alone = make_settings(has_tally=False)
+    seconds = 3 * SECONDS
+    ours = measure(make_settings(), seconds).gap
+    baselines = [
+        alone._replace(mode=fairness_fleet.FIRST_COME),
+        alone._replace(mode=fairness_fleet.ROUTER_FAIR),
+        alone._replace(policy="own_service"),
+    ]
+    for baseline in baselines:
+        other = measure(baseline, seconds)
+        assert other.gap > 1.5 * ours
+        assert other.gap > 1.5 * other.half_gap
+
+
+def test_gap_does_not_grow_with_the_flooder_and_nobody_starves():
+    # One organisation keeps ever more attempts waiting at every agent. The
+    # others must see no more of it than that it is backlogged. One that is
+    # ahead may wait until the rest have caught up and for one large request,
+    # however many the flooder keeps waiting.
+    floods = [
+        measure(make_settings(flood_depth=depth)) for depth in (16, 64, 256)
+    ]
+    shares = sum(fairness_model.SHARES)
+    rate = AGENTS * SLOTS * TOKENS_PER_SECOND / shares
+    for flood in floods:
+        assert flood.gap < BOUND
+        lead = (flood.start_gap + 1.0) * fairness_fleet.LARGEST_COST
+        assert flood.longest_pause < lead / rate
+    assert floods[2].gap < floods[0].gap + 2.0
+    assert floods[2].longest_pause < 1.5 * floods[0].longest_pause
+
+
+def test_return_from_idle_is_no_windfall():
+    # An organisation with a large share is idle for 30 s. On its return it
+    # must not take the fleet to make up for the time.
+    settings = make_settings()
+    tenants = list(settings.tenants)
+    tenants[6] = tenants[6]._replace(off_from=20.0, off_until=50.0)
+    settings = settings._replace(tenants=tuple(tenants))
+    assert measure(settings, 100.0, warm_up=56.0).gap < BOUND
+
+
+@pytest.mark.parametrize(
+    "faults",
+    [
+        fairness_fleet.Faults(lost=0.2),
+        fairness_fleet.Faults(doubled=0.5),
+        fairness_fleet.Faults(late=0.5),
+        fairness_fleet.Faults(lost=0.1, doubled=0.5, late=0.5),
+    ],
+)
+def test_bound_holds_with_bad_messages(faults):
+    assert measure(make_settings(faults=faults)).gap < BOUND
+
+
+@pytest.mark.parametrize("name", sorted(fairness_faults.plan_by_name))
+def test_bound_holds_with_faults_of_agents(name):
+    # The fault comes after 60 s, while all are backlogged. What is measured
+    # is any interval from 30 s on, so before, during and after it.
+    plan = fairness_faults.plan_by_name[name]
+    assert measure(make_settings(), 130.0, plan=plan).gap < BOUND
