Send an organisation's name once a relay, not once an agent

Change: marks are grouped by organisation and leave out what the head knows; the pace counts five marks as one row.

--- a/packages/daisypick_core/src/daisypick_core/fairness/collector.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/collector.py
@@ -293,19 +293,25 @@
         view.sent_sequence = self._sequence
         view.next_report_at = now + self._period
         view.sent = {}
-        rows_by_incarnation: dict[str, list[reports.RelayRow]] = {}
+        index_by_incarnation: dict[str, int] = {}
+        marks_by_organisation: dict[str, list[reports.RelayMark]] = {}
         for key, mark in self._tally.items():
-            if mark.served <= view.acknowledged.get(key, -1.0):
+            acknowledged = view.acknowledged.get(key)
+            if acknowledged is not None and mark.served <= acknowledged:
                 continue
             if head not in self._heads_of(key.organisation):
                 continue
             view.sent[key] = mark.served
-            row = reports.RelayRow(
-                organisation=key.organisation,
+            index = index_by_incarnation.setdefault(
+                key.incarnation, len(index_by_incarnation)
+            )
+            is_new = acknowledged is None
+            row = reports.RelayMark(
+                agent=index,
                 served=mark.served,
-                included=mark.included,
+                included=mark.included if is_new else None,
             )
-            rows_by_incarnation.setdefault(key.incarnation, []).append(row)
+            marks_by_organisation.setdefault(key.organisation, []).append(row)
         organisations = {key.organisation for key in view.sent}.union(reach)
         return reports.RelayReport(
             incarnation=self._incarnation,
@@ -315,7 +321,8 @@
             agents=self._fan_in.count(now),
             fleet_time=_mean_time(self._fresh_views(now)),
             largest=self._largest,
-            rows_by_incarnation=rows_by_incarnation,
+            incarnations=list(index_by_incarnation),
+            marks_by_organisation=marks_by_organisation,
             reach_by_organisation=reach,
             virtual_by_organisation=self._values_for(view, organisations),
         )
--- a/packages/daisypick_core/src/daisypick_core/fairness/head.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/head.py
@@ -11,7 +11,8 @@
     >>> report = reports.RelayReport(
     ...     incarnation="c", sequence=1, service="desk", head="",
     ...     agents=1, fleet_time=None, largest=5.0,
-    ...     rows_by_incarnation={"a": [reports.RelayRow("union", 10.0, 0.0)]},
+    ...     incarnations=["a"],
+    ...     marks_by_organisation={"union": [reports.RelayMark(0, 10.0, 0.0)]},
     ...     reach_by_organisation={"union": 1}, virtual_by_organisation={})
     >>> head.receive(report, 0.0).rows
     [HeadRow(organisation='union', virtual=5.0, reach=1)]
@@ -25,6 +26,7 @@
 
 import collections
 from collections.abc import Mapping
+import math
 
 from daisypick_core.fairness import fan_in
 from daisypick_core.fairness import reports
@@ -36,6 +38,8 @@
 RETAIN_SECONDS = 600.0
 # Part of the agents believed to be alive that must report to a new head.
 SETTLE_PART = 1.0 / 3.0
+# Marks that cost as many bytes as one row of a report with its answer.
+MARKS_PER_ROW = 5
 _SWEEP_SECONDS = 60.0
 
 
@@ -140,6 +144,8 @@
 
     def _note_source(self, report: reports.RelayReport, now: float) -> None:
         rows = len(report.reach_by_organisation)
+        marks = sum(map(len, report.marks_by_organisation.values()))
+        rows += math.ceil(marks / MARKS_PER_ROW)
         self._fan_in.note(report.incarnation, now, rows=rows)
         source = self._source_by_incarnation.setdefault(
             report.incarnation, _Source()
@@ -190,20 +196,18 @@
         """
         taken = report.virtual_by_organisation
         is_settled = now >= self._settled_at
-        for incarnation, rows in report.rows_by_incarnation.items():
-            for row in rows:
-                key = tally.Key(incarnation, row.organisation)
-                is_known = self._tally.get(key) is not None
-                mark = tally.Mark(served=row.served, included=row.included)
-                growth = self._tally.merge(*key, mark, now)
-                is_counted = is_known and row.organisation not in replaced
-                if is_settled or is_counted or row.organisation not in taken:
-                    self._service.grow(row.organisation, growth, now)
+        for organisation, marks in report.marks_by_organisation.items():
+            is_added = is_settled or organisation not in taken
+            for row in marks:
+                key = tally.Key(report.incarnations[row.agent], organisation)
+                before = self._tally.get(key)
+                growth = self._tally.merge(*key, _read(row), now)
+                is_counted = before is not None and organisation not in replaced
+                if is_added or is_counted:
+                    self._service.grow(organisation, growth, now)
 
     def _asked(self, report: reports.RelayReport) -> list[reports.HeadRow]:
-        asked = set(report.reach_by_organisation)
-        for rows in report.rows_by_incarnation.values():
-            asked.update(row.organisation for row in rows)
+        asked = {*report.reach_by_organisation, *report.marks_by_organisation}
         return [self._row(organisation) for organisation in sorted(asked)]
 
     def _row(self, organisation: str) -> reports.HeadRow:
@@ -238,3 +242,12 @@
         self._swept_at = now
         self._tally.drop_older(now - RETAIN_SECONDS)
         self._service.drop_older(now - RETAIN_SECONDS)
+
+
+def _read(row: reports.RelayMark) -> tally.Mark:
+    """Return a mark; one without ``included`` was seen here before.
+
+    If it was dropped meanwhile, it starts anew from what it says now.
+    """
+    included = row.served if row.included is None else row.included
+    return tally.Mark(served=row.served, included=included)
--- a/packages/daisypick_core/src/daisypick_core/fairness/reports.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/reports.py
@@ -80,12 +80,19 @@
     rows: list[FleetRow]
 
 
-class RelayRow(typing.NamedTuple):
-    """A mark of an agent on its way to a head."""
+class RelayMark(typing.NamedTuple):
+    """A mark of an agent on its way to a head.
 
-    organisation: str
+    Attributes:
+        agent: Index of the agent's incarnation in the report.
+        served: Tokens served since the incarnation started.
+        included: The part of them that the head in use has acknowledged;
+            ``None`` if this head has seen the mark before.
+    """
+
+    agent: int
     served: float
-    included: float
+    included: float | None = None
 
 
 class RelayReport(typing.NamedTuple):
@@ -100,7 +107,9 @@
         agents: Agents that report to the collector.
         fleet_time: The fleet's virtual time, ``None`` if not known.
         largest: Tokens of the largest request seen.
-        rows_by_incarnation: Marks that this head has not acknowledged.
+        incarnations: Agents that have served what follows.
+        marks_by_organisation: Marks that this head has not acknowledged.
+            Grouped so, a name is sent once and not once an agent.
         reach_by_organisation: At how many of its agents each waits.
         virtual_by_organisation: What the head in use last said, if that is
             the organisation's other head.
@@ -113,7 +122,8 @@
     agents: int
     fleet_time: float | None
     largest: float
-    rows_by_incarnation: dict[str, list[RelayRow]]
+    incarnations: list[str]
+    marks_by_organisation: dict[str, list[RelayMark]]
     reach_by_organisation: dict[str, int]
     virtual_by_organisation: dict[str, float]
 
--- a/packages/daisypick_core/tests/fairness/test_collector.py
+++ b/packages/daisypick_core/tests/fairness/test_collector.py
@@ -52,12 +52,13 @@
     assert set(first) == set(HEADS)
     subject.answered("h1:80", make_answer(first["h1:80"], 10.0), 0.0)
     second = relay(subject, 1.0)
-    assert second["h1:80"].rows_by_incarnation == {}
-    assert second["h2:80"].rows_by_incarnation == {
-        "a1": [reports.RelayRow("union", 10.0, 10.0)]
+    assert second["h1:80"].marks_by_organisation == {}
+    assert second["h2:80"].incarnations == ["a1"]
+    assert second["h2:80"].marks_by_organisation == {
+        "union": [reports.RelayMark(0, 10.0, 10.0)]
     }
     subject.answered("h2:80", make_answer(first["h2:80"], 99.0), 1.0)
-    assert relay(subject, 2.0)["h2:80"].rows_by_incarnation
+    assert relay(subject, 2.0)["h2:80"].marks_by_organisation
     assert ask(subject, 2, 2.0).rows == [
         reports.FleetRow("union", 10.0, 10.0, 3)
     ]
@@ -89,7 +90,7 @@
     subject.answered("h1:80", refusal._replace(rows=[]), 1.0)
     again = relay(subject, 1.0)["h1:80"]
     assert again.head == "h1b"
-    assert again.rows_by_incarnation["a1"][0].served == 10.0
+    assert again.marks_by_organisation["union"][0].served == 10.0
     assert again.virtual_by_organisation == {"union": 10.0}
 
 
@@ -100,7 +101,7 @@
     ask(subject, 2, 0.0, served=30.0)
     sent = relay(subject, 0.0)["h1:80"]
     assert sent.reach_by_organisation == {}
-    assert sent.rows_by_incarnation["a1"][0].served == 30.0
+    assert sent.marks_by_organisation["union"][0].served == 30.0
 
 
 def test_old_values_are_not_told():
--- a/packages/daisypick_core/tests/fairness/test_head.py
+++ b/packages/daisypick_core/tests/fairness/test_head.py
@@ -10,10 +10,11 @@
 
 def make_report(sequence, served=None, **fields):
     """Return a relay: ``served`` maps (incarnation, organisation) to marks."""
-    rows = {}
+    incarnations = sorted({incarnation for incarnation, _ in served or {}})
+    marks = {}
     for (incarnation, organisation), mark in (served or {}).items():
-        row = reports.RelayRow(organisation, float(mark[0]), float(mark[1]))
-        rows.setdefault(incarnation, []).append(row)
+        row = reports.RelayMark(incarnations.index(incarnation), *mark)
+        marks.setdefault(organisation, []).append(row)
     values = {
         "incarnation": "c1",
         "sequence": sequence,
@@ -22,7 +23,8 @@
         "agents": 1,
         "fleet_time": None,
         "largest": 1000.0,
-        "rows_by_incarnation": rows,
+        "incarnations": incarnations,
+        "marks_by_organisation": marks,
         "reach_by_organisation": {"union": 1, "studio": 2},
         "virtual_by_organisation": {},
     } | fields
