Take the configuration's routes into a module of their own

Change: configuration_routes answers other processes and operators, the service carries out the holder's actions. No behaviour changes.

Conclusion: each file has one job.

--- a/packages/daisypick_cli/src/daisypick_cli/processes.py
+++ b/packages/daisypick_cli/src/daisypick_cli/processes.py
@@ -8,7 +8,7 @@
 from daisypick_core.configuration import model
 from daisypick_core.configuration import wire
 from daisypick_core.results import failure as failure_value
-from daisypick_node import configuration_service
+from daisypick_node import configuration_routes
 from daisypick_node import process as process_module
 from daisypick_node.http import peers as peers_module
 import gevent.pool
@@ -46,7 +46,7 @@
 
     def generation(self, address: str) -> int | failure_value.Failure:
         """Return the generation in force at a process."""
-        data = self._peers.call(address, "GET", configuration_service.ROOT)
+        data = self._peers.call(address, "GET", configuration_routes.ROOT)
         if failure_value.is_failure(data):
             return data
         answer = wire.decode_answer(data)
@@ -60,7 +60,7 @@
         """Offer an accepted root; return the generation then in force."""
         message = msgspec.Raw(wire.encode_answer(answer))
         data = self._peers.call(
-            address, "POST", configuration_service.OFFER, message
+            address, "POST", configuration_routes.OFFER, message
         )
         reply = peers_module.decode(data, _Generation)
         if failure_value.is_failure(reply):
--- /dev/null
+++ b/packages/daisypick_node/src/daisypick_node/configuration_routes.py
@@ -0,0 +1,123 @@
+"""What other processes and operators can ask about the configuration.
+
+Routes, for processes of the fleet and for operators:
+
+* ``GET /internal/configuration/root?have=TOP``: the root in force, with the
+  chunks that a holder of ``TOP`` lacks;
+* ``GET /internal/configuration/chunk/HASH[,HASH...]``: chunks that are held;
+* ``POST /internal/configuration/notice``: generations are exchanged, and
+  some members told of;
+* ``POST /internal/configuration/offer``: an accepted root with its chunks,
+  from the operators' command line. It makes a change known also if the store
+  goes down right after it was accepted.
+"""
+
+from collections.abc import Callable
+import typing
+import urllib.parse
+
+from daisypick_core.configuration import spread
+from daisypick_core.configuration import wire
+from daisypick_core.membership import directory as member_directory
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+
+from daisypick_node.http import peers as peers_module
+from daisypick_node.http import routes
+
+PREFIX = "/internal/configuration/"
+ROOT = f"{PREFIX}root"
+CHUNK = f"{PREFIX}chunk/"
+NOTICE = f"{PREFIX}notice"
+OFFER = f"{PREFIX}offer"
+
+
+class Notice(typing.TypedDict):
+    """What two processes tell each other.
+
+    Attributes:
+        member: The process that speaks.
+        generation: Its generation in force.
+        members: Some members that it has heard, with ages in seconds.
+    """
+
+    member: member_directory.Member
+    generation: int
+    members: list[member_directory.Sighting]
+
+
+class ConfigurationRoutes:
+    """The handlers; decisions are the holder's.
+
+    Args:
+        holder: The configuration of this process.
+        hear: Takes what another process tells.
+        make_notice: Makes what this process tells.
+        take_offer: Takes an operator's offer.
+    """
+
+    def __init__(
+        self,
+        *,
+        holder: spread.Holder,
+        hear: Callable[[Notice], None],
+        make_notice: Callable[[], Notice],
+        take_offer: Callable[[wire.RootAnswer], None],
+    ) -> None:
+        self._holder = holder
+        self._hear = hear
+        self._make_notice = make_notice
+        self._take_offer = take_offer
+
+    def handlers(self) -> routes.Routes:
+        """Return the table of handlers."""
+        return {
+            routes.Route("GET", ROOT): self._serve_root,
+            routes.Route("GET", CHUNK): self._serve_chunks,
+            routes.Route("POST", NOTICE): self._serve_notice,
+            routes.Route("POST", OFFER): self._serve_offer,
+        }
+
+    def _serve_root(self, call: routes.Call) -> routes.Reply:
+        have = urllib.parse.parse_qs(call.query).get("have", [""])[0]
+        return _reply(wire.encode_answer(self._holder.answer_root(have)))
+
+    def _serve_chunks(self, call: routes.Call) -> routes.Reply:
+        hashes = call.path[len(CHUNK) :].split(",")
+        found = self._holder.answer_chunks(hashes)
+        if not found:
+            return routes.reply_failure(
+                failure_value.Failure(
+                    code=codes.NOT_FOUND, reason="chunk: not held here"
+                )
+            )
+        return _reply(wire.encode_chunks(found))
+
+    def _serve_notice(self, call: routes.Call) -> routes.Reply:
+        body = call.read_body()
+        notice = peers_module.decode(body, Notice)
+        if failure_value.is_failure(notice):
+            return routes.reply_failure(notice)
+        self._hear(notice)
+        return routes.reply_json(self._make_notice())
+
+    def _serve_offer(self, call: routes.Call) -> routes.Reply:
+        body = call.read_body()
+        if failure_value.is_failure(body):
+            return routes.reply_failure(body)
+        answer = wire.decode_answer(body)
+        if failure_value.is_failure(answer):
+            return routes.reply_failure(answer)
+        self._take_offer(answer)
+        return routes.reply_json({"generation": self._holder.generation})
+
+
+def _reply(body: bytes) -> routes.Reply:
+    return routes.Reply(
+        status=200,
+        headers=[
+            ("Content-Type", routes.JSON),
+            ("Content-Length", str(len(body))),
+        ],
+        body=body,
+    )
--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -1,21 +1,11 @@
 """Carries out the spread of configurations over HTTP.
 
-Routes, for processes of the fleet and for operators:
-
-* ``GET /internal/configuration/root?have=TOP``: the root in force, with the
-  chunks that a holder of ``TOP`` lacks;
-* ``GET /internal/configuration/chunk/HASH[,HASH...]``: chunks that are held;
-* ``POST /internal/configuration/notice``: generations are exchanged, and
-  some members told of;
-* ``POST /internal/configuration/offer``: an accepted root with its chunks,
-  from the operators' command line. It makes a change known also if the store
-  goes down right after it was accepted.
-
 A few processes of each data centre wait for changes at the store; which ones
 follows from what each process sees as live.
 
 See Also:
     ``daisypick_core.configuration.spread``: the decisions.
+    ``daisypick_node.configuration_routes``: what other processes can ask.
 """
 
 from collections.abc import Callable
@@ -34,19 +24,15 @@
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 import gevent
+import gevent.pool
 
+from daisypick_node import configuration_routes
 from daisypick_node import configuration_store
 from daisypick_node import logs
 from daisypick_node.http import peers as peers_module
 from daisypick_node.http import routes
 from daisypick_node.platform import interface
 
-PREFIX = "/internal/configuration/"
-ROOT = f"{PREFIX}root"
-CHUNK = f"{PREFIX}chunk/"
-NOTICE = f"{PREFIX}notice"
-OFFER = f"{PREFIX}offer"
-
 WATCHERS_PER_ROLE = 2
 WATCH_SECONDS = 25.0
 WATCH_PAUSE = 2.0
@@ -58,20 +44,6 @@
 _log = logs.PartLog("configuration")
 
 
-class Notice(typing.TypedDict):
-    """What two processes tell each other.
-
-    Attributes:
-        member: The process that speaks.
-        generation: Its generation in force.
-        members: Some members that it has heard, with ages in seconds.
-    """
-
-    member: member_directory.Member
-    generation: int
-    members: list[member_directory.Sighting]
-
-
 class ConfigurationService:
     """The holder of one process, and its messages.
 
@@ -137,12 +109,12 @@
 
     def handlers(self) -> routes.Routes:
         """Return the table of handlers."""
-        return {
-            routes.Route("GET", ROOT): self._serve_root,
-            routes.Route("GET", CHUNK): self._serve_chunks,
-            routes.Route("POST", NOTICE): self._serve_notice,
-            routes.Route("POST", OFFER): self._serve_offer,
-        }
+        return configuration_routes.ConfigurationRoutes(
+            holder=self.holder,
+            hear=self._hear,
+            make_notice=self._make_notice,
+            take_offer=self._take_offer,
+        ).handlers()
 
     def describe(self) -> dict[str, typing.Any]:
         """Return the state for a dump."""
@@ -211,7 +183,8 @@
     ) -> wire.RootAnswer | failure_value.Failure:
         if action.source == actions.STORE:
             return self._read_stored_root()
-        path = f"{ROOT}?{urllib.parse.urlencode({'have': action.have})}"
+        query = urllib.parse.urlencode({"have": action.have})
+        path = f"{configuration_routes.ROOT}?{query}"
         data = self._call(action.source, "GET", path)
         if failure_value.is_failure(data):
             return data
@@ -232,16 +205,18 @@
             return failure_value.Failure(
                 code=codes.NOT_FOUND, reason="offer: chunks are missing"
             )
-        path = CHUNK + ",".join(action.hashes)
+        path = configuration_routes.CHUNK + ",".join(action.hashes)
         data = self._call(action.source, "GET", path)
         if failure_value.is_failure(data):
             return data
         return wire.decode_chunks(data)
 
     def _notify(self, peer: str) -> None:
-        data = self._call(peer, "POST", NOTICE, self._make_notice())
+        data = self._call(
+            peer, "POST", configuration_routes.NOTICE, self._make_notice()
+        )
         self._note_outcome(peer, data)
-        notice = peers_module.decode(data, Notice)
+        notice = peers_module.decode(data, configuration_routes.Notice)
         if not failure_value.is_failure(notice):
             self._hear(notice)
 
@@ -256,6 +231,11 @@
                 code=codes.PEER_UNREACHABLE, reason=str(error)
             )
 
+    def _take_offer(self, answer: wire.RootAnswer) -> None:
+        now = self._clock()
+        due = self.holder.take_root(actions.OPERATOR, answer, now)
+        self._carry_out(due)
+
     def _note_outcome(self, source: str, outcome: object) -> None:
         if source in (actions.STORE, actions.OPERATOR):
             return
@@ -264,8 +244,8 @@
         else:
             self.directory.contact(source, self._clock())
 
-    def _make_notice(self) -> Notice:
-        return Notice(
+    def _make_notice(self) -> configuration_routes.Notice:
+        return configuration_routes.Notice(
             member=self._own,
             generation=self.holder.generation,
             members=self.directory.sample(
@@ -273,7 +253,7 @@
             ),
         )
 
-    def _hear(self, notice: Notice) -> None:
+    def _hear(self, notice: configuration_routes.Notice) -> None:
         now = self._clock()
         self.directory.hear(notice["member"], now)
         for sighting in notice["members"]:
@@ -346,49 +326,3 @@
             answer = wire.RootAnswer(root=decoded.root, chunk_by_hash={})
         now = self._clock()
         self._carry_out(self.holder.take_root(actions.STORE, answer, now))
-
-    def _serve_root(self, call: routes.Call) -> routes.Reply:
-        have = urllib.parse.parse_qs(call.query).get("have", [""])[0]
-        return _reply(wire.encode_answer(self.holder.answer_root(have)))
-
-    def _serve_chunks(self, call: routes.Call) -> routes.Reply:
-        hashes = call.path[len(CHUNK) :].split(",")
-        found = self.holder.answer_chunks(hashes)
-        if not found:
-            return routes.reply_failure(
-                failure_value.Failure(
-                    code=codes.NOT_FOUND, reason="chunk: not held here"
-                )
-            )
-        return _reply(wire.encode_chunks(found))
-
-    def _serve_notice(self, call: routes.Call) -> routes.Reply:
-        body = call.read_body()
-        notice = peers_module.decode(body, Notice)
-        if failure_value.is_failure(notice):
-            return routes.reply_failure(notice)
-        self._hear(notice)
-        return routes.reply_json(self._make_notice())
-
-    def _serve_offer(self, call: routes.Call) -> routes.Reply:
-        body = call.read_body()
-        if failure_value.is_failure(body):
-            return routes.reply_failure(body)
-        answer = wire.decode_answer(body)
-        if failure_value.is_failure(answer):
-            return routes.reply_failure(answer)
-        now = self._clock()
-        due = self.holder.take_root(actions.OPERATOR, answer, now)
-        self._carry_out(due)
-        return routes.reply_json({"generation": self.holder.generation})
-
-
-def _reply(body: bytes) -> routes.Reply:
-    return routes.Reply(
-        status=200,
-        headers=[
-            ("Content-Type", routes.JSON),
-            ("Content-Length", str(len(body))),
-        ],
-        body=body,
-    )
--- a/packages/daisypick_node/tests/test_configuration_service.py
+++ b/packages/daisypick_node/tests/test_configuration_service.py
@@ -7,6 +7,7 @@
 from daisypick_core.configuration import rounds
 from daisypick_core.configuration import sections
 from daisypick_core.configuration import wire
+from daisypick_node import configuration_routes
 from daisypick_node import configuration_service
 from daisypick_node import configuration_store
 from daisypick_node.http import keys as keys_module
@@ -143,7 +144,7 @@
     answer = operator.call(
         nodes[0].address,
         "POST",
-        configuration_service.OFFER,
+        configuration_routes.OFFER,
         msgspec.Raw(offer),
     )
     assert answer == b'{"generation":2}'
