Measure the spread over real sockets

Cause: the processor time of control was computed from a figure for one exchange, not measured.

Change: python -m daisypick_lab.configuration_sockets runs followers on loopback, idle and with changes. The agents that a configuration names are taken into the directory only when they are others.

--- /dev/null
+++ b/packages/daisypick_lab/tests/test_configuration_sockets.py
@@ -0,0 +1,16 @@
+from daisypick_lab import configuration_sockets
+import gevent
+
+
+def test_followers_take_a_change_over_sockets():
+    fleet = configuration_sockets.Fleet(count=4)
+    try:
+        fleet.change(7)
+        generations = {}
+        with gevent.Timeout(20):
+            while set(generations.values()) != {2}:
+                gevent.sleep(0.01)
+                generations = fleet.generations()
+        assert len(generations) == 4
+    finally:
+        fleet.stop()
--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -81,6 +81,7 @@
         self._greenlets = gevent.pool.Group()
         self._installed = 0
         self._next_members = 0.0
+        self._listed = model.EMPTY.backend_servers_by_name
         self._version = ""
 
     def start(self, address: str) -> None:
@@ -139,7 +140,8 @@
         """Carry out actions; those that wait get a greenlet each."""
         for action in due:
             if isinstance(action, actions.PutInForce):
-                self._take_members(self._clock())
+                if "backend_servers" in action.changed_by_section:
+                    self._take_members(self._clock())
             elif isinstance(action, actions.Reject):
                 _log.say(
                     "Rejects a configuration.",
@@ -273,16 +275,7 @@
         """Bring the directory and the holder's peers up to date."""
         self._next_members = now + MEMBERS_SECONDS
         self.directory.forget_old(now)
-        servers = self.holder.configuration.backend_servers_by_name.values()
-        self.directory.set_listed(
-            member_directory.Member(
-                address=server.agent,
-                role=member_directory.AGENT,
-                data_centre=server.data_centre,
-                service=server.service,
-            )
-            for server in servers
-        )
+        self._take_listed()
         members = self.directory.members(now)
         near = [
             member.address
@@ -294,6 +287,22 @@
         addresses.discard(self._own.address)
         self.holder.set_peers(sorted(addresses), near)
 
+    def _take_listed(self) -> None:
+        """Take the agents that the configuration names, if others."""
+        servers = self.holder.configuration.backend_servers_by_name
+        if servers is self._listed:
+            return
+        self._listed = servers
+        self.directory.set_listed(
+            member_directory.Member(
+                address=server.agent,
+                role=member_directory.AGENT,
+                data_centre=server.data_centre,
+                service=server.service,
+            )
+            for server in servers.values()
+        )
+
     def is_watcher(self) -> bool:
         """Tell whether this process is one of those that watch the store."""
         now = self._clock()
