--- a/packages/daisypick_core/tests/fairness/test_tally.py
+++ b/packages/daisypick_core/tests/fairness/test_tally.py
@@ -1,6 +1,5 @@
 from daisypick_core.fairness import tally
-from hypothesis import given
-from hypothesis import settings
+import hypothesis
 from hypothesis import strategies as st
 
 MARKS = st.lists(
@@ -36,8 +35,8 @@
     return result
 
 
-@settings(derandomize=True, max_examples=60, deadline=None)
-@given(MARKS, MARKS, MARKS)
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(MARKS, MARKS, MARKS)
 def test_merge_laws(first, second, third):
     a, b, c = make_tally(first), make_tally(second), make_tally(third)
     assert merged(a, b) == merged(b, a)
@@ -46,8 +45,10 @@
     assert ab_c == merged(a, as_tally(merged(b, c)))
 
 
-@settings(derandomize=True, max_examples=60, deadline=None)
-@given(st.lists(st.integers(1, 50), min_size=1, max_size=6), st.randoms())
+@hypothesis.settings(derandomize=True, max_examples=60, deadline=None)
+@hypothesis.given(
+    st.lists(st.integers(1, 50), min_size=1, max_size=6), st.randoms()
+)
 def test_growth_adds_up_once(steps, rng):
     # Reports arrive doubled, crossed, and some not at all; only the last one
     # surely arrives. What is added must be the total, whatever the order.
