--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -121,7 +121,15 @@
         }
 
     def on_start(self) -> None:
-        """Watch the load."""
+        """Watch the load and the service of organisations."""
+        self.metrics.watch_organisations(
+            "service_tokens",
+            "Tokens served by organisation.",
+            lambda: {
+                name: account.served
+                for name, account in self.order.accounts().items()
+            },
+        )
         self.metrics.watch(
             "running", "Attempts that run.", lambda: self.gate.load().running
         )
--- a/packages/daisypick_node/src/daisypick_node/http/server.py
+++ b/packages/daisypick_node/src/daisypick_node/http/server.py
@@ -90,7 +90,9 @@
         keys: keys_module.Keys,
         limits: ServerLimits = ServerLimits(),  # noqa: B008 (immutable)
         tls_files: tuple[str, str] | None = None,
+        count_control: Callable[[int], None] = lambda _: None,
     ) -> None:
+        self._count_control = count_control
         self._routes = dict(routes)
         self._keys = keys
         self._limits = limits
@@ -125,6 +127,10 @@
     ) -> Iterable[bytes]:
         call = self._make_call(environ)
         reply = self._check(call, environ) or self._handle(call)
+        if call.path.startswith(INTERNAL) and isinstance(reply.body, bytes):
+            # Answers that stream are service; all else here is control.
+            received = int(environ.get("CONTENT_LENGTH") or 0)
+            self._count_control(received + len(reply.body))
         reason = _REASON_BY_STATUS.get(reply.status, "Answer")
         start_response(f"{reply.status} {reason}", reply.headers)
         if isinstance(reply.body, bytes):
--- a/packages/daisypick_node/src/daisypick_node/metrics.py
+++ b/packages/daisypick_node/src/daisypick_node/metrics.py
@@ -61,6 +61,16 @@
             description=description,
         )
 
+    def watch_total(
+        self, name: str, description: str, read: Callable[[], float]
+    ) -> None:
+        """Report a total that only grows, read at each scrape."""
+        self._meter.create_observable_counter(
+            f"daisypick_{self._part}_{name}",
+            callbacks=[lambda _: [metrics_api.Observation(read())]],
+            description=description,
+        )
+
     def watch_organisations(
         self,
         name: str,
--- a/packages/daisypick_node/src/daisypick_node/process.py
+++ b/packages/daisypick_node/src/daisypick_node/process.py
@@ -123,8 +123,10 @@
             keys=self.keys,
             limits=self.server_limits(),
             tls_files=files if files[0] else None,
+            count_control=self.peers.traffic.count,
         )
         self._server.start()
+        self._watch_process()
         self.on_start()
         self.follower.start(self.address)
         self.spawn(self._tick_forever)
@@ -198,6 +200,30 @@
             gevent.sleep(TICK_SECONDS)
             self.on_tick()
 
+    def _watch_process(self) -> None:
+        traffic = self.peers.traffic
+        self.metrics.watch(
+            "generation",
+            "Generation of the configuration in force.",
+            lambda: self.generation,
+        )
+        self.metrics.watch(
+            "ready", "1 if the process takes work.", lambda: self.is_ready()
+        )
+        self.metrics.watch_total(
+            "control_messages",
+            "Control exchanges, sent and received.",
+            lambda: traffic.messages,
+        )
+        self.metrics.watch_total(
+            "control_bytes",
+            "Bytes of control exchanges, both directions.",
+            lambda: traffic.bytes,
+        )
+        self.metrics.watch_total(
+            "cpu_seconds", "Processor time used.", time.process_time
+        )
+
     def _common_routes(self) -> dict[routes.Route, routes.Handler]:
         return {
             routes.Route("GET", LIVE): self._serve_live,
--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -101,11 +101,6 @@
             "Requests that are out at agents.",
             lambda: dispatcher.in_flight_count,
         )
-        self.metrics.watch(
-            "generation",
-            "Generation of the configuration in force.",
-            lambda: self.generation,
-        )
 
     def on_tick(self) -> None:
         """Let time pass at the dispatcher."""
