--- a/packages/daisypick_core/src/daisypick_core/routing/flights.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/flights.py
@@ -63,6 +63,10 @@
         """Return the flight of an attempt."""
         return self._flight_by_attempt.get(attempt_id)
 
+    def all(self) -> list[Flight]:
+        """Return all flights, oldest first."""
+        return list(self._flight_by_attempt.values())
+
     def find_request(self, request_id: str) -> Flight | None:
         """Return the flight of a request."""
         return self._flight_by_request.get(request_id)
--- a/packages/daisypick_lab/src/daisypick_lab/dispatch_measure.py
+++ b/packages/daisypick_lab/src/daisypick_lab/dispatch_measure.py
@@ -162,6 +162,51 @@
     return results
 
 
+@register("data_centre")
+def measure_data_centre() -> list[Result]:
+    """Take one of three data centres out and back, its servers cold."""
+    sizes = dispatch_model.Sizes(routers=50, agents=30, data_centres=3)
+    times = server_model.ServerTimes(cold_seconds=8.0)
+    fleet = dispatch_model.Fleet(sizes=sizes, times=times, seed=SEED)
+    arrivals = Arrivals(fleet=fleet, routers=list(fleet.router_by_name))
+    arrivals.at_rate(0.55 * 240 / 1.33, 100.0)
+    results = []
+
+    def _note_phase(phase: str, until: float) -> None:
+        fleet.watch.clear()
+        fleet.clock.run(until)
+        late = [
+            at - (until - 20.0)
+            for at, name in fleet.watch.starts
+            if fleet.agent_by_name[name].data_centre == "dc-0"
+        ]
+        servers = [agent.server for agent in fleet.agent_by_name.values()]
+        results.append(
+            {
+                "phase": phase,
+                "starts_there": len(late),
+                "last_start_there": round(max(late, default=0.0), 3),
+                "broken": fleet.watch.cut,
+                "failed": len(fleet.watch.failures),
+                "falls": sum(server.falls for server in servers),
+                "returns": dict(fleet.watch.returns_by_title),
+            }
+            | _first_token(fleet)
+        )
+
+    fleet.clock.run(20.0)
+    _note_phase("before", 40.0)
+    fleet.publish(fleet.configuration(2, out=("dc-0",)))
+    _note_phase("out", 60.0)
+    for agent in fleet.agent_by_name.values():
+        if agent.data_centre == "dc-0":
+            agent.server.turn_cold()
+    fleet.publish(fleet.configuration(3))
+    _note_phase("back", 80.0)
+    _note_phase("after", 100.0)
+    return results
+
+
 def _waiting(watch: dispatch_model.Watch) -> Result:
     watch.note()
     return {
