--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := daisypick_core daisypick_node daisypick_cli daisypick_standins daisypick_lab
 export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
 
-.PHONY: install format format-check lint test demo bench capacity docs ci
+.PHONY: install format format-check lint test demo demo-quick bench capacity docs ci
 
 $(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -24,6 +24,12 @@
 lint: install
 	$(VENV)/bin/ruff check packages spec tools
 	$(PYTHON) tools/check_imports.py packages spec tools
+	$(PYTHON) tools/write_configuration_page.py --check
+	$(PYTHON) tools/write_reference_pages.py --check
+
+docs: install
+	$(PYTHON) tools/write_configuration_page.py
+	$(PYTHON) tools/write_reference_pages.py
 
 test: install
 	$(PYTHON) -m pytest
@@ -31,10 +37,13 @@
 demo: install
 	$(PYTHON) -m daisypick_cli demo
 
+demo-quick: install
+	$(PYTHON) -m daisypick_cli demo --quick
+
 bench: install
-	$(PYTHON) -m daisypick_lab.bench
+	$(PYTHON) -m daisypick_lab.bench --page docs/MEASUREMENTS.md
 
 capacity: install
-	$(PYTHON) -m daisypick_lab.capacity
+	$(PYTHON) -m daisypick_lab.capacity --page docs/CAPACITY.md
 
 ci: format-check lint test
