--- a/packages/daisypick_lab/src/daisypick_lab/configuration_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/configuration_model.py
@@ -1,435 +1,39 @@
 """How fast a change is in force everywhere, and what it costs.
 
-Holders of the core run on a virtual clock, with a network that delays, loses
-and cuts messages, and a store that accepts changes. No process has any other
-traffic, which is the worst case: contact alone would be faster.
+No process has any other traffic, which is the worst case: contact alone would
+be faster.
 
 Usage: ``python -m daisypick_lab.configuration_model`` prints a table in
 which times are seconds of the virtual clock, and costs are for each node.
 """
 
-from collections.abc import Callable
-from collections.abc import Sequence
-import heapq
-import itertools
-import random
-import time
-import typing
-
-from daisypick_core.configuration import chunks
-from daisypick_core.configuration import model
-from daisypick_core.configuration import root as root_object
-from daisypick_core.configuration import sections
-from daisypick_core.configuration import spread
-from daisypick_core.configuration import spread_actions as actions
-from daisypick_core.configuration import wire
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
-
-LETTER_CHANGES_PER_SECOND = 12_000 / 86_400
-DATA_CENTRES = 12
-HEADER_BYTES = 400
-# A notice bears its speaker and four members that it has heard.
-NOTICE_BYTES = 420
-NEAR_SECONDS = 0.0015
-FAR_SECONDS = 0.02
-STORE_SECONDS = 0.005
-TICK_SECONDS = 0.5
-CALL_TIMEOUT = 2.0
-
-_LOST = failure_value.Failure(code=codes.PEER_UNREACHABLE, reason="lost")
-
-
-class Scenario(typing.NamedTuple):
-    """What is tried.
-
-    Attributes:
-        name: Name in the table.
-        nodes: Processes.
-        organisations: Organisations in the configuration.
-        changes_per_second: Mean rate of changes.
-        seconds: Length of the run.
-        loss: Share of calls that are lost.
-        cut: Data centres that neither reach others nor the store.
-        cut_from: Start of the cut, seconds.
-        cut_until: Its end.
-        store_up_until: Time from which the store answers nobody.
-        watchers: Processes of each data centre that watch the store.
-        offered: Processes of each data centre that are told of a change.
-    """
-
-    name: str
-    nodes: int = 400
-    organisations: int = 300
-    changes_per_second: float = LETTER_CHANGES_PER_SECOND
-    seconds: float = 120.0
-    loss: float = 0.0
-    cut: frozenset[int] = frozenset()
-    cut_from: float = 0.0
-    cut_until: float = 0.0
-    store_up_until: float = float("inf")
-    watchers: int = 4
-    offered: int = 2
-
-
-class Outcome(typing.NamedTuple):
-    """What came of it.
-
-    Attributes:
-        changes: Changes accepted.
-        median: Median over changes of the time until in force everywhere,
-            for changes that a cut keeps back from its end.
-        slowest: The longest of these times.
-        messages: Calls made and served, a node and second.
-        bytes: Their bytes, a node and second.
-        cpu: Milliseconds of the decisions, a node and second.
-        lowered: Times at which a generation fell, which must be none.
-    """
-
-    changes: int
-    median: float
-    slowest: float
-    messages: float
-    bytes: float
-    cpu: float
-    lowered: int
-
-
-class _Others(Sequence):
-    """Addresses of the nodes of one place, or of all, but one's own."""
-
-    def __init__(self, *, own: int, nodes: int, step: int) -> None:
-        self._own = own
-        self._step = step
-        self._first = own % step
-        self._length = len(range(self._first, nodes, step)) - 1
-
-    def __len__(self) -> int:
-        return max(0, self._length)
-
-    def __getitem__(self, index: typing.Any) -> typing.Any:
-        if not 0 <= index < self._length:
-            raise IndexError(index)
-        number = self._first + index * self._step
-        return str(number if number < self._own else number + self._step)
-
-
-class Fleet:
-    """Holders, their network and the store."""
-
-    def __init__(self, *, scenario: Scenario, seed: int) -> None:
-        self._scenario = scenario
-        self._rng = random.Random(seed)
-        self._now = 0.0
-        self._order = itertools.count()
-        self._due: list[tuple[float, int, Callable[[], None]]] = []
-        self._messages = self._bytes = 0
-        self._operator_cpu = 0.0
-        self._accepted_at: dict[int, float] = {}
-        self._lacking: dict[int, set[int]] = {}
-        self._in_force_at: dict[int, float] = {}
-        self._lowered = 0
-        self._generation_by_node: dict[int, int] = {}
-        self._configuration = _make_configuration(scenario.organisations)
-        self._tree = chunks.split(self._configuration)
-        self._root = self._make_root(1)
-        self._pack = self._tree.chunk_by_hash
-        self._holders = [
-            spread.Holder(rng=random.Random(seed * 100_003 + number))
-            for number in range(scenario.nodes)
-        ]
-
-    def run(self) -> Outcome:
-        """Run the scenario to its end."""
-        self._bring_up()
-        self._schedule_changes()
-        started = time.process_time()
-        end = self._scenario.seconds + 30.0
-        while self._due and self._due[0][0] <= end:
-            self._now, _, work = heapq.heappop(self._due)
-            work()
-        cpu = time.process_time() - started - self._operator_cpu
-        node_seconds = self._scenario.nodes * end
-        times = sorted(map(self._time_to_force, self._accepted_at))
-        return Outcome(
-            changes=len(times),
-            median=times[len(times) // 2],
-            slowest=times[-1],
-            messages=self._messages / node_seconds,
-            bytes=self._bytes / node_seconds,
-            cpu=1000.0 * cpu / node_seconds,
-            lowered=self._lowered,
-        )
-
-    def _time_to_force(self, generation: int) -> float:
-        """Return the seconds until in force everywhere.
-
-        For a change that a cut kept back, these count from the cut's end.
-        """
-        in_force_at = self._in_force_at.get(generation, float("inf"))
-        since = self._accepted_at[generation]
-        cut_until = self._scenario.cut_until
-        if since < cut_until <= in_force_at:
-            since = cut_until
-        return in_force_at - since
-
-    def _bring_up(self) -> None:
-        """Give every node the first generation, at no cost."""
-        answer = wire.RootAnswer(self._root, self._tree.chunk_by_hash)
-        for number, holder in enumerate(self._holders):
-            nodes = len(self._holders)
-            holder.set_peers(
-                _Others(own=number, nodes=nodes, step=1),
-                _Others(own=number, nodes=nodes, step=DATA_CENTRES),
-            )
-            holder.start(0.0)
-            holder.take_root(actions.OPERATOR, answer, 0.0)
-            phase = self._rng.random() * TICK_SECONDS
-            self._at(phase, lambda n=number: self._tick(n))
-
-    def _schedule_changes(self) -> None:
-        at = 10.0
-        while at < self._scenario.seconds:
-            self._at(at, self._accept)
-            at += self._rng.expovariate(self._scenario.changes_per_second)
-
-    def _at(self, when: float, work: Callable[[], None]) -> None:
-        heapq.heappush(self._due, (when, next(self._order), work))
-
-    def _after(self, delay: float, work: Callable[[], None]) -> None:
-        self._at(self._now + delay, work)
-
-    def _tick(self, number: int) -> None:
-        self._carry_out(number, self._holders[number].tick(self._now))
-        self._after(TICK_SECONDS, lambda: self._tick(number))
-
-    def _accept(self) -> None:
-        """Change one organisation; tell watchers and offered processes."""
-        started = time.process_time()
-        generation = self._root.generation + 1
-        organisations = dict(self._configuration.organisations_by_name)
-        name = self._rng.choice(list(organisations))
-        organisations[name] = organisations[name]._replace(
-            share=1.0 + self._rng.randrange(1_000)
-        )
-        self._configuration = self._configuration._replace(
-            organisations_by_name=organisations
-        )
-        tree = chunks.split(self._configuration)
-        self._pack = {
-            chunk_hash: chunk
-            for chunk_hash, chunk in tree.chunk_by_hash.items()
-            if chunk_hash not in self._tree.chunk_by_hash
-        }
-        self._tree = tree
-        self._root = self._make_root(generation)
-        self._accepted_at[generation] = self._now
-        self._lacking[generation] = set(range(len(self._holders)))
-        self._operator_cpu += time.process_time() - started
-        self._tell(self._root, self._pack)
-
-    def _tell(self, root: root_object.Root, pack: dict[str, bytes]) -> None:
-        is_up = self._now < self._scenario.store_up_until
-        watched = wire.RootAnswer(root, {})
-        offer = wire.RootAnswer(root, pack)
-        for number in range(len(self._holders)):
-            rank = number // DATA_CENTRES
-            if is_up and rank < self._scenario.watchers:
-                self._deliver_root(number, actions.STORE, watched)
-            if rank < self._scenario.offered:
-                self._deliver_root(number, actions.OPERATOR, offer)
-
-    def _deliver_root(
-        self, number: int, source: str, answer: wire.RootAnswer
-    ) -> None:
-        if self._is_cut(_place(number), None):
-            return
-        self._count(None, len(wire.encode_answer(answer)))
-        self._after(
-            STORE_SECONDS,
-            lambda: self._carry_out(
-                number,
-                self._holders[number].take_root(source, answer, self._now),
-            ),
-        )
-
-    def _make_root(self, generation: int) -> root_object.Root:
-        return root_object.make_root(
-            generation=generation,
-            change_id=f"{generation:016x}",
-            top=self._tree.top,
-            packs=("base", f"{generation}"),
-        )
-
-    def _carry_out(self, number: int, due: list[actions.Action]) -> None:
-        for action in due:
-            if isinstance(action, actions.PutInForce):
-                self._note_in_force(number, action)
-            elif isinstance(action, actions.Notify):
-                self._notify(number, int(action.peer), action.generation)
-            elif isinstance(action, actions.FetchRoot):
-                self._fetch_root(number, action)
-            elif isinstance(action, actions.FetchChunks):
-                self._fetch_chunks(number, action)
-            elif isinstance(action, actions.FetchPack):
-                self._fetch_pack(number, action)
-
-    def _note_in_force(self, number: int, action: actions.PutInForce) -> None:
-        generation = action.configuration.generation
-        if generation <= self._generation_by_node.get(number, 0):
-            self._lowered += 1
-        self._generation_by_node[number] = generation
-        for older in [one for one in self._lacking if one <= generation]:
-            self._lacking[older].discard(number)
-            if not self._lacking[older]:
-                del self._lacking[older]
-                self._in_force_at[older] = self._now
-
-    def _notify(self, number: int, peer: int, generation: int) -> None:
-        def _serve() -> int:
-            holder = self._holders[peer]
-            due = holder.hear(str(number), generation, self._now)
-            self._carry_out(peer, due)
-            return holder.generation
-
-        def _answered(reply: int | failure_value.Failure) -> None:
-            if not failure_value.is_failure(reply):
-                holder = self._holders[number]
-                due = holder.hear(str(peer), reply, self._now)
-                self._carry_out(number, due)
-
-        self._call(number, peer, _serve, _answered, lambda _: 2 * NOTICE_BYTES)
-
-    def _fetch_root(self, number: int, action: actions.FetchRoot) -> None:
-        def _take(answer: wire.RootAnswer | failure_value.Failure) -> None:
-            holder = self._holders[number]
-            due = holder.take_root(action.source, answer, self._now)
-            self._carry_out(number, due)
-
-        if action.source == actions.STORE:
-            self._read_store(number, wire.RootAnswer(self._root, {}), _take)
-            return
-        peer = int(action.source)
-        self._call(
-            number,
-            peer,
-            lambda: self._holders[peer].answer_root(action.have),
-            _take,
-            lambda answer: len(wire.encode_answer(answer)),
-        )
-
-    def _fetch_chunks(self, number: int, action: actions.FetchChunks) -> None:
-        take = self._taker(number, action.source)
-        if action.source == actions.OPERATOR:
-            self._after(0.0, lambda: take(_LOST))
-            return
-        peer = int(action.source)
-        self._call(
-            number,
-            peer,
-            lambda: self._holders[peer].answer_chunks(action.hashes),
-            take,
-            lambda given: len(wire.encode_chunks(given)),
-        )
-
-    def _fetch_pack(self, number: int, action: actions.FetchPack) -> None:
-        is_base = action.name == "base"
-        pack = self._tree.chunk_by_hash if is_base else self._pack
-        self._read_store(number, pack, self._taker(number, actions.STORE))
-
-    def _taker(self, number: int, source: str) -> Callable[[typing.Any], None]:
-        def _take(given: dict[str, bytes] | failure_value.Failure) -> None:
-            holder = self._holders[number]
-            due = holder.take_chunks(source, given, self._now)
-            self._carry_out(number, due)
-
-        return _take
-
-    def _read_store(
-        self,
-        number: int,
-        value: wire.RootAnswer | dict[str, bytes],
-        take: Callable[[typing.Any], None],
-    ) -> None:
-        is_up = self._now < self._scenario.store_up_until
-        if not is_up or self._is_cut(_place(number), None):
-            self._after(CALL_TIMEOUT, lambda: take(_LOST))
-            return
-        size = 200
-        if isinstance(value, dict):
-            size = len(wire.encode_chunks(value))
-        self._count(None, size)
-        self._after(STORE_SECONDS, lambda: take(value))
-
-    def _call(
-        self,
-        number: int,
-        peer: int,
-        serve: Callable[[], typing.Any],
-        take: Callable[[typing.Any], None],
-        measure: Callable[[typing.Any], int],
-    ) -> None:
-        """Make a call; a lost one fails after a timeout."""
-        is_lost = self._rng.random() < self._scenario.loss
-        if is_lost or self._is_cut(_place(number), _place(peer)):
-            self._count(None, 0)
-            self._after(CALL_TIMEOUT, lambda: take(_LOST))
-            return
-        is_near = _place(number) == _place(peer)
-        delay = NEAR_SECONDS if is_near else FAR_SECONDS
-
-        def _arrive() -> None:
-            answer = serve()
-            self._count(peer, measure(answer))
-            self._after(delay, lambda: take(answer))
-
-        self._after(delay, _arrive)
-
-    def _is_cut(self, place: int, other: int | None) -> bool:
-        scenario = self._scenario
-        if not scenario.cut_from <= self._now < scenario.cut_until:
-            return False
-        return (place in scenario.cut) != (other in scenario.cut)
-
-    def _count(self, peer: int | None, size: int) -> None:
-        """Count an exchange at both ends, or at one if no peer had it."""
-        ends = 1 if peer is None else 2
-        self._messages += ends
-        self._bytes += ends * (size + HEADER_BYTES)
-
-
-def _place(number: int) -> int:
-    return number % DATA_CENTRES
-
-
-def _make_configuration(organisations: int) -> model.Configuration:
-    entries = {}
-    for number in range(organisations):
-        name = f"organisation-{number:05}"
-        key_hash = random.Random(number).randbytes(32).hex()
-        entries[name] = model.Organisation(name, key_hashes=(key_hash,))
-    return sections.make_configuration(1, {"organisations": entries})
-
+from daisypick_lab import configuration_fleet
 
 REGION = frozenset({0, 1})
 SCENARIOS = (
-    Scenario("100 nodes", nodes=100),
-    Scenario("200 nodes", nodes=200),
-    Scenario("400 nodes", nodes=400),
-    Scenario("800 nodes", nodes=800),
-    Scenario("3,990 nodes", nodes=3_990, organisations=40, seconds=60.0),
-    Scenario(
+    configuration_fleet.Scenario("100 nodes", nodes=100),
+    configuration_fleet.Scenario("200 nodes", nodes=200),
+    configuration_fleet.Scenario("400 nodes", nodes=400),
+    configuration_fleet.Scenario("800 nodes", nodes=800),
+    configuration_fleet.Scenario(
+        "3,990 nodes", nodes=3_990, organisations=40, seconds=60.0
+    ),
+    configuration_fleet.Scenario(
         "22,000 organisations",
         nodes=60,
         organisations=22_000,
         watchers=1,
         offered=0,
     ),
-    Scenario("10 times the changes", changes_per_second=1.39),
-    Scenario("a tenth of calls lost", loss=0.1),
-    Scenario("nobody offered to", offered=0),
-    Scenario("store down at once", store_up_until=0.0),
-    Scenario("region cut for 60 s", cut=REGION, cut_from=30.0, cut_until=90.0),
+    configuration_fleet.Scenario(
+        "10 times the changes", changes_per_second=1.39
+    ),
+    configuration_fleet.Scenario("a tenth of calls lost", loss=0.1),
+    configuration_fleet.Scenario("nobody offered to", offered=0),
+    configuration_fleet.Scenario("store down at once", store_up_until=0.0),
+    configuration_fleet.Scenario(
+        "region cut for 60 s", cut=REGION, cut_from=30.0, cut_until=90.0
+    ),
 )
 
 
@@ -440,7 +44,7 @@
         f"{'msgs/s':>7} {'bytes/s':>8} {'cpu ms/s':>8} {'lowered':>7}"
     )
     for scenario in SCENARIOS:
-        outcome = Fleet(scenario=scenario, seed=1).run()
+        outcome = configuration_fleet.Fleet(scenario=scenario, seed=1).run()
         print(
             f"{scenario.name:22} {outcome.changes:7} {outcome.median:8.3f} "
             f"{outcome.slowest:9.3f} {outcome.messages:7.2f} "
--- a/packages/daisypick_lab/tests/test_configuration_model.py
+++ b/packages/daisypick_lab/tests/test_configuration_model.py
@@ -1,3 +1,4 @@
+from daisypick_lab import configuration_fleet
 from daisypick_lab import configuration_model
 import pytest
 
@@ -7,8 +8,8 @@
 
 def run(**fields):
     fields = {"nodes": 72, "organisations": 50, "seconds": 60.0} | fields
-    scenario = configuration_model.Scenario("test", **fields)
-    outcome = configuration_model.Fleet(scenario=scenario, seed=3).run()
+    scenario = configuration_fleet.Scenario("test", **fields)
+    outcome = configuration_fleet.Fleet(scenario=scenario, seed=3).run()
     assert outcome.changes > 3
     assert outcome.lowered == 0
     return outcome
