Speak TLS without blocking the loop; resolve IP numbers without threads

Cause: TLS had no test. The first one hung: the HTTP library makes sockets of the standard library, whose handshake blocks the only thread while the far end, in the same loop, waits for it. Also found: each new connection asked the resolver's thread pool for an IP number. Change: gevent's own context; numbers are not resolved. Conclusion: one loop on one thread holds for TLS too.

--- a/packages/daisypick_node/src/daisypick_node/http/client.py
+++ b/packages/daisypick_node/src/daisypick_node/http/client.py
@@ -13,10 +13,14 @@
 
 from collections.abc import Callable
 from collections.abc import Mapping
+import functools
+import ipaddress
 import select
+import ssl
 import typing
 
 import gevent.socket
+import gevent.ssl
 import geventhttpclient
 from geventhttpclient import response as library_response
 
@@ -128,7 +132,11 @@
     def _make_client(self, address: Address) -> geventhttpclient.HTTPClient:
         options: dict[str, typing.Any] = {}
         if self._ca_file is not None:
-            options = {"ssl": True, "ssl_options": {"ca_certs": self._ca_file}}
+            options = {
+                "ssl": True,
+                "ssl_options": {"ca_certs": self._ca_file},
+                "ssl_context_factory": _make_ssl_context,
+            }
         client = geventhttpclient.HTTPClient(
             address.host,
             port=address.port,
@@ -142,6 +150,8 @@
         pool.size = _NEVER_RESEND
         pool._create_tcp_socket = _create_socket
         pool._is_socket_alive = _is_socket_idle
+        if _is_number(address.host):
+            pool._resolve = functools.partial(_resolve_number, address)
         pool._create_socket = _mark_errors(pool._create_socket)
         return client
 
@@ -181,6 +191,34 @@
     response.release()
 
 
+def _make_ssl_context(cafile: str) -> gevent.ssl.SSLContext:
+    """Return a context whose sockets leave the loop running.
+
+    The library's own default makes sockets of the standard library, whose
+    handshake blocks the one thread: a far end in the same state would wait
+    for it for good.
+    """
+    context = gevent.ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
+    context.load_verify_locations(cafile)
+    return context
+
+
+def _is_number(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def _resolve_number(address: Address) -> list[tuple[typing.Any, ...]]:
+    """Return what ``getaddrinfo`` would, without its pool of threads."""
+    is_v6 = ":" in address.host
+    family = gevent.socket.AF_INET6 if is_v6 else gevent.socket.AF_INET
+    kind, protocol = gevent.socket.SOCK_STREAM, gevent.socket.IPPROTO_TCP
+    return [(family, kind, protocol, "", tuple(address))]
+
+
 def _mark_errors(
     connect: Callable[[], gevent.socket.socket],
 ) -> Callable[[], gevent.socket.socket]:
--- a/packages/daisypick_node/tests/fleet.py
+++ b/packages/daisypick_node/tests/fleet.py
@@ -96,7 +96,8 @@
 class Fleet:
     """A platform, routers, and an agent for each engine."""
 
-    def __init__(self, engines, router_count=1, **agent_settings):
+    def __init__(self, engines, router_count=1, common=None, **agent_settings):
+        self.common = {**KEYS, **(common or {})}
         self.platform = platform_server.Platform()
         self.platform.start()
         self.engines = engines
@@ -118,7 +119,7 @@
                 data_centre=f"dc{number}",
                 platform=self.platform.address,
                 name=f"server{number}",
-                **KEYS,
+                **self.common,
                 **self.agent_settings,
             ),
             platform=self.make_platform_client(),
@@ -133,7 +134,7 @@
                 data_centre="dc0",
                 platform=self.platform.address,
                 progress_timeout=2.0,
-                **KEYS,
+                **self.common,
             ),
             platform=self.make_platform_client(),
         )
@@ -186,7 +187,8 @@
         )
 
     def call(self, method, path, body=b"", router=0, **headers):
-        pool = client.ClientPool(timeout=10.0)
+        ca_file = self.common.get("tls_ca")
+        pool = client.ClientPool(timeout=10.0, ca_file=ca_file)
         sent = {"Authorization": f"Bearer {CALLER_KEY}"}
         sent |= {k.replace("_", "-"): v for k, v in headers.items()}
         return pool.request(
