Let no spelling of a path pass for repeatable; end faults in our own code

While testing: a path that the HTTP library refuses to send killed the runner's greenlet, and a fault in a sender would have left its caller waiting for good. Change: paths are matched decoded and normalised and sent as they came; what cannot be sent is 1003; faults end as unknown. Conclusion: at most once no longer depends on spelling.

--- a/packages/daisypick_core/src/daisypick_core/routing/refusals.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/refusals.py
@@ -13,6 +13,7 @@
 
 FINAL = frozenset(
     {
+        codes.BAD_REQUEST.number,
         codes.DEADLINE_PASSED.number,
         codes.STORE_UNAVAILABLE.number,
         codes.KEY_IN_PROGRESS.number,
--- a/packages/daisypick_node/src/daisypick_node/agent/runner.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/runner.py
@@ -86,6 +86,10 @@
         except client.CALL_ERRORS as error:
             self._pool.forget(server)
             return self._fail(answer, _call_failure(error))
+        except ValueError as error:
+            # The library refuses to build the call: nothing was sent, and
+            # another server's agent would refuse it as well.
+            return self._fail(answer, _bad_call(error))
         first_byte_at = None
         try:
             boot_id = str(response.get(BOOT_ID, ""))
@@ -196,6 +200,10 @@
     )
 
 
+def _bad_call(error: ValueError) -> failure_value.Failure:
+    return failure_value.Failure(code=codes.BAD_REQUEST, reason=str(error))
+
+
 def _broken_failure(error: Exception | None) -> failure_value.Failure:
     detail = type(error).__name__ if error else "no end mark"
     return failure_value.Failure(
--- a/packages/daisypick_node/src/daisypick_node/http/server.py
+++ b/packages/daisypick_node/src/daisypick_node/http/server.py
@@ -29,6 +29,7 @@
     METRICS,
 )
 _SOCKET_KEY = "daisypick.socket"
+_TARGET_KEY = "daisypick.target"
 _READ_SIZE = 65536
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -70,6 +71,7 @@
     def get_environ(self) -> dict[str, typing.Any]:
         environ = super().get_environ()
         environ[_SOCKET_KEY] = self.socket
+        environ[_TARGET_KEY] = self.path
         return environ
 
     def handle(self) -> None:
@@ -146,7 +148,7 @@
         headers["content-type"] = environ.get("CONTENT_TYPE", "")
         return routes_module.Call(
             method=environ["REQUEST_METHOD"],
-            path=environ["PATH_INFO"],
+            path=environ[_TARGET_KEY].partition("?")[0],
             query=environ.get("QUERY_STRING", ""),
             headers=headers,
             read_body=lambda: self._read_body(environ),
--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -11,12 +11,14 @@
 
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.messages import load as load_message
+from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 from daisypick_core.routing import actions
 from daisypick_core.routing import dispatcher as core_dispatcher
 import gevent
 import msgspec
 
+from daisypick_node import logs
 from daisypick_node import records
 from daisypick_node.agent import attempt_routes
 from daisypick_node.http import client
@@ -42,6 +44,9 @@
 )
 
 
+_log = logs.PartLog("router.driver")
+
+
 class _Held(typing.NamedTuple):
     """A request that the router holds."""
 
@@ -227,6 +232,16 @@
     def _run_sender(self, subject: sender.Sender) -> None:
         try:
             subject.run()
+        except Exception as error:
+            # Without this a fault in our own code would leave the caller
+            # waiting for good; the attempt may have run.
+            _log.say("Fails to send.", error=repr(error))
+            self.broken(
+                subject.attempt.attempt_id,
+                failure_value.Failure(
+                    code=codes.OUTCOME_UNKNOWN, reason="router: fault"
+                ),
+            )
         finally:
             self._sender_by_attempt.pop(subject.attempt.attempt_id, None)
 
--- a/packages/daisypick_node/src/daisypick_node/router/filters/classify.py
+++ b/packages/daisypick_node/src/daisypick_node/router/filters/classify.py
@@ -1,5 +1,8 @@
 """Find the service, and whether a second run does harm."""
 
+import posixpath
+import urllib.parse
+
 from daisypick_core.configuration import model
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
@@ -70,8 +73,10 @@
     if service is None or service.kind != model.PLAIN:
         return _unknown_service(name)
     path = f"/{rest}"
+    plain_path = _normalise(path)
     is_repeatable = not any(
-        _matches(entry, call.method, path) for entry in service.not_repeatable
+        _matches(entry, call.method, plain_path)
+        for entry in service.not_repeatable
     )
     key = call.headers.get(KEY_HEADER)
     if key is not None and not 0 < len(key) <= _MAX_KEY_LENGTH:
@@ -91,6 +96,21 @@
     return path == prefix or path.startswith(f"{prefix}/")
 
 
+def _normalise(path: str) -> str:
+    """Return the path that most servers take a path for.
+
+    A caller that writes ``//bookings`` or ``/%62ookings`` reaches the same
+    call; matched to the letter it would pass for repeatable, and a booking
+    be run twice. The backend server still gets the path as it was sent.
+
+    Examples:
+        >>> _normalise("/%62ookings"), _normalise("//x/.././bookings/")
+        ('/bookings', '/bookings')
+    """
+    decoded = urllib.parse.unquote(path).replace("\\", "/")
+    return "/" + posixpath.normpath(f"/{decoded}").lstrip("/")
+
+
 def _deadline(
     exchange: exchange_module.Exchange, longest: float
 ) -> float | failure_value.Failure:
--- a/packages/daisypick_node/tests/test_path.py
+++ b/packages/daisypick_node/tests/test_path.py
@@ -41,13 +41,16 @@
         ("POST", fleet_module.CHAT, b"{", 1003),
         ("POST", fleet_module.CHAT, b'{"model": "x", "messages": []}', 1002),
         ("GET", "/services/nobody/", b"", 1002),
+        ("POST", "/services/desk//bookings", b"", 1003),
         ("GET", "/nowhere", b"", 7005),
     ],
 )
 def test_bad_requests_get_a_coded_refusal(
     make_fleet, method, path, body, number
 ):
-    engine = fleet_module.make_engine(fleet_module.answer_plain())
+    engine = fleet_module.make_engine(
+        fleet_module.answer_plain(), service="desk"
+    )
     response = make_fleet(engine).call(method, path, body)
     problem = json.loads(response.read())
     assert (problem["code"], problem["ran"]) == (number, "no")
@@ -107,6 +110,20 @@
         )
 
 
+@pytest.mark.parametrize(
+    "path", ["/bookings", "/%62ookings", "/./bookings", "/a/../bookings/x"]
+)
+def test_no_spelling_of_a_booking_passes_for_repeatable(make_fleet, path):
+    # A caller spells the path of a booking in another way, and the desk's
+    # connection breaks. Taken for repeatable it would be sent again.
+    engine = fleet_module.CuttingEngine("desk")
+    fleet = make_fleet(engine)
+    response = fleet.call("POST", f"/services/desk{path}", b"plot 7")
+    assert json.loads(response.read())["ran"] == "unknown"
+    assert len(engine.calls) == 1
+    assert engine.calls[0].startswith(f"POST {path} HTTP/1.1".encode())
+
+
 def test_broken_booking_is_unknown_and_runs_once(make_fleet):
     # The desk's connection breaks while it works on a booking. It may have
     # booked: the caller is told "unknown" and the booking is not sent again.
