--- a/packages/daisypick_core/src/daisypick_core/fairness/head.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/head.py
@@ -11,7 +11,8 @@
     >>> report = reports.RelayReport(
     ...     incarnation="c", sequence=1, service="desk", head="",
     ...     agents=1, fleet_time=None, largest=5.0,
-    ...     rows_by_incarnation={"a": [reports.RelayRow("union", 10.0, 0.0)]},
+    ...     incarnations=["a"],
+    ...     marks_by_organisation={"union": [reports.RelayMark(0, 10.0, 0.0)]},
     ...     reach_by_organisation={"union": 1}, virtual_by_organisation={})
     >>> head.receive(report, 0.0).rows
     [HeadRow(organisation='union', virtual=5.0, reach=1)]
@@ -25,6 +26,7 @@
 
 import collections
 from collections.abc import Mapping
+import math
 
 from daisypick_core.fairness import fan_in
 from daisypick_core.fairness import reports
@@ -34,6 +36,10 @@
 # A partition between regions lasts minutes. A head that is cut off and comes
 # back still knows what it counted before, and so counts nothing twice.
 RETAIN_SECONDS = 600.0
+# Part of the agents believed to be alive that must report to a new head.
+SETTLE_PART = 1.0 / 3.0
+# Marks that cost as many bytes as one row of a report with its answer.
+MARKS_PER_ROW = 5
 _SWEEP_SECONDS = 60.0
 
 
@@ -65,6 +71,7 @@
         self._source_by_incarnation: dict[str, _Source] = {}
         self._reach: collections.Counter[str] = collections.Counter()
         self._agents = 0
+        self._expected_agents = 1
         self._reported_at: float | None = None
         self._settled_at = float("inf")
         self._swept_at = 0.0
@@ -76,6 +83,10 @@
         """Take the shares of a new configuration."""
         self._service.set_shares(share_by_organisation)
 
+    def expect(self, agents: int) -> None:
+        """Take how many agents of the service are believed to be alive."""
+        self._expected_agents = agents
+
     def receive(
         self, report: reports.RelayReport, now: float
     ) -> reports.RelayAnswer:
@@ -92,6 +103,7 @@
         self._note_gap(now)
         self._service.set_quiet(self._fan_in.silence)
         self._service.note_largest(report.largest)
+        self._note_settling(now)
         replaced = self._take_values(report, now)
         self._service.set_reference(report.fleet_time)
         for organisation in report.reach_by_organisation:
@@ -114,12 +126,27 @@
         """
         before = self._reported_at
         if before is None or now - before > self._fan_in.silence:
-            self._settled_at = now + self._fan_in.silence
+            self._settled_at = float("inf")
             self._tally = tally.Tally()
+            self._service.resume(before or 0.0, now)
         self._reported_at = now
 
+    def _note_settling(self, now: float) -> None:
+        """Start to settle when enough agents are heard.
+
+        After a restart a head may hear its own collector only, while the
+        others still take it for dead. Settled by that alone, it would be
+        believed with next to nothing counted.
+        """
+        is_heard = self._agents >= SETTLE_PART * self._expected_agents
+        if is_heard and self._settled_at == float("inf"):
+            self._settled_at = now + self._fan_in.silence
+
     def _note_source(self, report: reports.RelayReport, now: float) -> None:
-        self._fan_in.note(report.incarnation, now)
+        rows = len(report.reach_by_organisation)
+        marks = sum(map(len, report.marks_by_organisation.values()))
+        rows += math.ceil(marks / MARKS_PER_ROW)
+        self._fan_in.note(report.incarnation, now, rows=rows)
         source = self._source_by_incarnation.setdefault(
             report.incarnation, _Source()
         )
@@ -147,9 +174,6 @@
         keeps it, which misses nothing, and takes the other as lower bound.
         """
         values = report.virtual_by_organisation
-        is_joining = values and not self._service.has_reference
-        if is_joining and report.fleet_time is not None:
-            self._service.lift_all_but(values, report.fleet_time)
         if now < self._settled_at:
             return {
                 organisation
@@ -172,20 +196,18 @@
         """
         taken = report.virtual_by_organisation
         is_settled = now >= self._settled_at
-        for incarnation, rows in report.rows_by_incarnation.items():
-            for row in rows:
-                key = tally.Key(incarnation, row.organisation)
-                is_known = self._tally.get(key) is not None
-                mark = tally.Mark(served=row.served, included=row.included)
-                growth = self._tally.merge(*key, mark, now)
-                is_counted = is_known and row.organisation not in replaced
-                if is_settled or is_counted or row.organisation not in taken:
-                    self._service.grow(row.organisation, growth, now)
+        for organisation, marks in report.marks_by_organisation.items():
+            is_added = is_settled or organisation not in taken
+            for row in marks:
+                key = tally.Key(report.incarnations[row.agent], organisation)
+                before = self._tally.get(key)
+                growth = self._tally.merge(*key, _read(row), now)
+                is_counted = before is not None and organisation not in replaced
+                if is_added or is_counted:
+                    self._service.grow(organisation, growth, now)
 
     def _asked(self, report: reports.RelayReport) -> list[reports.HeadRow]:
-        asked = set(report.reach_by_organisation)
-        for rows in report.rows_by_incarnation.values():
-            asked.update(row.organisation for row in rows)
+        asked = {*report.reach_by_organisation, *report.marks_by_organisation}
         return [self._row(organisation) for organisation in sorted(asked)]
 
     def _row(self, organisation: str) -> reports.HeadRow:
@@ -220,3 +242,12 @@
         self._swept_at = now
         self._tally.drop_older(now - RETAIN_SECONDS)
         self._service.drop_older(now - RETAIN_SECONDS)
+
+
+def _read(row: reports.RelayMark) -> tally.Mark:
+    """Return a mark; one without ``included`` was seen here before.
+
+    If it was dropped meanwhile, it starts anew from what it says now.
+    """
+    included = row.served if row.included is None else row.included
+    return tally.Mark(served=row.served, included=included)
--- a/packages/daisypick_core/src/daisypick_core/fairness/tally_node.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/tally_node.py
@@ -117,6 +117,7 @@
     def set_agents(self, agents: Iterable[TallyAgent]) -> None:
         """Take the agents of the service that are believed to be alive."""
         self._agents = tuple(agents)
+        self._head.expect(len(self._agents))
         self._place()
 
     def tick(self, now: float) -> list[Send]:
@@ -256,11 +257,14 @@
             if agent.data_centre == self._data_centre
         ]
         addresses = [agent.address for agent in usable] or [self._address]
-        collector_key = f"{self._service}/{self._data_centre}/collector"
-        self._collector_address = placement.pick(
-            collector_key, near or [self._address]
-        )
         self._heads = placement.ranked(f"{self._service}/head", addresses)[
             : placement.count_heads(len(self._agents)) + 1
         ]
         self._heads_by_organisation = {}
+        # Two roles at one agent would cost it more than its budget.
+        free = [address for address in near if address not in self._heads]
+        collector_key = f"{self._service}/{self._data_centre}/collector"
+        collectors = placement.ranked(
+            collector_key, free or near or [self._address]
+        )[: placement.count_collectors(len(near))]
+        self._collector_address = placement.pick(self._address, collectors)
