Take an old load as no word at all

Cause: a router hears from most agents once in many seconds, and went on believing that loads from then still held: all work went to agents that had a free slot then, none to those that had one now. A lab run in which routers know all agents from before showed it; first contacts had hidden it. Change: a load older than a second neither attracts nor denies; such an agent is asked once, and its fresh answer counts (ServiceView.stale). The state machine counted a finished request only if nothing else was sent in the same event; it now looks whether the attempt was open (stricter).

--- a/packages/daisypick_core/src/daisypick_core/routing/agents.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/agents.py
@@ -12,7 +12,7 @@
 _CROWDED_PER_SLOT = 8
 _SMOOTHING = 0.2
 # A load that is older says nothing of free slots, seconds.
-_STALE_LOAD = 1.0
+STALE_LOAD = 1.0
 
 
 class AgentView:
@@ -38,6 +38,8 @@
         slow_until: Time until which it is set aside as slow.
         times_slow: How often it was, without a break.
         heard_at: Time of the load, seconds.
+        is_stale: Whether the load is too old to say what is free.
+        has_stale_timer: Whether a timer will look at the load's age.
     """
 
     def __init__(
@@ -66,6 +68,8 @@
         self.slow_until = 0.0
         self.times_slow = 0
         self.heard_at = float("-inf")
+        self.is_stale = False
+        self.has_stale_timer = False
 
     def hear(self, load: load_message.Load, now: float) -> None:
         """Take the load of an answer."""
@@ -75,6 +79,7 @@
             self.forget_first_tokens()
         self.load = load
         self.heard_at = now
+        self.is_stale = False
         self.sent_since_load = 0
         if not load.is_draining:
             self.drains = 0
@@ -111,9 +116,9 @@
         self.first_token = None
         self.first_token_samples = 0
 
-    def may_be_free(self, now: float) -> bool:
+    def may_be_free(self) -> bool:
         """Tell whether a slot is free, or the load too old to deny it."""
-        return self.free > 0 or now - self.heard_at > _STALE_LOAD
+        return self.free > 0 or (self.is_stale and not self.sent_since_load)
 
     def is_usable(self, now: float) -> bool:
         """Tell whether attempts may be sent at all."""
--- a/packages/daisypick_core/src/daisypick_core/routing/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/directory.py
@@ -81,8 +81,32 @@
         view.hear(load, now)
         if load.is_draining and not was_draining:
             self._probe_later(view, now)
+        if not view.has_stale_timer:
+            view.has_stale_timer = True
+            self._age_later(view)
         self.refresh(view, now)
 
+    def age_load(
+        self, address: str, now: float
+    ) -> service_view.ServiceView | None:
+        """Mark a load as stale if it is; return the service then."""
+        view = self._view_by_address.get(address)
+        if view is None:
+            return None
+        if now < view.heard_at + agents_view.STALE_LOAD:
+            self._age_later(view)
+            return None
+        view.has_stale_timer = False
+        view.is_stale = view.load is not None
+        self.refresh(view, now)
+        return self.service(view.service)
+
+    def _age_later(self, view: agents_view.AgentView) -> None:
+        self._timers.add(
+            view.heard_at + agents_view.STALE_LOAD,
+            timers.AgeLoad(address=view.address),
+        )
+
     def refresh(self, view: agents_view.AgentView, now: float) -> None:
         """Put an agent into the sets that it belongs to now."""
         self.service(view.service).refresh(view, now)
--- a/packages/daisypick_core/src/daisypick_core/routing/returns.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/returns.py
@@ -47,6 +47,10 @@
                 service = self._directory.wake(timer.address, now)
                 if service is not None:
                     due += self._sender.send_service(service, now)
+            elif isinstance(timer, timers.AgeLoad):
+                service = self._directory.age_load(timer.address, now)
+                if service is not None:
+                    due += self._sender.fill(service, now)
             elif isinstance(timer, timers.WakeRoom):
                 service = self._directory.wake_room(timer, now)
                 if service is not None:
--- a/packages/daisypick_core/src/daisypick_core/routing/sender.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/sender.py
@@ -65,6 +65,12 @@
 
     def send_free(
         self, service: service_view.ServiceView, now: float
+    ) -> list[actions.Action]:
+        """Fill free slots; take back what waits if some are left."""
+        return self.fill(service, now) + self._rebalance(service, now)
+
+    def fill(
+        self, service: service_view.ServiceView, now: float
     ) -> list[actions.Action]:
         """Fill free slots only, one an organisation a turn."""
         due: list[actions.Action] = []
@@ -74,7 +80,7 @@
             if dispatch is None:
                 break
             due.append(dispatch)
-        return due + self._rebalance(service, now)
+        return due
 
     def send_organisation(
         self, service: service_view.ServiceView, organisation: str, now: float
--- a/packages/daisypick_core/src/daisypick_core/routing/service_view.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/service_view.py
@@ -47,6 +47,7 @@
         usable: Agents that may be sent to.
         free: Those of them that were heard to have free slots.
         slow: Those that would be in ``free`` but are set aside.
+        stale: Those whose load is too old to say whether a slot is free.
         unknown: Those of them that were never heard of and may be asked.
         queues: Requests that wait at the router, by organisation.
         waiting: Attempts that wait at agents, oldest first.
@@ -79,6 +80,9 @@
         self.slow: indexed_set.IndexedSet[agents_view.AgentView] = (
             indexed_set.IndexedSet()
         )
+        self.stale: indexed_set.IndexedSet[agents_view.AgentView] = (
+            indexed_set.IndexedSet()
+        )
         self.typical_first_token = outliers.TypicalFirstToken()
         self._view_by_address: dict[str, agents_view.AgentView] = {}
         self._ranking = affinity.PrefixRanking()
@@ -91,8 +95,11 @@
         is_free = is_usable and view.free > 0
         is_known = is_free and view.load is not None
         is_slow = view.slow_until > now
-        self.free.put(view, is_member=is_known and not is_slow)
+        is_fresh = is_known and not view.is_stale
+        self.free.put(view, is_member=is_fresh and not is_slow)
         self.slow.put(view, is_member=is_known and is_slow)
+        is_stale = is_usable and view.is_stale and not view.sent_since_load
+        self.stale.put(view, is_member=is_stale and not is_slow)
         self.unknown.put(view, is_member=is_free and view.load is None)
         if self.usable.put(view, is_member=is_usable):
             for organisation, room in self._room_by_organisation.items():
@@ -112,13 +119,15 @@
         self.free.discard(view)
         self.unknown.discard(view)
         self.slow.discard(view)
+        self.stale.discard(view)
         self._view_by_address.pop(view.address, None)
         for room in self._room_by_organisation.values():
             room.agents.discard(view)
 
     def has_free(self) -> bool:
         """Tell whether an agent is believed to have free slots."""
-        return bool(len(self.free) or len(self.unknown) or len(self.slow))
+        agents = (self.free, self.stale, self.unknown, self.slow)
+        return any(len(each) for each in agents)
 
     def rank_again(self) -> None:
         """Note that agents have come or gone."""
@@ -140,7 +149,7 @@
             if view is not None
             and view in self.usable
             and view.slow_until <= now
-            and view.may_be_free(now)
+            and view.may_be_free()
             and (view.free or view.has_room(organisation, self._window, now))
         ]
 
@@ -177,12 +186,21 @@
         now: float,
     ) -> agents_view.AgentView | None:
         """Return the agent for a job's next attempt, ``None`` if none."""
+        organisation = job.request.organisation
+        if len(self.free):
+            return self._pick(self.free.items, job, policy, rng, now)
+        # A router hears from most agents once in many seconds. Taking their
+        # old loads at their word would send all work to those that happened
+        # to have a free slot then, and none to those that have one now.
+        for _ in range(min(_TRIES, len(self.stale))):
+            view = self._pick(self.stale.items, job, policy, rng, now)
+            if view.has_room(organisation, self._window, now):
+                return view
         # The incarnation of an unknown agent is not known, so that the first
         # attempt comes back with it: worth it when nobody known is free.
-        for agents in (self.free, self.unknown, self.slow):
+        for agents in (self.unknown, self.slow):
             if len(agents):
                 return self._pick(agents.items, job, policy, rng, now)
-        organisation = job.request.organisation
         room = self.room(organisation, now)
         if self.waiting_by_organisation[organisation] >= room.allowance.value:
             return None
--- a/packages/daisypick_core/src/daisypick_core/routing/timers.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/timers.py
@@ -19,6 +19,12 @@
     address: str
 
 
+class AgeLoad(typing.NamedTuple):
+    """The load of an agent may have become too old."""
+
+    address: str
+
+
 class WakeRoom(typing.NamedTuple):
     """An organisation's queue at an agent may have room again."""
 
@@ -32,7 +38,7 @@
     request_id: str
 
 
-Timer = WakeAgent | WakeRoom | Release
+Timer = WakeAgent | AgeLoad | WakeRoom | Release
 
 
 class Timers:
--- a/packages/daisypick_core/tests/routing/test_dispatcher.py
+++ b/packages/daisypick_core/tests/routing/test_dispatcher.py
@@ -332,3 +332,23 @@
         firsts.add(tuple(sent[:6]))
         assert sorted(sent) == sorted(2 * [a.address for a in agents])
     assert len(firsts) == 1
+
+
+def test_old_loads_neither_attract_nor_deny():
+    # A minute ago one agent had many free slots and the others none. Taken
+    # at its word, the old load would send all to the first and never again
+    # to the others. Each agent is asked once, then its fresh answer counts.
+    subject = make_dispatcher(count=4)
+    for n in range(4):
+        load = make_load(limit=8, running=0 if n == 0 else 8)
+        subject.hear(f"127.0.0.1:{n}", load, 0.0)
+    subject.tick(60.0)
+    sent = [
+        due.agent
+        for n in range(4)
+        for due in subject.submit(make_request(f"r{n}"), 60.0)
+    ]
+    assert sorted(sent) == [f"127.0.0.1:{n}" for n in range(4)]
+    subject.hear("127.0.0.1:2", make_load(limit=8, running=2), 60.1)
+    (due,) = subject.submit(make_request("x"), 60.2)
+    assert due.agent == "127.0.0.1:2"
--- a/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
@@ -326,6 +326,11 @@
         due = getattr(self.dispatcher, event)(attempt_id, *arguments, now)
         self.perform(due or [])
 
+    def hear(self, agent: str, load: load_message.Load) -> None:
+        """Take an agent's load."""
+        now = self._fleet.clock.now
+        self.perform(self.dispatcher.hear(agent, load, now))
+
     def configure(self, configuration: model.Configuration) -> None:
         """Take a configuration."""
         addresses = [
@@ -444,6 +449,12 @@
         for router in self.router_by_name.values():
             router.configure(configuration)
 
+    def acquaint(self) -> None:
+        """Let each router hear each agent once, as after a day's work."""
+        for router in self.router_by_name.values():
+            for agent in self.agents:
+                router.hear(agent.name, agent.gate.load())
+
     def submit(
         self,
         router: str,
--- a/packages/daisypick_lab/tests/test_gates_and_dispatchers.py
+++ b/packages/daisypick_lab/tests/test_gates_and_dispatchers.py
@@ -148,10 +148,11 @@
         if not is_doubled:
             del self.to_router[position]
         self.route(self.dispatcher.hear(name, load, self.now))
-        was_out = self.dispatcher.in_flight_count
+        flights = self.dispatcher._sender.flights
+        is_open = flights.find(attempt.attempt_id) is not None
         handle = getattr(self.dispatcher, event)
         due = handle(attempt.attempt_id, *arguments, self.now)
-        if event == "finished" and self.dispatcher.in_flight_count < was_out:
+        if event == "finished" and is_open:
             self.answers[attempt.request_id] += 1
         self.route(due)
 
