--- a/packages/daisypick_node/src/daisypick_node/http/server.py
+++ b/packages/daisypick_node/src/daisypick_node/http/server.py
@@ -145,7 +145,9 @@
             for name, value in environ.items()
             if name.startswith("HTTP_")
         }
-        headers["content-type"] = environ.get("CONTENT_TYPE", "")
+        content_type = environ.get("CONTENT_TYPE")
+        if content_type:
+            headers["content-type"] = content_type
         return routes_module.Call(
             method=environ["REQUEST_METHOD"],
             path=environ[_TARGET_KEY].partition("?")[0],
