--- a/packages/daisypick_core/src/daisypick_core/fairness/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/__init__.py
@@ -12,7 +12,10 @@
 * ``tally``: grow-only service totals that merge in any order.
 * ``reports``: what agents tell each other.
 * ``placement``: which agents collect, by rendezvous hash.
+* ``virtual_service``: virtual service, virtual time, lifts and clamps.
+* ``fan_in``: how often senders may report.
 * ``collector``: gathers the reports of a data centre's agents.
+* ``head_view``: what a collector knows of a head.
 * ``head``: keeps the virtual service of a part of the organisations.
 * ``tally_node``: the three roles in one agent, driven by time and answers.
 
--- a/packages/daisypick_core/src/daisypick_core/fairness/collector.py
+++ b/packages/daisypick_core/src/daisypick_core/fairness/collector.py
@@ -17,6 +17,7 @@
 import typing
 
 from daisypick_core.fairness import fan_in
+from daisypick_core.fairness import head_view
 from daisypick_core.fairness import reports
 from daisypick_core.fairness import tally
 
@@ -32,30 +33,6 @@
         self.waiting: frozenset[str] = frozenset()
 
 
-class _HeadView:
-    """What a head has acknowledged and said.
-
-    Attributes:
-        incarnation: Incarnation of the head, ``""`` before an answer.
-        settled_at: Since when its values can be relied on.
-        heard_at: When it answered last.
-        sent: Marks of the report that is out.
-        acknowledged: Tokens of marks that it has counted.
-    """
-
-    def __init__(self) -> None:
-        self.incarnation = ""
-        self.settled_at = float("inf")
-        self.heard_at = float("-inf")
-        self.agents = 0
-        self.fleet_time = 0.0
-        self.active_share = 0.0
-        self.next_report_at = float("-inf")
-        self.sent_sequence = 0
-        self.sent: dict[tally.Key, float] = {}
-        self.acknowledged: dict[tally.Key, float] = {}
-
-
 class _Known(typing.NamedTuple):
     """What the head in use said last of an organisation."""
 
@@ -84,7 +61,7 @@
         self._tally = tally.Tally()
         self._agent_by_incarnation: dict[str, _Agent] = {}
         self._known_by_organisation: dict[str, _Known] = {}
-        self._view_by_head: dict[str, _HeadView] = {}
+        self._view_by_head: dict[str, head_view.HeadView] = {}
         self._largest = 0.0
         self._sequence = 0
         self._swept_at = 0.0
@@ -107,7 +84,7 @@
             sequence=report.sequence,
             next_report_in=self._fan_in.next_report_in,
             agents=max((view.agents for view in views), default=0),
-            fleet_time=_mean_time(views) or 0.0,
+            fleet_time=head_view.mean_time(views) or 0.0,
             rows=self._fleet_rows(report, now),
         )
 
@@ -141,7 +118,7 @@
             return
         if view.incarnation not in ("", answer.head):
             # The head has restarted and took nothing in: send all anew.
-            self._view_by_head[head] = _HeadView()
+            self._view_by_head[head] = head_view.HeadView()
             self._view_by_head[head].incarnation = answer.head
             return
         view.incarnation = answer.head
@@ -161,13 +138,13 @@
         """Make the report to a head due again; its last one got lost."""
         self._view(head).next_report_at = now
 
-    def _view(self, head: str) -> _HeadView:
-        return self._view_by_head.setdefault(head, _HeadView())
+    def _view(self, head: str) -> head_view.HeadView:
+        return self._view_by_head.setdefault(head, head_view.HeadView())
 
     def _take_rows(
         self,
         head: str,
-        view: _HeadView,
+        view: head_view.HeadView,
         rows: Iterable[reports.HeadRow],
         now: float,
     ) -> None:
@@ -191,7 +168,9 @@
             if key.organisation in used:
                 self._tally.acknowledge(key, served)
 
-    def _acknowledge_all(self, organisation: str, view: _HeadView) -> None:
+    def _acknowledge_all(
+        self, organisation: str, view: head_view.HeadView
+    ) -> None:
         """Note all that a head which is now in use has counted before.
 
         What it counted while the other was in use is in its value as well;
@@ -267,10 +246,10 @@
     def _is_recent(self, heard_at: float, now: float) -> bool:
         return now - heard_at <= self._fan_in.silence
 
-    def _is_fresh(self, view: _HeadView, now: float) -> bool:
+    def _is_fresh(self, view: head_view.HeadView, now: float) -> bool:
         return self._is_recent(view.heard_at, now)
 
-    def _fresh_views(self, now: float) -> list[_HeadView]:
+    def _fresh_views(self, now: float) -> list[head_view.HeadView]:
         return [
             view
             for view in self._view_by_head.values()
@@ -319,7 +298,7 @@
             service=self._service,
             head=view.incarnation,
             agents=self._fan_in.count(now),
-            fleet_time=_mean_time(self._fresh_views(now)),
+            fleet_time=head_view.mean_time(self._fresh_views(now)),
             largest=self._largest,
             incarnations=list(index_by_incarnation),
             marks_by_organisation=marks_by_organisation,
@@ -328,7 +307,7 @@
         )
 
     def _values_for(
-        self, view: _HeadView, organisations: Iterable[str]
+        self, view: head_view.HeadView, organisations: Iterable[str]
     ) -> dict[str, float]:
         """Return the values of other heads, which this one can follow."""
         return {
@@ -357,13 +336,3 @@
             for organisation, known in self._known_by_organisation.items()
             if known.heard_at >= moment
         }
-
-
-def _mean_time(views: Iterable[_HeadView]) -> float | None:
-    """Return the mean of heads' times, weighted by share."""
-    counting = [view for view in views if view.active_share > 0.0]
-    share = sum(view.active_share for view in counting)
-    if not share:
-        return None
-    total = sum(view.fleet_time * view.active_share for view in counting)
-    return total / share
--- a/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
@@ -21,91 +21,7 @@
 from daisypick_core.gate import gate as gate_module
 from daisypick_core.messages import attempt as attempt_message
 
-SERVICE = "desk"
-ONE_QUEUE = "everyone"
-# How gates and routers order what waits.
-BY_ORDER = "by_order"  # The gate's share order.
-FIRST_COME = "first_come"  # The gate in the order of arrival.
-ROUTER_FAIR = "router_fair"  # That, behind routers that are fair each.
-ROUTERS = 6
-ROUTER_WINDOW = 4
-NETWORK_DELAY = 0.003
-CALL_TIMEOUT = 1.0
-PARETO_SHAPE = 1.5
-LEAST_COST = 50
-LARGEST_COST = 4000
-HINT_ERROR = 8.0
-
-
-class Tenant(typing.NamedTuple):
-    """An organisation of the measurement.
-
-    Attributes:
-        name: Its name.
-        share: Its share.
-        reach: Part of the agents that it reaches, above 0 up to 1.
-        depth: Attempts that it keeps waiting at each of them.
-        routers: Routers that it calls; only ``ROUTER_FAIR`` tells them
-            apart.
-        off_from: When it stops sending, seconds.
-        off_until: When it sends again.
-    """
-
-    name: str
-    share: float
-    reach: float = 1.0
-    depth: int = 2
-    routers: tuple[int, ...] = tuple(range(ROUTERS))
-    off_from: float = float("inf")
-    off_until: float = float("inf")
-
-
-class Faults(typing.NamedTuple):
-    """What the network does to reports, as probabilities.
-
-    Attributes:
-        lost: The report or its answer is lost.
-        doubled: The report arrives twice.
-        late: The report arrives up to 3 periods late, crossing others.
-    """
-
-    lost: float = 0.0
-    doubled: float = 0.0
-    late: float = 0.0
-
-
-class FleetSettings(typing.NamedTuple):
-    """One run.
-
-    Attributes:
-        tenants: The organisations.
-        agents: Agents, in equal parts in the data centres.
-        data_centres: Data centres.
-        slots: Slots of a backend server.
-        speeds: Tokens a second and slot, repeated over the agents.
-        policy: Order policy of the gates.
-        gain: Its gain.
-        has_tally: Whether agents exchange reports.
-        mode: ``BY_ORDER``, ``FIRST_COME`` or ``ROUTER_FAIR``.
-        estimator: Name of the cost estimator.
-        period: Seconds between reports.
-        faults: What the network does.
-        seed: Seed of all randomness.
-    """
-
-    tenants: tuple[Tenant, ...]
-    agents: int = 60
-    data_centres: int = 3
-    slots: int = 8
-    speeds: tuple[float, ...] = (50.0,)
-    policy: str = share_order.DEFAULT_POLICY
-    gain: float = share_order.DEFAULT_GAIN
-    has_tally: bool = True
-    mode: str = BY_ORDER
-    estimator: str = share_order.DEFAULT_ESTIMATOR
-    period: float = 1.0
-    faults: Faults = Faults()
-    seed: int = 1
+from daisypick_lab import fairness_settings
 
 
 class _Running(typing.NamedTuple):
@@ -120,7 +36,11 @@
     """One agent with its backend server."""
 
     def __init__(
-        self, settings: FleetSettings, index: int, start: int, now: float
+        self,
+        settings: fairness_settings.FleetSettings,
+        index: int,
+        start: int,
+        now: float,
     ) -> None:
         shares = {tenant.name: tenant.share for tenant in settings.tenants}
         self.address = f"10.0.{index // 250}.{index % 250}:80"
@@ -147,7 +67,7 @@
         self.node = tally_node.TallyNode(
             address=self.address,
             data_centre=self.data_centre,
-            service=SERVICE,
+            service=fairness_settings.SERVICE,
             incarnation=self.incarnation,
             order=self.order,
             share_by_organisation=shares,
@@ -169,7 +89,7 @@
         messages: Reports carried between different agents.
     """
 
-    def __init__(self, settings: FleetSettings) -> None:
+    def __init__(self, settings: fairness_settings.FleetSettings) -> None:
         self.now = 0.0
         self.settings = settings
         self.agents = [
@@ -182,7 +102,7 @@
         self._started_at_by_tenant: dict[str, float] = {}
         self.messages = 0
         self._sent_by_router = [
-            collections.Counter[str]() for _ in range(ROUTERS)
+            collections.Counter[str]() for _ in range(fairness_settings.ROUTERS)
         ]
         self._tenant_by_name = {one.name: one for one in settings.tenants}
         self._rng = random.Random(settings.seed)
@@ -247,10 +167,10 @@
     def _start_agent(self, index: int) -> None:
         agent = self.agents[index]
         self._tick(agent)
-        moment = self.now + NETWORK_DELAY
-        if self.settings.mode == ROUTER_FAIR:
-            for router in range(ROUTERS):
-                for _ in range(ROUTER_WINDOW):
+        moment = self.now + fairness_settings.NETWORK_DELAY
+        if self.settings.mode == fairness_settings.ROUTER_FAIR:
+            for router in range(fairness_settings.ROUTERS):
+                for _ in range(fairness_settings.ROUTER_WINDOW):
                     self._offer_next(agent, router, moment)
             return
         for tenant in self.settings.tenants:
@@ -258,7 +178,7 @@
                 for _ in range(tenant.depth):
                     self._offer_later(agent, tenant, moment)
 
-    def _reaches(self, tenant: Tenant, agent: Agent) -> bool:
+    def _reaches(self, tenant: fairness_settings.Tenant, agent: Agent) -> bool:
         index = self._index_by_address[agent.address]
         return index < tenant.reach * self.settings.agents
 
@@ -277,29 +197,42 @@
         self._offer_later(agent, tenant, moment, router=router)
 
     def _offer_later(
-        self, agent: Agent, tenant: Tenant, moment: float, router: int = 0
+        self,
+        agent: Agent,
+        tenant: fairness_settings.Tenant,
+        moment: float,
+        router: int = 0,
     ) -> None:
         self.at(moment, lambda: self._offer(agent, tenant, router))
 
-    def _offer(self, agent: Agent, tenant: Tenant, router: int) -> None:
+    def _offer(
+        self, agent: Agent, tenant: fairness_settings.Tenant, router: int
+    ) -> None:
         if not agent.is_alive:
             return
         if tenant.off_from <= self.now < tenant.off_until:
             self._offer_later(agent, tenant, tenant.off_until, router)
             return
         cost = min(
-            LARGEST_COST,
-            int(LEAST_COST * self._rng.paretovariate(PARETO_SHAPE)),
+            fairness_settings.LARGEST_COST,
+            int(
+                fairness_settings.LEAST_COST
+                * self._rng.paretovariate(fairness_settings.PARETO_SHAPE)
+            ),
+        )
+        hint = cost * fairness_settings.HINT_ERROR ** self._rng.uniform(
+            -1.0, 1.0
         )
-        hint = cost * HINT_ERROR ** self._rng.uniform(-1.0, 1.0)
         attempt_id = str(next(self._ids))
         self._offer_by_id[attempt_id] = (tenant.name, cost)
-        is_by_order = self.settings.mode == BY_ORDER
+        is_by_order = self.settings.mode == fairness_settings.BY_ORDER
         attempt = attempt_message.Attempt(
             attempt_id=attempt_id,
             request_id=attempt_id,
-            organisation=tenant.name if is_by_order else ONE_QUEUE,
-            service=SERVICE,
+            organisation=tenant.name
+            if is_by_order
+            else fairness_settings.ONE_QUEUE,
+            service=fairness_settings.SERVICE,
             estimate=hint,
             deadline=float("inf"),
             incarnation=agent.incarnation,
@@ -325,9 +258,9 @@
             cost=cost,
             speed=agent.speed,
         )
-        moment = self.now + 2 * NETWORK_DELAY
+        moment = self.now + 2 * fairness_settings.NETWORK_DELAY
         router = int(attempt.router)
-        if self.settings.mode == ROUTER_FAIR:
+        if self.settings.mode == fairness_settings.ROUTER_FAIR:
             self._offer_next(agent, router, moment)
         else:
             tenant = self._tenant_by_name[name]
@@ -375,7 +308,7 @@
         if self._rng.random() < faults.lost:
             self._fail_later(sender, send.address)
             return
-        delay = NETWORK_DELAY
+        delay = fairness_settings.NETWORK_DELAY
         if self._rng.random() < faults.late:
             delay += self._rng.uniform(0.0, 3.0 * self.settings.period)
         copies = 2 if self._rng.random() < faults.doubled else 1
@@ -392,7 +325,7 @@
             self._fail_later(sender, send.address)
             return
         self.at(
-            self.now + NETWORK_DELAY,
+            self.now + fairness_settings.NETWORK_DELAY,
             lambda: self._take_answer(sender, send.address, answer),
         )
 
@@ -404,6 +337,6 @@
 
     def _fail_later(self, sender: Agent, address: str) -> None:
         self.at(
-            self.now + CALL_TIMEOUT,
+            self.now + fairness_settings.CALL_TIMEOUT,
             lambda: sender.node.failed(address, self.now),
         )
--- a/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
@@ -2,7 +2,7 @@
 
 The gap is the largest difference, between any two backlogged organisations
 and over the whole run, of tokens served per unit of share. It is given in
-largest requests (``fairness_fleet.LARGEST_COST`` tokens) per unit of share.
+largest requests (``fairness_settings.LARGEST_COST`` tokens) per unit of share.
 """
 
 import argparse
@@ -17,6 +17,7 @@
 
 from daisypick_lab import fairness_faults
 from daisypick_lab import fairness_fleet
+from daisypick_lab import fairness_settings
 
 SAMPLE_SECONDS = 0.5
 WARM_UP_SECONDS = 30.0
@@ -52,7 +53,9 @@
     messages: float
 
 
-def make_tenants(*, flood_depth: int = 2) -> tuple[fairness_fleet.Tenant, ...]:
+def make_tenants(
+    *, flood_depth: int = 2
+) -> tuple[fairness_settings.Tenant, ...]:
     """Return eight backlogged organisations, spread unevenly.
 
     ``t0`` may flood: ``flood_depth`` of its attempts wait at each agent.
@@ -60,7 +63,7 @@
     the agents and ``t5`` half of them.
     """
     tenants = [
-        fairness_fleet.Tenant(name=f"t{index}", share=share)
+        fairness_settings.Tenant(name=f"t{index}", share=share)
         for index, share in enumerate(SHARES)
     ]
     tenants[FLOODER] = tenants[FLOODER]._replace(depth=flood_depth)
@@ -96,7 +99,7 @@
 
 def measure(
     name: str,
-    settings: fairness_fleet.FleetSettings,
+    settings: fairness_settings.FleetSettings,
     seconds: float,
     *,
     warm_up: float = WARM_UP_SECONDS,
@@ -150,7 +153,7 @@
 
 
 def _in_requests(tokens: float) -> float:
-    return round(tokens / fairness_fleet.LARGEST_COST, 2)
+    return round(tokens / fairness_settings.LARGEST_COST, 2)
 
 
 class Run(typing.NamedTuple):
@@ -165,7 +168,7 @@
     """
 
     name: str
-    settings: fairness_fleet.FleetSettings
+    settings: fairness_settings.FleetSettings
     seconds: float
     warm_up: float = WARM_UP_SECONDS
     plan: Callable[[fairness_fleet.Fleet], None] | None = None
@@ -175,9 +178,12 @@
     """Yield every order with the same organisations and costs."""
     for depth in (2, 64):
         tenants = make_tenants(flood_depth=depth)
-        common = fairness_fleet.FleetSettings(tenants=tenants, seed=seed)
+        common = fairness_settings.FleetSettings(tenants=tenants, seed=seed)
         alone = common._replace(has_tally=False)
-        for mode in (fairness_fleet.FIRST_COME, fairness_fleet.ROUTER_FAIR):
+        for mode in (
+            fairness_settings.FIRST_COME,
+            fairness_settings.ROUTER_FAIR,
+        ):
             yield Run(
                 f"{mode}, flooder keeps {depth}",
                 alone._replace(mode=mode),
@@ -200,7 +206,7 @@
 def _variations(seconds: float, seed: int) -> Iterator[Run]:
     """Yield runs of the order in production that differ in one thing."""
     tenants = make_tenants()
-    common = fairness_fleet.FleetSettings(
+    common = fairness_settings.FleetSettings(
         tenants=tenants, period=2.0, seed=seed
     )
     yield Run("slowest", common._replace(period=SLOWEST_PERIOD), seconds)
@@ -236,15 +242,15 @@
 
 def _fault_runs(seconds: float, seed: int) -> Iterator[Run]:
     """Yield runs with one fault each."""
-    common = fairness_fleet.FleetSettings(
+    common = fairness_settings.FleetSettings(
         tenants=make_tenants(), period=2.0, seed=seed
     )
     for name, faults in (
-        ("a twentieth lost", fairness_fleet.Faults(lost=0.05)),
-        ("a fifth lost", fairness_fleet.Faults(lost=0.2)),
-        ("half doubled", fairness_fleet.Faults(doubled=0.5)),
-        ("half late and crossed", fairness_fleet.Faults(late=0.5)),
-        ("all of these", fairness_fleet.Faults(0.2, 0.5, 0.5)),
+        ("a twentieth lost", fairness_settings.Faults(lost=0.05)),
+        ("a fifth lost", fairness_settings.Faults(lost=0.2)),
+        ("half doubled", fairness_settings.Faults(doubled=0.5)),
+        ("half late and crossed", fairness_settings.Faults(late=0.5)),
+        ("all of these", fairness_settings.Faults(0.2, 0.5, 0.5)),
     ):
         # Errors that add up show in a long run only.
         yield Run(f"{name}, x4", common._replace(faults=faults), 4 * seconds)
--- a/packages/daisypick_lab/tests/test_fairness_model.py
+++ b/packages/daisypick_lab/tests/test_fairness_model.py
@@ -1,6 +1,6 @@
 from daisypick_lab import fairness_faults
-from daisypick_lab import fairness_fleet
 from daisypick_lab import fairness_model
+from daisypick_lab import fairness_settings
 import pytest
 
 AGENTS = 24
@@ -15,7 +15,7 @@
 def make_settings(*, flood_depth=2, **fields):
     tenants = fairness_model.make_tenants(flood_depth=flood_depth)
     values = {"tenants": tenants, "period": 2.0} | fields
-    return fairness_fleet.FleetSettings(agents=AGENTS, slots=SLOTS, **values)
+    return fairness_settings.FleetSettings(agents=AGENTS, slots=SLOTS, **values)
 
 
 def measure(settings, seconds=SECONDS, **options):
@@ -36,8 +36,8 @@
     seconds = 3 * SECONDS
     ours = measure(make_settings(), seconds).gap
     baselines = [
-        alone._replace(mode=fairness_fleet.FIRST_COME),
-        alone._replace(mode=fairness_fleet.ROUTER_FAIR),
+        alone._replace(mode=fairness_settings.FIRST_COME),
+        alone._replace(mode=fairness_settings.ROUTER_FAIR),
         alone._replace(policy="own_service"),
     ]
     for baseline in baselines:
@@ -58,7 +58,7 @@
     rate = AGENTS * SLOTS * TOKENS_PER_SECOND / shares
     for flood in floods:
         assert flood.gap < BOUND
-        lead = (flood.start_gap + 1.0) * fairness_fleet.LARGEST_COST
+        lead = (flood.start_gap + 1.0) * fairness_settings.LARGEST_COST
         assert flood.longest_pause < lead / rate
     assert floods[2].gap < floods[0].gap + 2.0
     assert floods[2].longest_pause < 1.5 * floods[0].longest_pause
@@ -77,10 +77,10 @@
 @pytest.mark.parametrize(
     "faults",
     [
-        fairness_fleet.Faults(lost=0.2),
-        fairness_fleet.Faults(doubled=0.5),
-        fairness_fleet.Faults(late=0.5),
-        fairness_fleet.Faults(lost=0.1, doubled=0.5, late=0.5),
+        fairness_settings.Faults(lost=0.2),
+        fairness_settings.Faults(doubled=0.5),
+        fairness_settings.Faults(late=0.5),
+        fairness_settings.Faults(lost=0.1, doubled=0.5, late=0.5),
     ],
 )
 def test_bound_holds_with_bad_messages(faults):
