--- a/packages/daisypick_node/tests/test_at_most_once.py
+++ b/packages/daisypick_node/tests/test_at_most_once.py
@@ -104,3 +104,22 @@
     fleet.platform.set_faults(faults.Faults())
     fleet_module.wait_until(lambda: book(fleet).status_code == 200)
     assert runs(fleet) == 1
+
+
+def test_booking_moves_on_from_a_server_that_cannot_be_reached(fleet, desk):
+    # The only open agent claims the key and finds that its server does not
+    # listen. Nothing has run: once the other data centre is in, the router
+    # sends the booking there; that agent takes the key over and books once.
+    desk.go_on.set()
+    fleet.engines[0].stop()
+    fleet.out = {1}
+    fleet.configure()
+    call = gevent.spawn(book, fleet)
+    fleet_module.wait_until(
+        lambda: any(agent.claims.describe()["shards"] for agent in fleet.agents)
+    )
+    fleet.out = set()
+    fleet.configure()
+    answer = call.get(timeout=20)
+    assert (answer.status_code, answer.read()) == (200, b"plot 7")
+    assert runs(fleet) == 1
