Do not take verdicts and restarts for failures of an agent

Cause: failures on command in the embedded fleet under load. Each time that a caller asked again for a key whose outcome is unknown, the answer 'unknown' counted as a failure of the agent that gave it, and so did each attempt that one restart had lost. The only desk was suspended for 4, 8 and up to 33 s: it idled while the bookings of all others waited. Ruled out: the claim store and the gate (limit 16, running 0 all along). Change: a refusal by the agent itself of a request that may not be repeated, and what a predecessor lost, say nothing of the agent; failures during a suspension were sent before it and do not lengthen it. A body that breaks off before anything of it was sent is told as refusal 5002, not by a cut. The new tests of dispatcher and keys fail without the change. Conclusion: holds for verdicts; after a restart of the only desk agent its bookings still wait about 4 s, cause not found yet.

--- a/packages/daisypick_core/src/daisypick_core/routing/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/directory.py
@@ -141,7 +141,15 @@
         refusal: failure_value.Failure,
         now: float,
     ) -> None:
-        """Suspend an agent that failed, longer each time."""
+        """Suspend an agent that failed, longer each time.
+
+        One restart loses all attempts that are out at the agent. Counted one
+        by one they suspended it for many seconds, though its next start was
+        ready at once; what fails during a suspension was sent before it and
+        says nothing new.
+        """
+        if view.suspended_until > now:
+            return
         pause = backoff.pause(
             view.failures,
             self._rng,
--- a/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
+++ b/packages/daisypick_core/src/daisypick_core/routing/dispatcher.py
@@ -21,8 +21,10 @@
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 from daisypick_core.routing import actions
+from daisypick_core.routing import agents as agents_view
 from daisypick_core.routing import backlog
 from daisypick_core.routing import directory
+from daisypick_core.routing import flights
 from daisypick_core.routing import pick
 from daisypick_core.routing import rebalance
 from daisypick_core.routing import refusals
@@ -210,9 +212,22 @@
         return due + self._returns.move(flight, refusal, now)
 
     def broken(
-        self, attempt_id: str, refusal: failure_value.Failure, now: float
+        self,
+        attempt_id: str,
+        refusal: failure_value.Failure,
+        now: float,
+        *,
+        is_answered: bool = False,
     ) -> list[actions.Action]:
-        """Note that an attempt may have run and has no answer."""
+        """Note that an attempt may have run and has no answer.
+
+        Args:
+            attempt_id: The attempt.
+            refusal: What is known of it.
+            now: Seconds.
+            is_answered: Whether the agent itself said so; otherwise its
+                answer was lost.
+        """
         due = self._returns.run_timers(now)
         flight = self._sender.land(attempt_id, now)
         if flight is None:
@@ -222,7 +237,8 @@
         view = self._directory.find(flight.agent)
         if view is not None:
             view.came_back()
-            self._directory.note_failure(view, refusal, now)
+            if _speaks_of_agent(flight, view, is_answered=is_answered):
+                self._directory.note_failure(view, refusal, now)
         is_futile = refusal.code.number in refusals.NO_RETRY
         if is_futile or self._retries.broke(job, now) == retries.SPENT:
             due.append(self._returns.fail(job, refusal))
@@ -284,3 +300,22 @@
     def in_flight_count(self) -> int:
         """Requests that are out at agents."""
         return len(self._sender.flights)
+
+
+def _speaks_of_agent(
+    flight: flights.Flight,
+    view: agents_view.AgentView,
+    *,
+    is_answered: bool,
+) -> bool:
+    """Tell whether a broken attempt says that the agent is in trouble.
+
+    An agent that is taken for failing idles while the work of all others
+    waits. Two kinds of failure are none of its own: the verdict on a key
+    whose outcome is unknown, which a caller hears each time it asks
+    again, and what its predecessor lost in a restart.
+    """
+    if is_answered and not flight.job.request.is_repeatable:
+        return False
+    load = view.load
+    return load is None or load.incarnation == flight.attempt.incarnation
--- a/packages/daisypick_core/tests/routing/test_dispatcher.py
+++ b/packages/daisypick_core/tests/routing/test_dispatcher.py
@@ -332,3 +332,52 @@
         firsts.add(tuple(sent[:6]))
         assert sorted(sent) == sorted(2 * [a.address for a in agents])
     assert len(firsts) == 1
+
+
+def break_five(subject, now, **options):
+    requests = [
+        make_request(f"r{n}", is_repeatable=False, idempotency_key=f"k{n}")
+        for n in range(5)
+    ]
+    sent = [a for r in requests for a in subject.submit(r, 0.0)]
+    lost = failure_value.Failure(code=codes.OUTCOME_UNKNOWN, reason="lost")
+    assert len(sent) == 5
+    return lambda: [
+        subject.broken(a.attempt.attempt_id, lost, now, **options) for a in sent
+    ]
+
+
+def test_one_restart_is_no_row_of_failures():
+    # The only agent of a service restarts while five attempts are out there.
+    # All break at once. Taken for five failures in a row of the next start,
+    # they left it idle for many seconds while work waited.
+    subject = make_dispatcher(count=1, window=9)
+    subject.hear("127.0.0.1:0", make_load(limit=9), 0.0)
+    break_all = break_five(subject, 1.0)
+    subject.hear("127.0.0.1:0", make_load(incarnation="a2", limit=9), 1.0)
+    break_all()
+    (dispatch,) = subject.submit(make_request("next"), 1.0)
+    assert isinstance(dispatch, actions.Dispatch)
+
+
+def test_agent_that_loses_five_answers_at_once_has_failed_once():
+    # The connection to the only agent is cut while five attempts are out. It
+    # is suspended as after one failure, and is tried again soon.
+    subject = make_dispatcher(count=1, window=9)
+    subject.hear("127.0.0.1:0", make_load(limit=9), 0.0)
+    break_all = break_five(subject, 1.0)
+    break_all()
+    assert subject.submit(make_request("next"), 1.0) == []
+    (dispatch,) = subject.tick(3.0)
+    assert isinstance(dispatch, actions.Dispatch)
+
+
+def test_verdict_on_a_key_says_nothing_of_the_agent():
+    # Callers ask again for keys whose outcome is unknown. The agent answers
+    # each time that it is; meanwhile it must get the work of others.
+    subject = make_dispatcher(count=1, window=9)
+    subject.hear("127.0.0.1:0", make_load(limit=9), 0.0)
+    break_all = break_five(subject, 1.0, is_answered=True)
+    break_all()
+    (dispatch,) = subject.submit(make_request("next"), 1.0)
+    assert isinstance(dispatch, actions.Dispatch)
--- a/packages/daisypick_lab/src/daisypick_lab/__init__.py
+++ b/packages/daisypick_lab/src/daisypick_lab/__init__.py
@@ -7,6 +7,8 @@
 * ``sampler``: service, backlog and busy slots over time.
 * ``run``: a fleet under load, a data centre out and back; its result is in
   ``results``, as text in ``report``, against earlier ones in ``comparison``.
+* ``trouble``: failures on command while the fleet serves.
+* ``fit``: straight lines through measured points; ``bench`` uses them.
 * ``commands``: ``daisypick demo`` and ``daisypick measure``.
 
 The modules named ``..._model`` drive the decisions under a virtual clock.
--- a/packages/daisypick_lab/src/daisypick_lab/embedded.py
+++ b/packages/daisypick_lab/src/daisypick_lab/embedded.py
@@ -61,6 +61,7 @@
         self.routers: list[router_process.RouterProcess] = []
         self.data_centre_by_server: dict[str, str] = {}
         self.out: set[str] = set()
+        self._server_by_name: dict[str, folder_files.BackendServer] = {}
         self._seed = seed
         self._files = folder_files.organisation_files(shape)
         self._changes = 0
@@ -77,6 +78,7 @@
             rng=random.Random(self._seed),
         )
         servers = [*self._start_engines(), *self._start_plain_services()]
+        self._server_by_name = {server.name: server for server in servers}
         for server in servers:
             self._start_agent(server)
         for number in range(self.shape.routers):
@@ -120,6 +122,16 @@
             self.out.add(name)
         return seconds
 
+    def restart_agent(self, name: str) -> None:
+        """Stop an agent at once and start its successor in its place."""
+        self.agents[name].stop()
+        self._start_agent(self._server_by_name[name])
+        generation = max(p.generation for p in self.processes)
+        wait_until(
+            lambda: self.agents[name].generation >= generation,
+            f"agent {name} in generation {generation}",
+        )
+
     def apply(self) -> float:
         """Put the folder in force; return the seconds until it is.
 
--- /dev/null
+++ b/packages/daisypick_lab/src/daisypick_lab/trouble.py
@@ -0,0 +1,169 @@
+"""What goes wrong in an embedded fleet while it serves, on command.
+
+Each trouble is a function of the fleet that brings about failures and waits
+in between; it is registered by its name. ``endure`` runs one of them under
+load and returns the verdict on all answers.
+
+Examples:
+    >>> "platform_outage" in by_name
+    True
+"""
+
+from collections.abc import Callable
+import typing
+
+from daisypick_standins.engine import faults as engine_faults
+from daisypick_standins.plain import faults as plain_faults
+from daisypick_standins.platform import faults as platform_faults
+import gevent
+
+from daisypick_lab import embedded
+from daisypick_lab import load
+from daisypick_lab import shapes
+from daisypick_lab import tally as tally_module
+
+Trouble = Callable[[embedded.EmbeddedFleet], None]
+
+by_name: dict[str, Trouble] = {}
+
+_ROUNDS = 2
+_PAUSE = 0.1
+_FINISH_SECONDS = 60.0
+
+
+class Endured(typing.NamedTuple):
+    """What came of a trouble.
+
+    Attributes:
+        tally: All answers.
+        verdict: What must not happen.
+        is_done: Whether every call ended in time.
+    """
+
+    tally: tally_module.Tally
+    verdict: tally_module.Verdict
+    is_done: bool
+
+
+def register(name: str) -> Callable[[Trouble], Trouble]:
+    """Register a trouble under a name."""
+
+    def _add(trouble: Trouble) -> Trouble:
+        by_name[name] = trouble
+        return trouble
+
+    return _add
+
+
+def endure(name: str, *, shape: shapes.Shape, seed: int) -> Endured:
+    """Run a trouble under load.
+
+    Args:
+        name: A registered trouble.
+        shape: The fleet and its load.
+        seed: Seed of both.
+    """
+    fleet = embedded.EmbeddedFleet(shape=shape, seed=seed)
+    try:
+        fleet.start()
+        generator = load.LoadGenerator(
+            profiles=shape.profiles,
+            routers=fleet.router_addresses,
+            seed=seed,
+        )
+        generator.start()
+        gevent.sleep(_PAUSE)
+        by_name[name](fleet)
+        gevent.sleep(_PAUSE)
+        is_done = generator.stop(_FINISH_SECONDS)
+        verdict = generator.tally.verdict(fleet.runs_by_marker())
+        return Endured(generator.tally, verdict, is_done)
+    finally:
+        fleet.stop()
+
+
+@register("platform_outage")
+def _platform_outage(fleet: embedded.EmbeddedFleet) -> None:
+    """Answer 503, then nothing, then as before."""
+    for outage in (platform_faults.UNAVAILABLE, platform_faults.SILENT):
+        fleet.platform.set_faults(platform_faults.Faults(outage=outage))
+        gevent.sleep(3 * _PAUSE)
+        fleet.platform.set_faults(platform_faults.Faults())
+        gevent.sleep(_PAUSE)
+
+
+@register("platform_answers_lost")
+def _platform_answers_lost(fleet: embedded.EmbeddedFleet) -> None:
+    """Lose answers of writes that took effect, in each way."""
+    for fault in ("lose_answers", "server_errors", "abort_writes"):
+        fleet.platform.set_faults(platform_faults.Faults(**{fault: 3}))
+        gevent.sleep(2 * _PAUSE)
+    fleet.platform.set_faults(platform_faults.Faults())
+
+
+@register("engine_breaks_answers")
+def _engine_breaks_answers(fleet: embedded.EmbeddedFleet) -> None:
+    """Fail a request at one engine, and break off an answer in the middle."""
+    engine = next(iter(fleet.engines.values()))
+    for _ in range(_ROUNDS):
+        engine.set_faults(engine_faults.Faults(break_off=1, fail=1))
+        gevent.sleep(4 * _PAUSE)
+
+
+@register("engines_turn_cold")
+def _engines_turn_cold(fleet: embedded.EmbeddedFleet) -> None:
+    """Turn cold without another boot id, one after the other."""
+    for engine in fleet.engines.values():
+        engine.set_faults(engine_faults.Faults(turn_cold=True))
+        gevent.sleep(_PAUSE)
+
+
+@register("engine_crashes")
+def _engine_crashes(fleet: embedded.EmbeddedFleet) -> None:
+    """Fail all that runs at one engine and start anew."""
+    for engine in list(fleet.engines.values())[:2]:
+        engine.set_faults(engine_faults.Faults(crash=True))
+        gevent.sleep(3 * _PAUSE)
+
+
+@register("plain_service_loses_answers")
+def _plain_service_loses_answers(fleet: embedded.EmbeddedFleet) -> None:
+    """Run calls, then say nothing whole about them."""
+    for fault in ("lose", "half", "fail", "refuse"):
+        for service in fleet.plain_services.values():
+            service.set_faults(plain_faults.Faults(**{fault: 2}))
+        gevent.sleep(2 * _PAUSE)
+
+
+@register("data_centres_out_and_in")
+def _data_centres_out_and_in(fleet: embedded.EmbeddedFleet) -> None:
+    """Take each data centre out and in, one right after the other."""
+    for name in fleet.shape.data_centres:
+        fleet.set_data_centre(name, is_in=False)
+        gevent.sleep(_PAUSE)
+        fleet.set_data_centre(name, is_in=True)
+
+
+@register("agents_restart")
+def _agents_restart(fleet: embedded.EmbeddedFleet) -> None:
+    """Stop an engine's and a plain service's agent without notice.
+
+    Others take their places at once, under the same addresses.
+    """
+    for names in (fleet.engines, fleet.plain_services):
+        fleet.restart_agent(next(iter(names)))
+        gevent.sleep(_PAUSE)
+
+
+@register("agents_drain")
+def _agents_drain(fleet: embedded.EmbeddedFleet) -> None:
+    """Shut agents down in order, as SIGTERM does, and start them again."""
+    for name in list(fleet.agents):
+        fleet.agents[name].drain()
+        fleet.restart_agent(name)
+
+
+@register("routers_drain")
+def _routers_drain(fleet: embedded.EmbeddedFleet) -> None:
+    """Shut one router down in order, as SIGTERM does."""
+    fleet.routers[0].drain()
--- /dev/null
+++ b/packages/daisypick_lab/tests/test_trouble.py
@@ -0,0 +1,52 @@
+# Callers of many organisations go on calling while something fails. What they
+# must never see, whatever it is: an answer that is cut or another's, a
+# booking that ran twice, a "not run" of a call that ran, or no answer at all.
+# Refusals are allowed, but only with the codes that belong to the trouble.
+
+from daisypick_core.results import codes
+from daisypick_lab import shapes
+from daisypick_lab import trouble
+import pytest
+
+UNKNOWN = {codes.OUTCOME_UNKNOWN.number, codes.KEY_IN_PROGRESS.number}
+OF_SERVICE = {
+    *UNKNOWN,
+    codes.ANSWER_BROKEN.number,
+    codes.ENGINE_FAILED.number,
+    0,  # The service's own answer, passed on.
+}
+SHAPE = shapes.DEMO._replace(
+    engine=shapes.DEMO.engine._replace(token_interval=0.004),
+    profiles=tuple(
+        profile._replace(
+            workers=min(2, profile.workers),
+            plain_share=max(0.25, profile.plain_share),
+        )
+        for profile in shapes.DEMO.profiles
+    ),
+)
+
+
+@pytest.mark.parametrize(
+    ("name", "allowed"),
+    [
+        ("platform_outage", {codes.STORE_UNAVAILABLE.number}),
+        ("platform_answers_lost", {codes.STORE_UNAVAILABLE.number}),
+        ("engine_breaks_answers", set()),
+        ("plain_service_loses_answers", OF_SERVICE),
+        ("data_centres_out_and_in", set()),
+        ("agents_drain", set()),
+    ],
+)
+def test_promises_hold_in_trouble(name, allowed):
+    endured = trouble.endure(name, shape=SHAPE, seed=1)
+    assert endured.verdict.is_clean, endured.verdict
+    assert endured.is_done
+    refused = {
+        code
+        for own in endured.tally.by_organisation.values()
+        for code in own.refusals_by_code
+    }
+    assert refused <= allowed
+    outcomes = endured.tally.by_phase[""].outcomes
+    assert outcomes["whole"] > 20
--- a/packages/daisypick_node/src/daisypick_node/router/caller_routes.py
+++ b/packages/daisypick_node/src/daisypick_node/router/caller_routes.py
@@ -133,7 +133,10 @@
         while not _can_begin(relay, is_stream=exchange.is_stream):
             relay.wait()
         failure = _CALLER_GONE if relay.is_caller_gone else relay.failure
-        if failure is not None and not relay.splice.position:
+        # Nothing has been sent yet: a body that broke off on its way here is
+        # told as a refusal with its reason, not by a cut connection.
+        is_unseen = not (exchange.is_stream and relay.splice.position)
+        if failure is not None and is_unseen:
             self._close(exchange, relay, failure)
             return self._refuse(exchange, failure)
         assert relay.head is not None
--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -155,10 +155,20 @@
             self.dispatcher.returned(attempt_id, failure, self._clock())
         )
 
-    def broken(self, attempt_id: str, failure: failure_value.Failure) -> None:
+    def broken(
+        self,
+        attempt_id: str,
+        failure: failure_value.Failure,
+        *,
+        is_answered: bool = False,
+    ) -> None:
         """Note that an attempt may have run and has no whole answer."""
         self._note_attempt(attempt_id, f"broken: {failure.code.number}")
-        self.perform(self.dispatcher.broken(attempt_id, failure, self._clock()))
+        self.perform(
+            self.dispatcher.broken(
+                attempt_id, failure, self._clock(), is_answered=is_answered
+            )
+        )
 
     def perform(self, due: Iterable[actions.Action]) -> None:
         """Carry actions out in order."""
--- a/packages/daisypick_node/src/daisypick_node/router/sender.py
+++ b/packages/daisypick_node/src/daisypick_node/router/sender.py
@@ -52,7 +52,13 @@
     def returned(self, attempt_id: str, failure: failure_value.Failure) -> None:
         """Note that the attempt never ran and never will."""
 
-    def broken(self, attempt_id: str, failure: failure_value.Failure) -> None:
+    def broken(
+        self,
+        attempt_id: str,
+        failure: failure_value.Failure,
+        *,
+        is_answered: bool = False,
+    ) -> None:
         """Note that the attempt may have run and has no whole answer."""
 
 
@@ -288,7 +294,9 @@
     if failure.ran == codes.RAN_NO:
         sender.events.returned(sender.attempt.attempt_id, failure)
     else:
-        sender.events.broken(sender.attempt.attempt_id, failure)
+        sender.events.broken(
+            sender.attempt.attempt_id, failure, is_answered=True
+        )
     return True
 
 
