--- a/packages/daisypick_core/tests/routing/test_dispatcher.py
+++ b/packages/daisypick_core/tests/routing/test_dispatcher.py
@@ -381,3 +381,23 @@
     break_all()
     (dispatch,) = subject.submit(make_request("next"), 1.0)
     assert isinstance(dispatch, actions.Dispatch)
+
+
+def test_old_loads_neither_attract_nor_deny():
+    # A minute ago one agent had many free slots and the others none. Taken
+    # at its word, the old load would send all to the first and never again
+    # to the others. Each agent is asked once, then its fresh answer counts.
+    subject = make_dispatcher(count=4)
+    for n in range(4):
+        load = make_load(limit=8, running=0 if n == 0 else 8)
+        subject.hear(f"127.0.0.1:{n}", load, 0.0)
+    subject.tick(60.0)
+    sent = [
+        due.agent
+        for n in range(4)
+        for due in subject.submit(make_request(f"r{n}"), 60.0)
+    ]
+    assert sorted(sent) == [f"127.0.0.1:{n}" for n in range(4)]
+    subject.hear("127.0.0.1:2", make_load(limit=8, running=2), 60.1)
+    (due,) = subject.submit(make_request("x"), 60.2)
+    assert due.agent == "127.0.0.1:2"
--- a/packages/daisypick_node/src/daisypick_node/http/server.py
+++ b/packages/daisypick_node/src/daisypick_node/http/server.py
@@ -29,6 +29,7 @@
     METRICS,
 )
 _SOCKET_KEY = "daisypick.socket"
+_TARGET_KEY = "daisypick.target"
 _READ_SIZE = 65536
 
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
@@ -70,6 +71,7 @@
     def get_environ(self) -> dict[str, typing.Any]:
         environ = super().get_environ()
         environ[_SOCKET_KEY] = self.socket
+        environ[_TARGET_KEY] = self.path
         return environ
 
     def handle(self) -> None:
@@ -90,7 +92,9 @@
         keys: keys_module.Keys,
         limits: ServerLimits = ServerLimits(),  # noqa: B008 (immutable)
         tls_files: tuple[str, str] | None = None,
+        count_control: Callable[[int], None] = lambda _: None,
     ) -> None:
+        self._count_control = count_control
         self._routes = dict(routes)
         self._keys = keys
         self._limits = limits
@@ -125,6 +129,10 @@
     ) -> Iterable[bytes]:
         call = self._make_call(environ)
         reply = self._check(call, environ) or self._handle(call)
+        if call.path.startswith(INTERNAL) and isinstance(reply.body, bytes):
+            # Answers that stream are service; all else here is control.
+            received = int(environ.get("CONTENT_LENGTH") or 0)
+            self._count_control(received + len(reply.body))
         reason = _REASON_BY_STATUS.get(reply.status, "Answer")
         start_response(f"{reply.status} {reason}", reply.headers)
         if isinstance(reply.body, bytes):
@@ -140,7 +148,7 @@
         headers["content-type"] = environ.get("CONTENT_TYPE", "")
         return routes_module.Call(
             method=environ["REQUEST_METHOD"],
-            path=environ["PATH_INFO"],
+            path=environ[_TARGET_KEY].partition("?")[0],
             query=environ.get("QUERY_STRING", ""),
             headers=headers,
             read_body=lambda: self._read_body(environ),
