Split the platform client and the engine's server

Change: connections that send once, and the progress of a stream, are modules of their own; two parameters of the client are now pool sizes by name. The fault 'stall' is described as it is: silent for good.

--- a/packages/daisypick_node/src/daisypick_node/platform/http.py
+++ b/packages/daisypick_node/src/daisypick_node/platform/http.py
@@ -17,12 +17,11 @@
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 import gevent
-from geventhttpclient import client as http_client
-from geventhttpclient import connectionpool
 from geventhttpclient import response as http_response
 import msgspec
 
 from daisypick_node.platform import budget as call_budget
+from daisypick_node.platform import connections
 from daisypick_node.platform import counters as call_counters
 from daisypick_node.platform import interface
 
@@ -33,18 +32,6 @@
 _WATCH_SLACK = 2.0
 # A call spends at most one timeout on its connection and one on sending.
 _STEPS = 3
-_NO_RESENDS = -1
-
-
-class _NotSentError(Exception):
-    """No connection could be had, so nothing was sent."""
-
-
-class _Answer(typing.NamedTuple):
-    status: int
-    etag: str
-    retry_after: float | None
-    body: bytes
 
 
 class _VmEntry(typing.TypedDict):
@@ -65,51 +52,6 @@
     size: int
 
 
-class _Pool(connectionpool.ConnectionPool):
-    """A pool that tells a failure to connect from one to answer.
-
-    The library sends PUT and DELETE again by itself when the connection
-    closes without an answer. If the first one took effect, the second is
-    refused for its condition, and the caller reads "surely not written" of
-    a write that was done. The number of resends follows the pool's size, so
-    a size below zero turns them off; every call is then sent once, which
-    also keeps the budget's count true.
-    """
-
-    def __init__(self, host: str, port: int, **options: typing.Any) -> None:
-        super().__init__(host, port, host, port, **options)
-        self.size = _NO_RESENDS
-
-    def get_socket(self) -> typing.Any:
-        """Return a connection within the connection timeout."""
-        timeout = gevent.Timeout(self.connection_timeout)
-        try:
-            with timeout:
-                return super().get_socket()
-        except OSError as error:
-            raise _NotSentError(str(error)) from error
-        except gevent.Timeout as error:
-            if error is not timeout:
-                raise
-            raise _NotSentError("no connection in time") from error
-
-
-class _Client(http_client.HTTPClient):
-    """A client with the pool of this module."""
-
-    def __init__(
-        self, host: str, port: int, *, timeout: float, connections: int
-    ) -> None:
-        super().__init__(host, port)
-        self._connection_pool = _Pool(
-            host,
-            port,
-            size=connections,
-            connection_timeout=min(timeout, DEFAULT_TIMEOUT),
-            network_timeout=timeout,
-        )
-
-
 @interface.register("http")
 class HttpPlatformClient:
     """Calls the platform over HTTP.
@@ -117,8 +59,8 @@
     Args:
         address: ``host:port`` of the platform.
         timeout: Seconds for a connection, for sending and for each wait.
-        connections: Connections for calls other than watches.
-        watch_connections: Watches that may wait at once.
+        pool_size: Connections for calls other than watches.
+        watch_pool_size: Watches that may wait at once.
         budget: The process-wide budget; one of its own if not given.
 
     Attributes:
@@ -133,8 +75,8 @@
         *,
         address: str,
         timeout: float = DEFAULT_TIMEOUT,
-        connections: int = DEFAULT_CONNECTIONS,
-        watch_connections: int = DEFAULT_CONNECTIONS,
+        pool_size: int = DEFAULT_CONNECTIONS,
+        watch_pool_size: int = DEFAULT_CONNECTIONS,
         budget: call_budget.CallBudget | None = None,
     ) -> None:
         host, colon, port = address.rpartition(":")
@@ -143,14 +85,14 @@
         self.counters = call_counters.CallCounters()
         self._budget = budget or call_budget.CallBudget()
         self._timeout = timeout
-        self._calls = _Client(
-            host, int(port), timeout=timeout, connections=connections
+        self._calls = connections.Client(
+            host, int(port), timeout=timeout, connections=pool_size
         )
-        self._watches = _Client(
+        self._watches = connections.Client(
             host,
             int(port),
             timeout=MAX_WATCH_SECONDS + _WATCH_SLACK,
-            connections=watch_connections,
+            connections=watch_pool_size,
         )
 
     def close(self) -> None:
@@ -256,7 +198,7 @@
         body: bytes = b"",
         headers: Mapping[str, str] | None = None,
         wait: float | None = None,
-    ) -> _Answer | failure_value.Failure:
+    ) -> connections.Answer | failure_value.Failure:
         """Make one counted call within the budget."""
         result = self._call_in_budget(call, method, path, body, headers, wait)
         size = len(body)
@@ -276,7 +218,7 @@
         body: bytes,
         headers: Mapping[str, str] | None,
         wait: float | None,
-    ) -> _Answer | failure_value.Failure:
+    ) -> connections.Answer | failure_value.Failure:
         if not self._budget.try_spend():
             return failure_value.Failure(
                 code=codes.PLATFORM_BUDGET_SPENT,
@@ -288,8 +230,10 @@
         timeout = gevent.Timeout(deadline)
         try:
             with timeout:
-                answer = _exchange(client, method, path, body, headers or {})
-        except _NotSentError as error:
+                answer = connections.exchange(
+                    client, method, path, body, headers or {}
+                )
+        except connections.NotSentError as error:
             return _unavailable(f"call {call}: not sent, {error}")
         except (OSError, http_response.HTTPParseError) as error:
             return _unanswered(call, str(error))
@@ -300,31 +244,9 @@
         return _check_status(call, answer)
 
 
-def _exchange(
-    client: _Client,
-    method: str,
-    path: str,
-    body: bytes,
-    headers: Mapping[str, str],
-) -> _Answer:
-    response = client.request(method, path, body=body, headers=headers)
-    try:
-        content = response.read()
-        if not response.message_complete:
-            raise http_response.HTTPConnectionClosed("answer broke off")
-    finally:
-        response.release()
-    return _Answer(
-        status=response.status_code,
-        etag=str(response.get("etag", "")).strip('"'),
-        retry_after=_seconds(response.get("retry-after")),
-        body=content,
-    )
-
-
 def _check_status(
-    call: str, answer: _Answer
-) -> _Answer | failure_value.Failure:
+    call: str, answer: connections.Answer
+) -> connections.Answer | failure_value.Failure:
     """Return the answer of a success, else the failure it stands for."""
     status = answer.status
     if 200 <= status < 300:
@@ -379,10 +301,3 @@
 
 def _quote(text: str) -> str:
     return urllib.parse.quote(text, safe="")
-
-
-def _seconds(text: typing.Any) -> float | None:
-    try:
-        return float(text)
-    except (TypeError, ValueError):
-        return None
--- a/packages/daisypick_standins/src/daisypick_standins/engine/faults.py
+++ b/packages/daisypick_standins/src/daisypick_standins/engine/faults.py
@@ -9,8 +9,7 @@
     Attributes:
         fail: So many requests answer 500 without having run.
         break_off: So many answers break off after half their tokens.
-        stall: So many answers go silent after half their tokens, and stay
-            silent until the faults change; then they break off.
+        stall: So many streams go silent for good after half their tokens.
         cross: So many requests get the answer to another request.
         slow: Factor on the length of each step.
         crash: Fail all that runs and start anew, now.
--- a/packages/daisypick_standins/src/daisypick_standins/engine/server.py
+++ b/packages/daisypick_standins/src/daisypick_standins/engine/server.py
@@ -22,6 +22,7 @@
 from daisypick_standins.engine import completions
 from daisypick_standins.engine import faults as engine_faults
 from daisypick_standins.engine import orders as engine_orders
+from daisypick_standins.engine import progress
 from daisypick_standins.engine import settings as engine_settings
 from daisypick_standins.engine import streams as engine_streams
 from daisypick_standins.engine import text
@@ -60,7 +61,6 @@
             collections.deque(maxlen=_KEPT_LOADS)
         )
         self._work = event.Event()
-        self._fault_change = event.Event()
         self._stepper: gevent.Greenlet | None = None
         self._server = web.Server(app=self._routes(), port=port)
 
@@ -87,8 +87,6 @@
             self.batch.crash(self._clock())
         if faults.turn_cold:
             self.batch.warmth.turn_cold(self._clock())
-        self._fault_change.set()
-        self._fault_change = event.Event()
 
     def _routes(self) -> web.Routes:
         routes = web.Routes()
@@ -198,62 +196,18 @@
         stream = engine_streams.Stream(
             cancel=lambda: self.batch.cancel(generation)
         )
-        notify = self._stream_writer(stream, writer, chat.wants_usage)
-        generation = self._generation(chat, notify)
+        note = progress.StreamProgress(
+            stream=stream,
+            writer=writer,
+            wants_usage=chat.wants_usage,
+            faults=self.faults,
+        )
+        generation = self._generation(chat, note)
         if not self._submit(generation):
             return self._error(500, "too much in the cold start")
         self._streams.add(answer_id, stream)
         return self._follow_answer(request, stream, 0, answer_id)
 
-    def _stream_writer(
-        self,
-        stream: engine_streams.Stream,
-        writer: completions.ChunkWriter,
-        wants_usage: bool,
-    ) -> Callable[[engine_batch.Generation], None]:
-        """Return what turns a generation's progress into bytes."""
-        has_fault = {"break_off": False, "stall": False}
-        for name in has_fault:
-            if getattr(self.faults, name):
-                setattr(self.faults, name, getattr(self.faults, name) - 1)
-                has_fault[name] = True
-
-        def _notify(generation: engine_batch.Generation) -> None:
-            is_half = generation.emitted * 2 >= len(generation.tokens)
-            if stream.is_closed or (is_half and has_fault["stall"]):
-                return
-            if is_half and has_fault["break_off"]:
-                stream.close(is_broken=True)
-                return
-            if generation.outcome in ("", engine_batch.DONE):
-                data = writer.role() if generation.emitted == 1 else b""
-                token = generation.tokens[generation.emitted - 1]
-                stream.write(data + writer.token(token))
-            if generation.outcome == engine_batch.DONE:
-                stream.write(self._last_events(generation, writer, wants_usage))
-            if generation.outcome:
-                is_broken = generation.outcome != engine_batch.DONE
-                stream.close(is_broken=is_broken)
-
-        return _notify
-
-    def _last_events(
-        self,
-        generation: engine_batch.Generation,
-        writer: completions.ChunkWriter,
-        wants_usage: bool,
-    ) -> bytes:
-        events = writer.finish("stop")
-        if wants_usage:
-            events += writer.used(
-                completions.usage(
-                    generation.prompt,
-                    generation.emitted,
-                    generation.cached_tokens,
-                )
-            )
-        return events + completions.DONE_EVENT
-
     def _follow_answer(
         self,
         request: web.Request,
