Call the platform by the clients that never resend; TLS towards it

Cause: the platform's client had its own pool with the same safeguard written again, the resolver's threads and no TLS. Change: one client for all; a setting platform_ca. The bound of 8 connections goes: the budget of calls bounds them. Its test keeps its 16 calls.

--- a/packages/daisypick_node/src/daisypick_node/main.py
+++ b/packages/daisypick_node/src/daisypick_node/main.py
@@ -100,6 +100,7 @@
     factory = interface.by_name[settings.platform_client]
     return factory(
         address=settings.platform,
+        ca_file=settings.platform_ca or None,
         budget=call_budget.CallBudget(rate=settings.platform_calls_per_second),
     )
 
--- a/packages/daisypick_node/src/daisypick_node/platform/http.py
+++ b/packages/daisypick_node/src/daisypick_node/platform/http.py
@@ -17,9 +17,9 @@
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 import gevent
-from geventhttpclient import response as http_response
 import msgspec
 
+from daisypick_node.http import client as http_client
 from daisypick_node.platform import budget as call_budget
 from daisypick_node.platform import connections
 from daisypick_node.platform import counters as call_counters
@@ -28,7 +28,6 @@
 MAX_VALUE_BYTES = 1 << 20
 MAX_WATCH_SECONDS = 60.0
 DEFAULT_TIMEOUT = 2.0
-DEFAULT_CONNECTIONS = 8
 _WATCH_SLACK = 2.0
 # A call spends at most one timeout on its connection and one on sending.
 _STEPS = 3
@@ -59,8 +58,7 @@
     Args:
         address: ``host:port`` of the platform.
         timeout: Seconds for a connection, for sending and for each wait.
-        pool_size: Connections for calls other than watches.
-        watch_pool_size: Watches that may wait at once.
+        ca_file: CA file (PEM) to check the platform with; plain if ``None``.
         budget: The process-wide budget; one of its own if not given.
 
     Attributes:
@@ -75,24 +73,17 @@
         *,
         address: str,
         timeout: float = DEFAULT_TIMEOUT,
-        pool_size: int = DEFAULT_CONNECTIONS,
-        watch_pool_size: int = DEFAULT_CONNECTIONS,
+        ca_file: str | None = None,
         budget: call_budget.CallBudget | None = None,
     ) -> None:
-        host, colon, port = address.rpartition(":")
-        if not colon or not port.isdigit():
-            raise ValueError(f"address: {address!r} is not host:port")
+        http_client.parse_address(address)
+        self._address = address
         self.counters = call_counters.CallCounters()
         self._budget = budget or call_budget.CallBudget()
         self._timeout = timeout
-        self._calls = connections.Client(
-            host, int(port), timeout=timeout, connections=pool_size
-        )
-        self._watches = connections.Client(
-            host,
-            int(port),
-            timeout=MAX_WATCH_SECONDS + _WATCH_SLACK,
-            connections=watch_pool_size,
+        self._calls = http_client.ClientPool(timeout=timeout, ca_file=ca_file)
+        self._watches = http_client.ClientPool(
+            timeout=MAX_WATCH_SECONDS + _WATCH_SLACK, ca_file=ca_file
         )
 
     def close(self) -> None:
@@ -225,17 +216,17 @@
                 reason=f"call {call}: nothing was sent",
                 retry_after=self._budget.seconds_until_next(),
             )
-        client = self._calls if wait is None else self._watches
+        pool = self._calls if wait is None else self._watches
         deadline = self._timeout * _STEPS if wait is None else wait
         timeout = gevent.Timeout(deadline)
         try:
             with timeout:
                 answer = connections.exchange(
-                    client, method, path, body, headers or {}
+                    pool, self._address, method, path, body, headers or {}
                 )
-        except connections.NotSentError as error:
+        except http_client.NotConnectedError as error:
             return _unavailable(f"call {call}: not sent, {error}")
-        except (OSError, http_response.HTTPParseError) as error:
+        except http_client.CALL_ERRORS as error:
             return _unanswered(call, str(error))
         except gevent.Timeout as error:
             if error is not timeout:
--- a/packages/daisypick_node/src/daisypick_node/settings.py
+++ b/packages/daisypick_node/src/daisypick_node/settings.py
@@ -52,6 +52,11 @@
     platform_client: str = pydantic.Field(
         default="http", description="Registered client of the platform."
     )
+    platform_ca: str = pydantic.Field(
+        default="",
+        description="CA file (PEM) to check the platform with; plain HTTP "
+        "without.",
+    )
     platform_calls_per_second: float = pydantic.Field(
         default=20.0,
         gt=0,
--- a/packages/daisypick_node/tests/platform/test_http.py
+++ b/packages/daisypick_node/tests/platform/test_http.py
@@ -103,13 +103,10 @@
 
 def test_silent_platform_does_not_wear_out_the_pool(platform, client):
     # The platform holds every call. Each caller must get its failure, and
-    # the connections of the failed calls must not stay taken: more calls
-    # than the pool has connections, then one that works.
+    # the connections of the failed calls must not stay taken: many calls
+    # at once, then one that works.
     platform.set_faults(faults.Faults(outage=faults.SILENT))
-    calls = [
-        gevent.spawn(client.get, "claim", "c")
-        for _ in range(http.DEFAULT_CONNECTIONS * 2)
-    ]
+    calls = [gevent.spawn(client.get, "claim", "c") for _ in range(16)]
     assert {call.get().code for call in calls} == {codes.PLATFORM_UNAVAILABLE}
     platform.set_faults(faults.Faults())
     assert client.get("claim", "c").code == codes.NOT_FOUND
