--- a/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_model.py
@@ -130,7 +130,7 @@
         start_gap = max(start_gap, spread)
         if fleet.now >= warm_up:
             band.add(virtual_by_name)
-        if fleet.now <= (warm_up + seconds) / 2 and fleet.now >= warm_up:
+        if warm_up <= fleet.now <= (warm_up + seconds) / 2:
             half_gap = band.tokens
     pauses = fleet.longest_pause_by_tenant
     return Measurement(
@@ -212,10 +212,15 @@
     yield Run("slowest", common._replace(period=SLOWEST_PERIOD), seconds)
     for factor in (1, 4):
         yield Run(f"length x{factor}", common, factor * seconds)
-    for depth in (16, 256):
-        flooded = make_tenants(flood_depth=depth)
+    for depth in (16, 64, 256):
+        flooded = common._replace(tenants=make_tenants(flood_depth=depth))
+        yield Run(f"flooder keeps {depth}", flooded, seconds)
+        # At the start it fills all slots, and is held back for that.
         yield Run(
-            f"flooder keeps {depth}", common._replace(tenants=flooded), seconds
+            f"flooder keeps {depth}, first lead paid back",
+            flooded,
+            2 * seconds,
+            warm_up=seconds,
         )
     for gain in (0.5, 2.0, 4.0):
         yield Run(f"gain {gain}", common._replace(gain=gain), seconds)
