Try another port when one is taken while the fleet starts

Cause: in a full test run test_trouble[platform_outage] failed with 'Address already in use': another process took the port between the search for a free one and the start. Ruled out: the fleet itself; the test passes 3 of 3 times alone.

--- a/packages/daisypick_lab/src/daisypick_lab/embedded.py
+++ b/packages/daisypick_lab/src/daisypick_lab/embedded.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+import errno
 import random
 import time
 
@@ -33,6 +34,7 @@
 _CALLS_PER_SECOND = 50.0
 _POLL_SECONDS = 0.01
 _PATIENCE_SECONDS = 20.0
+_PORT_TRIES = 5
 
 
 class FleetError(Exception):
@@ -79,10 +81,20 @@
         )
         servers = [*self._start_engines(), *self._start_plain_services()]
         self._server_by_name = {server.name: server for server in servers}
-        for server in servers:
-            self._start_agent(server)
+        for name, server in self._server_by_name.items():
+            address = listen_on_free_address(
+                lambda address, server=server: self._start_agent(
+                    server._replace(agent=address)
+                )
+            )
+            self._server_by_name[name] = server._replace(agent=address)
         for number in range(self.shape.routers):
-            self._start_router(number)
+            listen_on_free_address(
+                lambda address, number=number: self._start_router(
+                    number, address
+                )
+            )
+        servers = list(self._server_by_name.values())
         self._files.append(folder_files.backend_server_file(servers))
         self.apply()
 
@@ -247,7 +259,7 @@
             service=service,
             data_centre=data_centre,
             address=address,
-            agent=free_address(),
+            agent="",
             slots=slots[0],
             cold_slots=slots[1],
         )
@@ -267,11 +279,11 @@
         agent.start()
         self.agents[server.name] = agent
 
-    def _start_router(self, number: int) -> None:
+    def _start_router(self, number: int, address: str) -> None:
         data_centres = self.shape.data_centres
         router = router_process.RouterProcess(
             settings=settings_module.RouterSettings(
-                listen=free_address(),
+                listen=address,
                 data_centre=data_centres[number % len(data_centres)],
                 platform=self.platform.address,
                 fleet_keys=FLEET_KEY,
@@ -301,6 +313,27 @@
     return f"127.0.0.1:{port}"
 
 
+def listen_on_free_address(start: Callable[[str], None]) -> str:
+    """Start something on a free address and return the address.
+
+    Between the search and the start another program may take the port, as
+    happens on a machine with much traffic; then another one is tried.
+
+    Raises:
+        FleetError: All tries met a taken port.
+    """
+    for _ in range(_PORT_TRIES):
+        address = free_address()
+        try:
+            start(address)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE:
+                raise
+            continue
+        return address
+    raise FleetError(f"no free port in {_PORT_TRIES} tries")
+
+
 def wait_until(condition: Callable[[], bool], what: str) -> None:
     """Wait for a condition.
 
