--- a/packages/daisypick_core/src/daisypick_core/gate/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/__init__.py
@@ -12,5 +12,6 @@
 * ``waiting``: the attempts that wait, and their bounds.
 * ``idle_peers``: sending waiting work to agents that are idle.
 * ``admission``: whether anything new may start (draining).
+* ``offer_check``: why an attempt that arrives is refused.
 * ``drain_state``: why a gate drains, from the configuration and the VM.
 """
--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -21,6 +21,7 @@
 from daisypick_core.gate import concurrency
 from daisypick_core.gate import drain_state
 from daisypick_core.gate import idle_peers
+from daisypick_core.gate import offer_check
 from daisypick_core.gate import running
 from daisypick_core.gate import waiting
 from daisypick_core.messages import attempt as attempt_message
@@ -172,7 +173,9 @@
             return []
         if refusal is not None:
             return [self._give_up(attempt, refusal), *self._fill(now)]
-        late = self._check_granted(attempt, now)
+        late = offer_check.check_start(
+            attempt, gate_admission=self.admission, now=now
+        )
         if late is not None:
             # The store can take long to grant a claim. Started now, the
             # attempt would run at a server that should be quiet by now, or
@@ -181,14 +184,6 @@
             return [given_up._replace(release_claim=True), *self._fill(now)]
         return [self._start(attempt, now)]
 
-    def _check_granted(
-        self, attempt: attempt_message.Attempt, now: float
-    ) -> failure_value.Failure | None:
-        """Return why an attempt does not start although its key is its own."""
-        if not self.admission.is_open:
-            return self._draining(self.admission.reasons[0])
-        return _DEADLINE_PASSED if attempt.deadline <= now else None
-
     def progress(self, attempt_id: str, tokens: int, now: float) -> None:
         """Note tokens served beyond those already charged."""
         run = self._running.find(attempt_id)
@@ -277,50 +272,17 @@
         self, attempt: attempt_message.Attempt, now: float
     ) -> failure_value.Failure | None:
         """Return why an offered attempt cannot be taken, if so."""
-        if attempt.incarnation != self.incarnation:
-            # After a restart the table is empty: an attempt that was sent to
-            # the predecessor may have run there. Only the address in the
-            # attempt can tell, so what is not for this start is refused.
-            # This holds for a router's first attempt as well, which cannot
-            # know the address: taken in, its doubled offer could run here
-            # after the predecessor has said "not run".
-            return failure_value.Failure(
-                code=codes.STALE_INCARNATION,
-                reason=f"incarnation: {attempt.incarnation} is not this one",
-            )
-        state = self.attempts.state(attempt.attempt_id)
-        if state == attempts.BARRED:
-            return failure_value.Failure(
-                code=codes.WITHDRAWN, reason="attempt was refused before"
-            )
-        if state is not None:
-            return None
-        if self.attempts.is_stale(attempt.epoch):
-            # Settled attempts of that age are forgotten: this one may have
-            # run, or been reported as "not run". It must not start.
-            return failure_value.Failure(
-                code=codes.STALE_EPOCH,
-                reason=f"epoch: {attempt.epoch} is not near {self.epoch}",
-            )
-        refusal = self._check_start(attempt, now)
-        return refusal or self._waiting.check_bounds(attempt)
-
-    def _check_start(
-        self, attempt: attempt_message.Attempt, now: float
-    ) -> failure_value.Failure | None:
-        """Return why nothing starts now, or this attempt does not."""
-        if not self.admission.is_open:
-            return self._draining(self.admission.reasons[0])
-        if attempt.deadline <= now:
-            return failure_value.Failure(
-                code=codes.DEADLINE_PASSED, reason="deadline: already passed"
-            )
-        return None
-
-    def _draining(self, reason: str) -> failure_value.Failure:
-        is_fresh = reason == admission.NOT_CONFIGURED
-        code = codes.NOT_CONFIGURED if is_fresh else codes.DRAINING
-        return failure_value.Failure(code=code, reason=reason)
+        refusal = offer_check.check_offer(
+            attempt,
+            incarnation=self.incarnation,
+            table=self.attempts,
+            gate_admission=self.admission,
+            now=now,
+        )
+        is_known = self.attempts.state(attempt.attempt_id) is not None
+        if refusal is not None or is_known:
+            return refusal
+        return self._waiting.check_bounds(attempt)
 
     def _bar(
         self,
@@ -343,7 +305,7 @@
     def _return_waiting(self) -> list[actions.Action]:
         if self.admission.is_open:
             return []
-        refusal = self._draining(self.admission.reasons[0])
+        refusal = offer_check.make_draining(self.admission.reasons[0])
         return [self._bar(a, refusal) for a in self._waiting.clear()]
 
     def _hint(
