Free slots of calls cancelled before their first step; bound bodies

Cause: found in a read-through. A greenlet that is killed before its first step never runs its clean-up, so the slot stayed taken (seen in a trial of gevent and in the new test, which fails before). A doubled offer of a forgotten answer made a new one that never ended and was looked at on every tick. Queues were bounded by count, and 8 MB bodies times 8,192 fill a VM. Conclusion: no slot or answer is lost to these races.

--- a/packages/daisypick_node/src/daisypick_node/agent/answers.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/answers.py
@@ -13,6 +13,7 @@
 
 from daisypick_core.messages import frame
 from daisypick_core.messages import load as load_message
+from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 import gevent.event
 
@@ -113,6 +114,18 @@
         self.notify()
 
 
+def make_forgotten(now: float) -> Answer:
+    """Return the answer of an attempt that ran and is no longer kept."""
+    answer = Answer()
+    answer.fail(
+        failure_value.Failure(
+            code=codes.OUTCOME_UNKNOWN, reason="answer: is no longer kept"
+        ),
+        now,
+    )
+    return answer
+
+
 class AnswerStore:
     """Answers by attempt id."""
 
--- a/packages/daisypick_node/src/daisypick_node/agent/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/driver.py
@@ -63,6 +63,7 @@
         self._clock = clock
         self._record = record
         self._work_by_attempt: dict[str, runner_module.Work] = {}
+        self._scheduled_by_attempt: dict[str, runner_module.Work] = {}
         self._greenlet_by_attempt: dict[str, gevent.Greenlet] = {}
 
     def detail(self) -> frame.Detail:
@@ -74,13 +75,17 @@
         attempt_id = work.attempt.attempt_id
         now = self._clock()
         is_new = self.gate.attempts.state(attempt_id) is None
-        answer = self.answers.get_or_make(attempt_id)
         if is_new:
-            answer.last_read_at = now
+            self.answers.get_or_make(attempt_id).last_read_at = now
             self._work_by_attempt[attempt_id] = work
             self._note(work.attempt.request_id, "offered", attempt_id)
-        self.perform(self.gate.offer(work.attempt, now))
-        return answer
+        due = self.gate.offer(work.attempt, now)
+        if not due and self.answers.get(attempt_id) is None:
+            # A doubled offer of an attempt whose answer is no longer kept.
+            # A new answer would never end, and be looked at for good.
+            return answers.make_forgotten(now)
+        self.perform(due)
+        return self.answers.get_or_make(attempt_id)
 
     def withdraw(
         self, attempt_id: str, *, epoch: int
@@ -127,6 +132,7 @@
         answer = self.answers.get_or_make(attempt_id)
         answer.start()
         self._note(work.attempt.request_id, "started", attempt_id)
+        self._scheduled_by_attempt[attempt_id] = work
         greenlet = gevent.spawn(self._run, work, answer)
         self._greenlet_by_attempt[attempt_id] = greenlet
 
@@ -148,8 +154,9 @@
 
     def hint(self, action: actions.Hint) -> None:
         """Tell an attempt's reader of an idle agent."""
-        answer = self.answers.get_or_make(action.attempt.attempt_id)
-        answer.hint(answers.Hint(agent=action.agent, load=action.load))
+        answer = self.answers.get(action.attempt.attempt_id)
+        if answer is not None:
+            answer.hint(answers.Hint(agent=action.agent, load=action.load))
 
     def note_idle(self, peer: str, load: load_message.Load) -> None:
         """Take a peer's word that it is idle."""
@@ -166,8 +173,15 @@
     def stop(self, attempt_id: str) -> None:
         """End a running attempt's call."""
         greenlet = self._greenlet_by_attempt.get(attempt_id)
-        if greenlet is not None:
-            greenlet.kill(block=False)
+        if greenlet is None:
+            return
+        greenlet.kill(block=False)
+        work = self._scheduled_by_attempt.pop(attempt_id, None)
+        if work is not None:
+            # A greenlet that is killed before its first step never runs its
+            # clean-up: the slot would stay taken until the agent restarts.
+            del self._greenlet_by_attempt[attempt_id]
+            self._cancelled(work, self.answers.get_or_make(attempt_id))
 
     def _claim(self, action: actions.Claim) -> None:
         attempt_id = action.attempt.attempt_id
@@ -191,6 +205,7 @@
 
     def _run(self, work: runner_module.Work, answer: answers.Answer) -> None:
         attempt_id = work.attempt.attempt_id
+        self._scheduled_by_attempt.pop(attempt_id, None)
         outcome = _CANCELLED
         try:
             outcome = self._runner.run(work, self.server, answer)
@@ -200,6 +215,12 @@
             self._greenlet_by_attempt.pop(attempt_id, None)
             self._end(work, answer, outcome)
 
+    def _cancelled(
+        self, work: runner_module.Work, answer: answers.Answer
+    ) -> None:
+        answer.fail(_cancelled_failure(), self._clock())
+        self._end(work, answer, _CANCELLED)
+
     def _end(
         self,
         work: runner_module.Work,
--- a/packages/daisypick_node/src/daisypick_node/router/caller_routes.py
+++ b/packages/daisypick_node/src/daisypick_node/router/caller_routes.py
@@ -64,7 +64,9 @@
         clock: Callable[[], float],
         accounting: Accounting,
         is_draining: Callable[[], bool],
+        held_bytes_limit: int,
     ) -> None:
+        self._held_bytes_limit = held_bytes_limit
         self._driver = driver
         self._context = context
         self._clock = clock
@@ -115,7 +117,23 @@
                 reason="router: is shutting down",
                 retry_after=1.0,
             )
-        return pipeline.run(exchange, self._context)
+        result = pipeline.run(exchange, self._context)
+        if failure_value.is_failure(result):
+            return result
+        return self._check_memory(result)
+
+    def _check_memory(
+        self, exchange: exchange_module.Exchange
+    ) -> exchange_module.Exchange | failure_value.Failure:
+        """Bound the bodies held: counts alone let large ones fill the VM."""
+        held = self._driver.held_bytes + len(exchange.body)
+        if held <= self._held_bytes_limit:
+            return exchange
+        return failure_value.Failure(
+            code=codes.ROUTER_FULL,
+            reason="the router holds as many bytes as it may",
+            retry_after=1.0,
+        )
 
     def _refuse(
         self,
--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -59,6 +59,7 @@
 
     Attributes:
         dispatcher: The core's dispatcher.
+        held_bytes: Bytes of the bodies of held requests.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self._note_contact = note_contact
         self._record = record
         self._held_by_request: dict[str, _Held] = {}
+        self.held_bytes = 0
         self._next_check = 0.0
         self._sender_by_attempt: dict[str, gevent.Greenlet] = {}
 
@@ -99,6 +101,7 @@
         self._held_by_request[request_id] = _Held(
             exchange=exchange, relay=relay
         )
+        self.held_bytes += len(exchange.body)
         self._note(request_id, "submitted")
         request = _to_request(exchange)
         self.perform(self.dispatcher.submit(request, self._clock()))
@@ -109,6 +112,7 @@
         held = self._held_by_request.pop(request_id, None)
         if held is None:
             return
+        self.held_bytes -= len(held.exchange.body)
         held.relay.release()
         if not held.relay.is_over:
             self._note(request_id, "cancelled: caller is gone")
@@ -182,10 +186,14 @@
 
     def dispatch(self, action: actions.Dispatch) -> None:
         """Send an attempt."""
-        held = self._held_by_request.get(action.attempt.request_id)
+        attempt = action.attempt
+        held = self._held_by_request.get(attempt.request_id)
         if held is None:
+            # The dispatcher must not keep a place for what nobody sends.
+            self.perform(
+                self.dispatcher.cancel(attempt.request_id, self._clock())
+            )
             return
-        attempt = action.attempt
         self._note(
             attempt.request_id,
             "sent",
@@ -216,7 +224,7 @@
 
     def cancel(self, action: actions.Cancel) -> None:
         """Tell an agent that nobody waits for an attempt."""
-        greenlet = self._sender_by_attempt.get(action.attempt.attempt_id)
+        greenlet = self._sender_by_attempt.pop(action.attempt.attempt_id, None)
         if greenlet is not None:
             greenlet.kill(block=False)
         gevent.spawn(
--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -83,6 +83,7 @@
             clock=self.clock,
             accounting=self.accounting,
             is_draining=lambda: self.is_draining,
+            held_bytes_limit=self.settings.held_bytes,
         )
         return callers.handlers()
 
--- a/packages/daisypick_node/src/daisypick_node/settings.py
+++ b/packages/daisypick_node/src/daisypick_node/settings.py
@@ -127,6 +127,12 @@
         default=8_388_608, gt=0, description="Largest body of a request, bytes."
     )
 
+    held_bytes: int = pydantic.Field(
+        default=268_435_456,
+        gt=0,
+        description="Bodies that a router holds at once, bytes.",
+    )
+
 
 class AgentSettings(ProcessSettings):
     """Settings of ``daisypickd agent``."""
--- /dev/null
+++ b/packages/daisypick_node/tests/agent/test_driver.py
@@ -0,0 +1,50 @@
+from daisypick_core.messages import attempt as attempt_message
+from daisypick_node.agent import runner
+import fleet as fleet_module
+
+
+def make_work(agent, attempt_id):
+    attempt = attempt_message.Attempt(
+        attempt_id=attempt_id,
+        request_id=attempt_id,
+        organisation="union",
+        service="assistant",
+        estimate=1.0,
+        deadline=agent.clock() + 60.0,
+        incarnation=agent.gate.incarnation,
+        epoch=agent.gate.epoch,
+        router="127.0.0.1:1",
+    )
+    return runner.Work(
+        attempt=attempt, method="POST", path="/", headers=[], body=b""
+    )
+
+
+def test_cancel_before_the_first_step_frees_the_slot():
+    # An attempt gets a slot, and its caller leaves before the loop has come
+    # to its greenlet. The killed greenlet never runs; its slot must be free
+    # all the same, or the server loses one for good.
+    engine = fleet_module.make_engine(fleet_module.answer_stream("a"))
+    fleet = fleet_module.Fleet([engine])
+    agent = fleet.agents[0]
+    answer = agent.driver.offer(make_work(agent, "x"))
+    assert agent.gate.running_count == 1
+    agent.driver.cancel("x")
+    assert (agent.gate.running_count, answer.is_over) == (0, True)
+    fleet.stop()
+    assert engine.calls == []
+
+
+def test_doubled_offer_of_a_forgotten_answer_ends():
+    # An attempt has run and its answer is no longer kept when its offer comes
+    # again, doubled by the network. It must neither run nor wait for good.
+    engine = fleet_module.make_engine(fleet_module.answer_stream("a"))
+    fleet = fleet_module.Fleet([engine], keep_answer_bytes=1)
+    agent = fleet.agents[0]
+    first = agent.driver.offer(make_work(agent, "x"))
+    fleet_module.wait_until(lambda: agent.driver.answers.get("x") is None)
+    again = agent.driver.offer(make_work(agent, "x"))
+    assert (first.is_over, again.failure.code.number) == (True, 4002)
+    assert agent.driver.answers.get("x") is None
+    fleet.stop()
+    assert len(engine.calls) == 1
--- a/packages/daisypick_node/tests/fleet.py
+++ b/packages/daisypick_node/tests/fleet.py
@@ -96,7 +96,15 @@
 class Fleet:
     """A platform, routers, and an agent for each engine."""
 
-    def __init__(self, engines, router_count=1, common=None, **agent_settings):
+    def __init__(
+        self,
+        engines,
+        router_count=1,
+        common=None,
+        router_settings=None,
+        **agent_settings,
+    ):
+        self.router_settings = router_settings or {}
         self.common = {**KEYS, **(common or {})}
         self.platform = platform_server.Platform()
         self.platform.start()
@@ -134,6 +142,7 @@
                 data_centre="dc0",
                 platform=self.platform.address,
                 progress_timeout=2.0,
+                **self.router_settings,
                 **self.common,
             ),
             platform=self.make_platform_client(),
--- a/packages/daisypick_node/tests/test_path.py
+++ b/packages/daisypick_node/tests/test_path.py
@@ -73,6 +73,15 @@
     assert b"fleet-key-1" not in dump
 
 
+def test_router_refuses_bodies_beyond_its_memory(make_fleet):
+    engine = fleet_module.make_engine(fleet_module.answer_plain())
+    fleet = make_fleet(engine, router_settings={"held_bytes": 10})
+    refused = fleet.call("POST", fleet_module.CHAT, fleet_module.BODY)
+    assert json.loads(refused.read())["code"] == 2002
+    assert fleet.routers[0].driver.held_bytes == 0
+    assert engine.calls == []
+
+
 def test_request_moves_from_a_data_centre_that_goes_out(make_fleet):
     # The data centre of the only free server goes out. Requests that come
     # after are answered by the other one; none is cut or refused.
