Take a first contact that fails for not run

Cause: found in a read-through. A router's first attempt at an agent names no incarnation and every start of the agent refuses it, yet a connection that was silent or broke then was told as unknown, and a booking lost. Change: such attempts are reported as never run. Conclusion: unknown is told only where a run is possible.

--- a/packages/daisypick_node/src/daisypick_node/router/sender.py
+++ b/packages/daisypick_node/src/daisypick_node/router/sender.py
@@ -179,9 +179,7 @@
                 return True
             client.abandon(response)
             return self._settle_unknown()
-        self.events.broken(
-            self.attempt.attempt_id, _lost("agent: cannot be reached")
-        )
+        self._report_lost("agent: cannot be reached")
         return False
 
     def _ask_rest(self) -> client.Response:
@@ -207,13 +205,13 @@
         )
         status = peers_module.decode(answer, attempt_routes.Status)
         if failure_value.is_failure(status):
-            self.events.broken(attempt_id, _lost(status.reason))
+            self._report_lost(status.reason)
             return False
         self.events.hear(self.agent, status["load"])
         if status["load"].incarnation != self.attempt.incarnation:
             # The agent has restarted: its new start knows nothing of the
             # attempt, which may have run before. "Not run" would be a guess.
-            self.events.broken(attempt_id, _lost("agent: has restarted"))
+            self._report_lost("agent: has restarted")
         elif status["ran"]:
             self.events.broken(attempt_id, _lost("answer: no longer kept"))
         else:
@@ -225,6 +223,20 @@
             )
         return False
 
+    def _report_lost(self, reason: str) -> None:
+        """Report an attempt of which no agent can tell."""
+        attempt_id = self.attempt.attempt_id
+        if self.attempt.incarnation:
+            self.events.broken(attempt_id, _lost(reason))
+            return
+        # A router's first attempt at an agent carries no incarnation, and
+        # every start of the agent refuses it: it never ran. Told as unknown,
+        # a booking would be lost to a connection that failed at first sight.
+        self.events.returned(
+            attempt_id,
+            failure_value.Failure(code=codes.ENGINE_UNREACHABLE, reason=reason),
+        )
+
 
 def _read_frames(response: client.Response) -> Iterator[frame.Frame]:
     rest = b""
--- a/packages/daisypick_node/tests/test_whole_answers.py
+++ b/packages/daisypick_node/tests/test_whole_answers.py
@@ -89,6 +89,20 @@
     assert len(fleet.engines[0].calls) == 1
 
 
+def test_booking_survives_a_first_contact_that_is_silent(make_fleet):
+    # The router's very first connection to an agent is silent from its start.
+    # The attempt on it names no incarnation, so no agent can have run it: the
+    # booking is sent again and runs once, instead of being told as unknown.
+    engine = fleet_module.make_engine(
+        fleet_module.answer_plain(b"booked"), service="desk"
+    )
+    fleet = make_fleet(engine)
+    fleet.wires[0].silent_next = 1
+    answer = fleet.call("POST", "/services/desk/bookings", b"7")
+    assert (answer.status_code, answer.read()) == (200, b"booked")
+    assert len(engine.calls) == 1
+
+
 def test_broken_stream_is_run_again_without_repeating_a_byte(make_fleet):
     # The engine breaks off after its first event. The request is repeatable:
     # it runs again elsewhere, and the caller sees the first event once.
--- a/packages/daisypick_node/tests/wire.py
+++ b/packages/daisypick_node/tests/wire.py
@@ -8,8 +8,9 @@
 class Wire:
     """Forwards connections to an address.
 
-    ``silence()`` makes the open connections silent for good while new ones
-    work; ``cut()`` closes the open ones; ``is_down`` refuses new ones.
+    ``silent_next`` makes so many of the next connections silent from their
+    start. ``silence()`` makes the open connections silent for good while new
+    ones work; ``cut()`` closes the open ones; ``is_down`` refuses new ones.
     """
 
     def __init__(self, target):
@@ -17,6 +18,7 @@
         self._open = []
         self._silent = set()
         self.is_down = False
+        self.silent_next = 0
         self.connection_count = 0
         self._server = server.StreamServer(("127.0.0.1", 0), self._accept)
         self._server.start()
@@ -33,6 +35,9 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         pair = (near, far)
         self._open.append(pair)
+        if self.silent_next:
+            self.silent_next -= 1
+            self._silent.add(pair)
         gevent.joinall(
             [
                 gevent.spawn(self._pump, pair, near, far),
