--- a/packages/daisypick_lab/src/daisypick_lab/capacity/configuration_slopes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/configuration_slopes.py
@@ -9,6 +9,9 @@
 from daisypick_core.configuration import spread
 from daisypick_core.configuration import spread_actions
 from daisypick_core.configuration import wire
+from daisypick_core.membership import directory
+from daisypick_node import configuration_routes
+import msgspec
 
 from daisypick_lab.capacity import slopes
 
@@ -123,3 +126,30 @@
             raise AssertionError("change: was not taken in")
 
     return slopes.cpu_seconds(_take)
+
+
+def _make_member(number: int) -> directory.Member:
+    return directory.Member(
+        address=f"10.1.{number}.100:19000",
+        role=directory.AGENT,
+        data_centre="dc-11",
+    )
+
+
+@slopes.register(
+    "notice_bytes",
+    unit="bytes a notice and its answer",
+    against="members told of",
+    points=(1, 2, 4, 8),
+)
+def notice_bytes(members: int) -> float:
+    """Bytes of an exchange of generations, without headers."""
+    notice = configuration_routes.Notice(
+        member=_make_member(0),
+        generation=12_345,
+        members=[
+            directory.Sighting(member=_make_member(number), age=12.345678901)
+            for number in range(members)
+        ],
+    )
+    return 2.0 * len(msgspec.json.encode(notice))
--- a/packages/daisypick_lab/src/daisypick_lab/capacity/roles.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/roles.py
@@ -12,12 +12,11 @@
 from daisypick_core.claims import batcher
 from daisypick_core.claims import entry as claim_entry
 from daisypick_core.configuration import rounds
+from daisypick_node import configuration_service
 
 from daisypick_lab.capacity import size as size_module
 from daisypick_lab.capacity import slopes
 
-# Bytes of a notice with four sightings, its answer and the headers of both.
-_NOTICE_BYTES = 1_500.0
 _HEADER_BYTES = 330.0
 # Requests that may not be repeated and carry a key, as a part of all. The
 # plan does not say; this is an assumption.
@@ -97,9 +96,10 @@
     fetches = 2.0 * changes
     taken = inputs.at("configuration_change_cpu", inputs.size.organisations)
     change = inputs.at("configuration_change_bytes", inputs.size.organisations)
+    notice = inputs.at("notice_bytes", configuration_service.MEMBERS_TOLD)
     return _Share(
         cpu=(idle + notices + fetches) * inputs.exchange + changes * taken,
-        bytes=(idle + notices) * _NOTICE_BYTES
+        bytes=(idle + notices) * (notice + _HEADER_BYTES)
         + fetches * (change + _HEADER_BYTES),
     )
 
