--- a/Makefile
+++ b/Makefile
@@ -1,29 +1,31 @@
 # Entry points for people and for CI. VENV may name an existing environment.
 VENV ?= .venv
 PYTHON := $(VENV)/bin/python
-PACKAGES := daisypick_core daisypick_node daisypick_cli daisypick_standins daisypick_lab
-export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PACKAGES),$(CURDIR)/packages/$(p)/src))
+PACKAGES := daisypick_core daisypick_http daisypick_node daisypick_router daisypick_cli daisypick_standins daisypick_lab
+PROJECTS := $(foreach p,$(PACKAGES),packages/$(p)) platform
+CHECKED := packages platform spec tools conftest.py
+export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PROJECTS),$(CURDIR)/$(p)/src))
 
 .PHONY: install format format-check lint test demo demo-quick bench capacity docs ci
 
-$(VENV)/.installed: constraints.txt $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml)
+$(VENV)/.installed: constraints.txt $(foreach p,$(PROJECTS),$(p)/pyproject.toml)
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install -q -c constraints.txt -r requirements-dev.txt
-	$(PYTHON) -m pip install -q --no-build-isolation --no-deps $(foreach p,$(PACKAGES),-e packages/$(p))
+	$(PYTHON) -m pip install -q --no-build-isolation --no-deps $(foreach p,$(PROJECTS),-e $(p))
 	touch $@
 
 install: $(VENV)/.installed
 
 format: install
-	$(VENV)/bin/ruff format packages spec tools conftest.py
-	$(VENV)/bin/ruff check -q --fix packages spec tools conftest.py
+	$(VENV)/bin/ruff format $(CHECKED)
+	$(VENV)/bin/ruff check -q --fix $(CHECKED)
 
 format-check: install
-	$(VENV)/bin/ruff format --check packages spec tools conftest.py
+	$(VENV)/bin/ruff format --check $(CHECKED)
 
 lint: install
-	$(VENV)/bin/ruff check packages spec tools conftest.py
-	$(PYTHON) tools/check_imports.py packages spec tools
+	$(VENV)/bin/ruff check $(CHECKED)
+	$(PYTHON) tools/check_imports.py packages platform spec tools
 	$(PYTHON) tools/write_configuration_page.py --check
 	$(PYTHON) tools/write_reference_pages.py --check
 
--- a/packages/daisypick_cli/src/daisypick_cli/applying.py
+++ b/packages/daisypick_cli/src/daisypick_cli/applying.py
@@ -11,6 +11,9 @@
 import pathlib
 import typing
 
+from daisypick_cli import folder as folder_files
+from daisypick_cli import processes as fleet
+from daisypick_cli import publication
 from daisypick_core.configuration import chunks
 from daisypick_core.configuration import difference
 from daisypick_core.configuration import model
@@ -20,10 +23,6 @@
 from daisypick_core.results import failure as failure_value
 from daisypick_node import configuration_store
 
-from daisypick_cli import folder as folder_files
-from daisypick_cli import processes as fleet
-from daisypick_cli import publication
-
 _RACES = 10
 
 
--- a/packages/daisypick_cli/src/daisypick_cli/commands/base.py
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/base.py
@@ -11,13 +11,6 @@
 from cleo.commands import command
 from cleo.io.inputs import option as cleo_option
 from cleo.io.outputs import output as cleo_output
-from daisypick_core.configuration import check
-from daisypick_core.configuration import model
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
-from daisypick_node.platform import budget as call_budget
-from daisypick_node.platform import http as _http_platform  # noqa: F401
-from daisypick_node.platform import interface
 import gevent
 import msgspec
 
@@ -25,6 +18,13 @@
 from daisypick_cli import exit_codes
 from daisypick_cli import processes as fleet
 from daisypick_cli import publication
+from daisypick_core.configuration import check
+from daisypick_core.configuration import model
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+from daisypick_node.platform import budget as call_budget
+from daisypick_node.platform import http as _http_platform  # noqa: F401
+from daisypick_node.platform import interface
 
 # An apply reads some packs at once and is then done.
 _CALLS_PER_SECOND = 50.0
--- a/packages/daisypick_cli/src/daisypick_cli/commands/data_centre.py
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/data_centre.py
@@ -1,12 +1,12 @@
 """``data-centre out`` and ``data-centre in``."""
 
 from cleo import helpers
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
 
 from daisypick_cli import exit_codes
 from daisypick_cli import folder as folder_files
 from daisypick_cli.commands import base
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
 
 _HELP = """\
 Writes a new file that sorts last in the folder and changes just this data
--- a/packages/daisypick_cli/src/daisypick_cli/commands/folder_commands.py
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/folder_commands.py
@@ -4,15 +4,15 @@
 import typing
 
 from cleo import helpers
-from daisypick_core.configuration import check
-from daisypick_core.configuration import difference
-from daisypick_core.configuration import sections
-from daisypick_core.results import failure as failure_value
 import msgspec
 
 from daisypick_cli import exit_codes
 from daisypick_cli import folder as folder_files
 from daisypick_cli.commands import base
+from daisypick_core.configuration import check
+from daisypick_core.configuration import difference
+from daisypick_core.configuration import sections
+from daisypick_core.results import failure as failure_value
 
 
 class CheckCommand(base.OperatorCommand):
--- a/packages/daisypick_cli/src/daisypick_cli/commands/inspection.py
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/inspection.py
@@ -3,14 +3,14 @@
 import typing
 
 from cleo import helpers
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
 import msgspec
 
 from daisypick_cli import exit_codes
 from daisypick_cli import processes as fleet
 from daisypick_cli import status
 from daisypick_cli.commands import base
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
 
 _UNAVAILABLE_HELP = base.explain_exit_codes(
     exit_codes.FAULTS, exit_codes.UNAVAILABLE
--- a/packages/daisypick_cli/src/daisypick_cli/processes.py
+++ b/packages/daisypick_cli/src/daisypick_cli/processes.py
@@ -5,14 +5,15 @@
 import typing
 import urllib.parse
 
+import gevent.pool
+import msgspec
+
 from daisypick_core.configuration import model
 from daisypick_core.configuration import wire
 from daisypick_core.results import failure as failure_value
 from daisypick_node import configuration_routes
 from daisypick_node import process as process_module
 from daisypick_node.http import peers as peers_module
-import gevent.pool
-import msgspec
 
 TIMEOUT_SECONDS = 3.0
 CALLS_AT_ONCE = 32
--- a/packages/daisypick_cli/src/daisypick_cli/status.py
+++ b/packages/daisypick_cli/src/daisypick_cli/status.py
@@ -4,11 +4,10 @@
 from collections.abc import Iterator
 import typing
 
+from daisypick_cli import processes as fleet
 from daisypick_core.configuration import model
 from daisypick_core.results import failure as failure_value
 
-from daisypick_cli import processes as fleet
-
 
 class Fleet(typing.NamedTuple):
     """What was found.
--- a/packages/daisypick_cli/tests/test_main.py
+++ b/packages/daisypick_cli/tests/test_main.py
@@ -3,6 +3,9 @@
 import shutil
 
 from cleo.testers import application_tester
+import gevent
+import pytest
+
 from daisypick_cli import exit_codes
 from daisypick_cli import main
 from daisypick_node import settings as settings_module
@@ -10,8 +13,6 @@
 from daisypick_node.platform import http as http_platform
 from daisypick_standins.platform import faults
 from daisypick_standins.platform import server as platform_server
-import gevent
-import pytest
 
 EXAMPLES = pathlib.Path(__file__).parents[3] / "examples" / "configuration"
 KEYS = {"fleet_keys": "fleet-key-1", "operator_keys": "operator-key-1"}
--- a/packages/daisypick_cli/tests/test_publication.py
+++ b/packages/daisypick_cli/tests/test_publication.py
@@ -1,6 +1,8 @@
 import itertools
 import random
 
+import pytest
+
 from daisypick_cli import publication
 from daisypick_core.configuration import model
 from daisypick_core.configuration import sections
@@ -8,7 +10,6 @@
 from daisypick_core.results import failure as failure_value
 from daisypick_node import configuration_store
 from daisypick_node.platform import interface
-import pytest
 
 LOST = codes.PLATFORM_ANSWER_LOST
 DOWN = codes.PLATFORM_UNAVAILABLE
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
@@ -0,0 +1,13 @@
+"""Which request starts next, and at which model engine.
+
+One scheduler decides for all backend servers of a service, so that what one
+router places is known when the next one asks. The same object serves a router
+that has to decide alone for a while, with a part of the capacity.
+
+* ``job``: a request that wants to start.
+* ``prefix_cache``: which parts of prompts an engine is believed to keep.
+* ``engine_belief``: what an engine is believed to be doing.
+* ``fair_use``: what organisations got lately.
+* ``actions``: what a scheduler asks its driver to do.
+* ``scheduler``: the decisions.
+"""
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
@@ -0,0 +1,159 @@
+"""What a model engine is believed to be doing.
+
+An engine reads prompts one after the other, a chunk at a time between the
+tokens of running requests, so the first token of a new request waits for all
+prompt tokens ahead of it. The belief is made of what was sent there and of
+the first tokens and ends that came back; the engine's own reports are older
+than that.
+"""
+
+import typing
+
+from daisypick_core.scheduling import job
+from daisypick_core.scheduling import prefix_cache
+
+# Prompt tokens that an engine reads a second while it also generates; where
+# the belief starts before it has learned the engine's own rate. Engines in
+# use read 140,000 alone and spend a quarter of their steps on generating.
+FIRST_RATE = 100_000.0
+# Seconds from a request's way to its first token with nothing ahead of it.
+BASE_SECONDS = 0.06
+# Weight of one observation in the learned rate, and how far the rate may
+# move from ``FIRST_RATE``: a wrong belief must not shut an engine out.
+_LEARNING = 0.15
+_SLOWEST, _FASTEST = 0.1, 2.0
+# Fewer prompt tokens than this say little about the rate beside the base.
+_LEAST_TOKENS_TO_LEARN = 3000
+# Part of the memory that is given to running requests. Outputs are longer
+# than expected about half of the time, and an engine that runs out throws a
+# running request out of its memory and reads it from the start.
+_MEMORY_SHARE = 0.9
+
+
+class _Run:
+    """A request at the engine."""
+
+    __slots__ = ("ahead", "job", "reading", "started_at", "unread")
+
+    def __init__(
+        self, *, work: job.Job, unread: int, ahead: float, started_at: float
+    ) -> None:
+        self.job = work
+        self.unread = unread
+        self.ahead = ahead
+        self.reading = True
+        self.started_at = started_at
+
+
+class Prospect(typing.NamedTuple):
+    """What starting a request at an engine would mean.
+
+    Attributes:
+        unread: Prompt tokens that it would have to read for the request.
+        seconds: Time to the first token.
+    """
+
+    unread: int
+    seconds: float
+
+
+class EngineBelief:
+    """Requests, memory and speed of one engine."""
+
+    def __init__(self, *, slots: int, kv_tokens: int) -> None:
+        self.slots = slots
+        self.kv_tokens = kv_tokens
+        self.rate = FIRST_RATE
+        self.cache = prefix_cache.PrefixCache(capacity=kv_tokens)
+        self._run_by_key: dict[str, _Run] = {}
+        self._reading = 0
+        self._progress_at = 0.0
+
+    @property
+    def running(self) -> int:
+        """Requests at the engine."""
+        return len(self._run_by_key)
+
+    def __contains__(self, key: str) -> bool:
+        """Tell whether a request is at the engine."""
+        return key in self._run_by_key
+
+    def unread(self, now: float) -> float:
+        """Return the prompt tokens that are still to be read."""
+        if not self._reading:
+            return 0.0
+        total = 0.0
+        head = None
+        for run in self._run_by_key.values():
+            if run.reading:
+                total += run.unread
+                head = run if head is None else head
+        done = min((now - self._progress_at) * self.rate, head.unread)
+        return total - max(done, 0.0)
+
+    def foresee(self, work: job.Job, unread_ahead: float) -> Prospect:
+        """Return what starting a request here would mean."""
+        kept = self.cache.count_kept(work.parts)
+        unread = max(work.prompt_tokens - kept, 0)
+        seconds = BASE_SECONDS + (unread_ahead + unread) / self.rate
+        return Prospect(unread=unread, seconds=seconds)
+
+    def has_memory(self, work: job.Job, share: float = 1.0) -> bool:
+        """Tell whether a request's tokens fit beside the running ones."""
+        wanted = self.cache.count_unheld(work.parts) + work.output_tokens
+        room = self.kv_tokens * _MEMORY_SHARE * share - self.cache.held
+        return wanted <= room or not self._run_by_key
+
+    def start(self, work: job.Job, now: float) -> None:
+        """A request is sent to the engine."""
+        ahead = self.unread(now)
+        prospect = self.foresee(work, ahead)
+        if not self._reading:
+            self._progress_at = now
+        self._run_by_key[work.key] = _Run(
+            work=work,
+            unread=prospect.unread,
+            ahead=ahead,
+            started_at=now,
+        )
+        self._reading += 1
+        self.cache.generated += work.output_tokens
+        self.cache.begin(work.parts)
+
+    def note_first_token(self, key: str, now: float) -> None:
+        """A request's first token came back."""
+        run = self._run_by_key.get(key)
+        if run is None or not run.reading:
+            return
+        run.reading = False
+        self._reading -= 1
+        self._progress_at = now
+        self._learn(run, now)
+
+    def _learn(self, run: _Run, now: float) -> None:
+        tokens = run.ahead + run.unread
+        if tokens < _LEAST_TOKENS_TO_LEARN:
+            return
+        seconds = max(now - run.started_at - BASE_SECONDS, 0.005)
+        seen = tokens / seconds
+        seen = min(max(seen, _SLOWEST * FIRST_RATE), _FASTEST * FIRST_RATE)
+        self.rate += _LEARNING * (seen - self.rate)
+
+    def end(self, key: str, now: float) -> None:
+        """A request ended, well or not."""
+        run = self._run_by_key.pop(key, None)
+        if run is None:
+            return
+        if run.reading:
+            self._reading -= 1
+            self._progress_at = now
+        self.cache.generated -= run.job.output_tokens
+        self.cache.end(run.job.parts)
+
+    def find_runs_of(self, router: str) -> list[str]:
+        """Return the keys of the requests that a router sent."""
+        return [
+            key
+            for key, run in self._run_by_key.items()
+            if run.job.router == router
+        ]
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/job.py
@@ -0,0 +1,45 @@
+"""A request that wants to start at a model engine."""
+
+import typing
+
+
+class Part(typing.NamedTuple):
+    """A part of a prompt; parts before it belong to its identity."""
+
+    name: str
+    tokens: int
+
+
+class Job(typing.NamedTuple):
+    """A request that wants to start.
+
+    Attributes:
+        key: Unique in the fleet.
+        router: Router that asks.
+        organisation: Whose request it is.
+        parts: Parts of the prompt in their order.
+        prompt_tokens: Tokens of the whole prompt.
+        output_tokens: Tokens that are expected to be generated.
+        arrived_at: When the caller's request was read.
+        objective_at: When its first event should be out.
+        avoid: Backend servers that it must not go to.
+    """
+
+    key: str
+    router: str
+    organisation: str
+    parts: tuple[Part, ...]
+    prompt_tokens: int
+    output_tokens: int
+    arrived_at: float
+    objective_at: float
+    avoid: frozenset[str] = frozenset()
+
+    @property
+    def cost(self) -> float:
+        """Tokens that count against the organisation's share.
+
+        A token generated counts twice a token read, as the platform counts
+        the capacity of the fleet.
+        """
+        return self.prompt_tokens + 2.0 * self.output_tokens
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -0,0 +1,327 @@
+"""Which request starts next, and at which engine of a service.
+
+Two things make callers wait at a model service: prompt tokens ahead of their
+own, and a full batch. A request that an engine has admitted cannot be taken
+back, so requests wait here, where the order can still change, and an engine
+gets only as much as it can begin in time.
+
+*Placing.* Reading a prompt again that another engine keeps is the greatest
+waste, so the engine with the earliest first token wins, where what an engine
+keeps counts as read, and reading a shared part once more counts a second
+time for the capacity that it takes from others.
+
+*Order.* The organisation with the least use in the last seconds goes first;
+within it the request whose objective ends first.
+
+*Refusing.* A request that did not start by a part of its objective is refused
+with a time to come back: what starts later would be late and delay others.
+"""
+
+from collections.abc import Iterable
+import random
+import typing
+
+from daisypick_core.scheduling import actions
+from daisypick_core.scheduling import engine_belief
+from daisypick_core.scheduling import fair_use
+from daisypick_core.scheduling import job
+from daisypick_core.serving import cold_limit
+from daisypick_core.serving import outcomes
+
+# Prompt tokens that may be waiting at one engine: a quarter of a second of
+# reading, which leaves half of the shortest objective for the rest.
+UNREAD_TOKENS = 25_000.0
+# Part of the objective after which a waiting request is refused.
+GIVE_UP_SHARE = 0.6
+# Callers come back at random within this range of seconds, so that those
+# refused together do not return together.
+_RETRY_AFTER = (0.4, 1.4)
+# How much a token that another engine keeps counts when it is read again.
+_REREAD_WEIGHT = 1.0
+
+
+class ServerState(typing.NamedTuple):
+    """What the list says of a server that may get work.
+
+    Attributes:
+        name: Its id.
+        slots: Requests in one batch.
+        cold_until: When it is warm.
+        born: Its start.
+    """
+
+    name: str
+    slots: int
+    cold_until: float
+    born: int
+
+
+class Scheduler:
+    """Decisions for one service.
+
+    Args:
+        kv_tokens: KV cache of one engine.
+        cold_rate: Requests a second that a cold engine bears.
+        window_seconds: Over which capacity is shared fairly.
+        rng: Randomness for times to come back.
+    """
+
+    def __init__(
+        self,
+        *,
+        kv_tokens: int,
+        cold_rate: float,
+        window_seconds: float,
+        rng: random.Random,
+    ) -> None:
+        self._kv_tokens = kv_tokens
+        self._cold_rate = cold_rate
+        self._rng = rng
+        self._share = 1.0
+        self.use = fair_use.FairUse(window_seconds=window_seconds)
+        self.outcomes = outcomes.Outcomes()
+        self._cold_by_router: dict[str, cold_limit.ColdLimit] = {}
+        self._routers = 1
+        self._state_by_server: dict[str, ServerState] = {}
+        self._engine_by_server: dict[str, engine_belief.EngineBelief] = {}
+        self._server_by_key: dict[str, str] = {}
+        self._waiting_by_organisation: dict[str, list[job.Job]] = {}
+
+    def set_fleet(self, *, routers: int, share: float) -> None:
+        """Take the number of routers and the part of the capacity to use.
+
+        A scheduler that decides for all routers uses all of it; a router that
+        decides alone its part.
+        """
+        self._routers = max(routers, 1)
+        self._share = share
+        for limit in self._cold_by_router.values():
+            limit.set_fleet(routers=self._routers)
+
+    def set_servers(self, states: Iterable[ServerState]) -> None:
+        """Take the servers that may get work.
+
+        A server that drains keeps its belief until its requests have ended;
+        one that started anew knows nothing of before.
+        """
+        before = self._state_by_server
+        self._state_by_server = {state.name: state for state in states}
+        for name, state in self._state_by_server.items():
+            engine = self._engine_by_server.get(name)
+            reborn = name in before and before[name].born != state.born
+            if engine is None or reborn:
+                self._engine_by_server[name] = engine_belief.EngineBelief(
+                    slots=state.slots, kv_tokens=self._kv_tokens
+                )
+        for name in list(self._engine_by_server):
+            if name in self._state_by_server:
+                continue
+            if not self._engine_by_server[name].running:
+                del self._engine_by_server[name]
+                self.outcomes.forget(name)
+
+    def submit(self, work: job.Job, now: float) -> list[actions.Action]:
+        """Take a request; it starts, waits or is refused."""
+        if not self._state_by_server:
+            return [self._refuse(work, "no backend server takes work")]
+        if not self._may_ever_start(work):
+            return [self._refuse(work, "all backend servers were tried")]
+        queue = self._waiting_by_organisation.setdefault(work.organisation, [])
+        queue.append(work)
+        queue.sort(key=lambda waiting: waiting.objective_at)
+        return self.dispatch(now)
+
+    def _may_ever_start(self, work: job.Job) -> bool:
+        return any(name not in work.avoid for name in self._state_by_server)
+
+    def withdraw(self, key: str, now: float) -> list[actions.Action]:
+        """The caller of a waiting or running request left."""
+        for queue in self._waiting_by_organisation.values():
+            for work in queue:
+                if work.key == key:
+                    queue.remove(work)
+                    return []
+        return self.note_end(key, now)
+
+    def note_first_token(self, key: str, now: float) -> list[actions.Action]:
+        """A request's first token came."""
+        server = self._server_by_key.get(key)
+        if server is None:
+            return []
+        self.outcomes.note_success(server)
+        engine = self._engine_by_server.get(server)
+        if engine is not None:
+            engine.note_first_token(key, now)
+        return self.dispatch(now)
+
+    def note_end(self, key: str, now: float) -> list[actions.Action]:
+        """A request ended at its server."""
+        server = self._server_by_key.pop(key, None)
+        if server is None:
+            return []
+        engine = self._engine_by_server.get(server)
+        if engine is not None:
+            engine.end(key, now)
+        return self.dispatch(now)
+
+    def note_failure(
+        self, key: str, now: float, *, certain: bool
+    ) -> list[actions.Action]:
+        """A request failed at its server; ``certain`` if that is down."""
+        server = self._server_by_key.get(key)
+        if server is not None:
+            self.outcomes.note_failure(server, now, certain=certain)
+        return self.note_end(key, now)
+
+    def note_started_elsewhere(
+        self, work: job.Job, server: str, now: float
+    ) -> None:
+        """A router started a request without asking."""
+        engine = self._engine_by_server.get(server)
+        if engine is None or work.key in self._server_by_key:
+            return
+        self._record_start(work, server, engine, now)
+
+    def tick(self, now: float) -> list[actions.Action]:
+        """Refuse what waits too long; start what has become possible."""
+        refused: list[actions.Action] = []
+        for queue in self._waiting_by_organisation.values():
+            for work in list(queue):
+                patience = (work.objective_at - work.arrived_at) * GIVE_UP_SHARE
+                if now - work.arrived_at >= patience:
+                    queue.remove(work)
+                    refused.append(
+                        self._refuse(work, "no engine has room in time")
+                    )
+        return refused + self.dispatch(now)
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return sum(map(len, self._waiting_by_organisation.values()))
+
+    def dispatch(self, now: float) -> list[actions.Action]:
+        """Start what can start, the least served organisation first."""
+        started: list[actions.Action] = []
+        if not self.waiting:
+            return started
+        unread_by_server = self._find_open(now)
+        while unread_by_server:
+            start = self._start_next(unread_by_server, now)
+            if start is None:
+                break
+            started.append(start)
+        return started
+
+    def _find_open(self, now: float) -> dict[str, float]:
+        """Return the unread tokens of each server that may get a request."""
+        unread_by_server = {}
+        for name, state in self._state_by_server.items():
+            engine = self._engine_by_server[name]
+            if engine.running >= max(state.slots * self._share, 1.0):
+                continue
+            if self.outcomes.is_aside(name, now):
+                continue
+            unread = engine.unread(now)
+            if unread < UNREAD_TOKENS * self._share or not unread:
+                unread_by_server[name] = unread
+        return unread_by_server
+
+    def _start_next(
+        self, unread_by_server: dict[str, float], now: float
+    ) -> actions.Start | None:
+        order = sorted(
+            (
+                organisation
+                for organisation, queue in self._waiting_by_organisation.items()
+                if queue
+            ),
+            key=lambda organisation: self.use.read(organisation, now),
+        )
+        for organisation in order:
+            queue = self._waiting_by_organisation[organisation]
+            for work in queue:
+                server = self._place(work, unread_by_server, now)
+                if server is not None:
+                    queue.remove(work)
+                    return self._start(work, server, unread_by_server, now)
+        return None
+
+    def _place(
+        self, work: job.Job, unread_by_server: dict[str, float], now: float
+    ) -> str | None:
+        """Return the best server for a request, or ``None``."""
+        best = None
+        best_cost = 0.0
+        most_kept = max(
+            engine.cache.count_kept(work.parts)
+            for engine in self._engine_by_server.values()
+        )
+        for name, unread_ahead in unread_by_server.items():
+            if name in work.avoid or not self._bears(work, name, now):
+                continue
+            engine = self._engine_by_server[name]
+            prospect = engine.foresee(work, unread_ahead)
+            room = UNREAD_TOKENS * self._share - unread_ahead
+            if unread_ahead and prospect.unread > room:
+                continue
+            if not engine.has_memory(work, self._share):
+                continue
+            kept = work.prompt_tokens - prospect.unread
+            reread = max(most_kept - kept, 0) * _REREAD_WEIGHT
+            cost = prospect.seconds + reread / engine.rate
+            cost += engine.running / engine.slots * 0.1
+            if best is None or cost < best_cost:
+                best, best_cost = name, cost
+        return best
+
+    def _bears(self, work: job.Job, server: str, now: float) -> bool:
+        if self._state_by_server[server].cold_until <= now:
+            return True
+        limit = self._cold_limit(work.router)
+        return limit.allows(server, self._cold_rate, now)
+
+    def _cold_limit(self, router: str) -> cold_limit.ColdLimit:
+        limit = self._cold_by_router.get(router)
+        if limit is None:
+            limit = cold_limit.ColdLimit()
+            limit.set_fleet(routers=self._routers)
+            self._cold_by_router[router] = limit
+        return limit
+
+    def _start(
+        self,
+        work: job.Job,
+        server: str,
+        unread_by_server: dict[str, float],
+        now: float,
+    ) -> actions.Start:
+        engine = self._engine_by_server[server]
+        self._record_start(work, server, engine, now)
+        self._cold_limit(work.router).note(server, now)
+        state = self._state_by_server[server]
+        unread = engine.unread(now)
+        full = engine.running >= max(state.slots * self._share, 1.0)
+        if full or unread >= UNREAD_TOKENS * self._share:
+            del unread_by_server[server]
+        else:
+            unread_by_server[server] = unread
+        return actions.Start(key=work.key, server=server)
+
+    def _record_start(
+        self,
+        work: job.Job,
+        server: str,
+        engine: engine_belief.EngineBelief,
+        now: float,
+    ) -> None:
+        engine.start(work, now)
+        self._server_by_key[work.key] = server
+        self.use.add(work.organisation, work.cost, now)
+
+    def _refuse(self, work: job.Job, reason: str) -> actions.Refuse:
+        return actions.Refuse(
+            key=work.key,
+            retry_after=self._rng.uniform(*_RETRY_AFTER),
+            reason=reason,
+        )
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -0,0 +1,117 @@
+"""The backend servers that may get work, from a list that has outages.
+
+The platform's list forgets a backend server that is silent for a while, also
+when the silence is the platform's own. So what vanished during an outage is
+kept for ``RETURN_SECONDS`` after the list is back; by then a server that
+lives has announced itself again. In ordinary times an entry that goes is
+gone at once.
+
+Examples:
+    >>> from daisypick_core.serving import backend_server
+    >>> server = backend_server.BackendServer(
+    ...     name="i-1", service="s", address=("10.0.0.1", 80),
+    ...     data_centre="sofia", slots=2, draining=False, cold_until=0.0,
+    ...     born=1,
+    ... )
+    >>> directory = Directory()
+    >>> directory.replace_all([server], now=0.0)
+    >>> directory.note_outage(now=1.0)
+    >>> directory.note_contact(now=5.0)
+    >>> directory.replace_all([], now=5.0)
+    >>> [known.name for known in directory.find_ready("s")]
+    ['i-1']
+    >>> directory.expire(now=7.3)
+    ['i-1']
+    >>> directory.find_ready("s")
+    []
+"""
+
+from collections.abc import Iterable
+
+from daisypick_core.serving import backend_server
+
+# The platform says that a live server is back in its list within about two
+# seconds of the platform's return; the rest is the delay of our watch.
+RETURN_SECONDS = 2.2
+
+
+class Directory:
+    """Backend servers by name, and the data centres taken out."""
+
+    def __init__(self) -> None:
+        self.server_by_name: dict[str, backend_server.BackendServer] = {}
+        self.data_centres_out: frozenset[str] = frozenset()
+        self._out_since: float | None = None
+        self._returned_at = -RETURN_SECONDS
+        self._missing_since_by_name: dict[str, float] = {}
+
+    def note_outage(self, now: float) -> None:
+        """The platform did not answer."""
+        if self._out_since is None:
+            self._out_since = now
+
+    def note_contact(self, now: float) -> None:
+        """The platform answered."""
+        if self._out_since is not None:
+            self._out_since = None
+            self._returned_at = now
+
+    def is_settling(self, now: float) -> bool:
+        """Tell whether entries may be missing for the platform's own sake."""
+        if self._out_since is not None:
+            return True
+        return now - self._returned_at < RETURN_SECONDS
+
+    def replace_all(
+        self, servers: Iterable[backend_server.BackendServer], now: float
+    ) -> None:
+        """Take a whole list."""
+        listed = {server.name: server for server in servers}
+        for name in list(self.server_by_name):
+            if name not in listed:
+                self.remove(name, now)
+        for server in listed.values():
+            self.put(server)
+
+    def put(self, server: backend_server.BackendServer) -> None:
+        """Take a new or changed entry."""
+        self._missing_since_by_name.pop(server.name, None)
+        self.server_by_name[server.name] = server
+
+    def remove(self, name: str, now: float) -> None:
+        """Take note that an entry is gone from the list."""
+        if name not in self.server_by_name:
+            return
+        if self.is_settling(now):
+            self._missing_since_by_name.setdefault(name, now)
+            return
+        self._missing_since_by_name.pop(name, None)
+        del self.server_by_name[name]
+
+    def expire(self, now: float) -> list[str]:
+        """Drop what is still missing after the platform's return."""
+        if self.is_settling(now):
+            return []
+        names = list(self._missing_since_by_name)
+        for name in names:
+            self.server_by_name.pop(name, None)
+        self._missing_since_by_name.clear()
+        return names
+
+    def find_ready(self, service: str) -> list[backend_server.BackendServer]:
+        """Return the servers of a service that may get new work, by name."""
+        return sorted(
+            (
+                server
+                for server in self.server_by_name.values()
+                if server.service == service and self.may_get_work(server)
+            ),
+            key=lambda server: server.name,
+        )
+
+    def may_get_work(self, server: backend_server.BackendServer) -> bool:
+        """Tell whether a server stays and its data centre is in service."""
+        return (
+            not server.draining
+            and server.data_centre not in self.data_centres_out
+        )
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/serving/route_table.py
@@ -0,0 +1,90 @@
+"""Which route a request takes: by host, then by the longest path prefix.
+
+Examples:
+    >>> def make(name, prefix):
+    ...     return Route(
+    ...         name=name, host="a.example", path_prefix=prefix, kind=SAFE,
+    ...         timeout=1.0, objective=0.2, weight_by_service={"s": 1.0},
+    ...         max_attempts=2, public=False, resumable=False,
+    ...     )
+    >>> table = RouteTable(routes=[make("all", "/"), make("plots", "/p/")])
+    >>> table.find("A.example:80", "/p/7").name
+    'plots'
+    >>> table.find("b.example", "/p/7") is None
+    True
+"""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+import random
+import typing
+
+SAFE = "safe"
+UNSAFE = "unsafe"
+STREAMING = "streaming"
+
+
+class Route(typing.NamedTuple):
+    """What operators say of the requests below a path.
+
+    Attributes:
+        name: For logs.
+        host: Host header in lower case, without a port.
+        path_prefix: Begins and ends with a slash.
+        kind: ``SAFE`` (may run again), ``UNSAFE`` (runs at most once) or
+            ``STREAMING`` (answers with events).
+        timeout: Longest that a caller is kept waiting, seconds.
+        objective: Latency objective, to the first event of a stream, seconds.
+        weight_by_service: Services and their parts of the requests.
+        max_attempts: Most backend servers that one request is sent to.
+        public: Whether no API key is asked for.
+        resumable: Whether a broken stream may go on at another server.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout: float
+    objective: float
+    weight_by_service: Mapping[str, float]
+    max_attempts: int
+    public: bool
+    resumable: bool
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether a second run does no harm."""
+        return self.kind == SAFE
+
+    def pick_service(self, rng: random.Random) -> str:
+        """Return a service, at random by weight."""
+        names = list(self.weight_by_service)
+        if len(names) == 1:
+            return names[0]
+        weights = list(self.weight_by_service.values())
+        return rng.choices(names, weights)[0]
+
+
+class RouteTable:
+    """Routes by host, the longest prefix first."""
+
+    def __init__(self, *, routes: Iterable[Route]) -> None:
+        self._routes_by_host: dict[str, list[Route]] = {}
+        for route in routes:
+            self._routes_by_host.setdefault(route.host, []).append(route)
+        for at_host in self._routes_by_host.values():
+            at_host.sort(key=lambda route: -len(route.path_prefix))
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route of a request, or ``None``."""
+        name = host.lower().partition(":")[0]
+        path = target.partition("?")[0]
+        for route in self._routes_by_host.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def __len__(self) -> int:
+        """Return the number of routes."""
+        return sum(map(len, self._routes_by_host.values()))
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/serving/send_window.py
@@ -0,0 +1,31 @@
+"""How often something happened in a sliding window.
+
+Examples:
+    >>> window = SendWindow(seconds=1.0)
+    >>> window.add(now=0.0); window.add(now=0.5)
+    >>> window.count(now=0.9), window.count(now=1.2)
+    (2, 1)
+"""
+
+import collections
+
+
+class SendWindow:
+    """Times of the last sends, oldest first."""
+
+    __slots__ = ("_seconds", "_times")
+
+    def __init__(self, *, seconds: float) -> None:
+        self._seconds = seconds
+        self._times: collections.deque[float] = collections.deque()
+
+    def add(self, now: float) -> None:
+        """Count one."""
+        self._times.append(now)
+
+    def count(self, now: float) -> int:
+        """Return how many lie within the window before ``now``."""
+        oldest = now - self._seconds
+        while self._times and self._times[0] <= oldest:
+            self._times.popleft()
+        return len(self._times)
--- a/packages/daisypick_core/tests/claims/test_at_most_once.py
+++ b/packages/daisypick_core/tests/claims/test_at_most_once.py
@@ -11,6 +11,10 @@
 import itertools
 import random
 
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
 from daisypick_core.claims import actions as claim_actions
 from daisypick_core.claims import batcher
 from daisypick_core.claims import claimant
@@ -27,9 +31,6 @@
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.results import codes
 from daisypick_lab import memory_store
-import hypothesis
-from hypothesis import stateful
-from hypothesis import strategies
 
 AGENTS = ("10.0.0.1:80", "10.0.0.2:80")
 KEYS = "kkkkklmn"
--- a/packages/daisypick_core/tests/configuration/test_check.py
+++ b/packages/daisypick_core/tests/configuration/test_check.py
@@ -1,9 +1,10 @@
 import pathlib
 
+import pytest
+
 from daisypick_core.configuration import check
 from daisypick_core.configuration import merge
 from daisypick_core.results import codes
-import pytest
 
 EXAMPLES = pathlib.Path(__file__).parents[4] / "examples" / "configuration"
 
--- a/packages/daisypick_core/tests/configuration/test_chunks.py
+++ b/packages/daisypick_core/tests/configuration/test_chunks.py
@@ -1,9 +1,10 @@
+import hypothesis
+from hypothesis import strategies
+
 from daisypick_core.configuration import chunks
 from daisypick_core.configuration import model
 from daisypick_core.configuration import sections
 from daisypick_core.results import codes
-import hypothesis
-from hypothesis import strategies
 
 LETTER_ORGANISATIONS = 22_000
 
--- a/packages/daisypick_core/tests/configuration/test_spread.py
+++ b/packages/daisypick_core/tests/configuration/test_spread.py
@@ -1,6 +1,9 @@
 import itertools
 import random
 
+import hypothesis
+from hypothesis import strategies
+
 from daisypick_core.configuration import chunks
 from daisypick_core.configuration import model
 from daisypick_core.configuration import root as root_object
@@ -11,8 +14,6 @@
 from daisypick_core.configuration import wire
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import hypothesis
-from hypothesis import strategies
 
 DOWN = failure_value.Failure(code=codes.PEER_UNREACHABLE, reason="down")
 PEERS = ("p1", "p2", "p3")
--- a/packages/daisypick_core/tests/fairness/test_share_order.py
+++ b/packages/daisypick_core/tests/fairness/test_share_order.py
@@ -1,6 +1,7 @@
+import pytest
+
 from daisypick_core.fairness import share_order
 from daisypick_core.messages import attempt as attempt_message
-import pytest
 
 
 def make_order(policy="own_service", **shares):
--- a/packages/daisypick_core/tests/fairness/test_tally.py
+++ b/packages/daisypick_core/tests/fairness/test_tally.py
@@ -1,7 +1,8 @@
-from daisypick_core.fairness import tally
 import hypothesis
 from hypothesis import strategies as st
 
+from daisypick_core.fairness import tally
+
 MARKS = st.lists(
     st.tuples(
         st.sampled_from(["a1", "a2"]),
--- a/packages/daisypick_core/tests/gate/test_attempts.py
+++ b/packages/daisypick_core/tests/gate/test_attempts.py
@@ -1,6 +1,7 @@
-from daisypick_core.gate import attempts
 import pytest
 
+from daisypick_core.gate import attempts
+
 
 def test_barred_attempt_outlives_a_flood_of_others():
     # A router withdraws attempt x and tells its caller "not run". Thousands
--- a/packages/daisypick_core/tests/orders/test_lease.py
+++ b/packages/daisypick_core/tests/orders/test_lease.py
@@ -1,12 +1,13 @@
 import random
 
+import hypothesis
+from hypothesis import strategies
+
 from daisypick_core.orders import actions
 from daisypick_core.orders import lease
 from daisypick_core.orders import order_gate
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import hypothesis
-from hypothesis import strategies
 
 DURATION = 10.0
 LONGEST = 4.0
--- /dev/null
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -0,0 +1,146 @@
+"""One connection to another process, for one exchange after the other.
+
+Errors are told apart by what they say about the request: with
+``NotConnectedError`` nothing was sent; after ``ConnectionBrokeError`` and
+``AnswerTimeoutError`` a request that was sent may have run.
+"""
+
+import socket as plain_socket
+import time
+
+from gevent import socket
+
+from daisypick_http import answer_reader
+from daisypick_http import messages
+
+_RECEIVE_BYTES = 65536
+# The kernel gives up on unacknowledged bytes after this long, so a peer
+# that went dark holds no connection for the quarter of an hour that is the
+# system's default. Three times the longest freeze that a peer survives here.
+_USER_TIMEOUT_MILLISECONDS = 10_000
+
+
+class NotConnectedError(Exception):
+    """The connection was not established; nothing was sent."""
+
+
+class ConnectionBrokeError(Exception):
+    """The connection broke; what was sent may have run."""
+
+
+class AnswerTimeoutError(Exception):
+    """Nothing came in time; what was sent may have run."""
+
+
+class Connection:
+    """A connected socket and the answer that is being read from it."""
+
+    def __init__(
+        self, *, address: tuple[str, int], connect_timeout: float
+    ) -> None:
+        """Connect.
+
+        Raises:
+            NotConnectedError: The peer refused, reset or did not answer in
+                ``connect_timeout`` seconds.
+        """
+        self.address = address
+        self.idle_since = time.monotonic()
+        self.idle_limit: float | None = None
+        self.exchanges = 0
+        self.reader: answer_reader.AnswerReader | None = None
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            self._socket.setsockopt(
+                plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
+            )
+            self._socket.setsockopt(
+                plain_socket.IPPROTO_TCP,
+                plain_socket.TCP_USER_TIMEOUT,
+                _USER_TIMEOUT_MILLISECONDS,
+            )
+            self._socket.settimeout(connect_timeout)
+            self._socket.connect(address)
+        except OSError as error:
+            self._socket.close()
+            raise NotConnectedError(f"{address}: {error}") from error
+
+    def send(self, data: bytes, *, method: bytes, timeout: float) -> None:
+        """Send a request and get ready for its answer.
+
+        Raises:
+            ConnectionBrokeError: The peer closed or does not read.
+        """
+        self.exchanges += 1
+        self.reader = answer_reader.AnswerReader(method=method)
+        self._method = method
+        try:
+            self._socket.settimeout(timeout)
+            self._socket.sendall(data)
+        except OSError as error:
+            raise ConnectionBrokeError(f"send: {error}") from error
+
+    def expect_next_answer(self) -> None:
+        """Pass over the answer that was read; the next one is expected."""
+        self.reader = answer_reader.AnswerReader(method=self._method)
+
+    def read(self, timeout: float) -> None:
+        """Read some bytes into ``reader``.
+
+        Raises:
+            AnswerTimeoutError: Nothing came within ``timeout`` seconds.
+            ConnectionBrokeError: The connection was reset.
+        """
+        try:
+            self._socket.settimeout(max(timeout, 0.001))
+            data = self._socket.recv(_RECEIVE_BYTES)
+        except TimeoutError as error:
+            raise AnswerTimeoutError(f"silent for {timeout:.3f} s") from error
+        except OSError as error:
+            raise ConnectionBrokeError(f"receive: {error}") from error
+        if data:
+            self.reader.feed(data)
+        else:
+            self.reader.keep_alive = False
+            self.reader.feed_end()
+
+    def is_reusable(self) -> bool:
+        """Tell whether the answer was whole and the connection stays."""
+        reader = self.reader
+        return (
+            reader is not None
+            and reader.complete
+            and reader.keep_alive
+            and not reader.surplus
+        )
+
+    def is_quiet(self) -> bool:
+        """Tell whether an idle connection is open and has nothing to read.
+
+        A connection that the peer has closed, or on which bytes arrived
+        that nobody asked for, must not carry a request: the bytes would be
+        taken for its answer.
+        """
+        try:
+            self._socket.settimeout(0.0)
+            self._socket.recv(1, plain_socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def read_idle_limit(self) -> None:
+        """Take how long the peer keeps the connection, if it says so."""
+        headers = self.reader.head.headers
+        value = messages.find_header(headers, b"keep-alive")
+        if value is None:
+            return
+        for part in value.split(b","):
+            name, _, seconds = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and seconds.isdigit():
+                self.idle_limit = float(seconds)
+
+    def close(self) -> None:
+        """Close the connection; the peer stops working on the request."""
+        self._socket.close()
--- /dev/null
+++ b/packages/daisypick_http/src/daisypick_http/messages.py
@@ -0,0 +1,140 @@
+r"""Requests and answers as values, and how they are written.
+
+Header names are kept as they came; ``find_header`` compares them without
+regard to case.
+
+Examples:
+    >>> headers = ((b"Host", b"a.example"), (b"X-Key", b"k"))
+    >>> find_header(headers, b"x-key")
+    b'k'
+    >>> write_request(method=b"GET", target=b"/a/", headers=headers, body=b"")
+    b'GET /a/ HTTP/1.1\r\nHost: a.example\r\nX-Key: k\r\n\r\n'
+"""
+
+from collections.abc import Iterable
+import typing
+
+Headers = tuple[tuple[bytes, bytes], ...]
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1), and
+# the framing, which each side writes for itself.
+PER_CONNECTION_NAMES = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+_REASON_BY_STATUS = {
+    200: b"OK",
+    400: b"Bad Request",
+    401: b"Unauthorized",
+    404: b"Not Found",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class Request(typing.NamedTuple):
+    """A whole request of a caller.
+
+    Attributes:
+        method: As it came.
+        target: Path and query as they came.
+        headers: As they came, in their order.
+        body: Whole, without its transfer coding.
+        keep_alive: Whether the caller wants to keep the connection.
+        began_at: When its first byte was read, in seconds of the
+            monotonic clock.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+    began_at: float
+
+
+class AnswerHead(typing.NamedTuple):
+    """Status line and headers of an answer."""
+
+    status: int
+    headers: Headers
+
+
+def find_header(headers: Headers, lower_name: bytes) -> bytes | None:
+    """Return the first value of a header, or ``None``."""
+    for name, value in headers:
+        if name.lower() == lower_name:
+            return value
+    return None
+
+
+def drop_per_connection(headers: Headers) -> Headers:
+    """Return the headers that may pass from one connection to another.
+
+    Headers that ``Connection`` names are per connection too.
+    """
+    named = {
+        token.strip().lower()
+        for name, value in headers
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in PER_CONNECTION_NAMES
+        and name.lower() not in named
+    )
+
+
+def _write_lines(
+    first: bytes, headers: Iterable[tuple[bytes, bytes]]
+) -> list[bytes]:
+    lines = [first]
+    lines.extend(b"%b: %b" % (name, value) for name, value in headers)
+    return lines
+
+
+def write_request(
+    *,
+    method: bytes,
+    target: bytes,
+    headers: Iterable[tuple[bytes, bytes]],
+    body: bytes,
+) -> bytes:
+    """Return the bytes of a request, framed by its length."""
+    lines = _write_lines(b"%b %b HTTP/1.1" % (method, target), headers)
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % len(body))
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def write_head(*, status: int, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return the bytes of a status line and headers."""
+    reason = _REASON_BY_STATUS.get(status, b"Status")
+    lines = _write_lines(b"HTTP/1.1 %d %b" % (status, reason), headers)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
+
+
+def write_chunk(data: bytes) -> bytes:
+    """Return a chunk of a body of unknown length."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
--- /dev/null
+++ b/packages/daisypick_http/src/daisypick_http/request_reader.py
@@ -0,0 +1,127 @@
+"""Bytes of a caller's connection to whole requests.
+
+A request is handed on only when its body is whole, so that nothing that a
+caller sends can end up inside another request. ``httptools`` refuses
+messages with two framings; the target and the headers are kept as sent.
+"""
+
+import typing
+
+import httptools
+
+from daisypick_http import messages
+
+
+class Refusal(typing.NamedTuple):
+    """Why a caller's bytes are not taken: an HTTP status and a reason."""
+
+    status: int
+    reason: str
+
+
+class RequestReader:
+    """Parser of one connection; feed it bytes, take whole requests."""
+
+    def __init__(self, *, header_bytes: int, body_bytes: int) -> None:
+        self._header_bytes = header_bytes
+        self._body_bytes = body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self.requests: list[messages.Request] = []
+        self.refusal: Refusal | None = None
+        self.began_at: float | None = None
+        self.wants_continue = False
+        self._now = 0.0
+        self._reset()
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._head_size = 0
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self.in_head = False
+
+    def set_limits(self, *, header_bytes: int, body_bytes: int) -> None:
+        """Take the limits of a newer configuration."""
+        self._header_bytes = header_bytes
+        self._body_bytes = body_bytes
+
+    def feed(self, data: bytes, now: float) -> None:
+        """Take bytes; ``requests`` and ``refusal`` tell what came of it."""
+        self._now = now
+        if self.began_at is None:
+            self.began_at = now
+        if self.in_head or not self._headers:
+            self._head_size += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(400, "upgrade is not offered")
+        except httptools.HttpParserError as error:
+            self._refuse(400, f"malformed request: {error}")
+        if self.in_head and self._head_size > self._header_bytes:
+            self._refuse(431, f"head exceeds {self._header_bytes} bytes")
+
+    def _refuse(self, status: int, reason: str) -> None:
+        if self.refusal is None:
+            self.refusal = Refusal(status=status, reason=reason)
+
+    # Callbacks of httptools.
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self._reset()
+        self.in_head = True
+        if self.began_at is None:
+            self.began_at = self._now
+
+    def on_url(self, target: bytes) -> None:
+        """Collect the target."""
+        self._target += target
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self.in_head = False
+        size = len(self._target) + sum(
+            len(name) + len(value) + 4 for name, value in self._headers
+        )
+        if size > self._header_bytes:
+            self._refuse(431, f"head exceeds {self._header_bytes} bytes")
+        headers = tuple(self._headers)
+        length = messages.find_header(headers, b"content-length")
+        if length and int(length) > self._body_bytes:
+            self._refuse(413, f"body exceeds {self._body_bytes} bytes")
+        hosts = sum(1 for name, _ in headers if name.lower() == b"host")
+        if hosts != 1:
+            self._refuse(400, f"{hosts} Host headers")
+        expected = messages.find_header(headers, b"expect")
+        self.wants_continue = (expected or b"").lower() == b"100-continue"
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a piece of the body."""
+        self._body_size += len(body)
+        if self._body_size > self._body_bytes:
+            self._refuse(413, f"body exceeds {self._body_bytes} bytes")
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand the request on, unless it was refused."""
+        if self.refusal is None:
+            self.requests.append(
+                messages.Request(
+                    method=self._parser.get_method(),
+                    target=self._target,
+                    headers=tuple(self._headers),
+                    body=b"".join(self._body),
+                    keep_alive=self._parser.should_keep_alive(),
+                    began_at=self.began_at or self._now,
+                )
+            )
+        self.began_at = None
+        self.wants_continue = False
+        self._reset()
--- a/packages/daisypick_lab/src/daisypick_lab/bench/processes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/bench/processes.py
@@ -13,14 +13,14 @@
 import time
 import typing
 
+import gevent
+
 from daisypick_cli import publication
 from daisypick_core.configuration import model
 from daisypick_core.results import failure as failure_value
+from daisypick_lab import embedded
 from daisypick_node.http import client
 from daisypick_node.platform import http as http_platform
-import gevent
-
-from daisypick_lab import embedded
 
 CALLER_KEY = "bench-caller-key"
 ORGANISATION = "bench"
--- a/packages/daisypick_lab/src/daisypick_lab/bench/work.py
+++ b/packages/daisypick_lab/src/daisypick_lab/bench/work.py
@@ -2,12 +2,12 @@
 
 import itertools
 
-from daisypick_node.http import client
 import gevent
 from gevent import pool as gevent_pool
 
 from daisypick_lab import callers
 from daisypick_lab.bench import processes
+from daisypick_node.http import client
 
 _TIMEOUT = 60.0
 _OPEN_SECONDS = 0.004
--- a/packages/daisypick_lab/src/daisypick_lab/callers.py
+++ b/packages/daisypick_lab/src/daisypick_lab/callers.py
@@ -9,9 +9,10 @@
 import time
 import typing
 
+import msgspec
+
 from daisypick_node.http import client
 from daisypick_standins.engine import text
-import msgspec
 
 CHAT = "/v1/chat/completions"
 WHOLE = "whole"
--- a/packages/daisypick_lab/src/daisypick_lab/capacity/claim_slopes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/claim_slopes.py
@@ -7,7 +7,6 @@
 from daisypick_core.claims import batcher as batcher_module
 from daisypick_core.claims import entry as claim_entry
 from daisypick_core.claims import outcomes
-
 from daisypick_lab import memory_store
 from daisypick_lab.capacity import slopes
 
--- a/packages/daisypick_lab/src/daisypick_lab/capacity/configuration_slopes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/configuration_slopes.py
@@ -3,6 +3,8 @@
 import functools
 import random
 
+import msgspec
+
 from daisypick_core.configuration import chunks
 from daisypick_core.configuration import model
 from daisypick_core.configuration import root as root_module
@@ -10,10 +12,8 @@
 from daisypick_core.configuration import spread_actions
 from daisypick_core.configuration import wire
 from daisypick_core.membership import directory
-from daisypick_node import configuration_routes
-import msgspec
-
 from daisypick_lab.capacity import slopes
+from daisypick_node import configuration_routes
 
 _POINTS = (2_750, 5_500, 11_000, 22_000)
 _SERVERS = 3_300
--- a/packages/daisypick_lab/src/daisypick_lab/capacity/exchange_slopes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/exchange_slopes.py
@@ -1,12 +1,11 @@
 """One control exchange over HTTP: processor time of both ends together."""
 
+from daisypick_lab.capacity import slopes
 from daisypick_node.http import keys as keys_module
 from daisypick_node.http import peers as peers_module
 from daisypick_node.http import routes
 from daisypick_node.http import server as server_module
 
-from daisypick_lab.capacity import slopes
-
 _PATH = "/internal/echo"
 _CALLS = 300
 
--- a/packages/daisypick_lab/src/daisypick_lab/capacity/roles.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/roles.py
@@ -12,10 +12,9 @@
 from daisypick_core.claims import batcher
 from daisypick_core.claims import entry as claim_entry
 from daisypick_core.configuration import rounds
-from daisypick_node import configuration_service
-
 from daisypick_lab.capacity import size as size_module
 from daisypick_lab.capacity import slopes
+from daisypick_node import configuration_service
 
 _HEADER_BYTES = 330.0
 # Requests that may not be repeated and carry a key, as a part of all. The
--- a/packages/daisypick_lab/src/daisypick_lab/capacity/serving_slopes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/serving_slopes.py
@@ -9,7 +9,6 @@
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.messages import load as load_message
 from daisypick_core.routing import dispatcher as core_dispatcher
-
 from daisypick_lab.capacity import slopes
 
 _SLOTS = 16
--- a/packages/daisypick_lab/src/daisypick_lab/capacity/tally_slopes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/capacity/tally_slopes.py
@@ -12,11 +12,11 @@
 import time
 import typing
 
+import msgspec
+
 from daisypick_core.fairness import reports
 from daisypick_core.fairness import share_order
 from daisypick_core.fairness import tally_node
-import msgspec
-
 from daisypick_lab.capacity import size as size_module
 from daisypick_lab.capacity import slopes
 
--- a/packages/daisypick_lab/src/daisypick_lab/claims_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/claims_model.py
@@ -21,7 +21,6 @@
 from daisypick_core.claims import outcomes
 from daisypick_core.claims import shard
 from daisypick_core.claims import shard_view
-
 from daisypick_lab import memory_store
 
 STORE_SECONDS = 0.005
--- a/packages/daisypick_lab/src/daisypick_lab/configuration_fleet.py
+++ b/packages/daisypick_lab/src/daisypick_lab/configuration_fleet.py
@@ -21,7 +21,6 @@
 from daisypick_core.configuration import wire
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-
 from daisypick_lab import configuration_places
 from daisypick_lab import configuration_size
 
--- a/packages/daisypick_lab/src/daisypick_lab/configuration_sockets.py
+++ b/packages/daisypick_lab/src/daisypick_lab/configuration_sockets.py
@@ -13,9 +13,12 @@
 import time
 import typing
 
+import gevent
+
 from daisypick_cli import publication
 from daisypick_core.configuration import model
 from daisypick_core.results import failure as failure_value
+from daisypick_lab import configuration_size
 from daisypick_node import configuration_service
 from daisypick_node.http import keys as keys_module
 from daisypick_node.http import peers as peers_module
@@ -23,9 +26,6 @@
 from daisypick_node.platform import budget as call_budget
 from daisypick_node.platform import http as http_platform
 from daisypick_standins.platform import server as platform_server
-import gevent
-
-from daisypick_lab import configuration_size
 
 ORGANISATIONS = 1_000
 SECONDS = 10.0
--- a/packages/daisypick_lab/src/daisypick_lab/dispatch_measure.py
+++ b/packages/daisypick_lab/src/daisypick_lab/dispatch_measure.py
@@ -13,7 +13,6 @@
 import typing
 
 from daisypick_core.routing import pick
-
 from daisypick_lab import dispatch_model
 from daisypick_lab import server_model
 
--- a/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/dispatch_model.py
@@ -25,7 +25,6 @@
 from daisypick_core.results import failure as failure_value
 from daisypick_core.routing import actions as routing_actions
 from daisypick_core.routing import dispatcher as core_dispatcher
-
 from daisypick_lab import server_model
 from daisypick_lab import virtual_clock
 
--- a/packages/daisypick_lab/src/daisypick_lab/embedded.py
+++ b/packages/daisypick_lab/src/daisypick_lab/embedded.py
@@ -9,10 +9,15 @@
 import random
 import time
 
+import gevent
+from gevent import socket
+
 from daisypick_cli import publication
 from daisypick_core.configuration import check
 from daisypick_core.configuration import merge
 from daisypick_core.results import failure as failure_value
+from daisypick_lab import folder as folder_files
+from daisypick_lab import shapes
 from daisypick_node import process as process_module
 from daisypick_node import settings as settings_module
 from daisypick_node.agent import process as agent_process
@@ -22,11 +27,6 @@
 from daisypick_standins.engine import server as engine_server
 from daisypick_standins.plain import server as plain_server
 from daisypick_standins.platform import server as platform_server
-import gevent
-from gevent import socket
-
-from daisypick_lab import folder as folder_files
-from daisypick_lab import shapes
 
 FLEET_KEY = "embedded-fleet-key"
 OPERATOR_KEY = "embedded-operator-key"
--- a/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
+++ b/packages/daisypick_lab/src/daisypick_lab/fairness_fleet.py
@@ -20,7 +20,6 @@
 from daisypick_core.gate import concurrency
 from daisypick_core.gate import gate as gate_module
 from daisypick_core.messages import attempt as attempt_message
-
 from daisypick_lab import fairness_settings
 
 
--- a/packages/daisypick_lab/src/daisypick_lab/folder.py
+++ b/packages/daisypick_lab/src/daisypick_lab/folder.py
@@ -14,7 +14,6 @@
 import typing
 
 from daisypick_core.configuration import merge
-
 from daisypick_lab import load
 from daisypick_lab import shapes
 
--- a/packages/daisypick_lab/src/daisypick_lab/load.py
+++ b/packages/daisypick_lab/src/daisypick_lab/load.py
@@ -13,12 +13,12 @@
 import time
 import typing
 
-from daisypick_node.http import client
 import gevent
 from gevent import event
 
 from daisypick_lab import callers
 from daisypick_lab import tally as tally_module
+from daisypick_node.http import client
 
 _PARETO_SHAPE = 1.6
 _LONGEST_FACTOR = 12
--- a/packages/daisypick_lab/src/daisypick_lab/shapes.py
+++ b/packages/daisypick_lab/src/daisypick_lab/shapes.py
@@ -9,9 +9,8 @@
 
 import typing
 
-from daisypick_standins.engine import settings as engine_settings
-
 from daisypick_lab import load
+from daisypick_standins.engine import settings as engine_settings
 
 _LARGE = 4
 _FLOOD = 40
--- a/packages/daisypick_lab/src/daisypick_lab/trouble.py
+++ b/packages/daisypick_lab/src/daisypick_lab/trouble.py
@@ -12,15 +12,15 @@
 from collections.abc import Callable
 import typing
 
-from daisypick_standins.engine import faults as engine_faults
-from daisypick_standins.plain import faults as plain_faults
-from daisypick_standins.platform import faults as platform_faults
 import gevent
 
 from daisypick_lab import embedded
 from daisypick_lab import load
 from daisypick_lab import shapes
 from daisypick_lab import tally as tally_module
+from daisypick_standins.engine import faults as engine_faults
+from daisypick_standins.plain import faults as plain_faults
+from daisypick_standins.platform import faults as platform_faults
 
 Trouble = Callable[[embedded.EmbeddedFleet], None]
 
--- a/packages/daisypick_lab/tests/capacity/test_roles.py
+++ b/packages/daisypick_lab/tests/capacity/test_roles.py
@@ -1,3 +1,5 @@
+import pytest
+
 from daisypick_lab import fit
 from daisypick_lab.capacity import claim_slopes as _claims  # noqa: F401
 from daisypick_lab.capacity import configuration_slopes
@@ -7,7 +9,6 @@
 from daisypick_lab.capacity import size
 from daisypick_lab.capacity import slopes
 from daisypick_lab.capacity import tally_slopes
-import pytest
 
 
 class _Flat(dict):
--- a/packages/daisypick_lab/tests/processes/process_fleet.py
+++ b/packages/daisypick_lab/tests/processes/process_fleet.py
@@ -13,6 +13,8 @@
 import sys
 import time
 
+import gevent
+
 from daisypick_cli import publication
 from daisypick_core.configuration import model
 from daisypick_lab import embedded
@@ -20,7 +22,6 @@
 from daisypick_node.platform import http as http_platform
 from daisypick_standins.plain import server as plain_server
 from daisypick_standins.platform import server as platform_server
-import gevent
 
 CALLER_KEY = "caller-key-of-union"
 FLEET_KEY = "fleet-key-of-tests"
--- a/packages/daisypick_lab/tests/test_callers.py
+++ b/packages/daisypick_lab/tests/test_callers.py
@@ -1,9 +1,10 @@
+import pytest
+
 from daisypick_lab import callers
 from daisypick_node.http import client
 from daisypick_standins.engine import faults as engine_faults
 from daisypick_standins.engine import server
 from daisypick_standins.engine import settings as engine_settings
-import pytest
 
 
 @pytest.fixture
--- a/packages/daisypick_lab/tests/test_commands.py
+++ b/packages/daisypick_lab/tests/test_commands.py
@@ -1,8 +1,9 @@
 from cleo import application
 from cleo.testers import command_tester
-from daisypick_lab import commands
 import pytest
 
+from daisypick_lab import commands
+
 
 def _run(name, arguments):
     daisypick = application.Application()
--- a/packages/daisypick_lab/tests/test_configuration_model.py
+++ b/packages/daisypick_lab/tests/test_configuration_model.py
@@ -1,6 +1,7 @@
+import pytest
+
 from daisypick_lab import configuration_fleet
 from daisypick_lab import configuration_model
-import pytest
 
 LETTER_SECONDS = 12.0
 LETTER_BYTES = 27_000
--- a/packages/daisypick_lab/tests/test_configuration_sockets.py
+++ b/packages/daisypick_lab/tests/test_configuration_sockets.py
@@ -1,6 +1,7 @@
-from daisypick_lab import configuration_sockets
 import gevent
 
+from daisypick_lab import configuration_sockets
+
 
 def test_followers_take_a_change_over_sockets():
     fleet = configuration_sockets.Fleet(count=4)
--- a/packages/daisypick_lab/tests/test_embedded.py
+++ b/packages/daisypick_lab/tests/test_embedded.py
@@ -1,8 +1,9 @@
 import errno
 
-from daisypick_lab import embedded
 import pytest
 
+from daisypick_lab import embedded
+
 
 def test_taken_port_is_left_for_another():
     # Another program takes the port between the search and the start: the
--- a/packages/daisypick_lab/tests/test_fairness_model.py
+++ b/packages/daisypick_lab/tests/test_fairness_model.py
@@ -1,7 +1,8 @@
+import pytest
+
 from daisypick_lab import fairness_faults
 from daisypick_lab import fairness_model
 from daisypick_lab import fairness_settings
-import pytest
 
 AGENTS = 24
 SLOTS = 3
--- a/packages/daisypick_lab/tests/test_gates_and_dispatchers.py
+++ b/packages/daisypick_lab/tests/test_gates_and_dispatchers.py
@@ -3,6 +3,10 @@
 import collections
 import random
 
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
 from daisypick_core.fairness import share_order
 from daisypick_core.gate import actions as gate_actions
 from daisypick_core.gate import admission
@@ -13,9 +17,6 @@
 from daisypick_core.results import failure as failure_value
 from daisypick_core.routing import actions
 from daisypick_core.routing import dispatcher
-import hypothesis
-from hypothesis import stateful
-from hypothesis import strategies
 
 AGENTS = ("a", "b", "c")
 WITHDRAWN = failure_value.Failure(code=codes.WITHDRAWN, reason="withdrawn")
--- a/packages/daisypick_lab/tests/test_run.py
+++ b/packages/daisypick_lab/tests/test_run.py
@@ -1,9 +1,10 @@
+import msgspec
+
 from daisypick_lab import comparison
 from daisypick_lab import report
 from daisypick_lab import results
 from daisypick_lab import run
 from daisypick_lab import shapes
-import msgspec
 
 
 def test_small_run_and_its_result(tmp_path):
--- a/packages/daisypick_lab/tests/test_trouble.py
+++ b/packages/daisypick_lab/tests/test_trouble.py
@@ -3,10 +3,11 @@
 # booking that ran twice, a "not run" of a call that ran, or no answer at all.
 # Refusals are allowed, but only with the codes that belong to the trouble.
 
+import pytest
+
 from daisypick_core.results import codes
 from daisypick_lab import shapes
 from daisypick_lab import trouble
-import pytest
 
 UNKNOWN = {codes.OUTCOME_UNKNOWN.number, codes.KEY_IN_PROGRESS.number}
 OF_SERVICE = {
--- a/packages/daisypick_node/src/daisypick_node/agent/answers.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/answers.py
@@ -11,11 +11,12 @@
 from collections.abc import Iterator
 import typing
 
+import gevent.event
+
 from daisypick_core.messages import frame
 from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent.event
 
 
 class Usage(typing.NamedTuple):
--- a/packages/daisypick_node/src/daisypick_node/agent/attempt_routes.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/attempt_routes.py
@@ -15,13 +15,13 @@
 import typing
 import urllib.parse
 
+import msgspec
+
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.messages import frame
 from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import msgspec
-
 from daisypick_node.agent import answers
 from daisypick_node.agent import driver as driver_module
 from daisypick_node.agent import runner
--- a/packages/daisypick_node/src/daisypick_node/agent/claim_service.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/claim_service.py
@@ -17,6 +17,10 @@
 import random
 import typing
 
+import gevent
+import gevent.event
+import msgspec
+
 from daisypick_core.claims import actions
 from daisypick_core.claims import batcher as core_batcher
 from daisypick_core.claims import claimant as core_claimant
@@ -31,10 +35,6 @@
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent
-import gevent.event
-import msgspec
-
 from daisypick_node.http import peers as peers_module
 from daisypick_node.http import routes
 from daisypick_node.platform import interface
--- a/packages/daisypick_node/src/daisypick_node/agent/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/driver.py
@@ -8,6 +8,8 @@
 import functools
 import typing
 
+import gevent
+
 from daisypick_core.claims import entry as claim_entry
 from daisypick_core.claims import verdicts
 from daisypick_core.gate import actions
@@ -19,8 +21,6 @@
 from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent
-
 from daisypick_node import logs
 from daisypick_node import records
 from daisypick_node.agent import answers
--- a/packages/daisypick_node/src/daisypick_node/agent/idle_word.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/idle_word.py
@@ -6,11 +6,11 @@
 
 import random
 
+import gevent
+
 from daisypick_core.configuration import model
 from daisypick_core.gate import gate as core_gate
 from daisypick_core.gate import idle_peers
-import gevent
-
 from daisypick_node.agent import attempt_routes
 from daisypick_node.http import peers as peers_module
 
--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -11,7 +11,6 @@
 from daisypick_core.gate import concurrency
 from daisypick_core.gate import drain_state
 from daisypick_core.gate import gate as core_gate
-
 from daisypick_node import process
 from daisypick_node import settings as settings_module
 from daisypick_node.agent import answers
--- a/packages/daisypick_node/src/daisypick_node/agent/runner.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/runner.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 import typing
 
+import gevent
+
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent
-
 from daisypick_node.agent import answers
 from daisypick_node.agent import usage as usage_module
 from daisypick_node.http import client
--- a/packages/daisypick_node/src/daisypick_node/agent/same_answer.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/same_answer.py
@@ -9,13 +9,13 @@
 from collections.abc import Iterator
 import urllib.parse
 
+import gevent
+import msgspec
+
 from daisypick_core.claims import entry as claim_entry
 from daisypick_core.messages import frame
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent
-import msgspec
-
 from daisypick_node.agent import answers
 from daisypick_node.http import client
 
--- a/packages/daisypick_node/src/daisypick_node/agent/tally_service.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/tally_service.py
@@ -13,6 +13,8 @@
 import random
 import typing
 
+import gevent.pool
+
 from daisypick_core.configuration import model
 from daisypick_core.fairness import fan_in
 from daisypick_core.fairness import reports
@@ -21,8 +23,6 @@
 from daisypick_core.membership import directory as member_directory
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent.pool
-
 from daisypick_node import logs
 from daisypick_node.http import peers as peers_module
 from daisypick_node.http import routes
--- a/packages/daisypick_node/src/daisypick_node/configuration_routes.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_routes.py
@@ -21,7 +21,6 @@
 from daisypick_core.membership import directory as member_directory
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-
 from daisypick_node.http import peers as peers_module
 from daisypick_node.http import routes
 
--- a/packages/daisypick_node/src/daisypick_node/configuration_service.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_service.py
@@ -14,6 +14,9 @@
 import typing
 import urllib.parse
 
+import gevent
+import gevent.pool
+
 from daisypick_core.configuration import model
 from daisypick_core.configuration import rounds
 from daisypick_core.configuration import spread
@@ -23,9 +26,6 @@
 from daisypick_core.membership import directory as member_directory
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent
-import gevent.pool
-
 from daisypick_node import configuration_routes
 from daisypick_node import configuration_store
 from daisypick_node import logs
--- a/packages/daisypick_node/src/daisypick_node/configuration_store.py
+++ b/packages/daisypick_node/src/daisypick_node/configuration_store.py
@@ -18,7 +18,6 @@
 from daisypick_core.configuration import wire
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-
 from daisypick_node.platform import interface
 
 KIND = "configuration"
--- a/packages/daisypick_node/src/daisypick_node/http/peers.py
+++ b/packages/daisypick_node/src/daisypick_node/http/peers.py
@@ -6,10 +6,10 @@
 
 import typing
 
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
 import msgspec
 
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
 from daisypick_node.http import client
 
 # Headers of a call and of its answer together: 330 bytes were counted on a
--- a/packages/daisypick_node/src/daisypick_node/http/routes.py
+++ b/packages/daisypick_node/src/daisypick_node/http/routes.py
@@ -9,11 +9,12 @@
 from collections.abc import Mapping
 import typing
 
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
 import gevent.socket
 import msgspec
 
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
+
 JSON = "application/json"
 PROBLEM = "application/problem+json"
 FRAMES = "application/x-ndjson"
--- a/packages/daisypick_node/src/daisypick_node/http/server.py
+++ b/packages/daisypick_node/src/daisypick_node/http/server.py
@@ -8,13 +8,13 @@
 from collections.abc import Iterable
 import typing
 
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
 import gevent
 from gevent import pywsgi
 import gevent.pool
 import gevent.socket
 
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
 from daisypick_node.http import client
 from daisypick_node.http import keys as keys_module
 from daisypick_node.http import routes as routes_module
--- a/packages/daisypick_node/src/daisypick_node/main.py
+++ b/packages/daisypick_node/src/daisypick_node/main.py
@@ -10,10 +10,10 @@
 from cleo import application
 from cleo import helpers
 from cleo.commands import command
-from daisypick_core.results import failure as failure_value
 import gevent
 import gevent.event
 
+from daisypick_core.results import failure as failure_value
 from daisypick_node import logs
 from daisypick_node import process as process_module
 from daisypick_node import settings as settings_module
--- a/packages/daisypick_node/src/daisypick_node/platform/http.py
+++ b/packages/daisypick_node/src/daisypick_node/platform/http.py
@@ -14,11 +14,11 @@
 import typing
 import urllib.parse
 
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
 import gevent
 import msgspec
 
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
 from daisypick_node.http import client as http_client
 from daisypick_node.platform import budget as call_budget
 from daisypick_node.platform import connections
--- a/packages/daisypick_node/src/daisypick_node/process.py
+++ b/packages/daisypick_node/src/daisypick_node/process.py
@@ -10,11 +10,11 @@
 import typing
 import urllib.parse
 
+import gevent
+
 from daisypick_core.configuration import model
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent
-
 from daisypick_node import configuration_service
 from daisypick_node import logs
 from daisypick_node import metrics as metrics_module
--- a/packages/daisypick_node/src/daisypick_node/router/accounting.py
+++ b/packages/daisypick_node/src/daisypick_node/router/accounting.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 from daisypick_core.results import failure as failure_value
-
 from daisypick_node import metrics as metrics_module
 from daisypick_node.router import exchange as exchange_module
 from daisypick_node.router import relay as relay_module
--- a/packages/daisypick_node/src/daisypick_node/router/caller_routes.py
+++ b/packages/daisypick_node/src/daisypick_node/router/caller_routes.py
@@ -12,11 +12,11 @@
 import typing
 import uuid
 
+import msgspec
+
 from daisypick_core.configuration import model
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import msgspec
-
 from daisypick_node.http import routes
 from daisypick_node.router import driver as driver_module
 from daisypick_node.router import exchange as exchange_module
--- a/packages/daisypick_node/src/daisypick_node/router/driver.py
+++ b/packages/daisypick_node/src/daisypick_node/router/driver.py
@@ -9,15 +9,15 @@
 import functools
 import typing
 
+import gevent
+import msgspec
+
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 from daisypick_core.routing import actions
 from daisypick_core.routing import dispatcher as core_dispatcher
-import gevent
-import msgspec
-
 from daisypick_node import logs
 from daisypick_node import records
 from daisypick_node.agent import attempt_routes
--- a/packages/daisypick_node/src/daisypick_node/router/exchange.py
+++ b/packages/daisypick_node/src/daisypick_node/router/exchange.py
@@ -5,7 +5,6 @@
 import typing
 
 from daisypick_core.configuration import model
-
 from daisypick_node.http import routes
 
 
--- a/packages/daisypick_node/src/daisypick_node/router/filters/admit.py
+++ b/packages/daisypick_node/src/daisypick_node/router/filters/admit.py
@@ -2,7 +2,6 @@
 
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-
 from daisypick_node.router import exchange as exchange_module
 
 
--- a/packages/daisypick_node/src/daisypick_node/router/filters/classify.py
+++ b/packages/daisypick_node/src/daisypick_node/router/filters/classify.py
@@ -3,11 +3,11 @@
 import posixpath
 import urllib.parse
 
+import msgspec
+
 from daisypick_core.configuration import model
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import msgspec
-
 from daisypick_node.router import exchange as exchange_module
 
 CHAT = "/v1/chat/completions"
--- a/packages/daisypick_node/src/daisypick_node/router/filters/estimate.py
+++ b/packages/daisypick_node/src/daisypick_node/router/filters/estimate.py
@@ -1,9 +1,9 @@
 """Expected cost of a request, and the prefix of its prompt."""
 
-from daisypick_core.configuration import model
-from daisypick_core.results import failure as failure_value
 import xxhash
 
+from daisypick_core.configuration import model
+from daisypick_core.results import failure as failure_value
 from daisypick_node.router import exchange as exchange_module
 from daisypick_node.router.filters import classify
 
--- a/packages/daisypick_node/src/daisypick_node/router/filters/identify.py
+++ b/packages/daisypick_node/src/daisypick_node/router/filters/identify.py
@@ -4,7 +4,6 @@
 
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-
 from daisypick_node.http import keys
 from daisypick_node.router import exchange as exchange_module
 
--- a/packages/daisypick_node/src/daisypick_node/router/filters/read.py
+++ b/packages/daisypick_node/src/daisypick_node/router/filters/read.py
@@ -1,8 +1,8 @@
 """Read the body, within bounds of size and time."""
 
-from daisypick_core.results import failure as failure_value
 import xxhash
 
+from daisypick_core.results import failure as failure_value
 from daisypick_node.router import exchange as exchange_module
 
 
--- a/packages/daisypick_node/src/daisypick_node/router/pipeline.py
+++ b/packages/daisypick_node/src/daisypick_node/router/pipeline.py
@@ -7,7 +7,6 @@
 from collections.abc import Callable
 
 from daisypick_core.results import failure as failure_value
-
 from daisypick_node.router import exchange as exchange_module
 from daisypick_node.router.filters import admit
 from daisypick_node.router.filters import classify
--- a/packages/daisypick_node/src/daisypick_node/router/process.py
+++ b/packages/daisypick_node/src/daisypick_node/router/process.py
@@ -8,7 +8,6 @@
 
 from daisypick_core.configuration import model
 from daisypick_core.routing import dispatcher as core_dispatcher
-
 from daisypick_node import process
 from daisypick_node import settings as settings_module
 from daisypick_node.http import client
--- a/packages/daisypick_node/src/daisypick_node/router/relay.py
+++ b/packages/daisypick_node/src/daisypick_node/router/relay.py
@@ -7,11 +7,12 @@
 
 import typing
 
+import gevent.event
+
 from daisypick_core.messages import frame
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
 from daisypick_core.routing import splice
-import gevent.event
 
 # A caller that reads slowly holds the agent back instead of filling memory.
 HIGH_WATER_BYTES = 1_048_576
--- a/packages/daisypick_node/src/daisypick_node/router/sender.py
+++ b/packages/daisypick_node/src/daisypick_node/router/sender.py
@@ -11,14 +11,14 @@
 import typing
 import urllib.parse
 
+import gevent
+import msgspec
+
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_core.messages import frame
 from daisypick_core.messages import load as load_message
 from daisypick_core.results import codes
 from daisypick_core.results import failure as failure_value
-import gevent
-import msgspec
-
 from daisypick_node.agent import attempt_routes
 from daisypick_node.http import client
 from daisypick_node.http import peers as peers_module
--- a/packages/daisypick_node/src/daisypick_node/settings.py
+++ b/packages/daisypick_node/src/daisypick_node/settings.py
@@ -8,11 +8,11 @@
 from collections.abc import Mapping
 import typing
 
-from daisypick_core.results import codes
-from daisypick_core.results import failure as failure_value
 import pydantic
 import pydantic_settings
 
+from daisypick_core.results import codes
+from daisypick_core.results import failure as failure_value
 from daisypick_node.http import client
 
 PREFIX = "DAISYPICK_"
--- a/packages/daisypick_node/src/daisypick_node/vm_watch.py
+++ b/packages/daisypick_node/src/daisypick_node/vm_watch.py
@@ -12,10 +12,10 @@
 from collections.abc import Callable
 import random
 
-from daisypick_core.membership import directory as member_directory
-from daisypick_core.results import failure as failure_value
 import gevent
 
+from daisypick_core.membership import directory as member_directory
+from daisypick_core.results import failure as failure_value
 from daisypick_node import logs
 from daisypick_node.http import client
 from daisypick_node.http import peers as peers_module
--- a/packages/daisypick_node/tests/agent/test_driver.py
+++ b/packages/daisypick_node/tests/agent/test_driver.py
@@ -1,6 +1,7 @@
+import fleet as fleet_module
+
 from daisypick_core.messages import attempt as attempt_message
 from daisypick_node.agent import runner
-import fleet as fleet_module
 
 
 def make_work(agent, attempt_id):
--- a/packages/daisypick_node/tests/agent/test_tally_service.py
+++ b/packages/daisypick_node/tests/agent/test_tally_service.py
@@ -1,7 +1,8 @@
-from daisypick_core.membership import directory as member_directory
 import fleet as fleet_module
 import pytest
 
+from daisypick_core.membership import directory as member_directory
+
 
 @pytest.fixture
 def fleet():
--- a/packages/daisypick_node/tests/fleet.py
+++ b/packages/daisypick_node/tests/fleet.py
@@ -4,6 +4,11 @@
 import json
 import types
 
+import gevent
+from gevent import pywsgi
+from gevent import server
+import wire
+
 from daisypick_core.configuration import model
 from daisypick_node import settings as settings_module
 from daisypick_node.agent import process as agent_process
@@ -11,10 +16,6 @@
 from daisypick_node.platform import http as http_platform
 from daisypick_node.router import process as router_process
 from daisypick_standins.platform import server as platform_server
-import gevent
-from gevent import pywsgi
-from gevent import server
-import wire
 
 CHAT = "/v1/chat/completions"
 BODY = json.dumps(
--- a/packages/daisypick_node/tests/http/test_client.py
+++ b/packages/daisypick_node/tests/http/test_client.py
@@ -1,7 +1,8 @@
-from daisypick_node.http import client
 import gevent.server
 import pytest
 
+from daisypick_node.http import client
+
 
 @pytest.fixture
 def closing_server():
--- a/packages/daisypick_node/tests/platform/test_http.py
+++ b/packages/daisypick_node/tests/platform/test_http.py
@@ -1,11 +1,12 @@
+import gevent
+import pytest
+
 from daisypick_core.results import codes
 from daisypick_node.platform import budget as call_budget
 from daisypick_node.platform import http
 from daisypick_node.platform import interface
 from daisypick_standins.platform import faults
 from daisypick_standins.platform import server
-import gevent
-import pytest
 
 
 @pytest.fixture
--- a/packages/daisypick_node/tests/router/test_organisation_index.py
+++ b/packages/daisypick_node/tests/router/test_organisation_index.py
@@ -1,8 +1,9 @@
-from daisypick_core.configuration import model
-from daisypick_node.router import organisation_index
 import hypothesis
 from hypothesis import strategies
 
+from daisypick_core.configuration import model
+from daisypick_node.router import organisation_index
+
 # Which organisation has each key, if any, in one configuration after another.
 OWNERS = strategies.lists(
     strategies.dictionaries(
--- a/packages/daisypick_node/tests/test_at_most_once.py
+++ b/packages/daisypick_node/tests/test_at_most_once.py
@@ -1,9 +1,10 @@
-from daisypick_standins.platform import faults
 import fleet as fleet_module
 import gevent
 import gevent.event
 import pytest
 
+from daisypick_standins.platform import faults
+
 BOOKINGS = "/services/desk/bookings"
 
 
--- a/packages/daisypick_node/tests/test_cold_start.py
+++ b/packages/daisypick_node/tests/test_cold_start.py
@@ -1,9 +1,10 @@
-from daisypick_node.agent import runner
 import fleet as fleet_module
 import gevent
 import gevent.event
 import pytest
 
+from daisypick_node.agent import runner
+
 
 @pytest.fixture
 def make_fleet():
--- a/packages/daisypick_node/tests/test_configuration_service.py
+++ b/packages/daisypick_node/tests/test_configuration_service.py
@@ -1,6 +1,10 @@
 import random
 import time
 
+import gevent
+import msgspec
+import pytest
+
 from daisypick_core.configuration import chunks
 from daisypick_core.configuration import model
 from daisypick_core.configuration import root as root_object
@@ -16,9 +20,6 @@
 from daisypick_node.platform import http as http_platform
 from daisypick_standins.platform import faults
 from daisypick_standins.platform import server as platform_server
-import gevent
-import msgspec
-import pytest
 
 KEYS = keys_module.Keys(fleet=("fleet-key",), operator=("operator-key",))
 # A node that took itself for a watcher learns otherwise only when its watch
--- a/packages/daisypick_node/tests/test_shutdown.py
+++ b/packages/daisypick_node/tests/test_shutdown.py
@@ -1,13 +1,14 @@
 import json
 
-from daisypick_core.gate import admission
-from daisypick_core.membership import directory as member_directory
-from daisypick_standins.platform import vms
 import fleet as fleet_module
 import gevent
 import gevent.event
 import pytest
 
+from daisypick_core.gate import admission
+from daisypick_core.membership import directory as member_directory
+from daisypick_standins.platform import vms
+
 
 @pytest.fixture
 def make_fleet():
--- a/packages/daisypick_node/tests/test_tls.py
+++ b/packages/daisypick_node/tests/test_tls.py
@@ -1,10 +1,11 @@
 import pathlib
 
-from daisypick_node import settings as settings_module
-from daisypick_node.http import client
 import fleet as fleet_module
 import pytest
 
+from daisypick_node import settings as settings_module
+from daisypick_node.http import client
+
 FOLDER = pathlib.Path(__file__).parent / "tls"
 TLS = {
     "tls_certificate": str(FOLDER / "certificate.pem"),
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -0,0 +1,194 @@
+"""Copies of what the platform's store holds: configuration and servers.
+
+Each copy stands while the store is away. A configuration never goes back: a
+list read from a store that lags is older than what we have, and is passed
+over.
+"""
+
+from collections.abc import Callable
+import random
+import time
+
+import gevent
+
+from daisypick_core.results import failure
+from daisypick_core.serving import directory as directories
+from daisypick_core.serving import fleet_configuration
+from daisypick_platform import entries
+from daisypick_platform import manifest
+from daisypick_platform import store as stores
+from daisypick_platform import watch
+from daisypick_router import log as logs
+
+_EXPIRE_SECONDS = 0.2
+
+
+class Discovery:
+    """The newest configuration and the servers that may get work.
+
+    ``on_servers()`` is called when the servers have changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: stores.StoreClient,
+        log: logs.Log,
+        rng: random.Random,
+        on_servers: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._log = log
+        self._rng = rng
+        self._on_servers = on_servers
+        self.configuration: fleet_configuration.FleetConfiguration | None = None
+        self.directory = directories.Directory()
+        self.has_servers = False
+        self._away = False
+        self._unreadable: set[str] = set()
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        self._follow(
+            manifest.KIND, self._take_configurations, self._take_configuration
+        )
+        self._follow(entries.KIND, self._take_servers, self._take_server)
+        self._follow(entries.OUT_KIND, self._take_out_list, self._take_out)
+        gevent.spawn(self._expire_missing)
+
+    def _follow(
+        self,
+        kind: str,
+        on_list: Callable[[tuple[stores.StoredObject, ...]], None],
+        on_change: Callable[[stores.StoredObject], None],
+    ) -> None:
+        watcher = watch.Watcher(
+            store=self._store,
+            kind=kind,
+            on_list=on_list,
+            on_change=on_change,
+            on_contact=self._note_contact,
+            rng=self._rng,
+        )
+        gevent.spawn(watcher.run)
+
+    def _note_contact(self, trouble: failure.Failure | None) -> None:
+        now = time.monotonic()
+        if trouble is None:
+            self.directory.note_contact(now)
+            if self._away:
+                self._away = False
+                self._log.write("store", "The store answers again.")
+            return
+        self.directory.note_outage(now)
+        if not self._away:
+            self._away = True
+            self._log.write(
+                "store", "The store does not answer.", reason=trouble.reason
+            )
+
+    def _take_configurations(
+        self, objects: tuple[stores.StoredObject, ...]
+    ) -> None:
+        for stored in objects:
+            self._take_configuration(stored)
+
+    def _take_configuration(self, stored: stores.StoredObject) -> None:
+        if stored.name != manifest.NAME or stored.deleted:
+            return
+        decoded = manifest.decode(stored.spec)
+        if failure.is_failure(decoded):
+            self._log.write(
+                "configuration",
+                "A configuration is unreadable; the last one stands.",
+                reason=decoded.reason,
+            )
+            return
+        held = self.configuration
+        if held is not None and decoded.version <= held.version:
+            return
+        self.configuration = decoded
+        self._log.write(
+            "configuration",
+            "A new configuration is in force.",
+            version=decoded.version,
+            routes=len(decoded.routes),
+        )
+        self._on_servers()
+
+    def _take_servers(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        now = time.monotonic()
+        servers = [self._read_server(stored, now) for stored in objects]
+        self.directory.replace_all(
+            (server for server in servers if server is not None), now
+        )
+        self.has_servers = True
+        self._log.write(
+            "servers",
+            "Read the list of backend servers.",
+            listed=len(objects),
+            known=len(self.directory.server_by_name),
+        )
+        self._on_servers()
+
+    def _read_server(self, stored: stores.StoredObject, now: float):  # noqa: ANN202
+        decoded = entries.decode(stored.name, stored.spec, now)
+        if not failure.is_failure(decoded):
+            return decoded
+        if stored.name not in self._unreadable:
+            self._unreadable.add(stored.name)
+            self._log.write(
+                "servers", "Passed over an entry.", reason=decoded.reason
+            )
+        return None
+
+    def _take_server(self, stored: stores.StoredObject) -> None:
+        now = time.monotonic()
+        server = None
+        if not stored.deleted:
+            server = self._read_server(stored, now)
+        if server is None:
+            self.directory.remove(stored.name, now)
+            self._log.write("servers", "An entry is gone.", server=stored.name)
+        else:
+            self.directory.put(server)
+            self._log.write(
+                "servers",
+                "An entry changed.",
+                server=server.name,
+                draining=server.draining,
+                cold_seconds=round(max(server.cold_until - now, 0.0), 3),
+                born=server.born,
+            )
+        self._on_servers()
+
+    def _take_out_list(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        self.directory.data_centres_out = frozenset(
+            stored.name for stored in objects if not stored.deleted
+        )
+        self._on_servers()
+
+    def _take_out(self, stored: stores.StoredObject) -> None:
+        out = set(self.directory.data_centres_out)
+        if stored.deleted:
+            out.discard(stored.name)
+        else:
+            out.add(stored.name)
+        self.directory.data_centres_out = frozenset(out)
+        self._log.write(
+            "servers",
+            "A data centre is taken out or back.",
+            data_centre=stored.name,
+            out=not stored.deleted,
+        )
+        self._on_servers()
+
+    def _expire_missing(self) -> None:
+        while True:
+            gevent.sleep(_EXPIRE_SECONDS)
+            gone = self.directory.expire(time.monotonic())
+            if gone:
+                self._log.write(
+                    "servers", "Missing entries are gone.", servers=gone
+                )
+                self._on_servers()
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -0,0 +1,156 @@
+"""Driver of the schedulers of model services, within one process.
+
+Requests wait here as greenlets; the scheduler's actions wake them.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import random
+import time
+
+import gevent
+from gevent import event
+
+from daisypick_core.scheduling import actions
+from daisypick_core.scheduling import job
+from daisypick_core.scheduling import scheduler as schedulers
+from daisypick_core.serving import fleet_configuration
+from daisypick_router import discovery as discoveries
+
+# How often waiting requests are looked at for having waited too long; a
+# twentieth of the shortest objective.
+_TICK_SECONDS = 0.015
+
+
+class EngineServers:
+    """Schedulers by service, and who waits for them."""
+
+    def __init__(
+        self,
+        *,
+        discovery: "discoveries.Discovery",
+        window_seconds: float,
+        rng: random.Random,
+    ) -> None:
+        self._discovery = discovery
+        self._window_seconds = window_seconds
+        self._rng = rng
+        self._routers = 1
+        self._share = 1.0
+        self._scheduler_by_service: dict[str, schedulers.Scheduler] = {}
+        self._deliver_by_key: dict[str, Callable[[actions.Action], None]] = {}
+
+    def start(self) -> None:
+        """Begin to look at waiting requests."""
+        gevent.spawn(self._tick)
+
+    def set_fleet(self, *, routers: int, share: float) -> None:
+        """Take the number of routers and the part of the capacity to use."""
+        self._routers = routers
+        self._share = share
+        for scheduler in self._scheduler_by_service.values():
+            scheduler.set_fleet(routers=routers, share=share)
+
+    def update_servers(self) -> None:
+        """Take the servers that may get work from the directory."""
+        configuration = self._discovery.configuration
+        if configuration is None:
+            return
+        for service in configuration.service_by_name.values():
+            if service.engine is None:
+                continue
+            scheduler = self.find_scheduler(service)
+            scheduler.set_servers(
+                schedulers.ServerState(
+                    name=server.name,
+                    slots=min(server.slots, service.engine.slots),
+                    cold_until=server.cold_until,
+                    born=server.born,
+                )
+                for server in self._discovery.directory.find_ready(service.name)
+            )
+            self._apply(scheduler.dispatch(time.monotonic()))
+
+    def find_scheduler(
+        self, service: fleet_configuration.Service
+    ) -> schedulers.Scheduler:
+        """Return the scheduler of a service."""
+        scheduler = self._scheduler_by_service.get(service.name)
+        if scheduler is None:
+            scheduler = schedulers.Scheduler(
+                kv_tokens=service.engine.kv_tokens,
+                cold_rate=service.cold_rate,
+                window_seconds=self._window_seconds,
+                rng=self._rng,
+            )
+            scheduler.set_fleet(routers=self._routers, share=self._share)
+            self._scheduler_by_service[service.name] = scheduler
+        return scheduler
+
+    def acquire(
+        self, service: fleet_configuration.Service, work: job.Job
+    ) -> actions.Action:
+        """Wait until a request may start, or is refused."""
+        result = event.AsyncResult()
+        self.submit(service, work, result.set)
+        try:
+            return result.get()
+        except gevent.GreenletExit:
+            self._deliver_by_key.pop(work.key, None)
+            self.withdraw(service, work.key)
+            raise
+
+    def submit(
+        self,
+        service: fleet_configuration.Service,
+        work: job.Job,
+        deliver: Callable[[actions.Action], None],
+    ) -> None:
+        """Take a request; ``deliver`` is called with what becomes of it."""
+        self._deliver_by_key[work.key] = deliver
+        scheduler = self.find_scheduler(service)
+        self._apply(scheduler.submit(work, time.monotonic()))
+
+    def withdraw(self, service: fleet_configuration.Service, key: str) -> None:
+        """A waiting or running request's caller left."""
+        self._deliver_by_key.pop(key, None)
+        scheduler = self.find_scheduler(service)
+        self._apply(scheduler.withdraw(key, time.monotonic()))
+
+    def note_first_token(
+        self, service: fleet_configuration.Service, key: str
+    ) -> None:
+        """A request's first token came."""
+        scheduler = self.find_scheduler(service)
+        self._apply(scheduler.note_first_token(key, time.monotonic()))
+
+    def note_end(self, service: fleet_configuration.Service, key: str) -> None:
+        """A request ended at its server."""
+        scheduler = self.find_scheduler(service)
+        self._apply(scheduler.note_end(key, time.monotonic()))
+
+    def note_failure(
+        self,
+        service: fleet_configuration.Service,
+        key: str,
+        *,
+        certain: bool,
+    ) -> None:
+        """A request failed at its server."""
+        scheduler = self.find_scheduler(service)
+        self._apply(
+            scheduler.note_failure(key, time.monotonic(), certain=certain)
+        )
+
+    def _apply(self, decided: Iterable[actions.Action]) -> None:
+        for action in decided:
+            deliver = self._deliver_by_key.pop(action.key, None)
+            if deliver is not None:
+                deliver(action)
+
+    def _tick(self) -> None:
+        while True:
+            gevent.sleep(_TICK_SECONDS)
+            for scheduler in self._scheduler_by_service.values():
+                if scheduler.waiting:
+                    self._apply(scheduler.tick(time.monotonic()))
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -0,0 +1,255 @@
+"""The way of a request to a model service: scheduled, streamed.
+
+The scheduler says when and where the request starts. The head of the answer
+is held until the first whole event, so a server that breaks off before it
+costs the caller nothing but time. A stream that breaks off later goes on at
+another server if its route allows that; else the caller's connection is cut,
+so that the stream cannot look whole.
+"""
+
+import time
+
+from daisypick_core.results import codes
+from daisypick_core.results import failure
+from daisypick_core.scheduling import actions
+from daisypick_core.scheduling import job
+from daisypick_core.serving import backend_server
+from daisypick_core.serving import event_stream
+from daisypick_http import messages
+from daisypick_http import pool as pools
+from daisypick_http import server as http_server
+from daisypick_router import context as contexts
+from daisypick_router import discovery as discoveries
+from daisypick_router import engine_servers
+from daisypick_router import exchange
+from daisypick_router import metrics as metric_numbers
+from daisypick_router import plain_way
+from daisypick_router import relay
+from daisypick_router import tries as try_rules
+
+_EVENT_STREAM = b"text/event-stream"
+# Silence after which a server that began a stream is given up. Callers give
+# up themselves after two seconds at the least.
+_EVENT_SILENCE = 1.2
+# The same for the first event of a stream that may go on elsewhere, in
+# objectives and at least in seconds.
+_FIRST_SILENCE_OBJECTIVES = 2.5
+_FIRST_SILENCE = 1.0
+# Part of the most tokens that a caller allows which is generated, where it
+# gives no guess of its own.
+_OUTPUT_SHARE = 0.5
+
+
+class EngineWay:
+    """Serves requests of model services."""
+
+    def __init__(
+        self,
+        *,
+        pool: pools.Pool,
+        discovery: discoveries.Discovery,
+        servers: engine_servers.EngineServers,
+        tries: try_rules.Tries,
+        metrics: metric_numbers.Metrics,
+        router: str,
+    ) -> None:
+        self._pool = pool
+        self._discovery = discovery
+        self._servers = servers
+        self._tries = tries
+        self._metrics = metrics
+        self._router = router
+
+    def serve(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+    ) -> failure.Failure | str:
+        """Answer a request; return a word on how, or the failure."""
+        stream = event_stream.EventStream(last_id=context.words.last_event)
+        tried: try_rules.FailedTry | None = None
+        while tried is None or self._tries.may_send_again(context, tried):
+            work = self._make_job(context)
+            decided = self._servers.acquire(context.service, work)
+            if isinstance(decided, actions.Refuse):
+                return self._give_up(context, tried, decided)
+            server = self._discovery.directory.server_by_name.get(
+                decided.server
+            )
+            context.tried.add(decided.server)
+            if server is None:
+                self._servers.note_end(context.service, work.key)
+                continue
+            tried = self._try(connection, context, work, server, stream)
+            if isinstance(tried, str):
+                return tried
+            self._tries.note_failed(context, decided.server, tried)
+        return try_rules.conclude(context, tried)
+
+    def _give_up(
+        self,
+        context: contexts.Context,
+        tried: try_rules.FailedTry | None,
+        refused: actions.Refuse,
+    ) -> failure.Failure:
+        if context.may_have_run:
+            return try_rules.conclude(context, tried)
+        return failure.Failure(
+            code=codes.TOO_LATE,
+            reason=refused.reason,
+            retry_after=refused.retry_after,
+        )
+
+    def _make_job(self, context: contexts.Context) -> job.Job:
+        words = context.words
+        expected = words.expected_tokens
+        if not expected:
+            expected = int(words.output_tokens * _OUTPUT_SHARE)
+        objective_at = context.objective_at
+        if context.arrivals:
+            # Late already; the caller's patience decides.
+            objective_at = max(
+                objective_at, time.monotonic() + context.route.objective
+            )
+        return job.Job(
+            key=f"{context.attempt}/{len(context.tried)}",
+            router=self._router,
+            organisation=context.organisation or "",
+            parts=tuple(
+                job.Part(name=part.name, tokens=part.tokens)
+                for part in words.parts
+            ),
+            prompt_tokens=words.prompt_tokens,
+            output_tokens=min(expected, words.output_tokens or expected),
+            arrived_at=time.monotonic(),
+            objective_at=objective_at,
+            avoid=frozenset(context.tried),
+        )
+
+    def _try(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+        work: job.Job,
+        server: backend_server.BackendServer,
+        stream: event_stream.EventStream,
+    ) -> try_rules.FailedTry | str:
+        """Send a request once and pass on what comes."""
+        tried: try_rules.FailedTry | str | None = None
+        try:
+            tried = self._exchange(connection, context, work, server, stream)
+        finally:
+            if isinstance(tried, str):
+                self._servers.note_end(context.service, work.key)
+            elif tried is None:
+                self._servers.withdraw(context.service, work.key)
+            else:
+                down = isinstance(tried, exchange.NotRun) and tried.server_down
+                self._servers.note_failure(
+                    context.service, work.key, certain=down
+                )
+        return tried
+
+    def _exchange(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+        work: job.Job,
+        server: backend_server.BackendServer,
+        stream: event_stream.EventStream,
+    ) -> try_rules.FailedTry | str:
+        opened = exchange.open_exchange(
+            self._pool,
+            context,
+            server,
+            last_event=stream.last_id,
+            silence=self._first_silence(context),
+        )
+        if isinstance(opened, exchange.NotRun):
+            context.arrivals += opened.arrived
+            return opened
+        context.arrivals += 1
+        if isinstance(opened, exchange.Unknown):
+            return opened
+        kind = messages.find_header(opened.head.headers, b"content-type")
+        if opened.head.status != 200 or not (kind or b"").startswith(
+            _EVENT_STREAM
+        ):
+            return self._pass_whole(connection, context, opened)
+        return self._pass_stream(connection, context, work, opened, stream)
+
+    def _first_silence(self, context: contexts.Context) -> float:
+        left = context.deadline - time.monotonic()
+        if not context.may_run_again:
+            return left
+        patience = context.route.objective * _FIRST_SILENCE_OBJECTIVES
+        return min(left, max(patience, _FIRST_SILENCE))
+
+    def _pass_whole(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+        opened: exchange.Opened,
+    ) -> relay.Broken | str:
+        answer = plain_way.read_whole(self._pool, opened, context.deadline)
+        if isinstance(answer, relay.Broken):
+            return answer
+        if connection.answer_begun:
+            return relay.Broken(
+                reason=f"server answered {answer.head.status} to go on"
+            )
+        plain_way.deliver(connection, answer)
+        return f"answered_{answer.head.status}"
+
+    def _pass_stream(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+        work: job.Job,
+        opened: exchange.Opened,
+        stream: event_stream.EventStream,
+    ) -> relay.Broken | str:
+        reader = relay.EventReader(opened=opened, stream=stream)
+        ended = None
+        silence = self._first_silence(context)
+        first = True
+        try:
+            while True:
+                until = min(time.monotonic() + silence, context.deadline)
+                events = reader.read(until)
+                if not isinstance(events, bytes):
+                    ended = events
+                    break
+                if first:
+                    first = False
+                    silence = _EVENT_SILENCE
+                    self._note_first(context, work)
+                if not connection.answer_begun:
+                    connection.begin_stream(
+                        status=opened.head.status,
+                        headers=messages.drop_per_connection(
+                            opened.head.headers
+                        ),
+                    )
+                connection.send_chunk(events)
+        finally:
+            if not isinstance(ended, relay.Ended):
+                opened.connection.close()
+        if isinstance(ended, relay.Broken):
+            return ended
+        self._pool.give_back(opened.connection)
+        if not connection.answer_begun:
+            connection.begin_stream(
+                status=opened.head.status,
+                headers=messages.drop_per_connection(opened.head.headers),
+            )
+        connection.end_stream()
+        return "streamed"
+
+    def _note_first(self, context: contexts.Context, work: job.Job) -> None:
+        self._servers.note_first_token(context.service, work.key)
+        self._metrics.observe(
+            "first_event_seconds",
+            time.monotonic() - context.request.began_at,
+            route=context.route.name,
+        )
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -0,0 +1,172 @@
+"""The routers of the fleet, known through the platform's store.
+
+Each router keeps an object of our own kind there and renews it slowly;
+nothing that a request needs waits for it. The number of routers divides what
+each may do alone. So it is better to count a router that is gone than to
+overlook one that lives: an entry is dropped only after several missed
+renewals, and a router that knows of no other yet assumes a few.
+"""
+
+from collections.abc import Callable
+import random
+import time
+import typing
+
+import gevent
+
+from daisypick_core.results import codes
+from daisypick_core.results import failure
+from daisypick_platform import store as stores
+from daisypick_platform import watch
+from daisypick_router import log as logs
+
+KIND = "daisypick-routers"
+# Renewals cost a write each; 690 routers make 69 a second of several hundred.
+_RENEW_SECONDS = 10.0
+# An entry that was not renewed for this long belongs to no live router.
+_LAPSE_SECONDS = 35.0
+# Divisor before the list was read, so that a router which starts while the
+# store is away takes a small part.
+_ASSUMED_ROUTERS = 8
+
+
+class Member(typing.NamedTuple):
+    """A router.
+
+    Attributes:
+        name: Name of its VM.
+        address: Where our processes reach it.
+        seen_at: When its entry last changed, on our clock.
+        revision: Revision of its entry.
+    """
+
+    name: str
+    address: tuple[str, int]
+    seen_at: float
+    revision: int
+
+
+class Membership:
+    """Routers by name; ``on_change()`` is called when they change."""
+
+    def __init__(
+        self,
+        *,
+        store: stores.StoreClient,
+        log: logs.Log,
+        rng: random.Random,
+        name: str,
+        address: tuple[str, int],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._log = log
+        self._rng = rng
+        self._name = name
+        self._address = address
+        self._on_change = on_change
+        self._listed = False
+        self._renewals = 0
+        self.member_by_name: dict[str, Member] = {}
+
+    @property
+    def routers(self) -> int:
+        """How many routers share what each does alone."""
+        known = len(self.member_by_name.keys() | {self._name})
+        return known if self._listed else max(known, _ASSUMED_ROUTERS)
+
+    def start(self) -> None:
+        """Begin to follow the other routers and to renew our entry."""
+        watcher = watch.Watcher(
+            store=self._store,
+            kind=KIND,
+            on_list=self._take_list,
+            on_change=self._take,
+            on_contact=lambda trouble: None,
+            rng=self._rng,
+        )
+        gevent.spawn(watcher.run)
+        gevent.spawn(self._renew)
+
+    def leave(self) -> None:
+        """Remove our entry; called when the process stops for good."""
+        member = self.member_by_name.get(self._name)
+        if member is not None:
+            self._store.delete(KIND, self._name, member.revision)
+
+    def _renew(self) -> None:
+        while True:
+            written = self._write_entry()
+            pause = _RENEW_SECONDS
+            if failure.is_failure(written):
+                self._log.write(
+                    "members",
+                    "Our entry was not renewed.",
+                    reason=written.reason,
+                )
+                pause = _RENEW_SECONDS / 10.0
+            gevent.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    def _write_entry(self) -> stores.StoredObject | failure.Failure:
+        self._renewals += 1
+        spec = {
+            "address": f"{self._address[0]}:{self._address[1]}",
+            "renewals": self._renewals,
+        }
+        written = self._store.replace(KIND, self._name, spec)
+        if failure.is_failure(written) and written.code is codes.NOT_FOUND:
+            written = self._store.create(KIND, self._name, spec)
+        return written
+
+    def _take_list(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        self._listed = True
+        self.member_by_name.clear()
+        for stored in objects:
+            self._take(stored)
+        self._on_change()
+
+    def _take(self, stored: stores.StoredObject) -> None:
+        before = set(self.member_by_name)
+        if stored.deleted:
+            self.member_by_name.pop(stored.name, None)
+        else:
+            self._put(stored)
+        if set(self.member_by_name) != before:
+            self._log.write(
+                "members", "The routers changed.", routers=self.routers
+            )
+            self._on_change()
+        self._drop_lapsed()
+
+    def _put(self, stored: stores.StoredObject) -> None:
+        try:
+            ip, _, port = stored.spec["address"].rpartition(":")
+            address = (ip, int(port))
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            self._log.write(
+                "members",
+                "Passed over an entry.",
+                name=stored.name,
+                reason=repr(error),
+            )
+            return
+        self.member_by_name[stored.name] = Member(
+            name=stored.name,
+            address=address,
+            seen_at=time.monotonic(),
+            revision=stored.revision,
+        )
+
+    def _drop_lapsed(self) -> None:
+        now = time.monotonic()
+        for member in list(self.member_by_name.values()):
+            lapsed = now - member.seen_at > _LAPSE_SECONDS
+            if lapsed and member.name != self._name:
+                del self.member_by_name[member.name]
+                gevent.spawn(
+                    self._store.delete, KIND, member.name, member.revision
+                )
+                self._log.write(
+                    "members", "A router's entry lapsed.", name=member.name
+                )
+                self._on_change()
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/plain_servers.py
@@ -0,0 +1,86 @@
+"""Which backend server of a plain service gets a request.
+
+The one with the fewest of our own requests, ties by lot. Other routers'
+requests are not seen; a server that is full says so, truly, and the request
+goes to another.
+"""
+
+import random
+
+from daisypick_core.serving import backend_server
+from daisypick_core.serving import cold_limit
+from daisypick_core.serving import fleet_configuration
+from daisypick_core.serving import outcomes as outcome_records
+from daisypick_router import discovery as discoveries
+
+
+class PlainServers:
+    """Requests in flight by backend server."""
+
+    def __init__(
+        self,
+        *,
+        discovery: "discoveries.Discovery",
+        outcomes: outcome_records.Outcomes,
+        cold: cold_limit.ColdLimit,
+        rng: random.Random,
+    ) -> None:
+        self._discovery = discovery
+        self._outcomes = outcomes
+        self._cold = cold
+        self._rng = rng
+        self._running_by_server: dict[str, int] = {}
+
+    def pick(
+        self,
+        service: fleet_configuration.Service,
+        tried: set[str],
+        now: float,
+    ) -> backend_server.BackendServer | None:
+        """Return a server that was not tried, and count the request."""
+        ready = [
+            server
+            for server in self._discovery.directory.find_ready(service.name)
+            if server.name not in tried
+        ]
+        sound = [
+            server
+            for server in ready
+            if not self._outcomes.is_aside(server.name, now)
+        ]
+        candidates = [
+            server
+            for server in sound or ready
+            if self._bears(server, service, now)
+        ]
+        if not candidates:
+            return None
+        server = min(
+            candidates,
+            key=lambda known: (
+                self._running_by_server.get(known.name, 0) / known.slots,
+                self._rng.random(),
+            ),
+        )
+        self._cold.note(server.name, now)
+        running = self._running_by_server.get(server.name, 0)
+        self._running_by_server[server.name] = running + 1
+        return server
+
+    def _bears(
+        self,
+        server: backend_server.BackendServer,
+        service: fleet_configuration.Service,
+        now: float,
+    ) -> bool:
+        if server.cold_until <= now or service.cold_rate <= 0.0:
+            return True
+        return self._cold.allows(server.name, service.cold_rate, now)
+
+    def end(self, server: str) -> None:
+        """A request ended at a server."""
+        running = self._running_by_server.get(server, 0) - 1
+        if running > 0:
+            self._running_by_server[server] = running
+        else:
+            self._running_by_server.pop(server, None)
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -0,0 +1,268 @@
+"""The router process: wired, started and stopped."""
+
+import gc
+import random
+import signal
+import socket as plain_socket
+import time
+
+import gevent
+from gevent import event as gevent_event
+from gevent import server as gevent_server
+
+from daisypick_core.results import failure
+from daisypick_core.serving import cold_limit
+from daisypick_core.serving import outcomes as outcome_records
+from daisypick_core.serving import retry_budget
+from daisypick_http import messages
+from daisypick_http import pool as pools
+from daisypick_http import server as http_server
+from daisypick_platform import calls
+from daisypick_platform import settings as platform_settings
+from daisypick_platform import store as stores
+from daisypick_router import discovery as discoveries
+from daisypick_router import engine_servers
+from daisypick_router import engine_way
+from daisypick_router import log as logs
+from daisypick_router import membership as memberships
+from daisypick_router import metrics as metric_numbers
+from daisypick_router import plain_servers
+from daisypick_router import plain_way
+from daisypick_router import serving
+from daisypick_router import tries as try_rules
+
+# A server a few milliseconds away that does not accept in this time is down
+# or cut off; a lost opening packet would be sent again only after a second.
+_CONNECT_SECONDS = 0.25
+_BACKLOG = 512
+METRICS_PORT = 9464
+_METRICS_TARGET = b"/metrics"
+_HOUSEKEEPING_SECONDS = 1.0
+# The platform takes a VM out after two questions a second apart; until then
+# new connections still come.
+_STOP_LISTENING_SECONDS = 2.6
+# Part of the time given to stop after which the last connections are cut.
+_STOP_SHARE = 0.95
+
+
+class RouterProcess:
+    """One router."""
+
+    def __init__(self, *, settings: platform_settings.Settings) -> None:
+        self._settings = settings
+        rng = random.Random()
+        self.log = logs.Log(process=settings.name)
+        self.metrics = metric_numbers.Metrics()
+        store = stores.StoreClient(address=settings.store_address)
+        self._pool = pools.Pool(connect_timeout=_CONNECT_SECONDS)
+        self._cold = cold_limit.ColdLimit()
+        self._budget = retry_budget.RetryBudget(
+            ratio=settings.bounds.retry_ratio,
+            window_seconds=settings.bounds.retry_window_seconds,
+            extra=settings.bounds.retry_extra,
+        )
+        self.discovery = discoveries.Discovery(
+            store=store, log=self.log, rng=rng, on_servers=self._take_servers
+        )
+        self.membership = memberships.Membership(
+            store=store,
+            log=self.log,
+            rng=rng,
+            name=settings.name,
+            address=(settings.ip, settings.peer_port),
+            on_change=self._take_members,
+        )
+        outcomes = outcome_records.Outcomes()
+        tries = try_rules.Tries(
+            outcomes=outcomes,
+            budget=self._budget,
+            log=self.log,
+            metrics=self.metrics,
+        )
+        self._engines = engine_servers.EngineServers(
+            discovery=self.discovery,
+            window_seconds=settings.bounds.quota_window_seconds,
+            rng=rng,
+        )
+        self.serving = serving.Serving(
+            discovery=self.discovery,
+            plain=plain_way.PlainWay(
+                pool=self._pool,
+                servers=plain_servers.PlainServers(
+                    discovery=self.discovery,
+                    outcomes=outcomes,
+                    cold=self._cold,
+                    rng=rng,
+                ),
+                tries=tries,
+            ),
+            engine=engine_way.EngineWay(
+                pool=self._pool,
+                discovery=self.discovery,
+                servers=self._engines,
+                tries=tries,
+                metrics=self.metrics,
+                router=settings.name,
+            ),
+            tries=tries,
+            log=self.log,
+            metrics=self.metrics,
+            rng=rng,
+        )
+        self._connections: set[http_server.CallerConnection] = set()
+        self._listeners: list[gevent_server.StreamServer] = []
+        self._stopped = gevent_event.Event()
+        self._take_members()
+
+    def run(self) -> None:
+        """Serve until the process is told to stop and has stopped."""
+        self.log.write("process", "Started.", ip=self._settings.ip)
+        gevent.signal_handler(signal.SIGTERM, self._begin_stop)
+        gevent.signal_handler(signal.SIGHUP, self._reload)
+        gevent.spawn(self.log.run)
+        self.discovery.start()
+        self.membership.start()
+        self._engines.start()
+        gevent.spawn(self._keep_house)
+        self._listen(self._settings.caller_address, self._serve_caller)
+        self._listen(self._settings.ready_address, self._serve_platform)
+        self._listen((self._settings.ip, METRICS_PORT), self._serve_platform)
+        self._stopped.wait()
+        self.log.flush()
+
+    def _listen(self, address: tuple[str, int], handle) -> None:  # noqa: ANN001
+        listener = plain_socket.socket()
+        listener.setsockopt(
+            plain_socket.SOL_SOCKET, plain_socket.SO_REUSEADDR, 1
+        )
+        listener.bind(address)
+        listener.listen(_BACKLOG)
+        listener.setblocking(False)
+        server = gevent_server.StreamServer(
+            gevent.socket.socket(fileno=listener.detach()), handle
+        )
+        server.start()
+        self._listeners.append(server)
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return (
+            self.discovery.configuration is not None
+            and self.discovery.has_servers
+            and not self.serving.stopping
+        )
+
+    def _limits(self) -> http_server.Limits:
+        configuration = self.discovery.configuration
+        if configuration is None:
+            return _DEFAULT_LIMITS
+        return configuration.limits
+
+    def _serve_caller(self, socket, address) -> None:  # noqa: ANN001
+        del address
+        connection = http_server.CallerConnection(
+            socket=socket, handle=self.serving.handle, limits=self._limits
+        )
+        self._connections.add(connection)
+        try:
+            connection.run()
+        finally:
+            self._connections.discard(connection)
+
+    def _serve_platform(self, socket, address) -> None:  # noqa: ANN001
+        del address
+        http_server.CallerConnection(
+            socket=socket,
+            handle=self._answer_platform,
+            limits=lambda: _DEFAULT_LIMITS,
+        ).run()
+
+    def _answer_platform(
+        self,
+        connection: http_server.CallerConnection,
+        request: messages.Request,
+    ) -> None:
+        path = request.target.partition(b"?")[0]
+        if path == calls.READY_TARGET:
+            status = 200 if self.is_ready else 503
+            connection.send_whole(status=status, headers=(), body=b"")
+        elif path == _METRICS_TARGET:
+            connection.send_whole(
+                status=200,
+                headers=((b"Content-Type", b"text/plain; version=0.0.4"),),
+                body=self._write_metrics(),
+            )
+        else:
+            connection.send_whole(status=404, headers=(), body=b"")
+
+    def _write_metrics(self) -> bytes:
+        self.metrics.set_level("routers", self.membership.routers)
+        self.metrics.set_level("connections", len(self._connections))
+        self.metrics.set_level("requests_running", self.serving.running)
+        self.metrics.set_level("server_connections_opened", self._pool.opened)
+        self.metrics.set_level("server_connections_reused", self._pool.reused)
+        return self.metrics.write().encode()
+
+    def _take_servers(self) -> None:
+        self._engines.update_servers()
+
+    def _take_members(self) -> None:
+        routers = self.membership.routers
+        self._cold.set_fleet(routers=routers)
+        self._budget.set_fleet(routers=routers)
+        self._engines.set_fleet(routers=routers, share=1.0 / routers)
+
+    def _keep_house(self) -> None:
+        while True:
+            gevent.sleep(_HOUSEKEEPING_SECONDS)
+            self._pool.close_stale()
+
+    def _reload(self) -> None:
+        loaded = platform_settings.load()
+        if failure.is_failure(loaded):
+            self.log.write(
+                "process",
+                "Settings are unreadable; the last ones stand.",
+                reason=loaded.reason,
+            )
+            return
+        self.log.write("process", "Read the settings again.")
+        self._settings = loaded
+
+    def _begin_stop(self) -> None:
+        if self.serving.stopping:
+            return
+        self.log.write("process", "Stopping.", running=self.serving.running)
+        self.serving.stopping = True
+        gevent.spawn(self._stop)
+
+    def _stop(self) -> None:
+        """End gracefully: no new callers, then idle ones, then the rest."""
+        began = time.monotonic()
+        gevent.spawn(self.membership.leave)
+        gevent.sleep(_STOP_LISTENING_SECONDS)
+        for listener in self._listeners[:1]:
+            listener.stop_accepting()
+        for connection in list(self._connections):
+            if connection.is_idle:
+                connection.close_softly()
+        latest = began + self._settings.bounds.grace_seconds * _STOP_SHARE
+        while time.monotonic() < latest and self._connections:
+            gevent.sleep(0.05)
+        self.log.write("process", "Stopped.", running=self.serving.running)
+        self._stopped.set()
+
+
+_DEFAULT_LIMITS = http_server.Limits()
+
+
+def run() -> int:
+    """Run a router; return the exit code."""
+    gc.freeze()
+    loaded = platform_settings.load()
+    if failure.is_failure(loaded):
+        print(f"daisypickd: {loaded.code.number} {loaded.reason}")
+        return 2
+    RouterProcess(settings=loaded).run()
+    return 0
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -0,0 +1,159 @@
+"""The way of a request, from its head to the last byte of its answer.
+
+``identify`` finds the route, the organisation and the service. Then the
+request takes one of two ways: ``plain_way`` to a plain service, ``engine_way``
+to a model service. Either ends in an answer, a refusal that is true, or a cut
+connection; a log line tells which and why.
+"""
+
+import random
+import time
+
+from daisypick_core.results import failure
+from daisypick_http import messages
+from daisypick_http import server as http_server
+from daisypick_platform import request_headers
+from daisypick_router import context as contexts
+from daisypick_router import discovery as discoveries
+from daisypick_router import engine_way
+from daisypick_router import identify
+from daisypick_router import log as logs
+from daisypick_router import metrics as metric_numbers
+from daisypick_router import plain_way
+from daisypick_router import tries as try_rules
+
+
+class Serving:
+    """Serves requests; one object a process."""
+
+    def __init__(
+        self,
+        *,
+        discovery: discoveries.Discovery,
+        plain: plain_way.PlainWay,
+        engine: engine_way.EngineWay,
+        tries: try_rules.Tries,
+        log: logs.Log,
+        metrics: metric_numbers.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._discovery = discovery
+        self._plain = plain
+        self._engine = engine
+        self._tries = tries
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self.stopping = False
+        self.running = 0
+
+    def handle(
+        self,
+        connection: http_server.CallerConnection,
+        request: messages.Request,
+    ) -> None:
+        """Serve one request of a caller."""
+        self.running += 1
+        try:
+            if self.stopping:
+                connection.close_after_answer()
+            self._handle(connection, request)
+        finally:
+            self.running -= 1
+
+    def _handle(
+        self,
+        connection: http_server.CallerConnection,
+        request: messages.Request,
+    ) -> None:
+        found = identify.identify(
+            request, self._discovery.configuration, self._rng
+        )
+        if failure.is_failure(found):
+            self._refuse(connection, None, found, request)
+            return
+        self._tries.note_request(found.service.name)
+        way = self._plain if found.service.engine is None else self._engine
+        try:
+            outcome = way.serve(connection, found)
+        except http_server.CallerLeft:
+            self._note_end(found, "caller_left")
+            raise
+        except OSError as error:
+            self._note_end(found, "caller_unreachable", reason=str(error))
+            raise
+        if failure.is_failure(outcome):
+            self._refuse(connection, found, outcome, request)
+            return
+        self._note_end(found, outcome)
+
+    def _note_end(
+        self,
+        context: contexts.Context,
+        outcome: str,
+        reason: str | None = None,
+    ) -> None:
+        seconds = time.monotonic() - context.request.began_at
+        self._metrics.count("requests_total", outcome=outcome)
+        self._metrics.observe("request_seconds", seconds, outcome=outcome)
+        self._log.write(
+            "serve",
+            "Request ended.",
+            id=context.attempt,
+            outcome=outcome,
+            reason=reason,
+            route=context.route.name,
+            version=context.version,
+            organisation=context.organisation,
+            servers=sorted(context.tried),
+            seconds=round(seconds, 4),
+        )
+
+    def _refuse(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context | None,
+        trouble: failure.Failure,
+        request: messages.Request,
+    ) -> None:
+        """Answer with a failure; cut an answer that has begun."""
+        attempt = request_headers.read_caller(request.headers).attempt
+        self._metrics.count("refusals_total", code=str(trouble.code.number))
+        self._log.write(
+            "serve",
+            f"{trouble.code.title}.",
+            id=attempt,
+            code=trouble.code.number,
+            status=trouble.code.status,
+            reason=trouble.reason,
+            retry_after=trouble.retry_after,
+            cut=connection.answer_begun,
+            route=context.route.name if context else None,
+            version=context.version if context else None,
+            servers=sorted(context.tried) if context else [],
+            seconds=round(time.monotonic() - request.began_at, 4),
+        )
+        if connection.answer_begun:
+            connection.abort()
+            return
+        connection.send_whole(
+            status=trouble.code.status,
+            headers=_write_headers(trouble),
+            body=_write_body(trouble),
+        )
+
+
+def _write_headers(trouble: failure.Failure) -> list[tuple[bytes, bytes]]:
+    headers = [(b"Content-Type", b"application/problem+json")]
+    if trouble.retry_after is not None:
+        headers.append((b"Retry-After", b"%.2f" % trouble.retry_after))
+    return headers
+
+
+def _write_body(trouble: failure.Failure) -> bytes:
+    code = trouble.code
+    return b'{"code": %d, "title": "%b", "ran": "%b"}' % (
+        code.number,
+        code.title.encode(),
+        code.ran.encode(),
+    )
--- a/packages/daisypick_standins/tests/engine/test_server.py
+++ b/packages/daisypick_standins/tests/engine/test_server.py
@@ -1,13 +1,14 @@
-from daisypick_standins.engine import faults as engine_faults
-from daisypick_standins.engine import server
-from daisypick_standins.engine import settings as engine_settings
-from daisypick_standins.engine import text
 import gevent
 from geventhttpclient import client as http_client
 from geventhttpclient import response as http_response
 import msgspec
 import pytest
 
+from daisypick_standins.engine import faults as engine_faults
+from daisypick_standins.engine import server
+from daisypick_standins.engine import settings as engine_settings
+from daisypick_standins.engine import text
+
 FAST = engine_settings.EngineSettings(
     token_interval=0.001, load_lag=0.0, load_seconds=0.0, resume_seconds=0.0
 )
--- a/packages/daisypick_standins/tests/plain/test_server.py
+++ b/packages/daisypick_standins/tests/plain/test_server.py
@@ -1,10 +1,11 @@
-from daisypick_standins.plain import faults as plain_faults
-from daisypick_standins.plain import server
 from geventhttpclient import client as http_client
 from geventhttpclient import response as http_response
 import msgspec
 import pytest
 
+from daisypick_standins.plain import faults as plain_faults
+from daisypick_standins.plain import server
+
 
 @pytest.fixture
 def service():
--- a/packages/daisypick_standins/tests/platform/test_server.py
+++ b/packages/daisypick_standins/tests/platform/test_server.py
@@ -1,7 +1,8 @@
-from daisypick_standins.platform import server
 from geventhttpclient import client as http_client
 import msgspec
 
+from daisypick_standins.platform import server
+
 
 def _post(address, path, body):
     host, port = address.split(":")
--- a/tools/write_configuration_page.py
+++ b/tools/write_configuration_page.py
@@ -15,9 +15,10 @@
 import types
 import typing
 
+import msgspec
+
 from daisypick_core.configuration import model
 from daisypick_core.configuration import sections
-import msgspec
 
 PAGE = pathlib.Path(__file__).parents[1] / "docs" / "CONFIGURATION.md"
 _ATTRIBUTE = re.compile(r"^(\w+): (.*)$")
--- a/tools/write_reference_pages.py
+++ b/tools/write_reference_pages.py
@@ -10,11 +10,12 @@
 import pathlib
 import sys
 
-from daisypick_core.results import codes
-from daisypick_node import settings
 import pydantic
 import pydantic_core
 
+from daisypick_core.results import codes
+from daisypick_node import settings
+
 DOCS = pathlib.Path(__file__).parents[1] / "docs"
 
 _GROUPS = {
