Decide starts of a model service in one place

Change: the scheduler of a service is hosted by one router, chosen by rendezvous hashing; the others ask it over one connection each and decide alone, with their part of each engine, while it is silent. A stopping router begins nothing after 2.5 s and closes connections after their answers.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
@@ -120,7 +120,9 @@
         self.cache.generated += work.output_tokens
         self.cache.begin(work.parts)
 
-    def note_first_token(self, key: str, now: float) -> None:
+    def note_first_token(
+        self, key: str, now: float, *, learn: bool = True
+    ) -> None:
         """A request's first token came back."""
         run = self._run_by_key.get(key)
         if run is None or not run.reading:
@@ -128,7 +130,8 @@
         run.reading = False
         self._reading -= 1
         self._progress_at = now
-        self._learn(run, now)
+        if learn:
+            self._learn(run, now)
 
     def _learn(self, run: _Run, now: float) -> None:
         tokens = run.ahead + run.unread
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -143,15 +143,17 @@
                     return []
         return self.note_end(key, now)
 
-    def note_first_token(self, key: str, now: float) -> list[actions.Action]:
-        """A request's first token came."""
+    def note_first_token(
+        self, key: str, now: float, *, learn: bool = True
+    ) -> list[actions.Action]:
+        """A request's first token came; ``learn`` if it came just now."""
         server = self._server_by_key.get(key)
         if server is None:
             return []
         self.outcomes.note_success(server)
         engine = self._engine_by_server.get(server)
         if engine is not None:
-            engine.note_first_token(key, now)
+            engine.note_first_token(key, now, learn=learn)
         return self.dispatch(now)
 
     def note_end(self, key: str, now: float) -> list[actions.Action]:
@@ -255,7 +257,7 @@
         best_cost = 0.0
         most_kept = max(
             engine.cache.count_kept(work.parts)
-            for engine in self._engine_by_server.values()
+            for engine in map(self._engine_by_server.get, self._state_by_server)
         )
         for name, unread_ahead in unread_by_server.items():
             if name in work.avoid or not self._bears(work, name, now):
@@ -298,7 +300,6 @@
     ) -> actions.Start:
         engine = self._engine_by_server[server]
         self._record_start(work, server, engine, now)
-        self._cold_limit(work.router).note(server, now)
         state = self._state_by_server[server]
         unread = engine.unread(now)
         full = engine.running >= max(state.slots * self._share, 1.0)
@@ -316,6 +317,7 @@
         now: float,
     ) -> None:
         engine.start(work, now)
+        self._cold_limit(work.router).note(server, now)
         self._server_by_key[work.key] = server
         self.use.add(work.organisation, work.cost, now)
 
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -206,7 +206,12 @@
             self._aborted = True
 
     def close_after_answer(self) -> None:
-        """Announce with the next answer that the connection ends."""
+        """End the connection after the answer, announced if it can be.
+
+        An answer whose head is out already is followed by the end itself. A
+        caller that had just sent its next request sees it unread, and may
+        send it again.
+        """
         self._keep_alive = False
 
     def write(self, data: bytes) -> None:
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -117,12 +117,25 @@
         scheduler = self.find_scheduler(service)
         self._apply(scheduler.withdraw(key, time.monotonic()))
 
+    def note_started_elsewhere(
+        self, service: fleet_configuration.Service, work: job.Job, server: str
+    ) -> None:
+        """A request was started by decision of somebody else."""
+        scheduler = self.find_scheduler(service)
+        scheduler.note_started_elsewhere(work, server, time.monotonic())
+
     def note_first_token(
-        self, service: fleet_configuration.Service, key: str
+        self,
+        service: fleet_configuration.Service,
+        key: str,
+        *,
+        learn: bool = True,
     ) -> None:
         """A request's first token came."""
         scheduler = self.find_scheduler(service)
-        self._apply(scheduler.note_first_token(key, time.monotonic()))
+        self._apply(
+            scheduler.note_first_token(key, time.monotonic(), learn=learn)
+        )
 
     def note_end(self, service: fleet_configuration.Service, key: str) -> None:
         """A request ended at its server."""
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -20,9 +20,9 @@
 from daisypick_http import server as http_server
 from daisypick_router import context as contexts
 from daisypick_router import discovery as discoveries
-from daisypick_router import engine_servers
 from daisypick_router import exchange
 from daisypick_router import metrics as metric_numbers
+from daisypick_router import placing as placings
 from daisypick_router import plain_way
 from daisypick_router import relay
 from daisypick_router import tries as try_rules
@@ -48,14 +48,14 @@
         *,
         pool: pools.Pool,
         discovery: discoveries.Discovery,
-        servers: engine_servers.EngineServers,
+        placing: placings.Placing,
         tries: try_rules.Tries,
         metrics: metric_numbers.Metrics,
         router: str,
     ) -> None:
         self._pool = pool
         self._discovery = discovery
-        self._servers = servers
+        self._placing = placing
         self._tries = tries
         self._metrics = metrics
         self._router = router
@@ -70,7 +70,7 @@
         tried: try_rules.FailedTry | None = None
         while tried is None or self._tries.may_send_again(context, tried):
             work = self._make_job(context)
-            decided = self._servers.acquire(context.service, work)
+            decided = self._placing.acquire(context.service, work)
             if isinstance(decided, actions.Refuse):
                 return self._give_up(context, tried, decided)
             server = self._discovery.directory.server_by_name.get(
@@ -78,7 +78,7 @@
             )
             context.tried.add(decided.server)
             if server is None:
-                self._servers.note_end(context.service, work.key)
+                self._placing.note_end(context.service, work.key)
                 continue
             tried = self._try(connection, context, work, server, stream)
             if isinstance(tried, str):
@@ -139,13 +139,11 @@
         try:
             tried = self._exchange(connection, context, work, server, stream)
         finally:
-            if isinstance(tried, str):
-                self._servers.note_end(context.service, work.key)
-            elif tried is None:
-                self._servers.withdraw(context.service, work.key)
+            if tried is None or isinstance(tried, str):
+                self._placing.note_end(context.service, work.key)
             else:
                 down = isinstance(tried, exchange.NotRun) and tried.server_down
-                self._servers.note_failure(
+                self._placing.note_failure(
                     context.service, work.key, certain=down
                 )
         return tried
@@ -247,7 +245,7 @@
         return "streamed"
 
     def _note_first(self, context: contexts.Context, work: job.Job) -> None:
-        self._servers.note_first_token(context.service, work.key)
+        self._placing.note_first_token(context.service, work.key)
         self._metrics.observe(
             "first_event_seconds",
             time.monotonic() - context.request.began_at,
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -0,0 +1,196 @@
+"""The scheduler's side of the routers' connections.
+
+Any router may be asked to host a service; it decides with what the askers
+tell it. While something waits, the host says twice a tenth of a second that
+it lives, so that an asker notices soon when it does not.
+"""
+
+import time
+import typing
+
+import gevent
+
+from daisypick_core.results import failure
+from daisypick_core.scheduling import actions
+from daisypick_core.serving import fleet_configuration
+from daisypick_router import discovery as discoveries
+from daisypick_router import engine_servers
+from daisypick_router import log as logs
+from daisypick_router import peer_channel
+from daisypick_router import peer_messages
+
+BEAT_SECONDS = 0.05
+
+handler_by_type: dict[type, typing.Callable[..., None]] = {}
+
+
+def handles(message: type) -> typing.Callable:
+    """Register a method for a kind of message."""
+
+    def _add(method: typing.Callable) -> typing.Callable:
+        handler_by_type[message] = method
+        return method
+
+    return _add
+
+
+class PeerHost:
+    """Serves the routers that ask us."""
+
+    def __init__(
+        self,
+        *,
+        discovery: discoveries.Discovery,
+        engines: engine_servers.EngineServers,
+        log: logs.Log,
+    ) -> None:
+        self._discovery = discovery
+        self._engines = engines
+        self._log = log
+        self._router_by_channel: dict[peer_channel.PeerChannel, str] = {}
+        self._waiting_by_channel: dict[peer_channel.PeerChannel, set[str]] = {}
+
+    def start(self) -> None:
+        """Begin to tell askers that we live."""
+        gevent.spawn(self._beat)
+
+    def serve(self, socket, address) -> None:  # noqa: ANN001
+        """Serve one router's connection."""
+        del address
+        channel = peer_channel.PeerChannel(
+            socket=socket, on_message=self._take, on_bad=self._note_bad
+        )
+        self._waiting_by_channel[channel] = set()
+        try:
+            channel.run()
+        finally:
+            self._router_by_channel.pop(channel, None)
+            self._waiting_by_channel.pop(channel, None)
+
+    def _note_bad(self, trouble: failure.Failure) -> None:
+        self._log.write("peer", "Bad message.", reason=trouble.reason)
+
+    def _take(
+        self, channel: peer_channel.PeerChannel, message: typing.Any
+    ) -> None:
+        handler = handler_by_type.get(type(message))
+        if handler is not None:
+            handler(self, channel, message)
+
+    def _find_service(self, name: str) -> fleet_configuration.Service | None:
+        configuration = self._discovery.configuration
+        if configuration is None:
+            return None
+        service = configuration.service_by_name.get(name)
+        if service is None or service.engine is None:
+            return None
+        return service
+
+    @handles(peer_messages.Hello)
+    def _greet(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Hello
+    ) -> None:
+        self._router_by_channel[channel] = message.router
+
+    @handles(peer_messages.Submit)
+    def _submit(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Submit
+    ) -> None:
+        service = self._find_service(message.service)
+        if service is None:
+            channel.send(peer_messages.UnknownService(key=message.work.key))
+            return
+        work = peer_messages.read_job(
+            message.work,
+            self._router_by_channel.get(channel, ""),
+            time.monotonic(),
+        )
+        waiting = self._waiting_by_channel[channel]
+        waiting.add(work.key)
+
+        def _deliver(action: actions.Action) -> None:
+            waiting.discard(action.key)
+            if channel.closed and isinstance(action, actions.Start):
+                # The asker is gone before it heard; nothing was started.
+                gevent.spawn(self._engines.note_end, service, action.key)
+                return
+            channel.send(_write_action(action))
+
+        self._engines.submit(service, work, _deliver)
+
+    @handles(peer_messages.Running)
+    def _note_running(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Running
+    ) -> None:
+        service = self._find_service(message.service)
+        if service is None:
+            return
+        work = peer_messages.read_job(
+            message.work,
+            self._router_by_channel.get(channel, ""),
+            time.monotonic(),
+        )
+        self._engines.note_started_elsewhere(service, work, message.server)
+        if not message.reading:
+            self._engines.note_first_token(service, work.key, learn=False)
+        if message.ended:
+            self._engines.note_end(service, work.key)
+
+    @handles(peer_messages.Withdraw)
+    def _withdraw(
+        self,
+        channel: peer_channel.PeerChannel,
+        message: peer_messages.Withdraw,
+    ) -> None:
+        self._waiting_by_channel[channel].discard(message.key)
+        service = self._find_service(message.service)
+        if service is not None:
+            self._engines.withdraw(service, message.key)
+
+    @handles(peer_messages.FirstToken)
+    def _note_first(
+        self,
+        channel: peer_channel.PeerChannel,
+        message: peer_messages.FirstToken,
+    ) -> None:
+        del channel
+        service = self._find_service(message.service)
+        if service is not None:
+            self._engines.note_first_token(service, message.key)
+
+    @handles(peer_messages.End)
+    def _note_end(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.End
+    ) -> None:
+        del channel
+        service = self._find_service(message.service)
+        if service is not None:
+            self._engines.note_end(service, message.key)
+
+    @handles(peer_messages.Failed)
+    def _note_failed(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Failed
+    ) -> None:
+        del channel
+        service = self._find_service(message.service)
+        if service is not None:
+            self._engines.note_failure(
+                service, message.key, certain=message.certain
+            )
+
+    def _beat(self) -> None:
+        while True:
+            gevent.sleep(BEAT_SECONDS)
+            for channel, waiting in list(self._waiting_by_channel.items()):
+                if waiting:
+                    channel.send(peer_messages.Beat(waiting=len(waiting)))
+
+
+def _write_action(action: actions.Action) -> typing.Any:
+    if isinstance(action, actions.Start):
+        return peer_messages.Start(key=action.key, server=action.server)
+    return peer_messages.Refuse(
+        key=action.key,
+        retry_after=round(action.retry_after, 3),
+        reason=action.reason,
+    )
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -0,0 +1,167 @@
+"""The asker's side of a connection to the router that hosts a service."""
+
+from collections.abc import Callable
+import random
+import socket as plain_socket
+import time
+import typing
+
+import gevent
+from gevent import socket
+
+from daisypick_core.results import failure
+from daisypick_router import log as logs
+from daisypick_router import peer_channel
+from daisypick_router import peer_messages
+
+_CONNECT_SECONDS = 0.3
+# Pause between tries to connect; a process that was killed is back after
+# about a second.
+_PAUSE_SECONDS = 0.2
+# Five heartbeats of a host; a host that says nothing for so long while we
+# wait for it is frozen or cut off.
+SILENCE_SECONDS = 0.25
+# A host that was silent is not asked again for this long after it was heard,
+# so that requests do not swing between two hosts.
+_DISTRUST_SECONDS = 0.5
+
+
+class PeerLink:
+    """Keeps a connection to one router up, and who waits for its answers.
+
+    ``on_up(link)`` is called when a connection stands, to tell the host what
+    runs.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: tuple[str, int],
+        own_name: str,
+        log: logs.Log,
+        rng: random.Random,
+        on_up: Callable[["PeerLink"], None],
+    ) -> None:
+        self.name = name
+        self._address = address
+        self._own_name = own_name
+        self._log = log
+        self._rng = rng
+        self._on_up = on_up
+        self._channel: peer_channel.PeerChannel | None = None
+        self._distrusted_until = 0.0
+        self._deliver_by_key: dict[str, Callable[[typing.Any], None]] = {}
+        self._asked_at = 0.0
+        self._greenlet: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Begin to connect."""
+        self._greenlet = gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """Close the connection and forget the router."""
+        if self._greenlet is not None:
+            self._greenlet.kill(block=False)
+        if self._channel is not None:
+            self._channel.close()
+        self._fail_waiting()
+
+    @property
+    def is_up(self) -> bool:
+        """Whether the host may be asked."""
+        return (
+            self._channel is not None
+            and not self._channel.closed
+            and time.monotonic() >= self._distrusted_until
+        )
+
+    def ask(
+        self,
+        message: peer_messages.Submit,
+        deliver: Callable[[typing.Any], None],
+    ) -> None:
+        """Ask; ``deliver`` gets the answer, or ``None`` if none will come."""
+        if not self._deliver_by_key:
+            self._asked_at = time.monotonic()
+        self._deliver_by_key[message.work.key] = deliver
+        self._channel.send(message)
+
+    def forget(self, key: str) -> None:
+        """No longer wait for an answer."""
+        self._deliver_by_key.pop(key, None)
+
+    def tell(self, message: typing.Any) -> None:
+        """Send a message that has no answer."""
+        if self._channel is not None:
+            self._channel.send(message)
+
+    def watch_silence(self, now: float) -> None:
+        """Give up what waits if the host is silent for too long."""
+        if not self._deliver_by_key or self._channel is None:
+            return
+        heard_at = max(self._channel.heard_at, self._asked_at)
+        if now - heard_at < SILENCE_SECONDS:
+            return
+        self._log.write(
+            "peer",
+            "A host of schedulers is silent.",
+            host=self.name,
+            silent_seconds=round(now - heard_at, 3),
+            waiting=len(self._deliver_by_key),
+        )
+        self._channel.close()
+        self._distrust(now)
+        self._fail_waiting()
+
+    def _distrust(self, now: float) -> None:
+        self._distrusted_until = now + _DISTRUST_SECONDS
+
+    def _fail_waiting(self) -> None:
+        waiting = list(self._deliver_by_key.values())
+        self._deliver_by_key.clear()
+        for deliver in waiting:
+            deliver(None)
+
+    def _run(self) -> None:
+        while True:
+            self._connect()
+            if self._channel is not None:
+                self._distrust(time.monotonic())
+                self._fail_waiting()
+                self._channel = None
+            gevent.sleep(_PAUSE_SECONDS * self._rng.uniform(0.5, 1.5))
+
+    def _connect(self) -> None:
+        connected = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        connected.settimeout(_CONNECT_SECONDS)
+        try:
+            connected.connect(self._address)
+        except OSError:
+            # Tried again after the pause; the state of links is in the dump.
+            connected.close()
+            return
+        connected.setsockopt(
+            plain_socket.IPPROTO_TCP, plain_socket.TCP_USER_TIMEOUT, 3000
+        )
+        channel = peer_channel.PeerChannel(
+            socket=connected, on_message=self._take, on_bad=self._note_bad
+        )
+        self._channel = channel
+        channel.send(peer_messages.Hello(router=self._own_name))
+        self._on_up(self)
+        channel.run()
+
+    def _note_bad(self, trouble: failure.Failure) -> None:
+        self._log.write("peer", "Bad message.", reason=trouble.reason)
+
+    def _take(
+        self, channel: peer_channel.PeerChannel, message: typing.Any
+    ) -> None:
+        del channel
+        key = getattr(message, "key", None)
+        if key is None:
+            return
+        deliver = self._deliver_by_key.pop(key, None)
+        if deliver is not None:
+            deliver(message)
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -0,0 +1,196 @@
+r"""What routers say to each other about starting requests.
+
+A message is a line: a JSON array of its kind and its fields. One connection
+carries the messages of many requests that wait for different lengths of
+time, which HTTP/1.1 would need a connection each for.
+
+Times are sent as seconds from now, since clocks of two VMs have nothing in
+common.
+
+Examples:
+    >>> encode(Start(key="r-1/0", server="i-7"))
+    b'["start","r-1/0","i-7"]\n'
+    >>> decode(b'["start","r-1/0","i-7"]')
+    Start(key='r-1/0', server='i-7')
+"""
+
+import typing
+
+import msgspec
+
+from daisypick_core.results import codes
+from daisypick_core.results import failure
+from daisypick_core.scheduling import job
+
+type_by_kind: dict[str, type] = {}
+_kind_by_type: dict[type, str] = {}
+
+
+def register(kind: str) -> typing.Callable[[type], type]:
+    """Register a message under the kind that stands in its line."""
+
+    def _add(message: type) -> type:
+        type_by_kind[kind] = message
+        _kind_by_type[message] = kind
+        return message
+
+    return _add
+
+
+class WireJob(typing.NamedTuple):
+    """A request that wants to start, with times relative to now."""
+
+    key: str
+    organisation: str
+    parts: tuple[tuple[str, int], ...]
+    prompt_tokens: int
+    output_tokens: int
+    age: float
+    objective_in: float
+    avoid: tuple[str, ...]
+
+
+@register("hello")
+class Hello(typing.NamedTuple):
+    """First on a connection: who asks."""
+
+    router: str
+
+
+@register("submit")
+class Submit(typing.NamedTuple):
+    """A request wants to start."""
+
+    service: str
+    work: WireJob
+
+
+@register("running")
+class Running(typing.NamedTuple):
+    """A request was started by decision of somebody else.
+
+    Attributes:
+        service: Its service.
+        work: The request.
+        server: Where it runs.
+        reading: Whether its first token is still to come.
+        ended: Whether it has ended; it still tells what the server keeps.
+    """
+
+    service: str
+    work: WireJob
+    server: str
+    reading: bool
+    ended: bool
+
+
+@register("withdraw")
+class Withdraw(typing.NamedTuple):
+    """The caller of a waiting or running request left."""
+
+    service: str
+    key: str
+
+
+@register("first")
+class FirstToken(typing.NamedTuple):
+    """The first token of a request came."""
+
+    service: str
+    key: str
+
+
+@register("end")
+class End(typing.NamedTuple):
+    """A request ended at its server."""
+
+    service: str
+    key: str
+
+
+@register("failed")
+class Failed(typing.NamedTuple):
+    """A request failed at its server; ``certain`` if that is down."""
+
+    service: str
+    key: str
+    certain: bool
+
+
+@register("start")
+class Start(typing.NamedTuple):
+    """Answer: send the request to this server now."""
+
+    key: str
+    server: str
+
+
+@register("refuse")
+class Refuse(typing.NamedTuple):
+    """Answer: tell the caller that its request has not run."""
+
+    key: str
+    retry_after: float
+    reason: str
+
+
+@register("unknown")
+class UnknownService(typing.NamedTuple):
+    """Answer: we do not know the service yet; decide alone."""
+
+    key: str
+
+
+@register("beat")
+class Beat(typing.NamedTuple):
+    """We live, and what you asked for still waits."""
+
+    waiting: int
+
+
+def encode(message: typing.NamedTuple) -> bytes:
+    """Return the line of a message."""
+    kind = _kind_by_type[type(message)]
+    return msgspec.json.encode((kind, *message)) + b"\n"
+
+
+def decode(line: bytes) -> typing.Any | failure.Failure:
+    """Return the message of a line."""
+    try:
+        kind, *fields = msgspec.json.decode(line)
+        return msgspec.convert(fields, type_by_kind[kind])
+    except (msgspec.MsgspecError, KeyError, ValueError, TypeError) as error:
+        return failure.Failure(
+            code=codes.BAD_MESSAGE, reason=f"peer's message: {error!r}"
+        )
+
+
+def write_job(work: job.Job, now: float) -> WireJob:
+    """Return a job as it goes over the wire."""
+    return WireJob(
+        key=work.key,
+        organisation=work.organisation,
+        parts=tuple((part.name, part.tokens) for part in work.parts),
+        prompt_tokens=work.prompt_tokens,
+        output_tokens=work.output_tokens,
+        age=round(now - work.arrived_at, 4),
+        objective_in=round(work.objective_at - now, 4),
+        avoid=tuple(work.avoid),
+    )
+
+
+def read_job(wire: WireJob, router: str, now: float) -> job.Job:
+    """Return the job of a router."""
+    return job.Job(
+        key=wire.key,
+        router=router,
+        organisation=wire.organisation,
+        parts=tuple(
+            job.Part(name=name, tokens=tokens) for name, tokens in wire.parts
+        ),
+        prompt_tokens=wire.prompt_tokens,
+        output_tokens=wire.output_tokens,
+        arrived_at=now - wire.age,
+        objective_at=now + wire.objective_in,
+        avoid=frozenset(wire.avoid),
+    )
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -0,0 +1,270 @@
+"""Where a request starts: asked of the service's host, or decided alone.
+
+Every model service has one scheduler, hosted by one of the routers. It sees
+all requests of the service, so it can keep tenants even, place by what each
+engine keeps and fill each engine just so far. When the host does not answer
+for a quarter of a second, or no connection to it stands, a router decides by
+itself with its own small part of every engine's capacity.
+"""
+
+import collections
+import random
+import time
+import typing
+
+import gevent
+from gevent import event
+
+from daisypick_core.scheduling import actions
+from daisypick_core.scheduling import hosts
+from daisypick_core.scheduling import job
+from daisypick_core.serving import fleet_configuration
+from daisypick_router import engine_servers
+from daisypick_router import log as logs
+from daisypick_router import membership as memberships
+from daisypick_router import metrics as metric_numbers
+from daisypick_router import peer_link
+from daisypick_router import peer_messages
+
+# How many of a service's possible hosts a router keeps connections to.
+_CANDIDATES = 2
+_WATCH_SECONDS = 0.05
+# Placements that are told to a new host, so that it knows what engines keep;
+# an engine's memory turns over in about this many requests of a router.
+_REMEMBERED = 400
+
+
+class _Placed(typing.NamedTuple):
+    """A request that was started, for a new host to know."""
+
+    work: job.Job
+    server: str
+
+
+class Placing:
+    """Asks for starts and tells what became of them."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        membership: memberships.Membership,
+        hosted: engine_servers.EngineServers,
+        alone: engine_servers.EngineServers,
+        log: logs.Log,
+        metrics: metric_numbers.Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._name = name
+        self._membership = membership
+        self._hosted = hosted
+        self._alone = alone
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._link_by_name: dict[str, peer_link.PeerLink] = {}
+        self._services: set[str] = set()
+        self._host_by_service: dict[str, str] = {}
+        self._order_by_service: dict[str, list[str]] = {}
+        self._placed_by_service: dict[str, collections.deque[_Placed]] = {}
+        self._reading: set[str] = set()
+        self._running: set[str] = set()
+
+    def start(self) -> None:
+        """Begin to watch the hosts."""
+        gevent.spawn(self._watch)
+
+    def update(self) -> None:
+        """Take the routers from the membership and connect to hosts."""
+        members = self._membership.member_by_name
+        wanted: set[str] = set()
+        for service in self._services:
+            names = members.keys() | {self._name}
+            order = hosts.order_hosts(service, names)
+            self._order_by_service[service] = order
+            wanted.update(order[:_CANDIDATES])
+        wanted.discard(self._name)
+        for name in list(self._link_by_name):
+            if name not in wanted:
+                self._link_by_name.pop(name).stop()
+        for name in wanted - self._link_by_name.keys():
+            self._connect(members[name])
+
+    def _connect(self, member: memberships.Member) -> None:
+        link = peer_link.PeerLink(
+            name=member.name,
+            address=member.address,
+            own_name=self._name,
+            log=self._log,
+            rng=self._rng,
+            on_up=self._tell_running,
+        )
+        self._link_by_name[member.name] = link
+        link.start()
+
+    def _watch(self) -> None:
+        while True:
+            gevent.sleep(_WATCH_SECONDS)
+            now = time.monotonic()
+            for link in list(self._link_by_name.values()):
+                link.watch_silence(now)
+
+    def _find_host(self, service: str) -> str | None:
+        """Return the first candidate that can be asked."""
+        if service not in self._services:
+            self._services.add(service)
+            self.update()
+        for name in self._order_by_service[service][:_CANDIDATES]:
+            link = self._link_by_name.get(name)
+            if name == self._name or (link is not None and link.is_up):
+                self._note_host(service, name)
+                return name
+        self._note_host(service, "")
+        return None
+
+    def _note_host(self, service: str, name: str) -> None:
+        if self._host_by_service.get(service) == name:
+            return
+        self._host_by_service[service] = name
+        self._log.write(
+            "placing",
+            "A service has another host." if name else "We decide alone.",
+            service=service,
+            host=name,
+        )
+
+    def acquire(
+        self, service: fleet_configuration.Service, work: job.Job
+    ) -> actions.Action:
+        """Wait until a request may start, or is refused."""
+        host = self._find_host(service.name)
+        decided: actions.Action | None = None
+        if host == self._name:
+            decided = self._hosted.acquire(service, work)
+        elif host is not None:
+            decided = self._ask(service, work, self._link_by_name[host])
+        if decided is None:
+            self._metrics.count("placed_alone_total", service=service.name)
+            decided = self._alone.acquire(service, work)
+            if isinstance(decided, actions.Start):
+                self._tell_started(service, work, decided.server)
+        elif isinstance(decided, actions.Start):
+            self._alone.note_started_elsewhere(service, work, decided.server)
+        if isinstance(decided, actions.Start):
+            self._remember(service, work, decided.server)
+        return decided
+
+    def _ask(
+        self,
+        service: fleet_configuration.Service,
+        work: job.Job,
+        link: peer_link.PeerLink,
+    ) -> actions.Action | None:
+        result = event.AsyncResult()
+        wire = peer_messages.write_job(work, time.monotonic())
+        link.ask(
+            peer_messages.Submit(service=service.name, work=wire), result.set
+        )
+        try:
+            answer = result.get()
+        except gevent.GreenletExit:
+            link.forget(work.key)
+            link.tell(
+                peer_messages.Withdraw(service=service.name, key=work.key)
+            )
+            raise
+        if isinstance(answer, peer_messages.Start):
+            return actions.Start(key=work.key, server=answer.server)
+        if isinstance(answer, peer_messages.Refuse):
+            return actions.Refuse(
+                key=work.key,
+                retry_after=answer.retry_after,
+                reason=answer.reason,
+            )
+        return None
+
+    def _remember(
+        self, service: fleet_configuration.Service, work: job.Job, server: str
+    ) -> None:
+        placed = self._placed_by_service.get(service.name)
+        if placed is None:
+            placed = collections.deque(maxlen=_REMEMBERED)
+            self._placed_by_service[service.name] = placed
+        placed.append(_Placed(work=work, server=server))
+        self._reading.add(work.key)
+        self._running.add(work.key)
+
+    def note_first_token(
+        self, service: fleet_configuration.Service, key: str
+    ) -> None:
+        """A request's first token came."""
+        self._reading.discard(key)
+        self._alone.note_first_token(service, key)
+        self._hosted.note_first_token(service, key)
+        self._tell(
+            service, peer_messages.FirstToken(service=service.name, key=key)
+        )
+
+    def note_end(self, service: fleet_configuration.Service, key: str) -> None:
+        """A request ended at its server, or its caller left."""
+        self._reading.discard(key)
+        self._running.discard(key)
+        self._alone.note_end(service, key)
+        self._hosted.note_end(service, key)
+        self._tell(service, peer_messages.End(service=service.name, key=key))
+
+    def note_failure(
+        self,
+        service: fleet_configuration.Service,
+        key: str,
+        *,
+        certain: bool,
+    ) -> None:
+        """A request failed at its server."""
+        self._reading.discard(key)
+        self._running.discard(key)
+        self._alone.note_failure(service, key, certain=certain)
+        self._hosted.note_failure(service, key, certain=certain)
+        self._tell(
+            service,
+            peer_messages.Failed(
+                service=service.name, key=key, certain=certain
+            ),
+        )
+
+    def _tell(
+        self, service: fleet_configuration.Service, message: typing.Any
+    ) -> None:
+        for name in self._order_by_service.get(service.name, [])[:_CANDIDATES]:
+            link = self._link_by_name.get(name)
+            if link is not None:
+                link.tell(message)
+
+    def _tell_started(
+        self, service: fleet_configuration.Service, work: job.Job, server: str
+    ) -> None:
+        self._hosted.note_started_elsewhere(service, work, server)
+        self._tell(
+            service,
+            self._write_running(
+                service.name, _Placed(work=work, server=server)
+            ),
+        )
+
+    def _tell_running(self, link: peer_link.PeerLink) -> None:
+        """Tell a host that we connected to what runs and what ran lately."""
+        for service, placed in self._placed_by_service.items():
+            for one in placed:
+                link.tell(self._write_running(service, one))
+
+    def _write_running(
+        self, service: str, placed: _Placed
+    ) -> peer_messages.Running:
+        key = placed.work.key
+        return peer_messages.Running(
+            service=service,
+            work=peer_messages.write_job(placed.work, time.monotonic()),
+            server=placed.server,
+            reading=key in self._reading,
+            ended=key not in self._running,
+        )
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -26,6 +26,8 @@
 from daisypick_router import log as logs
 from daisypick_router import membership as memberships
 from daisypick_router import metrics as metric_numbers
+from daisypick_router import peer_host
+from daisypick_router import placing as placings
 from daisypick_router import plain_servers
 from daisypick_router import plain_way
 from daisypick_router import serving
@@ -79,11 +81,26 @@
             log=self.log,
             metrics=self.metrics,
         )
-        self._engines = engine_servers.EngineServers(
-            discovery=self.discovery,
-            window_seconds=settings.bounds.quota_window_seconds,
+        self._hosted, self._alone = (
+            engine_servers.EngineServers(
+                discovery=self.discovery,
+                window_seconds=settings.bounds.quota_window_seconds,
+                rng=rng,
+            )
+            for _ in range(2)
+        )
+        self._placing = placings.Placing(
+            name=settings.name,
+            membership=self.membership,
+            hosted=self._hosted,
+            alone=self._alone,
+            log=self.log,
+            metrics=self.metrics,
             rng=rng,
         )
+        self._host = peer_host.PeerHost(
+            discovery=self.discovery, engines=self._hosted, log=self.log
+        )
         self.serving = serving.Serving(
             discovery=self.discovery,
             plain=plain_way.PlainWay(
@@ -99,7 +116,7 @@
             engine=engine_way.EngineWay(
                 pool=self._pool,
                 discovery=self.discovery,
-                servers=self._engines,
+                placing=self._placing,
                 tries=tries,
                 metrics=self.metrics,
                 router=settings.name,
@@ -122,10 +139,16 @@
         gevent.spawn(self.log.run)
         self.discovery.start()
         self.membership.start()
-        self._engines.start()
+        self._hosted.start()
+        self._alone.start()
+        self._placing.start()
+        self._host.start()
         gevent.spawn(self._keep_house)
         self._listen(self._settings.caller_address, self._serve_caller)
         self._listen(self._settings.ready_address, self._serve_platform)
+        self._listen(
+            (self._settings.ip, self._settings.peer_port), self._host.serve
+        )
         self._listen((self._settings.ip, METRICS_PORT), self._serve_platform)
         self._stopped.wait()
         self.log.flush()
@@ -150,7 +173,7 @@
         return (
             self.discovery.configuration is not None
             and self.discovery.has_servers
-            and not self.serving.stopping
+            and self.serving.stopping_since is None
         )
 
     def _limits(self) -> http_server.Limits:
@@ -205,13 +228,16 @@
         return self.metrics.write().encode()
 
     def _take_servers(self) -> None:
-        self._engines.update_servers()
+        self._hosted.update_servers()
+        self._alone.update_servers()
 
     def _take_members(self) -> None:
         routers = self.membership.routers
         self._cold.set_fleet(routers=routers)
         self._budget.set_fleet(routers=routers)
-        self._engines.set_fleet(routers=routers, share=1.0 / routers)
+        self._hosted.set_fleet(routers=routers, share=1.0)
+        self._alone.set_fleet(routers=routers, share=1.0 / routers)
+        self._placing.update()
 
     def _keep_house(self) -> None:
         while True:
@@ -231,10 +257,12 @@
         self._settings = loaded
 
     def _begin_stop(self) -> None:
-        if self.serving.stopping:
+        if self.serving.stopping_since is not None:
             return
         self.log.write("process", "Stopping.", running=self.serving.running)
-        self.serving.stopping = True
+        self.serving.stopping_since = time.monotonic()
+        for connection in self._connections:
+            connection.close_after_answer()
         gevent.spawn(self._stop)
 
     def _stop(self) -> None:
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -9,6 +9,7 @@
 import random
 import time
 
+from daisypick_core.results import codes
 from daisypick_core.results import failure
 from daisypick_http import messages
 from daisypick_http import server as http_server
@@ -22,6 +23,12 @@
 from daisypick_router import plain_way
 from daisypick_router import tries as try_rules
 
+# A process that stops begins nothing after this many seconds: what begins
+# later might not end before the process is killed, and would be cut.
+_BEGIN_SECONDS = 2.5
+# Another router takes the request at once; this is a connection's time.
+_RETRY_AFTER_STOPPING = 0.02
+
 
 class Serving:
     """Serves requests; one object a process."""
@@ -44,7 +51,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
-        self.stopping = False
+        self.stopping_since: float | None = None
         self.running = 0
 
     def handle(
@@ -55,7 +62,7 @@
         """Serve one request of a caller."""
         self.running += 1
         try:
-            if self.stopping:
+            if self.stopping_since is not None:
                 connection.close_after_answer()
             self._handle(connection, request)
         finally:
@@ -66,9 +73,7 @@
         connection: http_server.CallerConnection,
         request: messages.Request,
     ) -> None:
-        found = identify.identify(
-            request, self._discovery.configuration, self._rng
-        )
+        found = self._identify(request)
         if failure.is_failure(found):
             self._refuse(connection, None, found, request)
             return
@@ -87,6 +92,25 @@
             return
         self._note_end(found, outcome)
 
+    def _identify(
+        self, request: messages.Request
+    ) -> contexts.Context | failure.Failure:
+        if self._is_too_late_to_begin():
+            return failure.Failure(
+                code=codes.DRAINING,
+                reason="the process stops",
+                retry_after=_RETRY_AFTER_STOPPING,
+            )
+        return identify.identify(
+            request, self._discovery.configuration, self._rng
+        )
+
+    def _is_too_late_to_begin(self) -> bool:
+        if self.stopping_since is None:
+            return False
+        stopping = time.monotonic() - self.stopping_since
+        return stopping > _BEGIN_SECONDS
+
     def _note_end(
         self,
         context: contexts.Context,
