Divide a model service's capacity by max-min shares

Change: FairShare tells who is within its share of the fleet's tokens a second; the rest gets spare engines only and is refused at once without one; a router's own list closes servers to the host; the look at queues is bounded.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
@@ -7,7 +7,7 @@
 * ``job``: a request that wants to start.
 * ``prefix_cache``: which parts of prompts an engine is believed to keep.
 * ``engine_belief``: what an engine is believed to be doing.
-* ``fair_use``: what organisations got lately.
+* ``fair_share``: which organisations are within their share.
 * ``actions``: what a scheduler asks its driver to do.
 * ``scheduler``: the decisions.
 """
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/fair_share.py
@@ -0,0 +1,135 @@
+"""Which organisations are within their share of the fleet's capacity.
+
+The capacity of some seconds is divided by max-min fairness: organisations
+that ask for less than an even share get what they ask, the others divide the
+rest evenly. What an organisation has begun in the window decides whether its
+next request is within its share. A request beyond it may still run, but only
+on capacity that nobody else wants.
+
+Examples:
+    >>> shares = FairShare(window_seconds=4.0)
+    >>> shares.set_capacity(tokens_per_second=100.0)
+    >>> shares.ask("farm", 50.0, now=0.0)
+    >>> for _ in range(10):
+    ...     shares.ask("flood", 100.0, now=0.0)
+    >>> shares.find_level(now=0.0)
+    350.0
+    >>> shares.begin("flood", 300.0, now=0.0)
+    >>> shares.is_within("flood", 100.0, now=0.5)
+    False
+    >>> shares.is_within("farm", 50.0, now=0.5)
+    True
+"""
+
+from collections.abc import Iterable
+import math
+
+# Steps in which the window moves; a sixteenth keeps the sums within seven in
+# a hundred of a window that moves with every request.
+_STEPS = 16
+# How long a computed level is used: half a step of a window of four seconds.
+_LEVEL_SECONDS = 0.1
+
+
+class _SlidingSum:
+    """Sum over the last steps."""
+
+    __slots__ = ("_first", "_sums", "total")
+
+    def __init__(self) -> None:
+        self._first = 0
+        self._sums: list[float] = [0.0] * _STEPS
+        self.total = 0.0
+
+    def move_to(self, step: int) -> None:
+        """Drop the steps that have left the window."""
+        for gone in range(self._first, min(step, self._first + _STEPS)):
+            index = gone % _STEPS
+            self.total -= self._sums[index]
+            self._sums[index] = 0.0
+        self._first = max(step, self._first)
+
+    def add(self, step: int, amount: float) -> None:
+        """Add to the newest step."""
+        self.move_to(step)
+        self._sums[(step + _STEPS - 1) % _STEPS] += amount
+        self.total += amount
+
+
+def fill(demands: Iterable[float], capacity: float) -> float:
+    """Return the level up to which demands are met; infinite if all are.
+
+    Examples:
+        >>> fill([1.0, 5.0, 9.0], 9.0)
+        4.0
+        >>> fill([1.0, 2.0], 9.0)
+        inf
+    """
+    left = capacity
+    ordered = sorted(demands)
+    for index, demand in enumerate(ordered):
+        even = left / (len(ordered) - index)
+        if demand > even:
+            return even
+        left -= demand
+    return math.inf
+
+
+class FairShare:
+    """Asked and begun tokens by organisation, in a sliding window."""
+
+    def __init__(self, *, window_seconds: float) -> None:
+        self._seconds = window_seconds
+        self._step_seconds = window_seconds / _STEPS
+        self._capacity = 0.0
+        self._asked: dict[str, _SlidingSum] = {}
+        self._begun: dict[str, _SlidingSum] = {}
+        self._level = math.inf
+        self._level_at = -math.inf
+
+    def set_capacity(self, *, tokens_per_second: float) -> None:
+        """Take what the fleet produces; zero if that is not known."""
+        self._capacity = tokens_per_second * self._seconds
+
+    def _step(self, now: float) -> int:
+        return int(now / self._step_seconds)
+
+    def ask(self, organisation: str, tokens: float, now: float) -> None:
+        """Count a request that wants to run."""
+        asked = self._asked.setdefault(organisation, _SlidingSum())
+        asked.add(self._step(now), tokens)
+
+    def begin(self, organisation: str, tokens: float, now: float) -> None:
+        """Count a request that runs."""
+        begun = self._begun.setdefault(organisation, _SlidingSum())
+        begun.add(self._step(now), tokens)
+
+    def find_level(self, now: float) -> float:
+        """Return the tokens of the window that each may have at the most."""
+        if now - self._level_at < _LEVEL_SECONDS:
+            return self._level
+        self._level_at = now
+        self._level = math.inf
+        if self._capacity > 0.0:
+            step = self._step(now)
+            for asked in self._asked.values():
+                asked.move_to(step)
+            self._level = fill(
+                (asked.total for asked in self._asked.values()),
+                self._capacity,
+            )
+        return self._level
+
+    def read_begun(self, organisation: str, now: float) -> float:
+        """Return what an organisation has begun in the window."""
+        begun = self._begun.get(organisation)
+        if begun is None:
+            return 0.0
+        begun.move_to(self._step(now))
+        return begun.total
+
+    def is_within(self, organisation: str, tokens: float, now: float) -> bool:
+        """Tell whether a request is within its organisation's share."""
+        level = self.find_level(now)
+        begun = self.read_begun(organisation, now)
+        return begun == 0.0 or begun + tokens <= level
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -23,7 +23,7 @@
 
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import engine_belief
-from daisypick_core.scheduling import fair_use
+from daisypick_core.scheduling import fair_share
 from daisypick_core.scheduling import job
 from daisypick_core.serving import cold_limit
 from daisypick_core.serving import outcomes
@@ -33,6 +33,15 @@
 UNREAD_TOKENS = 25_000.0
 # Part of the objective after which a waiting request is refused.
 GIVE_UP_SHARE = 0.6
+# What is beyond an organisation's share starts only at an engine with at
+# least half of its batch free and hardly anything to read: there it delays
+# nobody, and a caller is refused only while more than half of all slots are
+# taken.
+SPARE_SLOTS = 0.5
+SPARE_UNREAD = 0.3
+# Requests of an organisation that are looked at when something may start. A
+# flood of them must not cost the time in which others could start.
+_LOOKED_AT = 4
 # Callers come back at random within this range of seconds, so that those
 # refused together do not return together.
 _RETRY_AFTER = (0.4, 1.4)
@@ -78,7 +87,7 @@
         self._cold_rate = cold_rate
         self._rng = rng
         self._share = 1.0
-        self.use = fair_use.FairUse(window_seconds=window_seconds)
+        self.shares = fair_share.FairShare(window_seconds=window_seconds)
         self.outcomes = outcomes.Outcomes()
         self._cold_by_router: dict[str, cold_limit.ColdLimit] = {}
         self._routers = 1
@@ -126,11 +135,23 @@
             return [self._refuse(work, "no backend server takes work")]
         if not self._may_ever_start(work):
             return [self._refuse(work, "all backend servers were tried")]
+        self.shares.ask(work.organisation, work.cost, now)
+        if not self._has_room(work, now):
+            return [self._refuse(work, "beyond its organisation's share")]
         queue = self._waiting_by_organisation.setdefault(work.organisation, [])
         queue.append(work)
         queue.sort(key=lambda waiting: waiting.objective_at)
         return self.dispatch(now)
 
+    def _has_room(self, work: job.Job, now: float) -> bool:
+        """Tell whether a request is within its share or capacity is spare."""
+        if self.shares.is_within(work.organisation, work.cost, now):
+            return True
+        return any(
+            self._is_spare(name, self._engine_by_server[name].unread(now))
+            for name in self._state_by_server
+        )
+
     def _may_ever_start(self, work: job.Job) -> bool:
         return any(name not in work.avoid for name in self._state_by_server)
 
@@ -238,21 +259,36 @@
                 for organisation, queue in self._waiting_by_organisation.items()
                 if queue
             ),
-            key=lambda organisation: self.use.read(organisation, now),
+            key=lambda organisation: self.shares.read_begun(organisation, now),
+        )
+        spare = any(
+            self._is_spare(name, unread)
+            for name, unread in unread_by_server.items()
         )
         for organisation in order:
             queue = self._waiting_by_organisation[organisation]
-            for work in queue:
-                server = self._place(work, unread_by_server, now)
+            for work in queue[:_LOOKED_AT]:
+                within = self.shares.is_within(organisation, work.cost, now)
+                if not within and not spare:
+                    continue
+                server = self._place(work, within, unread_by_server, now)
                 if server is not None:
                     queue.remove(work)
                     return self._start(work, server, unread_by_server, now)
         return None
 
     def _place(
-        self, work: job.Job, unread_by_server: dict[str, float], now: float
+        self,
+        work: job.Job,
+        within: bool,
+        unread_by_server: dict[str, float],
+        now: float,
     ) -> str | None:
-        """Return the best server for a request, or ``None``."""
+        """Return the best server for a request, or ``None``.
+
+        One that is not ``within`` its organisation's share gets spare
+        capacity only.
+        """
         best = None
         best_cost = 0.0
         most_kept = max(
@@ -260,6 +296,8 @@
             for engine in map(self._engine_by_server.get, self._state_by_server)
         )
         for name, unread_ahead in unread_by_server.items():
+            if not within and not self._is_spare(name, unread_ahead):
+                continue
             if name in work.avoid or not self._bears(work, name, now):
                 continue
             engine = self._engine_by_server[name]
@@ -277,6 +315,14 @@
                 best, best_cost = name, cost
         return best
 
+    def _is_spare(self, server: str, unread: float) -> bool:
+        """Tell whether an engine has capacity that nobody else wants."""
+        engine = self._engine_by_server[server]
+        slots = engine.slots * self._share * SPARE_SLOTS
+        return engine.running < slots and unread < (
+            UNREAD_TOKENS * self._share * SPARE_UNREAD
+        )
+
     def _bears(self, work: job.Job, server: str, now: float) -> bool:
         if self._state_by_server[server].cold_until <= now:
             return True
@@ -319,7 +365,7 @@
         engine.start(work, now)
         self._cold_limit(work.router).note(server, now)
         self._server_by_key[work.key] = server
-        self.use.add(work.organisation, work.cost, now)
+        self.shares.begin(work.organisation, work.cost, now)
 
     def _refuse(self, work: job.Job, reason: str) -> actions.Refuse:
         return actions.Refuse(
--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -109,6 +109,14 @@
             key=lambda server: server.name,
         )
 
+    def find_closed(self, service: str) -> list[str]:
+        """Return the names of the servers that must not get new work."""
+        return [
+            server.name
+            for server in self.server_by_name.values()
+            if server.service == service and not self.may_get_work(server)
+        ]
+
     def may_get_work(self, server: backend_server.BackendServer) -> bool:
         """Tell whether a server stays and its data centre is in service."""
         return (
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -113,6 +113,7 @@
             "A new configuration is in force.",
             version=decoded.version,
             routes=len(decoded.routes),
+            tokens_per_second=decoded.limits.tokens_per_second,
         )
         self._on_servers()
 
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -60,6 +60,10 @@
             if service.engine is None:
                 continue
             scheduler = self.find_scheduler(service)
+            scheduler.shares.set_capacity(
+                tokens_per_second=configuration.limits.tokens_per_second
+                * self._share
+            )
             scheduler.set_servers(
                 schedulers.ServerState(
                     name=server.name,
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -73,11 +73,10 @@
             decided = self._placing.acquire(context.service, work)
             if isinstance(decided, actions.Refuse):
                 return self._give_up(context, tried, decided)
-            server = self._discovery.directory.server_by_name.get(
-                decided.server
-            )
+            directory = self._discovery.directory
+            server = directory.server_by_name.get(decided.server)
             context.tried.add(decided.server)
-            if server is None:
+            if server is None or not directory.may_get_work(server):
                 self._placing.note_end(context.service, work.key)
                 continue
             tried = self._try(connection, context, work, server, stream)
@@ -111,6 +110,8 @@
             objective_at = max(
                 objective_at, time.monotonic() + context.route.objective
             )
+        # The host may be cut off from the platform's list while we are not.
+        closed = self._discovery.directory.find_closed(context.service.name)
         return job.Job(
             key=f"{context.attempt}/{len(context.tried)}",
             router=self._router,
@@ -123,7 +124,7 @@
             output_tokens=min(expected, words.output_tokens or expected),
             arrived_at=time.monotonic(),
             objective_at=objective_at,
-            avoid=frozenset(context.tried),
+            avoid=frozenset(context.tried.union(closed)),
         )
 
     def _try(
