Measure spare capacity over the whole service; hold parts to their engine

Change: spare capacity is a matter of the service, any open engine may then be used; reading again what another engine keeps counts twelve times.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/actions.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/actions.py
@@ -4,10 +4,21 @@
 
 
 class Start(typing.NamedTuple):
-    """Send a request to a backend server now."""
+    """Send a request to a backend server now.
+
+    Attributes:
+        key: The request.
+        server: Where it goes.
+        kept: Prompt tokens that the server is believed to keep.
+        ahead: Prompt tokens that it has to read before.
+        elsewhere: Most prompt tokens that any server is believed to keep.
+    """
 
     key: str
     server: str
+    kept: int = 0
+    ahead: int = 0
+    elsewhere: int = 0
 
 
 class Refuse(typing.NamedTuple):
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -37,8 +37,8 @@
 # least half of its batch free and hardly anything to read: there it delays
 # nobody, and a caller is refused only while more than half of all slots are
 # taken.
-SPARE_SLOTS = 0.5
-SPARE_UNREAD = 0.3
+SPARE_SLOTS = 0.75
+SPARE_UNREAD = 0.4
 # Requests of an organisation that are looked at when something may start. A
 # flood of them must not cost the time in which others could start.
 _LOOKED_AT = 4
@@ -46,7 +46,7 @@
 # refused together do not return together.
 _RETRY_AFTER = (0.4, 1.4)
 # How much a token that another engine keeps counts when it is read again.
-_REREAD_WEIGHT = 1.0
+_REREAD_WEIGHT = 12.0
 
 
 class ServerState(typing.NamedTuple):
@@ -147,10 +147,7 @@
         """Tell whether a request is within its share or capacity is spare."""
         if self.shares.is_within(work.organisation, work.cost, now):
             return True
-        return any(
-            self._is_spare(name, self._engine_by_server[name].unread(now))
-            for name in self._state_by_server
-        )
+        return self._is_spare(now)
 
     def _may_ever_start(self, work: job.Job) -> bool:
         return any(name not in work.avoid for name in self._state_by_server)
@@ -218,6 +215,22 @@
                     )
         return refused + self.dispatch(now)
 
+    def describe(self, now: float) -> list[dict[str, object]]:
+        """Return a line for each engine, for logs and dumps."""
+        return [
+            {
+                "server": name,
+                "running": engine.running,
+                "unread": int(engine.unread(now)),
+                "held": engine.cache.held,
+                "rate": int(engine.rate),
+                "cold": self._state_by_server[name].cold_until > now,
+                "aside": self.outcomes.is_aside(name, now),
+            }
+            for name, engine in self._engine_by_server.items()
+            if name in self._state_by_server
+        ]
+
     @property
     def waiting(self) -> int:
         """Requests that wait."""
@@ -261,43 +274,27 @@
             ),
             key=lambda organisation: self.shares.read_begun(organisation, now),
         )
-        spare = any(
-            self._is_spare(name, unread)
-            for name, unread in unread_by_server.items()
-        )
+        spare = self._is_spare(now)
         for organisation in order:
             queue = self._waiting_by_organisation[organisation]
             for work in queue[:_LOOKED_AT]:
                 within = self.shares.is_within(organisation, work.cost, now)
                 if not within and not spare:
                     continue
-                server = self._place(work, within, unread_by_server, now)
+                server = self._place(work, unread_by_server, now)
                 if server is not None:
                     queue.remove(work)
                     return self._start(work, server, unread_by_server, now)
         return None
 
     def _place(
-        self,
-        work: job.Job,
-        within: bool,
-        unread_by_server: dict[str, float],
-        now: float,
+        self, work: job.Job, unread_by_server: dict[str, float], now: float
     ) -> str | None:
-        """Return the best server for a request, or ``None``.
-
-        One that is not ``within`` its organisation's share gets spare
-        capacity only.
-        """
+        """Return the best server for a request, or ``None``."""
         best = None
         best_cost = 0.0
-        most_kept = max(
-            engine.cache.count_kept(work.parts)
-            for engine in map(self._engine_by_server.get, self._state_by_server)
-        )
+        most_kept = self._find_most_kept(work)
         for name, unread_ahead in unread_by_server.items():
-            if not within and not self._is_spare(name, unread_ahead):
-                continue
             if name in work.avoid or not self._bears(work, name, now):
                 continue
             engine = self._engine_by_server[name]
@@ -315,12 +312,26 @@
                 best, best_cost = name, cost
         return best
 
-    def _is_spare(self, server: str, unread: float) -> bool:
-        """Tell whether an engine has capacity that nobody else wants."""
-        engine = self._engine_by_server[server]
-        slots = engine.slots * self._share * SPARE_SLOTS
-        return engine.running < slots and unread < (
-            UNREAD_TOKENS * self._share * SPARE_UNREAD
+    def _find_most_kept(self, work: job.Job) -> int:
+        return max(
+            self._engine_by_server[name].cache.count_kept(work.parts)
+            for name in self._state_by_server
+        )
+
+    def _is_spare(self, now: float) -> bool:
+        """Tell whether there is capacity that nobody else wants."""
+        engines = [
+            self._engine_by_server[name]
+            for name in self._state_by_server
+            if not self.outcomes.is_aside(name, now)
+        ]
+        slots = sum(engine.slots for engine in engines) * self._share
+        running = sum(engine.running for engine in engines)
+        unread = sum(engine.unread(now) for engine in engines)
+        most_unread = UNREAD_TOKENS * self._share * len(engines)
+        return (
+            running < slots * SPARE_SLOTS
+            and unread < most_unread * SPARE_UNREAD
         )
 
     def _bears(self, work: job.Job, server: str, now: float) -> bool:
@@ -345,6 +356,9 @@
         now: float,
     ) -> actions.Start:
         engine = self._engine_by_server[server]
+        kept = engine.cache.count_kept(work.parts)
+        elsewhere = self._find_most_kept(work)
+        ahead = unread_by_server[server]
         self._record_start(work, server, engine, now)
         state = self._state_by_server[server]
         unread = engine.unread(now)
@@ -353,7 +367,13 @@
             del unread_by_server[server]
         else:
             unread_by_server[server] = unread
-        return actions.Start(key=work.key, server=server)
+        return actions.Start(
+            key=work.key,
+            server=server,
+            kept=kept,
+            ahead=int(ahead),
+            elsewhere=elsewhere,
+        )
 
     def _record_start(
         self,
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -159,6 +159,18 @@
             scheduler.note_failure(key, time.monotonic(), certain=certain)
         )
 
+    def describe(self, service: str) -> dict[str, object] | None:
+        """Return what a service's scheduler believes, or ``None``."""
+        scheduler = self._scheduler_by_service.get(service)
+        if scheduler is None:
+            return None
+        now = time.monotonic()
+        return {
+            "waiting": scheduler.waiting,
+            "level": scheduler.shares.find_level(now),
+            "engines": scheduler.describe(now),
+        }
+
     def _apply(self, decided: Iterable[actions.Action]) -> None:
         for action in decided:
             deliver = self._deliver_by_key.pop(action.key, None)
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -188,7 +188,7 @@
 
 def _write_action(action: actions.Action) -> typing.Any:
     if isinstance(action, actions.Start):
-        return peer_messages.Start(key=action.key, server=action.server)
+        return peer_messages.Start(*action)
     return peer_messages.Refuse(
         key=action.key,
         retry_after=round(action.retry_after, 3),
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -8,10 +8,10 @@
 common.
 
 Examples:
-    >>> encode(Start(key="r-1/0", server="i-7"))
-    b'["start","r-1/0","i-7"]\n'
-    >>> decode(b'["start","r-1/0","i-7"]')
-    Start(key='r-1/0', server='i-7')
+    >>> encode(FirstToken(service="assist", key="r-1/0"))
+    b'["first","assist","r-1/0"]\n'
+    >>> decode(b'["first","assist","r-1/0"]')
+    FirstToken(service='assist', key='r-1/0')
 """
 
 import typing
@@ -123,6 +123,9 @@
 
     key: str
     server: str
+    kept: int
+    ahead: int
+    elsewhere: int
 
 
 @register("refuse")
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -29,6 +29,7 @@
 # How many of a service's possible hosts a router keeps connections to.
 _CANDIDATES = 2
 _WATCH_SECONDS = 0.05
+_REPORT_SECONDS = 1.0
 # Placements that are told to a new host, so that it knows what engines keep;
 # an engine's memory turns over in about this many requests of a router.
 _REMEMBERED = 400
@@ -73,6 +74,7 @@
     def start(self) -> None:
         """Begin to watch the hosts."""
         gevent.spawn(self._watch)
+        gevent.spawn(self._report)
 
     def update(self) -> None:
         """Take the routers from the membership and connect to hosts."""
@@ -109,6 +111,19 @@
             for link in list(self._link_by_name.values()):
                 link.watch_silence(now)
 
+    def _report(self) -> None:
+        """Log what the schedulers hosted here believe, once a second."""
+        while True:
+            gevent.sleep(_REPORT_SECONDS)
+            for service, host in self._host_by_service.items():
+                if host == self._name:
+                    self._log.write(
+                        "placing",
+                        "State of a service.",
+                        service=service,
+                        **self._hosted.describe(service),
+                    )
+
     def _find_host(self, service: str) -> str | None:
         """Return the first candidate that can be asked."""
         if service not in self._services:
@@ -152,6 +167,20 @@
             self._alone.note_started_elsewhere(service, work, decided.server)
         if isinstance(decided, actions.Start):
             self._remember(service, work, decided.server)
+            self._log.write(
+                "placing",
+                "Start.",
+                id=work.key,
+                host=host,
+                server=decided.server,
+                organisation=work.organisation,
+                prompt=work.prompt_tokens,
+                output=work.output_tokens,
+                kept=decided.kept,
+                elsewhere=decided.elsewhere,
+                ahead=decided.ahead,
+                waited=round(time.monotonic() - work.arrived_at, 4),
+            )
         return decided
 
     def _ask(
@@ -174,7 +203,7 @@
             )
             raise
         if isinstance(answer, peer_messages.Start):
-            return actions.Start(key=work.key, server=answer.server)
+            return actions.Start(*answer)
         if isinstance(answer, peer_messages.Refuse):
             return actions.Refuse(
                 key=work.key,
