Keep answers of one connection apart; test the way of a request

Cause: a second answer that arrived in the same bytes as a late one was lost, so a reservation that was answered ended as 502 (found by the new test of a late answer, seen failing first). Change: the reader keeps successive answers and its user passes over one.

--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -73,17 +73,12 @@
         """
         self.exchanges += 1
         self.reader = answer_reader.AnswerReader(method=method)
-        self._method = method
         try:
             self._socket.settimeout(timeout)
             self._socket.sendall(data)
         except OSError as error:
             raise ConnectionBrokeError(f"send: {error}") from error
 
-    def expect_next_answer(self) -> None:
-        """Pass over the answer that was read; the next one is expected."""
-        self.reader = answer_reader.AnswerReader(method=self._method)
-
     def read(self, timeout: float) -> None:
         """Read some bytes into ``reader``.
 
@@ -101,7 +96,6 @@
         if data:
             self.reader.feed(data)
         else:
-            self.reader.keep_alive = False
             self.reader.feed_end()
 
     def is_reusable(self) -> bool:
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -134,7 +134,7 @@
         words = request_headers.read_server(reader.head.headers)
         if words.attempt is not None and words.attempt != context.attempt:
             _read_to_end(connection, context.deadline)
-            connection.expect_next_answer()
+            connection.reader.pass_over()
             continue
         return _judge(connection, words, context.deadline)
 
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -37,7 +37,6 @@
 # or cut off; a lost opening packet would be sent again only after a second.
 _CONNECT_SECONDS = 0.25
 _BACKLOG = 512
-METRICS_PORT = 9464
 _METRICS_TARGET = b"/metrics"
 _HOUSEKEEPING_SECONDS = 1.0
 # The platform takes a VM out after two questions a second apart; until then
@@ -50,9 +49,10 @@
 class RouterProcess:
     """One router."""
 
-    def __init__(self, *, settings: platform_settings.Settings) -> None:
-        self._settings = settings
-        rng = random.Random()
+    def __init__(
+        self, *, settings: platform_settings.Settings, rng: random.Random
+    ) -> None:
+        self.settings = settings
         self.log = logs.Log(process=settings.name)
         self.metrics = metric_numbers.Metrics()
         store = stores.StoreClient(address=settings.store_address)
@@ -128,15 +128,21 @@
         )
         self._connections: set[http_server.CallerConnection] = set()
         self._listeners: list[gevent_server.StreamServer] = []
-        self._stopped = gevent_event.Event()
+        self.stopped = gevent_event.Event()
         self._take_members()
 
     def run(self) -> None:
         """Serve until the process is told to stop and has stopped."""
-        self.log.write("process", "Started.", ip=self._settings.ip)
-        gevent.signal_handler(signal.SIGTERM, self._begin_stop)
+        gevent.signal_handler(signal.SIGTERM, self.begin_stop)
         gevent.signal_handler(signal.SIGHUP, self._reload)
         gevent.spawn(self.log.run)
+        self.start()
+        self.stopped.wait()
+        self.log.flush()
+
+    def start(self) -> None:
+        """Begin to follow the platform and to listen."""
+        self.log.write("process", "Started.", ip=self.settings.ip)
         self.discovery.start()
         self.membership.start()
         self._hosted.start()
@@ -144,14 +150,15 @@
         self._placing.start()
         self._host.start()
         gevent.spawn(self._keep_house)
-        self._listen(self._settings.caller_address, self._serve_caller)
-        self._listen(self._settings.ready_address, self._serve_platform)
+        self._listen(self.settings.caller_address, self._serve_caller)
+        self._listen(self.settings.ready_address, self._serve_platform)
         self._listen(
-            (self._settings.ip, self._settings.peer_port), self._host.serve
+            (self.settings.ip, self.settings.peer_port), self._host.serve
+        )
+        self._listen(
+            (self.settings.ip, self.settings.metrics_port),
+            self._serve_platform,
         )
-        self._listen((self._settings.ip, METRICS_PORT), self._serve_platform)
-        self._stopped.wait()
-        self.log.flush()
 
     def _listen(self, address: tuple[str, int], handle) -> None:  # noqa: ANN001
         listener = plain_socket.socket()
@@ -254,9 +261,10 @@
             )
             return
         self.log.write("process", "Read the settings again.")
-        self._settings = loaded
+        self.settings = loaded
 
-    def _begin_stop(self) -> None:
+    def begin_stop(self) -> None:
+        """Stop gracefully; ``stopped`` is set when it is done."""
         if self.serving.stopping_since is not None:
             return
         self.log.write("process", "Stopping.", running=self.serving.running)
@@ -275,11 +283,11 @@
         for connection in list(self._connections):
             if connection.is_idle:
                 connection.close_softly()
-        latest = began + self._settings.bounds.grace_seconds * _STOP_SHARE
+        latest = began + self.settings.bounds.grace_seconds * _STOP_SHARE
         while time.monotonic() < latest and self._connections:
             gevent.sleep(0.05)
         self.log.write("process", "Stopped.", running=self.serving.running)
-        self._stopped.set()
+        self.stopped.set()
 
 
 _DEFAULT_LIMITS = http_server.Limits()
@@ -292,5 +300,5 @@
     if failure.is_failure(loaded):
         print(f"daisypickd: {loaded.code.number} {loaded.reason}")
         return 2
-    RouterProcess(settings=loaded).run()
+    RouterProcess(settings=loaded, rng=random.Random()).run()
     return 0
--- /dev/null
+++ b/packages/daisypick_router/tests/fakes.py
@@ -0,0 +1,467 @@
+"""Stand-ins of the platform's store and of its backend servers.
+
+They speak the platform's published protocol over loopback, as far as the
+tests need it, and do nothing that they were not told to do.
+"""
+
+from collections.abc import Callable
+import json
+import random
+import socket as plain_socket
+import time
+
+import gevent
+from gevent import event
+from gevent import server as gevent_server
+from gevent import socket
+
+from daisypick_platform import settings as platform_settings
+from daisypick_router import process
+
+HOST = "plots.example"
+KEY = "key-of-farm"
+
+
+def read_request(connection: socket.socket) -> tuple[bytes, dict, bytes] | None:
+    """Read one request; return its first line, headers and body."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        try:
+            piece = connection.recv(65536)
+        except OSError:
+            return None
+        if not piece:
+            return None
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    first, *lines = head.split(b"\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(b": ")
+        headers[name.decode().lower()] = value.decode()
+    length = int(headers.get("content-length", "0"))
+    while len(body) < length:
+        body += connection.recv(65536)
+    return first, headers, body
+
+
+def write_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
+    """Return an answer framed by its length."""
+    lines = [f"HTTP/1.1 {status} Word"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class FakeStore:
+    """Objects by kind and name, with lists, watches and outages."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict]] = {}
+        self.events: list[tuple[int, str, dict, bool]] = []
+        self.changed = event.Event()
+        self.down = False
+        self.page = 500
+        self.server = gevent_server.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+        self.address = ("127.0.0.1", self.server.server_port)
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Create or replace an object."""
+        self.revision += 1
+        stored = {
+            "Meta": {"Name": name, "Revision": self.revision},
+            "Spec": spec,
+        }
+        self.objects.setdefault(kind, {})[name] = stored
+        self._note(kind, stored, False)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        self.revision += 1
+        stored = self.objects[kind].pop(name)
+        self._note(kind, stored, True)
+
+    def _note(self, kind: str, stored: dict, deleted: bool) -> None:
+        self.events.append((self.revision, kind, stored, deleted))
+        self.changed.set()
+        self.changed = event.Event()
+
+    def _serve(self, connection: socket.socket, address: tuple) -> None:
+        while True:
+            request = read_request(connection)
+            if request is None:
+                return
+            if self.down:
+                connection.sendall(write_answer(503, {}, b""))
+                continue
+            method, target, _ = request[0].decode().split(" ")
+            status, body = self._answer(method, target, request[2])
+            connection.sendall(
+                write_answer(status, {}, json.dumps(body).encode())
+            )
+
+    def _answer(
+        self, method: str, target: str, body: bytes
+    ) -> tuple[int, object]:
+        path, _, query = target.partition("?")
+        words = dict(
+            pair.split("=", 1) for pair in query.split("&") if "=" in pair
+        )
+        kind, _, name = path.removeprefix("/-/objects/").partition("/")
+        if method == "GET" and "Watch" in words:
+            return self._watch(kind, words)
+        if method == "GET":
+            return self._list(kind, words)
+        if method == "PUT":
+            if name not in self.objects.get(kind, {}):
+                return 404, {}
+            self.put(kind, name, json.loads(body)["Spec"])
+            return 200, self.objects[kind][name]
+        if method == "POST":
+            name = json.loads(body)["Meta"]["Name"]
+            if name in self.objects.get(kind, {}):
+                return 409, {}
+            self.put(kind, name, json.loads(body)["Spec"])
+            return 200, self.objects[kind][name]
+        if name in self.objects.get(kind, {}):
+            self.remove(kind, name)
+        return 200, {}
+
+    def _list(self, kind: str, words: dict[str, str]) -> tuple[int, object]:
+        names = sorted(self.objects.get(kind, {}))
+        names = [name for name in names if name > words.get("AfterRev", "")]
+        page = names[: self.page]
+        return 200, {
+            "Items": [self.objects[kind][name] for name in page],
+            "HasMore": len(names) > len(page),
+            "CurrentRev": self.revision,
+        }
+
+    def _watch(self, kind: str, words: dict[str, str]) -> tuple[int, object]:
+        since = int(words["Watch"])
+        until = time.monotonic() + int(words["WaitMs"]) / 1000.0
+        while True:
+            found = [
+                {"Object": stored, "Deleted": deleted}
+                for revision, of_kind, stored, deleted in self.events
+                if revision > since and of_kind == kind
+            ]
+            left = until - time.monotonic()
+            if found or left <= 0 or self.down:
+                return 200, {"events": found, "CurrentRev": self.revision}
+            self.changed.wait(left)
+
+
+class FakeServer:
+    """A backend server that does with each request what a script says.
+
+    ``script(server, connection, first, headers, body)`` answers.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        script: Callable,
+        *,
+        data_centre: str = "a",
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.script = script
+        self.data_centre = data_centre
+        self.requests: list[dict] = []
+        self.connections = 0
+        self.closed_by_peer = event.Event()
+        self.server = gevent_server.StreamServer(("127.0.0.1", 0), self._serve)
+        self.server.start()
+
+    def describe(self, **changes: object) -> dict:
+        """Return its entry in the store."""
+        entry = {
+            "Service": self.service,
+            "Address": f"127.0.0.1:{self.server.server_port}",
+            "Zone": self.data_centre,
+            "Slots": 8,
+            "State": "ready",
+            "ColdLeftMs": 0,
+            "Seq": 1,
+            "born": 1,
+        }
+        entry.update(changes)
+        return entry
+
+    def _serve(self, connection: socket.socket, address: tuple) -> None:
+        self.connections += 1
+        connection.setsockopt(
+            plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
+        )
+        while True:
+            request = read_request(connection)
+            if request is None:
+                return
+            first, headers, body = request
+            self.requests.append(headers)
+            if self.script(self, connection, first, headers, body) == "close":
+                return
+
+
+def answer_ok(server, connection, first, headers, body) -> None:
+    """Answer well."""
+    connection.sendall(
+        write_answer(
+            200,
+            {
+                "Daisypick-Attempt-Id": headers["daisypick-attempt-id"],
+                "Daisypick-Server-Seal": f"seal-{server.name}",
+            },
+            b"answer of " + server.name.encode(),
+        )
+    )
+
+
+def shed(server, connection, first, headers, body) -> None:
+    """Turn the request away, unrun."""
+    connection.sendall(
+        write_answer(
+            503,
+            {
+                "Daisypick-Attempt-Id": headers["daisypick-attempt-id"],
+                "Daisypick-Not-Executed": "1",
+            },
+            b"",
+        )
+    )
+
+
+def begin_stream(server, connection, headers) -> None:
+    """Send the head of a stream."""
+    connection.sendall(
+        (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"Daisypick-Attempt-Id: {headers['daisypick-attempt-id']}\r\n"
+            f"Daisypick-Server-Seal: seal-{server.name}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        ).encode()
+    )
+
+
+def send_events(connection, numbers) -> None:
+    """Send whole events."""
+    for number in numbers:
+        data = b"id: %d\ndata: piece %d\n\n" % (number, number)
+        connection.sendall(b"%x\r\n%b\r\n" % (len(data), data))
+
+
+def end_stream(connection) -> None:
+    """End a stream as whole."""
+    connection.sendall(b"0\r\n\r\n")
+
+
+def stream_five(server, connection, first, headers, body) -> None:
+    """Stream the events 1 to 5, or what is left of them."""
+    begin_stream(server, connection, headers)
+    after = int(headers.get("last-event-id", "0"))
+    send_events(connection, range(after + 1, 6))
+    end_stream(connection)
+
+
+def make_manifest(version: int = 1, **changes: object) -> dict:
+    """Return a configuration with a route of each kind."""
+    common = {
+        "Host": HOST,
+        "Priority": 1,
+        "Public": False,
+        "TimeoutMs": 1500,
+        "LatencyTargetMs": 200,
+    }
+    routes = [
+        {**common, "Name": "look", "PathPrefix": "/look/", "Kind": "safe",
+         "Service": "desk", "MaxAttempts": 2},
+        {**common, "Name": "reserve", "PathPrefix": "/reserve/",
+         "Kind": "unsafe", "Service": "desk", "MaxAttempts": 1},
+        {**common, "Name": "visit", "PathPrefix": "/visit/",
+         "Kind": "streaming", "Service": "assist", "MaxAttempts": 2,
+         "Resumable": True, "Sticky": True},
+        {**common, "Name": "ask", "PathPrefix": "/ask/", "Kind": "streaming",
+         "Service": "assist", "MaxAttempts": 1, "Sticky": True},
+    ]  # fmt: skip
+    manifest = {
+        "Version": version,
+        "Routes": routes,
+        "Services": [
+            {"Name": "desk", "ColdStartS": 0.0, "ColdPerS": 0.0},
+            {
+                "Name": "assist",
+                "ColdStartS": 3.0,
+                "ColdPerS": 20.0,
+                "Engine": {"Slots": 8, "KvTokenCapacity": 100000},
+            },
+        ],
+        "Limits": {
+            "HeaderBytes": 4096,
+            "BodyBytes": 10000,
+            "HeaderTimeoutMs": 300,
+            "IdleTimeoutMs": 5000,
+            "TokensPerS": 100000,
+        },
+        "Tenants": [{"Name": "farm", "ApiKeys": [KEY]}],
+    }
+    manifest.update(changes)
+    return manifest
+
+
+def find_port() -> int:
+    """Return a free port of the loopback address."""
+    with plain_socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+BOUNDS = platform_settings.Bounds(
+    drain_seconds=2.0,
+    grace_seconds=3.0,
+    retry_ratio=0.2,
+    retry_window_seconds=10.0,
+    retry_extra=50.0,
+    cold_over=1.5,
+    cold_slack=5.0,
+    quota_window_seconds=4.0,
+    reuse_window_seconds=7.0,
+)
+
+
+def make_router(store: FakeStore, name: str = "r-1") -> process.RouterProcess:
+    """Return a router on free ports that has not been started."""
+    settings = platform_settings.Settings(
+        name=name,
+        ip="127.0.0.1",
+        data_centre="a",
+        caller_address=("127.0.0.1", find_port()),
+        ready_address=("127.0.0.1", find_port()),
+        peer_port=find_port(),
+        metrics_port=find_port(),
+        store_address=store.address,
+        bounds=BOUNDS,
+    )
+    return process.RouterProcess(settings=settings, rng=random.Random(1))
+
+
+def start_router(store: FakeStore, name: str = "r-1") -> process.RouterProcess:
+    """Return a router that is ready."""
+    router = make_router(store, name)
+    router.start()
+    wait_for(lambda: router.is_ready)
+    return router
+
+
+def wait_for(condition: Callable[[], object], seconds: float = 3.0) -> None:
+    """Wait for a condition.
+
+    Raises:
+        AssertionError: It did not come true.
+    """
+    until = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < until, "condition did not come true"
+        gevent.sleep(0.005)
+
+
+def connect(router: process.RouterProcess) -> socket.socket:
+    """Return a caller's connection."""
+    return socket.create_connection(router.settings.caller_address, timeout=5.0)
+
+
+def write_request(
+    path: str, *, attempt: str = "a-1", method: str = "POST", **headers: str
+) -> bytes:
+    """Return a caller's request."""
+    lines = [
+        f"{method} {path} HTTP/1.1",
+        f"Host: {HOST}",
+        f"Daisypick-Attempt-Id: {attempt}",
+        f"X-Api-Key: {headers.pop('key', KEY)}",
+        f"Daisypick-Deadline-Ms: {headers.pop('patience', '1500')}",
+        "Daisypick-Model: m",
+        "Daisypick-Token-Counts: 100,20",
+        "Daisypick-Prompt-Prefix: aa:60,bb:40",
+    ]
+    lines += [
+        f"{name.replace('_', '-')}: {value}" for name, value in headers.items()
+    ]
+    body = b"" if method == "GET" else b"body"
+    if body:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class Answer:
+    """A caller's view of an answer.
+
+    Attributes:
+        status: HTTP status; zero if the connection ended before it.
+        headers: By lower-case name.
+        body: What came of the body.
+        whole: Whether its framing says that it is whole.
+    """
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: dict[str, str] = {}
+        self.body = b""
+        self.whole = False
+
+
+def read_answer(connection: socket.socket) -> Answer:
+    """Read one answer."""
+    answer = Answer()
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65536)
+        if not piece:
+            return answer
+        data += piece
+    head, _, data = data.partition(b"\r\n\r\n")
+    first, *lines = head.split(b"\r\n")
+    answer.status = int(first.split()[1])
+    for line in lines:
+        name, _, value = line.partition(b": ")
+        answer.headers[name.decode().lower()] = value.decode()
+    if "content-length" in answer.headers:
+        length = int(answer.headers["content-length"])
+        while len(data) < length:
+            piece = connection.recv(65536)
+            if not piece:
+                break
+            data += piece
+        answer.body, answer.whole = data, len(data) == length
+        return answer
+    while True:
+        if data.endswith(b"0\r\n\r\n"):
+            answer.whole = True
+            break
+        piece = connection.recv(65536)
+        if not piece:
+            break
+        data += piece
+    answer.body = _join_chunks(data)
+    return answer
+
+
+def _join_chunks(data: bytes) -> bytes:
+    body = b""
+    while data:
+        size, _, rest = data.partition(b"\r\n")
+        length = int(size, 16)
+        body += rest[:length]
+        data = rest[length + 2 :]
+    return body
+
+
+def call(router: process.RouterProcess, path: str, **words: str) -> Answer:
+    """Make a request on a new connection."""
+    with connect(router) as connection:
+        connection.sendall(write_request(path, **words))
+        return read_answer(connection)
--- /dev/null
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -0,0 +1,425 @@
+"""The way of a request through one router, against stand-ins."""
+
+import fakes
+import gevent
+import pytest
+
+from daisypick_platform import store as stores
+
+
+@pytest.fixture
+def store():
+    found = fakes.FakeStore()
+    found.put("config", "main", fakes.make_manifest())
+    yield found
+    found.server.stop()
+
+
+def _serve(store, *servers):
+    for server in servers:
+        store.put("servers", server.name, server.describe())
+    return fakes.start_router(store)
+
+
+def _desk(script, name="d-1"):
+    return fakes.FakeServer(name, "desk", script)
+
+
+def _assist(script, name="e-1"):
+    return fakes.FakeServer(name, "assist", script)
+
+
+def test_answer_is_passed_on_unchanged(store):
+    router = _serve(store, _desk(fakes.answer_ok))
+    answer = fakes.call(router, "/look/1?x=2", method="GET")
+    assert answer.status == 200
+    assert answer.whole
+    assert answer.body == b"answer of d-1"
+    assert answer.headers["daisypick-server-seal"] == "seal-d-1"
+
+
+def test_server_gets_the_systems_headers_and_not_the_callers_key(store):
+    server = _desk(fakes.answer_ok)
+    router = _serve(store, server)
+    fakes.call(
+        router,
+        "/reserve/1",
+        Daisypick_Tenant="intruder",
+        Daisypick_Hold="h",
+        Kv_From="10.0.0.1:1/2",
+        Daisypick_Expect_Instance="d-9",
+    )
+    (seen,) = server.requests
+    assert seen["daisypick-tenant"] == "farm"
+    assert seen["daisypick-expect-instance"] == "d-1"
+    assert 0 < int(seen["daisypick-deadline-ms"]) <= 1500
+    assert not {"x-api-key", "daisypick-hold", "kv-from"} & seen.keys()
+
+
+@pytest.mark.parametrize(
+    ("path", "words", "status"),
+    [
+        ("/nowhere/1", {}, 404),
+        ("/look/1", {"key": "wrong"}, 401),
+        ("/look/1", {"X_Big": "x" * 5000}, 431),
+    ],
+)
+def test_bad_requests_are_refused(store, path, words, status):
+    server = _desk(fakes.answer_ok)
+    router = _serve(store, server)
+    assert fakes.call(router, path, **words).status == status
+    assert server.requests == []
+
+
+def test_request_turned_away_goes_elsewhere(store):
+    """A server is full and says that the request did not run.
+
+    The route allows two servers, so the caller gets the other one's answer.
+    """
+    full, free = _desk(fakes.shed, "d-1"), _desk(fakes.answer_ok, "d-2")
+    router = _serve(store, full, free)
+    for attempt in range(6):
+        answer = fakes.call(router, "/look/1", attempt=f"a-{attempt}")
+        assert answer.body == b"answer of d-2"
+    assert full.requests
+
+
+def test_unsafe_request_runs_at_most_once(store):
+    """A server resets the connection after it took a reservation.
+
+    It may have run, so no other server gets it, and the caller is told
+    neither that it ran nor that it did not.
+    """
+
+    def _reset(server, connection, first, headers, body):
+        return "close"
+
+    servers = _desk(_reset, "d-1"), _desk(_reset, "d-2")
+    router = _serve(store, *servers)
+    answer = fakes.call(router, "/reserve/1")
+    assert answer.status == 502
+    assert sum(len(server.requests) for server in servers) == 1
+
+
+def test_late_answer_to_another_request_is_thrown_away(store):
+    """A server sends an answer twice; the second copy arrives late.
+
+    It lies on the kept connection when the next request is sent there and
+    must not be taken for that one's answer.
+    """
+
+    def _twice(server, connection, first, headers, body):
+        if headers["daisypick-attempt-id"] == "a-2":
+            fakes.answer_ok(
+                server, connection, first,
+                {"daisypick-attempt-id": "a-1"}, body,
+            )  # fmt: skip
+        fakes.answer_ok(server, connection, first, headers, body)
+
+    router = _serve(store, _desk(_twice))
+    assert fakes.call(router, "/reserve/1", attempt="a-1").status == 200
+    answer = fakes.call(router, "/reserve/1", attempt="a-2")
+    assert answer.headers["daisypick-attempt-id"] == "a-2"
+
+
+def test_answer_without_seal_is_not_passed_on(store):
+    """Bytes that look like a success but bear no seal are not an answer."""
+
+    def _forge(server, connection, first, headers, body):
+        connection.sendall(fakes.write_answer(200, {}, b"forged"))
+
+    router = _serve(store, _desk(_forge))
+    assert fakes.call(router, "/reserve/1").status == 502
+
+
+def test_connections_to_servers_are_kept(store):
+    server = _desk(fakes.answer_ok)
+    router = _serve(store, server)
+    for attempt in range(10):
+        fakes.call(router, "/look/1", attempt=f"a-{attempt}")
+    assert len(server.requests) == 10
+    assert server.connections == 1
+
+
+def test_timeout_of_the_route_is_answered_in_time(store):
+    """A server takes a request and says nothing.
+
+    The route's timeout is 1.5 s; the caller would wait longer, but gets its
+    final answer then.
+    """
+
+    def _hang(server, connection, first, headers, body):
+        gevent.sleep(5.0)
+
+    router = _serve(store, _desk(_hang))
+    with gevent.Timeout(2.2):
+        answer = fakes.call(router, "/reserve/1", patience="9000")
+    assert answer.status == 504
+
+
+def test_stream_is_passed_on_event_by_event(store):
+    """The caller has the first event while the server still works."""
+    gate = gevent.event.Event()
+
+    def _wait_inside(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        gate.wait(2.0)
+        fakes.send_events(connection, [2])
+        fakes.end_stream(connection)
+
+    router = _serve(store, _assist(_wait_inside))
+    with fakes.connect(router) as connection:
+        connection.sendall(fakes.write_request("/ask/1"))
+        data = b""
+        while b"piece 1" not in data:
+            data += connection.recv(65536)
+        assert b"piece 2" not in data
+        gate.set()
+        while not data.endswith(b"0\r\n\r\n"):
+            data += connection.recv(65536)
+    assert b"piece 2" in data
+
+
+def _break_after_two(server, connection, first, headers, body):
+    fakes.begin_stream(server, connection, headers)
+    fakes.send_events(connection, [1, 2])
+    half = b"id: 3\ndata: pie"
+    connection.sendall(b"%x\r\n%b\r\n" % (len(half), half))
+    return "close"
+
+
+def test_broken_stream_goes_on_at_another_server(store):
+    """A server crashes in the middle of the third event.
+
+    The route may be resumed, so another server goes on after the second
+    event. The caller sees each event once, whole and in order, under the
+    head of the first server.
+    """
+    calls = []
+
+    def _first_breaks(server, connection, first, headers, body):
+        calls.append(headers.get("last-event-id"))
+        if len(calls) == 1:
+            return _break_after_two(server, connection, first, headers, body)
+        return fakes.stream_five(server, connection, first, headers, body)
+
+    servers = _assist(_first_breaks, "e-1"), _assist(_first_breaks, "e-2")
+    router = _serve(store, *servers)
+    answer = fakes.call(router, "/visit/1")
+    assert answer.whole
+    assert answer.body == b"".join(
+        b"id: %d\ndata: piece %d\n\n" % (number, number)
+        for number in range(1, 6)
+    )
+    assert calls == [None, "2"]
+
+
+def test_broken_stream_that_may_not_go_on_is_cut(store):
+    """The same on a route that may not be resumed: the stream is not whole."""
+    servers = (
+        _assist(_break_after_two, "e-1"),
+        _assist(fakes.stream_five, "e-2"),
+    )
+    router = _serve(store, servers[0])
+    answer = fakes.call(router, "/ask/1")
+    assert answer.status == 200
+    assert not answer.whole
+    assert answer.body.endswith(b"data: piece 2\n\n")
+    assert servers[1].requests == []
+
+
+def test_caller_that_leaves_ends_the_work(store):
+    """A caller closes its connection while a server streams to it.
+
+    The server sees its own connection end soon after, and works for nobody
+    no longer.
+    """
+    ended = gevent.event.Event()
+
+    def _stream_on(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        for number in range(1, 200):
+            try:
+                fakes.send_events(connection, [number])
+            except OSError:
+                ended.set()
+                break
+            gevent.sleep(0.01)
+        return "close"
+
+    router = _serve(store, _assist(_stream_on))
+    with fakes.connect(router) as connection:
+        connection.sendall(fakes.write_request("/ask/1"))
+        connection.recv(65536)
+    assert ended.wait(0.5)
+    fakes.wait_for(lambda: router.serving.running == 0)
+
+
+def test_server_that_refuses_connections_costs_no_request(store):
+    """A crashed server still stands in the list.
+
+    Nothing was sent, so the request goes elsewhere, even one that may run
+    once only.
+    """
+    dead, alive = _desk(fakes.answer_ok, "d-1"), _desk(fakes.answer_ok, "d-2")
+    dead.server.stop()
+    router = _serve(store, dead, alive)
+    for attempt in range(4):
+        answer = fakes.call(router, "/reserve/1", attempt=f"a-{attempt}")
+        assert answer.status == 200
+
+
+def test_router_without_configuration_is_not_ready():
+    """The store is away while a router starts: it says 503, never 404."""
+    store = fakes.FakeStore()
+    store.down = True
+    router = fakes.make_router(store)
+    router.start()
+    answer = fakes.call(router, "/look/1", method="GET")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0
+    assert not router.is_ready
+
+
+def test_draining_server_gets_nothing_more(store):
+    leaving, staying = (
+        _desk(fakes.answer_ok, "d-1"),
+        _desk(fakes.answer_ok, "d-2"),
+    )
+    router = _serve(store, leaving, staying)
+    store.put("servers", "d-1", leaving.describe(State="draining"))
+    directory = router.discovery.directory
+    fakes.wait_for(lambda: len(directory.find_ready("desk")) == 1)
+    before = len(leaving.requests)
+    for attempt in range(6):
+        fakes.call(router, "/look/1", attempt=f"a-{attempt}")
+    assert len(leaving.requests) == before
+
+
+def test_data_centre_taken_out_gets_nothing_more(store):
+    out = fakes.FakeServer("d-1", "desk", fakes.answer_ok, data_centre="x")
+    router = _serve(store, out, _desk(fakes.answer_ok, "d-2"))
+    store.put("evacuations", "x", {})
+    directory = router.discovery.directory
+    fakes.wait_for(lambda: len(directory.find_ready("desk")) == 1)
+    for attempt in range(6):
+        fakes.call(router, "/look/1", attempt=f"a-{attempt}")
+    assert out.requests == []
+
+
+def test_unreadable_entry_is_passed_over(store):
+    """Another writer leaves an entry that is no server; the others hold."""
+    store.put("servers", "x-1", {"Service": 7, "Address": "no"})
+    router = _serve(store, _desk(fakes.answer_ok))
+    assert fakes.call(router, "/look/1").status == 200
+
+
+def test_configuration_never_goes_back(store):
+    """The store's list lags behind what a watch has shown before."""
+    router = _serve(store, _desk(fakes.answer_ok))
+    store.put("config", "main", fakes.make_manifest(9))
+    fakes.wait_for(lambda: router.discovery.configuration.version == 9)
+    store.put("config", "main", fakes.make_manifest(4))
+    fakes.wait_for(lambda: store.events[-1][2]["Spec"]["Version"] == 4)
+    gevent.sleep(0.05)
+    assert router.discovery.configuration.version == 9
+
+
+def test_revoked_key_is_refused(store):
+    router = _serve(store, _desk(fakes.answer_ok))
+    store.put(
+        "config",
+        "main",
+        fakes.make_manifest(2, Tenants=[{"Name": "farm", "ApiKeys": ["k2"]}]),
+    )
+    fakes.wait_for(lambda: router.discovery.configuration.version == 2)
+    assert fakes.call(router, "/look/1").status == 401
+    assert fakes.call(router, "/look/1", key="k2").status == 200
+
+
+def test_stopping_router_cuts_nothing(store):
+    """A router gets the signal to stop while a stream runs.
+
+    The stream ends whole. A request on a connection that was kept is still
+    served shortly after the signal, and told that the connection ends. What
+    comes much later is refused truly, because it might not end in time.
+    """
+    gate = gevent.event.Event()
+
+    def _slow(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        gate.wait(3.0)
+        fakes.send_events(connection, [2])
+        fakes.end_stream(connection)
+
+    router = _serve(store, _assist(_slow), _desk(fakes.answer_ok))
+    streaming, kept, late = (fakes.connect(router) for _ in range(3))
+    for connection in (kept, late):
+        connection.sendall(fakes.write_request("/look/1"))
+        assert fakes.read_answer(connection).status == 200
+    streaming.sendall(fakes.write_request("/ask/1"))
+    fakes.wait_for(lambda: router.serving.running == 1)
+    router.begin_stop()
+    assert not router.is_ready
+    kept.sendall(fakes.write_request("/look/1", attempt="a-2"))
+    answer = fakes.read_answer(kept)
+    assert answer.status == 200
+    assert answer.headers["connection"] == "close"
+    router.serving.stopping_since -= 2.51
+    late.sendall(fakes.write_request("/look/1", attempt="a-3"))
+    refused = fakes.read_answer(late)
+    assert refused.status == 503
+    assert refused.headers["connection"] == "close"
+    gate.set()
+    assert fakes.read_answer(streaming).whole
+    assert router.stopped.wait(4.0)
+
+
+def test_stream_begun_before_the_stop_ends_its_connection(store):
+    """The head of a stream went out before the signal, without a word on it.
+
+    After its end the connection must not take another request: it would run
+    into the kill of the process.
+    """
+    gate = gevent.event.Event()
+
+    def _slow(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        gate.wait(3.0)
+        fakes.end_stream(connection)
+
+    router = _serve(store, _assist(_slow))
+    with fakes.connect(router) as connection:
+        connection.sendall(fakes.write_request("/ask/1"))
+        while b"piece 1" not in connection.recv(65536):
+            pass
+        router.begin_stop()
+        gate.set()
+        while connection.recv(65536):
+            pass
+
+
+def test_metrics_are_served(store):
+    router = _serve(store, _desk(fakes.answer_ok))
+    fakes.call(router, "/look/1")
+    with fakes.socket.create_connection(
+        ("127.0.0.1", router.settings.metrics_port)
+    ) as connection:
+        connection.sendall(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        text = fakes.read_answer(connection).body.decode()
+    assert 'requests_total{outcome="answered_200"} 1' in text
+    assert "request_seconds_bucket" in text
+
+
+def test_store_client_reads_all_pages(store):
+    store.page = 2
+    for number in range(5):
+        store.put("things", f"t-{number}", {"n": number})
+    client = stores.StoreClient(address=store.address)
+    listing = client.list_kind("things")
+    assert [stored.name for stored in listing.objects] == [
+        f"t-{number}" for number in range(5)
+    ]
