--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
@@ -29,6 +29,10 @@
 # running request out of its memory and reads it from the start.
 _MEMORY_SHARE = 0.9
 
+# A router tells of an end within a few milliseconds; what is not told after
+# this time past the caller's deadline never will be.
+_OVERDUE_SECONDS = 1.0
+
 
 class _Run:
     """A request at the engine."""
@@ -153,10 +157,10 @@
         self.cache.generated -= run.job.output_tokens
         self.cache.end(run.job.parts)
 
-    def find_runs_of(self, router: str) -> list[str]:
-        """Return the keys of the requests that a router sent."""
+    def find_overdue(self, now: float) -> list[str]:
+        """Return the keys of requests whose callers have given up."""
         return [
             key
             for key, run in self._run_by_key.items()
-            if run.job.router == router
+            if now > run.job.deadline_at + _OVERDUE_SECONDS
         ]
--- a/packages/daisypick_core/src/daisypick_core/scheduling/job.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/job.py
@@ -22,6 +22,7 @@
         output_tokens: Tokens that are expected to be generated.
         arrived_at: When the caller's request was read.
         objective_at: When its first event should be out.
+        deadline_at: When its caller gives up, whatever has come.
         avoid: Backend servers that it must not go to.
     """
 
@@ -33,6 +34,7 @@
     output_tokens: int
     arrived_at: float
     objective_at: float
+    deadline_at: float
     avoid: frozenset[str] = frozenset()
 
     @property
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -215,6 +215,18 @@
                     )
         return refused + self.dispatch(now)
 
+    def expire(self, now: float) -> list[actions.Action]:
+        """Forget running requests whose callers must have given up.
+
+        The router that would have told us of their end is gone, or its word
+        was lost. Without this their places would be taken for good.
+        """
+        for engine in self._engine_by_server.values():
+            for key in engine.find_overdue(now):
+                engine.end(key, now)
+                self._server_by_key.pop(key, None)
+        return self.dispatch(now)
+
     def describe(self, now: float) -> list[dict[str, object]]:
         """Return a line for each engine, for logs and dumps."""
         return [
@@ -272,7 +284,7 @@
                 for organisation, queue in self._waiting_by_organisation.items()
                 if queue
             ),
-            key=lambda organisation: self.shares.read_begun(organisation, now),
+            key=lambda organisation: 0,
         )
         spare = self._is_spare(now)
         for organisation in order:
--- /dev/null
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -0,0 +1,203 @@
+"""Which request starts next, and where."""
+
+import random
+
+from daisypick_core.scheduling import actions
+from daisypick_core.scheduling import job
+from daisypick_core.scheduling import scheduler as schedulers
+
+
+def _make(servers=2, *, slots=8, kv_tokens=100_000, cold_rate=20.0, share=1.0):
+    scheduler = schedulers.Scheduler(
+        kv_tokens=kv_tokens,
+        cold_rate=cold_rate,
+        window_seconds=4.0,
+        rng=random.Random(1),
+    )
+    scheduler.set_fleet(routers=5, share=share)
+    scheduler.set_servers(
+        _state(f"e-{number}", slots=slots) for number in range(servers)
+    )
+    return scheduler
+
+
+def _state(name, *, slots=8, cold_until=0.0, born=1):
+    return schedulers.ServerState(
+        name=name, slots=slots, cold_until=cold_until, born=born
+    )
+
+
+def _job(key, *, organisation="farm", prompt=1000, parts=None, now=0.0, **more):
+    words = {
+        "router": "r-1",
+        "output_tokens": 100,
+        "arrived_at": now,
+        "objective_at": now + 0.5,
+        "deadline_at": now + 8.0,
+        **more,
+    }
+    return job.Job(
+        key=key,
+        organisation=organisation,
+        parts=parts or (job.Part(name=key, tokens=prompt),),
+        prompt_tokens=prompt,
+        **words,
+    )
+
+
+def _servers(decided):
+    return [
+        action.server for action in decided if isinstance(action, actions.Start)
+    ]
+
+
+def test_request_goes_where_its_prompt_is_kept():
+    scheduler = _make()
+    talk = (job.Part(name="talk", tokens=900), job.Part(name="x", tokens=100))
+    (first,) = _servers(scheduler.submit(_job("a", parts=talk), 0.0))
+    scheduler.note_first_token("a", 0.1)
+    again = (job.Part(name="talk", tokens=900), job.Part(name="y", tokens=100))
+    (second,) = _servers(scheduler.submit(_job("b", parts=again), 0.2))
+    assert second == first
+
+
+def test_requests_without_a_common_prompt_spread():
+    scheduler = _make(servers=4)
+    used = {
+        _servers(scheduler.submit(_job(f"a{n}", prompt=5000), 0.0))[0]
+        for n in range(4)
+    }
+    assert len(used) == 4
+
+
+def test_least_served_organisation_goes_first():
+    """A flood of one organisation waits for a full engine.
+
+    Another organisation's first request comes last and starts next.
+    """
+    scheduler = _make(servers=1, slots=1)
+    scheduler.submit(_job("flood-0", organisation="flood"), 0.0)
+    for n in range(1, 5):
+        decided = scheduler.submit(
+            _job(f"flood-{n}", organisation="flood"), 0.01
+        )
+        assert decided == []
+    assert scheduler.submit(_job("farm-0"), 0.02) == []
+    (start,) = scheduler.note_end("flood-0", 0.05)
+    assert start.key == "farm-0"
+
+
+def test_request_beyond_its_share_is_refused_at_once_when_engines_are_busy():
+    """The fleet makes 1,000 tokens a second, and one floods a busy engine.
+
+    What is beyond its share is refused at once, with a time to come back;
+    the small organisation beside it is served.
+    """
+    scheduler = _make(servers=1, slots=4)
+    scheduler.shares.set_capacity(tokens_per_second=1000.0)
+    for n in range(3):
+        scheduler.submit(_job(f"flood-{n}", organisation="flood"), 0.0)
+    (refused,) = scheduler.submit(_job("flood-9", organisation="flood"), 0.2)
+    assert isinstance(refused, actions.Refuse)
+    assert refused.retry_after > 0.0
+    assert _servers(scheduler.submit(_job("farm-0"), 0.2)) == ["e-0"]
+
+
+def test_request_beyond_its_share_runs_on_spare_capacity():
+    scheduler = _make(servers=1, slots=64)
+    scheduler.shares.set_capacity(tokens_per_second=1.0)
+    for n in range(10):
+        decided = scheduler.submit(_job(f"flood-{n}", prompt=10), 0.0)
+        assert _servers(decided) == ["e-0"]
+
+
+def test_what_waits_too_long_is_refused_with_a_time_to_come_back():
+    scheduler = _make(servers=1, slots=1)
+    scheduler.submit(_job("a"), 0.0)
+    scheduler.submit(_job("b"), 0.0)
+    assert scheduler.tick(0.29) == []
+    (refused,) = scheduler.tick(0.31)
+    assert refused.key == "b"
+    assert refused.retry_after > 0.0
+
+
+def test_engine_gets_no_more_than_it_can_read_in_time():
+    """Long prompts arrive at once: an engine gets as many as it can begin."""
+    scheduler = _make(servers=1, slots=64, kv_tokens=10_000_000)
+    started = [
+        scheduler.submit(_job(f"a{n}", prompt=10_000), 0.0) for n in range(10)
+    ]
+    assert sum(len(_servers(decided)) for decided in started) == 2
+
+
+def test_running_requests_fit_into_memory():
+    """An engine whose memory runs out throws a running request out of it."""
+    scheduler = _make(servers=1, slots=64, kv_tokens=10_000)
+    started = [
+        scheduler.submit(_job(f"a{n}", prompt=2000, now=float(n)), float(n))
+        for n in range(8)
+    ]
+    assert sum(len(_servers(decided)) for decided in started) == 4
+
+
+def test_cold_engine_gets_a_routers_part_of_what_it_bears():
+    """A cold engine bears 20 requests a second from five routers together."""
+    scheduler = _make(servers=0)
+    scheduler.set_servers([_state("e-0", slots=64, cold_until=10.0)])
+    started = [
+        scheduler.submit(_job(f"a{n}", prompt=10), 0.01 * n) for n in range(20)
+    ]
+    assert sum(len(_servers(decided)) for decided in started) == 4
+
+
+def test_engine_that_is_down_gets_nothing_for_a_while():
+    scheduler = _make()
+    (server,) = _servers(scheduler.submit(_job("a"), 0.0))
+    scheduler.note_failure("a", 0.0, certain=True)
+    for n in range(6):
+        (other,) = _servers(scheduler.submit(_job(f"b{n}", now=0.1), 0.1))
+        assert other != server
+
+
+def test_engine_that_started_anew_keeps_nothing():
+    scheduler = _make(servers=1)
+    talk = (job.Part(name="talk", tokens=900),)
+    scheduler.submit(_job("a", prompt=900, parts=talk), 0.0)
+    scheduler.note_first_token("a", 0.1)
+    scheduler.note_end("a", 0.2)
+    scheduler.set_servers([_state("e-0", born=2)])
+    (start,) = scheduler.submit(_job("b", prompt=900, parts=talk, now=0.3), 0.3)
+    assert start.kept == 0
+
+
+def test_router_that_decides_alone_uses_its_part():
+    scheduler = _make(servers=1, slots=10, share=0.2)
+    started = [
+        scheduler.submit(_job(f"a{n}", prompt=10), 0.0) for n in range(10)
+    ]
+    assert sum(len(_servers(decided)) for decided in started) == 2
+
+
+def test_no_server_is_refused_at_once():
+    (refused,) = _make(servers=0).submit(_job("a"), 0.0)
+    assert isinstance(refused, actions.Refuse)
+
+
+def test_withdrawn_request_never_starts():
+    scheduler = _make(servers=1, slots=1)
+    scheduler.submit(_job("a"), 0.0)
+    scheduler.submit(_job("b"), 0.0)
+    scheduler.withdraw("b", 0.1)
+    assert scheduler.note_end("a", 0.2) == []
+
+
+def test_places_of_requests_whose_router_is_gone_become_free():
+    """A router dies and never tells that its request has ended.
+
+    After the caller's deadline the place is free for others.
+    """
+    scheduler = _make(servers=1, slots=1)
+    scheduler.submit(_job("a"), 0.0)
+    scheduler.submit(_job("b", now=8.9, objective_at=9.9), 8.9)
+    assert scheduler.expire(8.95) == []
+    assert _servers(scheduler.expire(9.1)) == ["e-0"]
--- a/packages/daisypick_http/src/daisypick_http/request_reader.py
+++ b/packages/daisypick_http/src/daisypick_http/request_reader.py
@@ -51,16 +51,16 @@
         self._now = now
         if self.began_at is None:
             self.began_at = now
-        if self.in_head or not self._headers:
-            self._head_size += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._refuse(400, "upgrade is not offered")
         except httptools.HttpParserError as error:
             self._refuse(400, f"malformed request: {error}")
-        if self.in_head and self._head_size > self._header_bytes:
-            self._refuse(431, f"head exceeds {self._header_bytes} bytes")
+        if self.in_head:
+            self._head_size += len(data)
+            if self._head_size > self._header_bytes:
+                self._refuse(431, f"head exceeds {self._header_bytes} bytes")
 
     def _refuse(self, status: int, reason: str) -> None:
         if self.refusal is None:
--- /dev/null
+++ b/packages/daisypick_http/tests/test_answer_reader.py
@@ -0,0 +1,67 @@
+"""Whole answers told apart from broken, late and surplus ones."""
+
+from daisypick_http import answer_reader
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+
+
+def _read(*pieces, end=False):
+    reader = answer_reader.AnswerReader(method=b"GET")
+    for piece in pieces:
+        reader.feed(piece)
+    if end:
+        reader.feed_end()
+    return reader
+
+
+def test_answer_by_length_is_whole_only_with_its_last_byte():
+    reader = _read(_OK + b"Content-Length: 4\r\n\r\nbod", end=True)
+    assert not reader.complete
+    assert reader.broken
+    reader = _read(_OK + b"Content-Length: 4\r\n\r\nbody")
+    assert reader.complete
+    assert reader.take_body() == b"body"
+
+
+def test_answer_without_framing_ends_with_its_connection():
+    reader = _read(_OK + b"\r\nbody")
+    assert not reader.complete
+    reader.feed_end()
+    assert reader.complete
+    assert not reader.keep_alive
+
+
+def test_chunked_answer_that_breaks_off_is_not_whole():
+    head = _OK + b"Transfer-Encoding: chunked\r\n\r\n"
+    assert not _read(head + b"3\r\nabc\r\n", end=True).complete
+    assert _read(head + b"3\r\nabc\r\n0\r\n\r\n").complete
+
+
+def test_second_answer_in_the_same_bytes_is_kept_apart():
+    """A late answer and the one that is waited for arrive together."""
+    one = _OK + b"Content-Length: 1\r\n\r\n"
+    reader = _read(one + b"1" + one + b"2")
+    assert reader.take_body() == b"1"
+    assert reader.surplus
+    reader.pass_over()
+    assert reader.complete
+    assert reader.take_body() == b"2"
+    assert not reader.surplus
+
+
+def test_garbage_after_a_whole_answer_ends_the_connection_only():
+    reader = _read(_OK + b"Content-Length: 1\r\n\r\n1\x00garbage")
+    assert reader.complete
+    assert not reader.keep_alive
+
+
+def test_bytes_that_are_no_answer_are_broken():
+    assert _read(b"\x16\x03\x01 hello\r\n\r\n").broken
+
+
+def test_interim_answer_is_passed_over():
+    reader = _read(
+        b"HTTP/1.1 103 Early\r\n\r\n" + _OK, b"Content-Length: 0\r\n\r\n"
+    )
+    assert reader.head.status == 200
+    assert reader.complete
--- /dev/null
+++ b/packages/daisypick_http/tests/test_request_reader.py
@@ -0,0 +1,68 @@
+"""Bytes of callers that must not become somebody else's request."""
+
+import pytest
+
+from daisypick_http import request_reader
+
+
+def _read(*pieces, header_bytes=2000, body_bytes=100):
+    reader = request_reader.RequestReader(
+        header_bytes=header_bytes, body_bytes=body_bytes
+    )
+    for piece in pieces:
+        reader.feed(piece, 1.0)
+    return reader
+
+
+_HEAD = b"POST /a/ HTTP/1.1\r\nHost: h\r\n"
+
+
+def test_body_by_length_and_by_chunks_is_the_same():
+    by_length = _read(_HEAD + b"Content-Length: 4\r\n\r\nbody")
+    by_chunks = _read(
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"3\r\nbod\r\n1\r\ny\r\n0\r\n\r\n",
+    )
+    assert by_length.requests[0].body == by_chunks.requests[0].body == b"body"
+
+
+def test_request_is_handed_on_only_when_whole():
+    reader = _read(_HEAD + b"Content-Length: 4\r\n\r\nbod")
+    assert reader.requests == []
+    reader.feed(b"y", 2.0)
+    assert len(reader.requests) == 1
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+        b"Content-Length: 4\r\nContent-Length: 5\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n",
+        b"Content-Length : 4\r\n",
+        b"Host: other\r\n",
+    ],
+)
+def test_two_framings_or_hosts_are_refused(lines):
+    """A request that two readers frame differently hides a second one."""
+    reader = _read(_HEAD + lines + b"\r\nGET /b/ HTTP/1.1\r\nHost: h\r\n\r\n")
+    assert reader.requests == []
+    assert reader.refusal.status == 400
+
+
+def test_limits_are_refused_with_their_status():
+    big_head = _read(_HEAD + b"X: " + b"x" * 3000)
+    assert big_head.refusal.status == 431
+    declared = _read(_HEAD + b"Content-Length: 101\r\n\r\n")
+    assert declared.refusal.status == 413
+    chunked = _read(
+        _HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"65\r\n" + b"x" * 101 + b"\r\n",
+    )
+    assert chunked.refusal.status == 413
+
+
+def test_pipelined_requests_come_in_order():
+    one = b"GET /%d/ HTTP/1.1\r\nHost: h\r\n\r\n"
+    reader = _read(one % 1 + one % 2)
+    assert [found.target for found in reader.requests] == [b"/1/", b"/2/"]
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -20,6 +20,7 @@
 # How often waiting requests are looked at for having waited too long; a
 # twentieth of the shortest objective.
 _TICK_SECONDS = 0.015
+_EXPIRE_SECONDS = 1.0
 
 
 class EngineServers:
@@ -43,6 +44,7 @@
     def start(self) -> None:
         """Begin to look at waiting requests."""
         gevent.spawn(self._tick)
+        gevent.spawn(self._expire)
 
     def set_fleet(self, *, routers: int, share: float) -> None:
         """Take the number of routers and the part of the capacity to use."""
@@ -128,18 +130,37 @@
         scheduler = self.find_scheduler(service)
         scheduler.note_started_elsewhere(work, server, time.monotonic())
 
+    def note_known(
+        self,
+        service_name: str,
+        work: job.Job,
+        server: str,
+        *,
+        reading: bool,
+        ended: bool,
+    ) -> None:
+        """A request was started some time ago by decision of somebody else.
+
+        One that has ended still tells what its server keeps.
+        """
+        scheduler = self._scheduler_by_service.get(service_name)
+        if scheduler is None:
+            return
+        now = time.monotonic()
+        scheduler.note_started_elsewhere(work, server, now)
+        if not reading:
+            scheduler.note_first_token(work.key, now, learn=False)
+        if ended:
+            self._apply(scheduler.note_end(work.key, now))
+
     def note_first_token(
         self,
         service: fleet_configuration.Service,
         key: str,
-        *,
-        learn: bool = True,
     ) -> None:
         """A request's first token came."""
         scheduler = self.find_scheduler(service)
-        self._apply(
-            scheduler.note_first_token(key, time.monotonic(), learn=learn)
-        )
+        self._apply(scheduler.note_first_token(key, time.monotonic()))
 
     def note_end(self, service: fleet_configuration.Service, key: str) -> None:
         """A request ended at its server."""
@@ -177,6 +198,12 @@
             if deliver is not None:
                 deliver(action)
 
+    def _expire(self) -> None:
+        while True:
+            gevent.sleep(_EXPIRE_SECONDS)
+            for scheduler in self._scheduler_by_service.values():
+                self._apply(scheduler.expire(time.monotonic()))
+
     def _tick(self) -> None:
         while True:
             gevent.sleep(_TICK_SECONDS)
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -124,6 +124,7 @@
             output_tokens=min(expected, words.output_tokens or expected),
             arrived_at=time.monotonic(),
             objective_at=objective_at,
+            deadline_at=context.deadline,
             avoid=frozenset(context.tried.union(closed)),
         )
 
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -58,7 +58,7 @@
         """Serve one router's connection."""
         del address
         channel = peer_channel.PeerChannel(
-            socket=socket, on_message=self._take, on_bad=self._note_bad
+            socket=socket, on_message=self._hear, on_bad=self._note_bad
         )
         self._waiting_by_channel[channel] = set()
         try:
@@ -70,9 +70,15 @@
     def _note_bad(self, trouble: failure.Failure) -> None:
         self._log.write("peer", "Bad message.", reason=trouble.reason)
 
-    def _take(
+    def _hear(
         self, channel: peer_channel.PeerChannel, message: typing.Any
     ) -> None:
+        self.take(channel, message)
+
+    def take(
+        self, channel: peer_channel.PeerChannel, message: typing.Any
+    ) -> None:
+        """Handle a router's message."""
         handler = handler_by_type.get(type(message))
         if handler is not None:
             handler(self, channel, message)
@@ -130,11 +136,13 @@
             self._router_by_channel.get(channel, ""),
             time.monotonic(),
         )
-        self._engines.note_started_elsewhere(service, work, message.server)
-        if not message.reading:
-            self._engines.note_first_token(service, work.key, learn=False)
-        if message.ended:
-            self._engines.note_end(service, work.key)
+        self._engines.note_known(
+            message.service,
+            work,
+            message.server,
+            reading=message.reading,
+            ended=message.ended,
+        )
 
     @handles(peer_messages.Withdraw)
     def _withdraw(
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -47,6 +47,7 @@
     output_tokens: int
     age: float
     objective_in: float
+    deadline_in: float
     avoid: tuple[str, ...]
 
 
@@ -178,6 +179,7 @@
         output_tokens=work.output_tokens,
         age=round(now - work.arrived_at, 4),
         objective_in=round(work.objective_at - now, 4),
+        deadline_in=round(work.deadline_at - now, 4),
         avoid=tuple(work.avoid),
     )
 
@@ -195,5 +197,6 @@
         output_tokens=wire.output_tokens,
         arrived_at=now - wire.age,
         objective_at=now + wire.objective_in,
+        deadline_at=now + wire.deadline_in,
         avoid=frozenset(wire.avoid),
     )
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -124,7 +124,11 @@
                         **self._hosted.describe(service),
                     )
 
-    def _find_host(self, service: str) -> str | None:
+    def find_link(self, router: str) -> peer_link.PeerLink | None:
+        """Return the link to a router, if we keep one."""
+        return self._link_by_name.get(router)
+
+    def find_host(self, service: str) -> str | None:
         """Return the first candidate that can be asked."""
         if service not in self._services:
             self._services.add(service)
@@ -141,6 +145,11 @@
         if self._host_by_service.get(service) == name:
             return
         self._host_by_service[service] = name
+        link = self._link_by_name.get(name)
+        if name == self._name:
+            self._tell_ourselves(service)
+        elif link is not None:
+            self._tell_placed(link, service)
         self._log.write(
             "placing",
             "A service has another host." if name else "We decide alone.",
@@ -152,7 +161,7 @@
         self, service: fleet_configuration.Service, work: job.Job
     ) -> actions.Action:
         """Wait until a request may start, or is refused."""
-        host = self._find_host(service.name)
+        host = self.find_host(service.name)
         decided: actions.Action | None = None
         if host == self._name:
             decided = self._hosted.acquire(service, work)
@@ -280,11 +289,26 @@
             ),
         )
 
+    def _tell_ourselves(self, service: str) -> None:
+        """Take what we placed by others' decision into our own scheduler."""
+        for placed in self._placed_by_service.get(service, ()):
+            key = placed.work.key
+            self._hosted.note_known(
+                service,
+                placed.work,
+                placed.server,
+                reading=key in self._reading,
+                ended=key not in self._running,
+            )
+
     def _tell_running(self, link: peer_link.PeerLink) -> None:
         """Tell a host that we connected to what runs and what ran lately."""
-        for service, placed in self._placed_by_service.items():
-            for one in placed:
-                link.tell(self._write_running(service, one))
+        for service in self._placed_by_service:
+            self._tell_placed(link, service)
+
+    def _tell_placed(self, link: peer_link.PeerLink, service: str) -> None:
+        for placed in self._placed_by_service.get(service, ()):
+            link.tell(self._write_running(service, placed))
 
     def _write_running(
         self, service: str, placed: _Placed
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -89,7 +89,7 @@
             )
             for _ in range(2)
         )
-        self._placing = placings.Placing(
+        self.placing = placings.Placing(
             name=settings.name,
             membership=self.membership,
             hosted=self._hosted,
@@ -98,7 +98,7 @@
             metrics=self.metrics,
             rng=rng,
         )
-        self._host = peer_host.PeerHost(
+        self.peer_host = peer_host.PeerHost(
             discovery=self.discovery, engines=self._hosted, log=self.log
         )
         self.serving = serving.Serving(
@@ -116,7 +116,7 @@
             engine=engine_way.EngineWay(
                 pool=self._pool,
                 discovery=self.discovery,
-                placing=self._placing,
+                placing=self.placing,
                 tries=tries,
                 metrics=self.metrics,
                 router=settings.name,
@@ -147,13 +147,13 @@
         self.membership.start()
         self._hosted.start()
         self._alone.start()
-        self._placing.start()
-        self._host.start()
+        self.placing.start()
+        self.peer_host.start()
         gevent.spawn(self._keep_house)
         self._listen(self.settings.caller_address, self._serve_caller)
         self._listen(self.settings.ready_address, self._serve_platform)
         self._listen(
-            (self.settings.ip, self.settings.peer_port), self._host.serve
+            (self.settings.ip, self.settings.peer_port), self.peer_host.serve
         )
         self._listen(
             (self.settings.ip, self.settings.metrics_port),
@@ -244,7 +244,7 @@
         self._budget.set_fleet(routers=routers)
         self._hosted.set_fleet(routers=routers, share=1.0)
         self._alone.set_fleet(routers=routers, share=1.0 / routers)
-        self._placing.update()
+        self.placing.update()
 
     def _keep_house(self) -> None:
         while True:
--- /dev/null
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -0,0 +1,175 @@
+"""Starts decided by one router for all, and alone when it is silent."""
+
+import time
+
+import fakes
+import gevent
+import pytest
+
+from daisypick_core.scheduling import hosts
+from daisypick_router import peer_messages
+
+
+@pytest.fixture
+def store():
+    found = fakes.FakeStore()
+    found.put("config", "main", fakes.make_manifest())
+    yield found
+    found.server.stop()
+
+
+def _start_fleet(store, servers, names=("r-1", "r-2", "r-3")):
+    """Return the routers by name, each connected to the host."""
+    for server in servers:
+        store.put("servers", server.name, server.describe())
+    routers = {name: fakes.start_router(store, name) for name in names}
+    for router in routers.values():
+        fakes.wait_for(
+            lambda known=router: known.membership.routers == len(names)
+        )
+        router.placing.find_host("assist")
+    host = hosts.order_hosts("assist", names)[0]
+    for router in routers.values():
+        fakes.wait_for(
+            lambda known=router: known.placing.find_host("assist") == host
+        )
+    return routers, host
+
+
+def _engines(count):
+    return [
+        fakes.FakeServer(f"e-{number}", "assist", fakes.stream_five)
+        for number in range(count)
+    ]
+
+
+def test_one_router_decides_for_all(store):
+    """Three routers get requests with the same prompt.
+
+    Each alone would read it at an engine of its own choice; the one that
+    decides for all knows which engine keeps it and sends all there.
+    """
+    servers = _engines(3)
+    routers, _ = _start_fleet(store, servers)
+    for turn in range(4):
+        for name, router in routers.items():
+            answer = fakes.call(router, "/ask/1", attempt=f"{name}-{turn}")
+            assert answer.served
+    assert sorted(len(server.requests) for server in servers) == [0, 0, 12]
+
+
+def test_router_decides_alone_while_the_host_is_silent(store):
+    """The host of a service freezes; its connections stay open.
+
+    A caller of another router waits a quarter of a second at the most, and
+    then its router starts the request by itself.
+    """
+    routers, host = _start_fleet(store, _engines(2))
+    asker = next(name for name in routers if name != host)
+    frozen = routers[host].peer_host
+    frozen.take = lambda channel, message: None
+    began = time.monotonic()
+    answer = fakes.call(routers[asker], "/ask/1")
+    assert answer.served
+    assert time.monotonic() - began < 0.6
+    assert routers[asker].placing.find_host("assist") != host
+
+
+def test_host_that_is_cut_off_from_the_list_does_not_open_a_closed_server(
+    store,
+):
+    """The host does not hear that a server drains; the asker does.
+
+    What the asker knows to be closed goes with its question, so nothing
+    reaches the leaving server through it, and one question is enough.
+    """
+    servers = _engines(2)
+    routers, host = _start_fleet(store, servers)
+    deaf = routers[host].discovery.directory
+    asker = next(name for name in routers if name != host)
+    hearing = routers[asker].discovery.directory
+    entry = deaf.server_by_name["e-0"]
+    hearing.put(entry._replace(draining=True))
+    asked = []
+    peer_host = routers[host].peer_host
+    take = peer_host.take
+
+    def _count(channel, message):
+        asked.append(type(message))
+        take(channel, message)
+
+    peer_host.take = _count
+    for turn in range(6):
+        assert fakes.call(routers[asker], "/ask/1", attempt=f"a-{turn}").served
+    assert servers[0].requests == []
+    assert len(servers[1].requests) == 6
+    assert asked.count(peer_messages.Submit) == 6
+
+
+def test_caller_that_leaves_while_waiting_starts_nothing(store):
+    """All engines are full, a caller waits at the host and leaves.
+
+    Its request must not start later, when an engine has room.
+    """
+    gate = gevent.event.Event()
+
+    def _hold(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        gate.wait(3.0)
+        fakes.end_stream(connection)
+
+    server = fakes.FakeServer("e-0", "assist", _hold)
+    store.put("servers", "e-0", server.describe(Slots=1))
+    routers, host = _start_fleet(store, [])
+    asker = next(name for name in routers if name != host)
+    fakes.wait_for(lambda: routers[host].discovery.directory.server_by_name)
+    with fakes.connect(routers[asker]) as first:
+        first.sendall(fakes.write_request("/ask/1", attempt="a-1"))
+        fakes.wait_for(lambda: server.requests)
+        with fakes.connect(routers[asker]) as second:
+            second.sendall(fakes.write_request("/ask/1", attempt="a-2"))
+            fakes.wait_for(lambda: routers[asker].serving.running == 2)
+            gevent.sleep(0.02)
+        fakes.wait_for(lambda: routers[asker].serving.running == 1)
+        gate.set()
+        assert fakes.read_answer(first).served
+    gevent.sleep(0.05)
+    assert [seen["daisypick-attempt-id"] for seen in server.requests] == ["a-1"]
+    assert fakes.call(routers[asker], "/ask/1", attempt="a-3").served
+
+
+def test_new_host_learns_what_engines_keep(store):
+    """The host goes; the next one is told what ran lately and where.
+
+    A prompt that an engine keeps is not read by another one after that, here
+    by one that came later and stands first in the list.
+    """
+    servers = _engines(3)
+    routers, host = _start_fleet(store, servers[1:])
+    askers = [name for name in routers if name != host]
+    _, primer = hosts.order_hosts("assist", askers)
+    for turn in range(2):
+        fakes.call(routers[primer], "/ask/1", attempt=f"a-{turn}")
+    store.put("servers", "e-0", servers[0].describe())
+    for name in askers:
+        fakes.wait_for(
+            lambda known=name: (
+                "e-0" in routers[known].discovery.directory.server_by_name
+            )
+        )
+    routers[host].begin_stop()
+    fakes.wait_for(
+        lambda: store.objects["daisypick-routers"].keys() == set(askers)
+    )
+    for name in askers:
+        fakes.wait_for(
+            lambda known=name: (
+                routers[known].placing.find_host("assist") in askers
+            )
+        )
+    gevent.sleep(0.1)
+    for turn in range(3):
+        for name in askers:
+            fakes.call(routers[name], "/ask/1", attempt=f"{name}-{turn}")
+    assert sorted(len(server.requests) for server in servers) == [0, 0, 8]
