--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -32,14 +32,38 @@
     """Nothing came in time; what was sent may have run."""
 
 
+def probe_silence(probed: socket.socket, seconds: int) -> None:
+    """Let the kernel end a connection that is silent for some seconds.
+
+    Something between the two ends may have lost track of a connection; then
+    nothing ever comes on it, and no reset either.
+    """
+    tcp = plain_socket.IPPROTO_TCP
+    probed.setsockopt(plain_socket.SOL_SOCKET, plain_socket.SO_KEEPALIVE, 1)
+    probed.setsockopt(tcp, plain_socket.TCP_KEEPIDLE, 1)
+    probed.setsockopt(tcp, plain_socket.TCP_KEEPINTVL, 1)
+    probed.setsockopt(tcp, plain_socket.TCP_KEEPCNT, seconds - 1)
+    probed.setsockopt(tcp, plain_socket.TCP_USER_TIMEOUT, seconds * 1000)
+
+
 class Connection:
     """A connected socket and the answer that is being read from it."""
 
     def __init__(
-        self, *, address: tuple[str, int], connect_timeout: float
+        self,
+        *,
+        address: tuple[str, int],
+        connect_timeout: float,
+        silence_limit: int | None = None,
     ) -> None:
         """Connect.
 
+        Args:
+            address: IP number and port.
+            connect_timeout: Seconds for the connection to be established.
+            silence_limit: Seconds after which the kernel ends a connection
+                whose peer does not answer probes; ``None`` for no probes.
+
         Raises:
             NotConnectedError: The peer refused, reset or did not answer in
                 ``connect_timeout`` seconds.
@@ -59,6 +83,8 @@
                 plain_socket.TCP_USER_TIMEOUT,
                 _USER_TIMEOUT_MILLISECONDS,
             )
+            if silence_limit is not None:
+                probe_silence(self._socket, silence_limit)
             self._socket.settimeout(connect_timeout)
             self._socket.connect(address)
         except OSError as error:
--- a/packages/daisypick_http/src/daisypick_http/pool.py
+++ b/packages/daisypick_http/src/daisypick_http/pool.py
@@ -22,8 +22,11 @@
 class Pool:
     """Idle connections, the most recently used one first."""
 
-    def __init__(self, *, connect_timeout: float) -> None:
+    def __init__(
+        self, *, connect_timeout: float, silence_limit: int | None = None
+    ) -> None:
         self._connect_timeout = connect_timeout
+        self._silence_limit = silence_limit
         self._idle_by_address: dict[
             tuple[str, int], list[connections.Connection]
         ] = {}
@@ -45,7 +48,9 @@
                 return kept
             kept.close()
         connection = connections.Connection(
-            address=address, connect_timeout=self._connect_timeout
+            address=address,
+            connect_timeout=self._connect_timeout,
+            silence_limit=self._silence_limit,
         )
         self.opened += 1
         return connection
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -56,6 +56,11 @@
 
     ``handle(connection, request)`` answers each request by ``send_whole`` or
     by ``begin_stream``, ``send_chunk`` and ``end_stream``.
+
+    Attributes:
+        idle_since: When it last had nothing to do.
+        closing: Whether our side has ended.
+        answer_begun: Whether the head of the running answer went out.
     """
 
     def __init__(
@@ -69,7 +74,7 @@
         self._handle = handle
         self._limits = limits
         self._handler: gevent.Greenlet | None = None
-        self._idle_since = time.monotonic()
+        self.idle_since = time.monotonic()
         self._idle_timeout = limits().idle_timeout
         self.closing = False
         self._aborted = False
@@ -150,13 +155,13 @@
         if self._handler is not None:
             return self._limits().idle_timeout
         if self.closing:
-            return self._idle_since + _LINGER_SECONDS - now
+            return self.idle_since + _LINGER_SECONDS - now
         if reader.began_at is not None:
             return reader.began_at + self._limits().header_timeout - now
         self._idle_timeout = max(
             self._idle_timeout, self._limits().idle_timeout
         )
-        return self._idle_since + self._idle_timeout - now
+        return self.idle_since + self._idle_timeout - now
 
     def _end_silence(self, reader: request_reader.RequestReader) -> bool:
         if self.closing:
@@ -183,7 +188,7 @@
             self.abort()
         finally:
             self._handler = None
-            self._idle_since = time.monotonic()
+            self.idle_since = time.monotonic()
             self._idle_timeout = self._limits().idle_timeout
 
     def abort(self) -> None:
@@ -199,7 +204,7 @@
         if self.closing:
             return
         self.closing = True
-        self._idle_since = time.monotonic()
+        self.idle_since = time.monotonic()
         try:
             self._socket.shutdown(plain_socket.SHUT_WR)
         except OSError:
--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -1,10 +1,13 @@
 """The routers of the fleet, known through the platform's store.
 
-Each router keeps an object of our own kind there and renews it slowly;
-nothing that a request needs waits for it. The number of routers divides what
-each may do alone. So it is better to count a router that is gone than to
-overlook one that lives: an entry is dropped only after several missed
-renewals, and a router that knows of no other yet assumes a few.
+Each router keeps an object of our own kind there, renews it slowly and reads
+the list now and then; nothing that a request needs waits for it. A watch
+would wake every router at each renewal of every other one.
+
+The number of routers divides what each may do alone. So it is better to count
+a router that is gone than to overlook one that lives: an entry is dropped only
+after several missed renewals, and a router that knows of no other yet assumes
+a few.
 """
 
 from collections.abc import Callable
@@ -17,14 +20,16 @@
 from daisypick_core.results import codes
 from daisypick_core.results import failure
 from daisypick_platform import store as stores
-from daisypick_platform import watch
 from daisypick_router import log as logs
 
 KIND = "daisypick-routers"
-# Renewals cost a write each; 690 routers make 69 a second of several hundred.
-_RENEW_SECONDS = 10.0
+# Renewals cost a write each; 690 routers make 23 a second of several hundred.
+_RENEW_SECONDS = 30.0
 # An entry that was not renewed for this long belongs to no live router.
-_LAPSE_SECONDS = 35.0
+_LAPSE_SECONDS = 100.0
+# Pauses between reads of the list: soon after the start, when the others
+# start too, then seldom.
+_READ_SECONDS = (0.7, 1.5, 3.0, 8.0)
 # Divisor before the list was read, so that a router which starts while the
 # store is away takes a small part.
 _ASSUMED_ROUTERS = 8
@@ -77,15 +82,7 @@
 
     def start(self) -> None:
         """Begin to follow the other routers and to renew our entry."""
-        watcher = watch.Watcher(
-            store=self._store,
-            kind=KIND,
-            on_list=self._take_list,
-            on_change=self._take,
-            on_contact=lambda trouble: None,
-            rng=self._rng,
-        )
-        gevent.spawn(watcher.run)
+        gevent.spawn(self._read)
         gevent.spawn(self._renew)
 
     def leave(self) -> None:
@@ -118,25 +115,37 @@
             written = self._store.create(KIND, self._name, spec)
         return written
 
-    def _take_list(self, objects: tuple[stores.StoredObject, ...]) -> None:
+    def _read(self) -> None:
+        """Read the list, soon again at first, then seldom."""
+        reads = 0
+        while True:
+            found = self._store.list_kind(KIND, stale=reads > 1)
+            if failure.is_failure(found):
+                self._log.write(
+                    "members", "The list was not read.", reason=found.reason
+                )
+            else:
+                self._take(found.objects)
+            pause = _READ_SECONDS[min(reads, len(_READ_SECONDS) - 1)]
+            reads += 1
+            gevent.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    def _take(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        before = set(self.member_by_name), self.routers
         self._listed = True
-        self.member_by_name.clear()
+        listed = {stored.name for stored in objects}
+        for name in self.member_by_name.keys() - listed:
+            del self.member_by_name[name]
         for stored in objects:
-            self._take(stored)
-        self._on_change()
-
-    def _take(self, stored: stores.StoredObject) -> None:
-        before = set(self.member_by_name)
-        if stored.deleted:
-            self.member_by_name.pop(stored.name, None)
-        else:
-            self._put(stored)
-        if set(self.member_by_name) != before:
+            known = self.member_by_name.get(stored.name)
+            if known is None or known.revision != stored.revision:
+                self._put(stored)
+        self._drop_lapsed()
+        if (set(self.member_by_name), self.routers) != before:
             self._log.write(
                 "members", "The routers changed.", routers=self.routers
             )
             self._on_change()
-        self._drop_lapsed()
 
     def _put(self, stored: stores.StoredObject) -> None:
         try:
@@ -169,4 +178,3 @@
                 self._log.write(
                     "members", "A router's entry lapsed.", name=member.name
                 )
-                self._on_change()
--- a/packages/daisypick_router/src/daisypick_router/peer_link.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import random
-import socket as plain_socket
 import time
 import typing
 
@@ -10,11 +9,15 @@
 from gevent import socket
 
 from daisypick_core.results import failure
+from daisypick_http import connection
 from daisypick_router import log as logs
 from daisypick_router import peer_channel
 from daisypick_router import peer_messages
 
 _CONNECT_SECONDS = 0.3
+# A link on which nothing is asked for may go silent too; it is replaced
+# before it is needed.
+_PROBE_SECONDS = 3
 # Pause between tries to connect; a process that was killed is back after
 # about a second.
 _PAUSE_SECONDS = 0.2
@@ -141,9 +144,7 @@
             # Tried again after the pause; the state of links is in the dump.
             connected.close()
             return
-        connected.setsockopt(
-            plain_socket.IPPROTO_TCP, plain_socket.TCP_USER_TIMEOUT, 3000
-        )
+        connection.probe_silence(connected, _PROBE_SECONDS)
         channel = peer_channel.PeerChannel(
             socket=connected, on_message=self._take, on_bad=self._note_bad
         )
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -38,6 +38,9 @@
 _CONNECT_SECONDS = 0.25
 _BACKLOG = 512
 _METRICS_TARGET = b"/metrics"
+# Part of the descriptors for callers' connections; each request needs one
+# more towards a server, and some are for the store and the other routers.
+_CALLER_SHARE = 0.45
 _HOUSEKEEPING_SECONDS = 1.0
 # The platform takes a VM out after two questions a second apart; until then
 # new connections still come.
@@ -126,7 +129,9 @@
             metrics=self.metrics,
             rng=rng,
         )
-        self._connections: set[http_server.CallerConnection] = set()
+        # In the order in which they were opened.
+        self._connections: dict[http_server.CallerConnection, None] = {}
+        self._most_connections = int(settings.most_files * _CALLER_SHARE)
         self._listeners: list[gevent_server.StreamServer] = []
         self.stopped = gevent_event.Event()
         self._take_members()
@@ -194,11 +199,28 @@
         connection = http_server.CallerConnection(
             socket=socket, handle=self.serving.handle, limits=self._limits
         )
-        self._connections.add(connection)
+        self._connections[connection] = None
+        if len(self._connections) > self._most_connections:
+            self._close_idle()
         try:
             connection.run()
         finally:
-            self._connections.discard(connection)
+            self._connections.pop(connection, None)
+
+    def _close_idle(self) -> None:
+        """Close the longest idle connections, a tenth of all.
+
+        Callers that open a connection for each request leave them idle until
+        the idle timeout; at 500 a second that is more than a VM's
+        descriptors, and then nobody could connect any more.
+        """
+        idle = [known for known in self._connections if known.is_idle]
+        idle.sort(key=lambda known: known.idle_since)
+        closed = idle[: self._most_connections // 10]
+        for connection in closed:
+            connection.close_softly()
+            self._connections.pop(connection, None)
+        self.metrics.count("idle_connections_closed_total", len(closed))
 
     def _serve_platform(self, socket, address) -> None:  # noqa: ANN001
         del address
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -440,3 +440,31 @@
     assert [stored.name for stored in listing.objects] == [
         f"t-{number}" for number in range(5)
     ]
+
+
+def test_idle_connections_do_not_take_all_descriptors(store):
+    """Callers open a connection for each request and leave it idle.
+
+    When they have taken their part of the descriptors, those idle for the
+    longest time are closed; new callers still get in.
+    """
+    router = fakes.make_router(store, most_files=100)
+    server = _desk(fakes.answer_ok)
+    store.put("servers", server.name, server.describe())
+    router.start()
+    fakes.wait_for(lambda: router.is_ready)
+    idle = []
+    for number in range(60):
+        connection = fakes.connect(router)
+        connection.sendall(
+            fakes.write_request("/look/1", attempt=f"a-{number}")
+        )
+        assert fakes.read_answer(connection).served
+        idle.append(connection)
+    closed = 0
+    for connection in idle[:10]:
+        with gevent.Timeout(1.0, False):
+            closed += connection.recv(1) == b""
+    assert closed == 10
+    idle[-1].sendall(fakes.write_request("/look/1", attempt="a-99"))
+    assert fakes.read_answer(idle[-1]).served
