--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -152,6 +152,7 @@
             return [self._refuse(work, "all backend servers were tried")]
         self.shares.ask(work.organisation, work.cost, now)
         if not self._has_room(work, now):
+            self.shares.note_refused(work.organisation, now)
             return [self._refuse(work, "beyond its organisation's share")]
         if self.waiting >= _MOST_WAITING:
             return [self._refuse(work, "too many requests wait")]
@@ -167,7 +168,9 @@
         """Tell whether a request is within its share or capacity is spare."""
         if self.shares.is_within(work.organisation, work.cost, now):
             return True
-        return self._is_spare(now)
+        return self._is_spare(now) and self.shares.is_even(
+            work.organisation, work.cost, now
+        )
 
     def _may_ever_start(self, work: job.Job) -> bool:
         return any(name not in work.avoid for name in self._state_by_server)
@@ -230,6 +233,7 @@
                 patience = (work.objective_at - work.arrived_at) * GIVE_UP_SHARE
                 if now - work.arrived_at >= patience:
                     queue.remove(work)
+                    self.shares.note_refused(work.organisation, now)
                     refused.append(
                         self._refuse(work, "no engine has room in time")
                     )
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -52,6 +52,12 @@
     ]
 
 
+def _keys(decided):
+    return [
+        action.key for action in decided if isinstance(action, actions.Start)
+    ]
+
+
 def test_request_goes_where_its_prompt_is_kept():
     scheduler = _make()
     talk = (job.Part(name="talk", tokens=900), job.Part(name="x", tokens=100))
@@ -227,3 +233,33 @@
         if n % 20 == 0:
             scheduler.tick(now)
     assert looks < 60_000
+
+
+def test_spare_capacity_does_not_go_to_the_same_few():
+    """Two organisations flood a fleet that has more capacity than it says.
+
+    One of them asks ten times as often. While the other is refused, neither
+    gets more than twice what the other gets.
+    """
+    scheduler = _make(servers=2, slots=20, kv_tokens=10_000_000)
+    scheduler.shares.set_capacity(tokens_per_second=2000.0)
+    running = []
+    owner = {}
+    begun = {"eager": 0, "modest": 0}
+    for n in range(4000):
+        now = 0.002 * n
+        organisation = "modest" if n % 11 == 0 else "eager"
+        work = _job(f"a{n}", organisation=organisation, prompt=100, now=now)
+        owner[work.key] = organisation
+        running += [
+            (now + 0.4, key) for key in _keys(scheduler.submit(work, now))
+        ]
+        running += [(now + 0.4, key) for key in _keys(scheduler.tick(now))]
+        while running and running[0][0] <= now:
+            _, key = running.pop(0)
+            begun[owner[key]] += 1
+            scheduler.note_first_token(key, now)
+            ended = scheduler.note_end(key, now)
+            running += [(now + 0.4, started) for started in _keys(ended)]
+    assert begun["modest"] > 100
+    assert begun["eager"] < 2 * begun["modest"]
