--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -62,6 +62,7 @@
         self.events: list[tuple[int, str, dict, bool]] = []
         self.changed = event.Event()
         self.down = False
+        self.silent = False
         self.page = 500
         self.server = gevent_server.StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
@@ -93,6 +94,8 @@
             request = read_request(connection)
             if request is None:
                 return
+            if self.silent:
+                continue
             if self.down:
                 connection.sendall(write_answer(503, {}, b""))
                 continue
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -468,3 +468,18 @@
     assert closed == 10
     idle[-1].sendall(fakes.write_request("/look/1", attempt="a-99"))
     assert fakes.read_answer(idle[-1]).served
+
+
+def test_change_made_after_a_silent_outage_is_in_force_soon(store):
+    """The store is silent for longer than a watch waits, then it is back.
+
+    The watch that was asked shortly before hangs on. A change that is
+    acknowledged right after the return must not wait for its long timeout.
+    """
+    router = _serve(store, _desk(fakes.answer_ok))
+    store.silent = True
+    store.put("config", "main", fakes.make_manifest(2))
+    gevent.sleep(5.2)
+    store.silent = False
+    store.put("config", "main", fakes.make_manifest(3))
+    fakes.wait_for(lambda: router.discovery.configuration.version == 3, 1.8)
