--- /dev/null
+++ b/tools/check_wire_names.py
@@ -0,0 +1,49 @@
+"""Check that names of the platform's wire stand in ``platform/`` only.
+
+The platform's field and header names are decoded once, in the adapter. A name
+that stands elsewhere is a second decoder in the making.
+
+Usage: ``python tools/check_wire_names.py FOLDER...``; exit 1 with a line for
+each offence. Tests may name them: stand-ins speak the wire.
+"""
+
+from collections.abc import Iterator
+import pathlib
+import re
+import sys
+
+_NAMES = re.compile(
+    r"Daisypick-(Attempt|Deadline|Expect|Tenant|Server|Not|Prompt|Model|Token"
+    r"|Length|Pin|Hold|Kv|Cold|Weight|Instance)|DAISYPICK_NODE_FILE|Kv-From|Kv-Fetch|X-Api-Key"
+    r"|\b(PathPrefix|TimeoutMs|LatencyTargetMs|MaxAttempts|GapTargetMs"
+    r"|ColdPerS|ColdStartS|ColdLeftMs|KvTokenCapacity|TokensPerS|ApiKeys"
+    r"|HealthPath|MaxConns|HeartbeatMs|BudgetRatio|BudgetExtra|GraceS"
+    r"|CurrentRev|HasMore|StaleOk|WaitMs|AfterRev|InternalPorts)\b"
+)
+
+
+def find_wire_names(path: pathlib.Path) -> Iterator[str]:
+    """Yield a message for each line that holds a name of the wire."""
+    lines = path.read_text(encoding="utf-8").splitlines()
+    for number, line in enumerate(lines, start=1):
+        found = _NAMES.search(line)
+        if found:
+            yield f"{path}:{number}: name of the wire: {found.group()}"
+
+
+def main(folders: list[str]) -> int:
+    """Check every Python file below the folders, tests aside."""
+    offences = [
+        offence
+        for folder in folders
+        for path in sorted(pathlib.Path(folder).rglob("*.py"))
+        if "tests" not in path.parts
+        for offence in find_wire_names(path)
+    ]
+    for offence in offences:
+        print(offence)
+    return 1 if offences else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
