Keep each router to its part of a cold server whoever decides; split the scheduler

Cause: a host that has just begun does not know what a router has sent to a cold server, so two hosts in a second could grant its part twice; with more routers than the rate each still sent one a second (690 routers: 690 to a server that bears 23). Change: a router checks the server that it was granted against its own record and declines; with many routers each takes its turn. Tests: granted start at a cold server, seen failing without the check; cold limit with 12, 100 and 690 routers.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
@@ -5,9 +5,13 @@
 that has to decide alone for a while, with a part of the capacity.
 
 * ``job``: a request that wants to start.
+* ``server_state``: a server that may get work.
 * ``prefix_cache``: which parts of prompts an engine is believed to keep.
 * ``engine_belief``: what an engine is believed to be doing.
 * ``fair_share``: which organisations are within their share.
+* ``placement``: which open engine a request goes to.
+* ``waiting``: requests that wait, by organisation.
+* ``hosts``: which router hosts the scheduler of a service.
 * ``actions``: what a scheduler asks its driver to do.
 * ``scheduler``: the decisions.
 """
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
@@ -0,0 +1,85 @@
+"""Which open engine a request goes to.
+
+The engine with the earliest first token wins. What an engine keeps of the
+prompt counts as read; reading again what another engine keeps counts more
+than the time it takes, for it drops from memory what others need.
+"""
+
+from collections.abc import Callable
+from collections.abc import Mapping
+import typing
+
+from daisypick_core.scheduling import engine_belief
+from daisypick_core.scheduling import job
+
+# Prompt tokens that may be waiting at one engine: a quarter of a second of
+# reading, which leaves half of the shortest objective for the rest.
+UNREAD_TOKENS = 25_000.0
+# Seconds that a request in the batch counts when engines are compared; each
+# slows the tokens of the others by about a hundredth of a full batch's time.
+_SLOT_SECONDS = 0.0015
+# How much a token that another engine keeps counts when it is read again.
+# Reading it costs the engine once; dropping from its memory what others need
+# costs several times that. Measured: mean worth 0.534 at 1, 0.573 at 4, 0.597
+# at 12 over the heavy days of a fleet of 6 engines.
+_REREAD_WEIGHT = 12.0
+
+
+class Placement(typing.NamedTuple):
+    """Where a request goes, and what decided it.
+
+    Attributes:
+        server: The chosen server.
+        kept: Prompt tokens that it is believed to keep.
+        ahead: Prompt tokens that it has to read before.
+        elsewhere: Most prompt tokens that any server is believed to keep.
+    """
+
+    server: str
+    kept: int
+    ahead: float
+    elsewhere: int
+
+
+def choose(
+    work: job.Job,
+    *,
+    engine_by_server: Mapping[str, engine_belief.EngineBelief],
+    ahead_by_server: Mapping[str, float],
+    bears: Callable[[str], bool],
+    share: float,
+) -> Placement | None:
+    """Return the best place for a request, or ``None`` if none has room.
+
+    Args:
+        work: The request.
+        engine_by_server: All engines whose memory counts.
+        ahead_by_server: Unread tokens of the engines that are open.
+        bears: Tells whether a server, which may be cold, bears one more.
+        share: Part of every engine that may be used.
+    """
+    kept_by_server = {
+        server: engine.cache.count_kept(work.parts)
+        for server, engine in engine_by_server.items()
+    }
+    elsewhere = max(kept_by_server.values())
+    best = None
+    best_cost = 0.0
+    for server, ahead in ahead_by_server.items():
+        kept = kept_by_server[server]
+        unread = max(work.prompt_tokens - kept, 0)
+        if ahead and ahead + unread > UNREAD_TOKENS * share:
+            continue
+        if server in work.avoid or not bears(server):
+            continue
+        engine = engine_by_server[server]
+        if not engine.has_memory(work, share):
+            continue
+        tokens = ahead + unread + (elsewhere - kept) * _REREAD_WEIGHT
+        cost = tokens / engine.rate + engine.running * _SLOT_SECONDS
+        if best is None or cost < best_cost:
+            best = Placement(
+                server=server, kept=kept, ahead=ahead, elsewhere=elsewhere
+            )
+            best_cost = cost
+    return best
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -5,13 +5,11 @@
 back, so requests wait here, where the order can still change, and an engine
 gets only as much as it can begin in time.
 
-*Placing.* Reading a prompt again that another engine keeps is the greatest
-waste, so the engine with the earliest first token wins, where what an engine
-keeps counts as read, and reading a shared part once more counts a second
-time for the capacity that it takes from others.
+*Placing* is told in ``placement``, *shares* in ``fair_share``.
 
-*Order.* The organisation with the least use in the last seconds goes first;
-within it the request whose objective ends first.
+*Order.* The organisation that has begun least in the last seconds goes first;
+within it the request whose objective ends first. What is beyond a share gets
+only capacity that is spare, or is refused at once.
 
 *Refusing.* A request that did not start by a part of its objective is refused
 with a time to come back: what starts later would be late and delay others.
@@ -20,18 +18,17 @@
 from collections.abc import Iterable
 import math
 import random
-import typing
 
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import engine_belief
 from daisypick_core.scheduling import fair_share
 from daisypick_core.scheduling import job
+from daisypick_core.scheduling import placement
+from daisypick_core.scheduling import server_state
+from daisypick_core.scheduling import waiting as waiting_jobs
 from daisypick_core.serving import cold_limit
 from daisypick_core.serving import outcomes
 
-# Prompt tokens that may be waiting at one engine: a quarter of a second of
-# reading, which leaves half of the shortest objective for the rest.
-UNREAD_TOKENS = 25_000.0
 # Part of the objective after which a waiting request is refused.
 GIVE_UP_SHARE = 0.6
 # What is beyond an organisation's share starts only while a quarter of all
@@ -54,30 +51,6 @@
 # Callers come back at random within this range of seconds, so that those
 # refused together do not return together.
 _RETRY_AFTER = (0.4, 1.4)
-# Seconds that a request in the batch counts when engines are compared; each
-# slows the tokens of the others by about a hundredth of a full batch's time.
-_SLOT_SECONDS = 0.0015
-# How much a token that another engine keeps counts when it is read again.
-# Reading it costs the engine once; dropping from its memory what others need
-# costs several times that. Measured: mean worth 0.534 at 1, 0.573 at 4, 0.597
-# at 12 over the heavy days of a fleet of 6 engines.
-_REREAD_WEIGHT = 12.0
-
-
-class ServerState(typing.NamedTuple):
-    """What the list says of a server that may get work.
-
-    Attributes:
-        name: Its id.
-        slots: Requests in one batch.
-        cold_until: When it is warm.
-        born: Its start.
-    """
-
-    name: str
-    slots: int
-    cold_until: float
-    born: int
 
 
 class Scheduler:
@@ -106,10 +79,10 @@
         self.outcomes = outcomes.Outcomes()
         self._cold_by_router: dict[str, cold_limit.ColdLimit] = {}
         self._routers = 1
-        self._state_by_server: dict[str, ServerState] = {}
+        self._state_by_server: dict[str, server_state.ServerState] = {}
         self._engine_by_server: dict[str, engine_belief.EngineBelief] = {}
         self._server_by_key: dict[str, str] = {}
-        self._waiting_by_organisation: dict[str, list[job.Job]] = {}
+        self._waiting = waiting_jobs.Waiting()
         self._dispatched_at = -math.inf
 
     def set_fleet(self, *, routers: int, share: float) -> None:
@@ -123,7 +96,7 @@
         for limit in self._cold_by_router.values():
             limit.set_fleet(routers=self._routers)
 
-    def set_servers(self, states: Iterable[ServerState]) -> None:
+    def set_servers(self, states: Iterable[server_state.ServerState]) -> None:
         """Take the servers that may get work.
 
         A server that drains keeps its belief until its requests have ended;
@@ -157,12 +130,9 @@
             return [self._refuse(work, "beyond its organisation's share")]
         if self.waiting >= _MOST_WAITING:
             return [self._refuse(work, "too many requests wait")]
-        nobody_waits = not self.waiting
-        queue = self._waiting_by_organisation.setdefault(work.organisation, [])
-        queue.append(work)
-        queue.sort(key=lambda waiting: waiting.objective_at)
-        if nobody_waits:
+        if not self._waiting:
             self._dispatched_at = -math.inf
+        self._waiting.add(work)
         return self.dispatch(now)
 
     def _has_room(self, work: job.Job, now: float) -> bool:
@@ -178,12 +148,11 @@
 
     def withdraw(self, key: str, now: float) -> list[actions.Action]:
         """The caller of a waiting or running request left."""
-        for queue in self._waiting_by_organisation.values():
-            for work in queue:
-                if work.key == key:
-                    queue.remove(work)
-                    return []
-        return self.note_end(key, now)
+        work = self._waiting.find(key)
+        if work is None:
+            return self.note_end(key, now)
+        self._waiting.remove(work)
+        return []
 
     def note_first_token(
         self, key: str, now: float, *, learn: bool = True
@@ -229,15 +198,10 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse what waits too long; start what has become possible."""
         refused: list[actions.Action] = []
-        for queue in self._waiting_by_organisation.values():
-            for work in list(queue):
-                patience = (work.objective_at - work.arrived_at) * GIVE_UP_SHARE
-                if now - work.arrived_at >= patience:
-                    queue.remove(work)
-                    self.shares.note_refused(work.organisation, now)
-                    refused.append(
-                        self._refuse(work, "no engine has room in time")
-                    )
+        for work in self._waiting.select(lambda job: _is_too_late(job, now)):
+            self._waiting.remove(work)
+            self.shares.note_refused(work.organisation, now)
+            refused.append(self._refuse(work, "no engine has room in time"))
         self._dispatched_at = -math.inf
         return refused + self.dispatch(now)
 
@@ -272,7 +236,7 @@
     @property
     def waiting(self) -> int:
         """Requests that wait."""
-        return sum(map(len, self._waiting_by_organisation.values()))
+        return len(self._waiting)
 
     def dispatch(self, now: float) -> list[actions.Action]:
         """Start what can start, the least served organisation first."""
@@ -298,7 +262,7 @@
             if self.outcomes.is_aside(name, now):
                 continue
             unread = engine.unread(now)
-            if unread < UNREAD_TOKENS * self._share or not unread:
+            if unread < placement.UNREAD_TOKENS * self._share or not unread:
                 unread_by_server[name] = unread
         return unread_by_server
 
@@ -306,62 +270,37 @@
         self, unread_by_server: dict[str, float], now: float
     ) -> actions.Start | None:
         order = sorted(
-            (
-                organisation
-                for organisation, queue in self._waiting_by_organisation.items()
-                if queue
-            ),
+            self._waiting.find_waiting_organisations(),
             key=lambda organisation: self.shares.read_begun(organisation, now),
         )
         spare = self._is_spare(now)
         looked_at = 0
         for organisation in order:
-            queue = self._waiting_by_organisation[organisation]
-            for work in queue[:_LOOKED_AT]:
+            for work in self._waiting.peek(organisation, _LOOKED_AT):
                 within = self.shares.is_within(organisation, work.cost, now)
                 if not within and not spare:
                     continue
                 looked_at += 1
                 if looked_at > _LOOKED_AT_IN_ALL:
                     return None
-                server = self._place(work, unread_by_server, now)
-                if server is not None:
-                    queue.remove(work)
-                    return self._start(work, server, unread_by_server, now)
+                place = self._place(work, unread_by_server, now)
+                if place is not None:
+                    self._waiting.remove(work)
+                    return self._start(work, place, unread_by_server, now)
         return None
 
     def _place(
         self, work: job.Job, unread_by_server: dict[str, float], now: float
-    ) -> str | None:
-        """Return the best server for a request, or ``None``."""
-        best = None
-        best_cost = 0.0
-        kept_by_server = {
-            name: self._engine_by_server[name].cache.count_kept(work.parts)
-            for name in self._state_by_server
-        }
-        most_kept = max(kept_by_server.values())
-        room = UNREAD_TOKENS * self._share
-        for name, ahead in unread_by_server.items():
-            kept = kept_by_server[name]
-            unread = max(work.prompt_tokens - kept, 0)
-            if ahead and ahead + unread > room:
-                continue
-            if name in work.avoid or not self._bears(work, name, now):
-                continue
-            engine = self._engine_by_server[name]
-            if not engine.has_memory(work, self._share):
-                continue
-            cost = ahead + unread + (most_kept - kept) * _REREAD_WEIGHT
-            cost = cost / engine.rate + engine.running * _SLOT_SECONDS
-            if best is None or cost < best_cost:
-                best, best_cost = name, cost
-        return best
-
-    def _find_most_kept(self, work: job.Job) -> int:
-        return max(
-            self._engine_by_server[name].cache.count_kept(work.parts)
-            for name in self._state_by_server
+    ) -> placement.Placement | None:
+        return placement.choose(
+            work,
+            engine_by_server={
+                name: self._engine_by_server[name]
+                for name in self._state_by_server
+            },
+            ahead_by_server=unread_by_server,
+            bears=lambda server: self.bears(work.router, server, now),
+            share=self._share,
         )
 
     def _is_spare(self, now: float) -> bool:
@@ -374,18 +313,24 @@
         slots = sum(engine.slots for engine in engines) * self._share
         running = sum(engine.running for engine in engines)
         unread = sum(engine.unread(now) for engine in engines)
-        most_unread = UNREAD_TOKENS * self._share * len(engines)
+        most_unread = placement.UNREAD_TOKENS * self._share * len(engines)
         return (
             running < slots * SPARE_SLOTS
             and unread < most_unread * SPARE_UNREAD
         )
 
-    def _bears(self, work: job.Job, server: str, now: float) -> bool:
-        if self._state_by_server[server].cold_until <= now:
+    def bears(self, router: str, server: str, now: float) -> bool:
+        """Tell whether a server, if it is cold, bears one more of a router."""
+        state = self._state_by_server.get(server)
+        if state is None or state.cold_until <= now or not self._cold_rate:
             return True
-        limit = self._cold_limit(work.router)
+        limit = self._cold_limit(router)
         return limit.allows(server, self._cold_rate, now)
 
+    def note_sent(self, router: str, server: str, now: float) -> None:
+        """Count a request of a router, in case the server is or turns cold."""
+        self._cold_limit(router).note(server, now)
+
     def _cold_limit(self, router: str) -> cold_limit.ColdLimit:
         limit = self._cold_by_router.get(router)
         if limit is None:
@@ -397,28 +342,26 @@
     def _start(
         self,
         work: job.Job,
-        server: str,
+        place: placement.Placement,
         unread_by_server: dict[str, float],
         now: float,
     ) -> actions.Start:
+        server = place.server
         engine = self._engine_by_server[server]
-        kept = engine.cache.count_kept(work.parts)
-        elsewhere = self._find_most_kept(work)
-        ahead = unread_by_server[server]
         self._record_start(work, server, engine, now)
         state = self._state_by_server[server]
         unread = engine.unread(now)
         full = engine.running >= max(state.slots * self._share, 1.0)
-        if full or unread >= UNREAD_TOKENS * self._share:
+        if full or unread >= placement.UNREAD_TOKENS * self._share:
             del unread_by_server[server]
         else:
             unread_by_server[server] = unread
         return actions.Start(
             key=work.key,
             server=server,
-            kept=kept,
-            ahead=int(ahead),
-            elsewhere=elsewhere,
+            kept=place.kept,
+            ahead=int(place.ahead),
+            elsewhere=place.elsewhere,
         )
 
     def _record_start(
@@ -429,7 +372,7 @@
         now: float,
     ) -> None:
         engine.start(work, now)
-        self._cold_limit(work.router).note(server, now)
+        self.note_sent(work.router, server, now)
         self._server_by_key[work.key] = server
         self.shares.begin(work.organisation, work.cost, now)
 
@@ -439,3 +382,8 @@
             retry_after=self._rng.uniform(*_RETRY_AFTER),
             reason=reason,
         )
+
+
+def _is_too_late(work: job.Job, now: float) -> bool:
+    patience = (work.objective_at - work.arrived_at) * GIVE_UP_SHARE
+    return now - work.arrived_at >= patience
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/server_state.py
@@ -0,0 +1,19 @@
+"""What the list of backend servers says of one that may get work."""
+
+import typing
+
+
+class ServerState(typing.NamedTuple):
+    """What the list says of a server that may get work.
+
+    Attributes:
+        name: Its id.
+        slots: Requests in one batch.
+        cold_until: When it is warm.
+        born: Its start.
+    """
+
+    name: str
+    slots: int
+    cold_until: float
+    born: int
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/waiting.py
@@ -0,0 +1,63 @@
+"""Requests that wait for a start, by organisation.
+
+Examples:
+    >>> waiting = Waiting()
+    >>> len(waiting), waiting.find_waiting_organisations()
+    (0, [])
+"""
+
+from collections.abc import Callable
+
+from daisypick_core.scheduling import job
+
+
+class Waiting:
+    """Queues by organisation; in each, whose objective ends first."""
+
+    def __init__(self) -> None:
+        self._queue_by_organisation: dict[str, list[job.Job]] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        """Return how many wait."""
+        return self._count
+
+    def add(self, work: job.Job) -> None:
+        """Take a request."""
+        queue = self._queue_by_organisation.setdefault(work.organisation, [])
+        queue.append(work)
+        queue.sort(key=lambda waiting: waiting.objective_at)
+        self._count += 1
+
+    def remove(self, work: job.Job) -> None:
+        """Drop a request that waits."""
+        queue = self._queue_by_organisation[work.organisation]
+        queue.remove(work)
+        self._count -= 1
+        if not queue:
+            del self._queue_by_organisation[work.organisation]
+
+    def find(self, key: str) -> job.Job | None:
+        """Return the request with a key, or ``None``."""
+        for queue in self._queue_by_organisation.values():
+            for work in queue:
+                if work.key == key:
+                    return work
+        return None
+
+    def find_waiting_organisations(self) -> list[str]:
+        """Return the organisations that have requests waiting."""
+        return list(self._queue_by_organisation)
+
+    def peek(self, organisation: str, count: int) -> list[job.Job]:
+        """Return the first requests of an organisation."""
+        return self._queue_by_organisation[organisation][:count]
+
+    def select(self, chosen: Callable[[job.Job], bool]) -> list[job.Job]:
+        """Return the requests for which ``chosen`` says so."""
+        return [
+            work
+            for queue in self._queue_by_organisation.values()
+            for work in queue
+            if chosen(work)
+        ]
--- a/packages/daisypick_core/src/daisypick_core/serving/cold_limit.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/cold_limit.py
@@ -5,6 +5,9 @@
 each keeps to its own part of the rate, whatever else it hears: the sum over
 all routers then stays within what the server bears without any agreement.
 
+With more routers than the rate allows a second, each may send one request in
+as many seconds as its turn takes.
+
 The window is somewhat longer than a second, because a request that is sent
 in one second may arrive in the next, together with that second's own.
 
@@ -36,9 +39,13 @@
 
     def allows(self, server: str, rate: float, now: float) -> bool:
         """Tell whether one more request may be sent now."""
-        part = max(int(rate / self._routers), 1)
         window = self._window_by_server.get(server)
-        return window is None or window.count(now) < part
+        if window is None:
+            return True
+        part = rate / self._routers
+        if part < 1.0:
+            return now - window.last >= _WINDOW_SECONDS / part
+        return window.count(now) < int(part)
 
     def take(self, server: str, rate: float, now: float) -> bool:
         """Count a request and return ``True``, or refuse it."""
--- a/packages/daisypick_core/src/daisypick_core/serving/send_window.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/send_window.py
@@ -8,20 +8,27 @@
 """
 
 import collections
+import math
 
 
 class SendWindow:
-    """Times of the last sends, oldest first."""
+    """Times of the last sends, oldest first.
 
-    __slots__ = ("_seconds", "_times")
+    Attributes:
+        last: Time of the newest send.
+    """
+
+    __slots__ = ("_seconds", "_times", "last")
 
     def __init__(self, *, seconds: float) -> None:
         self._seconds = seconds
+        self.last = -math.inf
         self._times: collections.deque[float] = collections.deque()
 
     def add(self, now: float) -> None:
         """Count one."""
         self._times.append(now)
+        self.last = now
 
     def count(self, now: float) -> int:
         """Return how many lie within the window before ``now``."""
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -6,6 +6,7 @@
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import prefix_cache
 from daisypick_core.scheduling import scheduler as schedulers
+from daisypick_core.scheduling import server_state
 
 
 def _make(servers=2, *, slots=8, kv_tokens=100_000, cold_rate=20.0, share=1.0):
@@ -23,7 +24,7 @@
 
 
 def _state(name, *, slots=8, cold_until=0.0, born=1):
-    return schedulers.ServerState(
+    return server_state.ServerState(
         name=name, slots=slots, cold_until=cold_until, born=born
     )
 
--- a/packages/daisypick_core/tests/serving/test_limits.py
+++ b/packages/daisypick_core/tests/serving/test_limits.py
@@ -1,18 +1,23 @@
 """Bounds that all routers together keep, each by its own part."""
 
+import pytest
+
 from daisypick_core.serving import cold_limit
 from daisypick_core.serving import outcomes as outcome_records
 from daisypick_core.serving import retry_budget
 
 
-def test_cold_server_gets_no_more_than_it_bears_from_all_routers():
-    """Twelve routers that know nothing of each other send all they may.
+@pytest.mark.parametrize("routers", [12, 100, 690])
+def test_cold_server_gets_no_more_than_it_bears_from_all_routers(routers):
+    """Routers that know nothing of each other send all that they may.
 
-    In any second the server gets no more than its rate.
+    Each begins at a moment of its own. After the first turn of each the
+    server gets no more than its rate in any second.
     """
-    limits = [cold_limit.ColdLimit() for _ in range(12)]
-    for limit in limits:
-        limit.set_fleet(routers=12)
+    limits = [cold_limit.ColdLimit() for _ in range(routers)]
+    for number, limit in enumerate(limits):
+        limit.set_fleet(routers=routers)
+        limit.note("i-1", now=-1.1 * routers / 24.0 * number / routers)
     sent = [
         0.01 * tick
         for tick in range(500)
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -14,6 +14,7 @@
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import scheduler as schedulers
+from daisypick_core.scheduling import server_state
 from daisypick_core.serving import fleet_configuration
 from daisypick_router import discovery as discoveries
 
@@ -68,7 +69,7 @@
                 * self._share
             )
             scheduler.set_servers(
-                schedulers.ServerState(
+                server_state.ServerState(
                     name=server.name,
                     slots=min(server.slots, service.engine.slots),
                     cold_until=server.cold_until,
@@ -126,6 +127,13 @@
         scheduler = self.find_scheduler(service)
         self._apply(scheduler.withdraw(key, time.monotonic()))
 
+    def bears(
+        self, service: fleet_configuration.Service, router: str, server: str
+    ) -> bool:
+        """Tell whether a server, if it is cold, bears one more of a router."""
+        scheduler = self.find_scheduler(service)
+        return scheduler.bears(router, server, time.monotonic())
+
     def note_started_elsewhere(
         self, service: fleet_configuration.Service, work: job.Job, server: str
     ) -> None:
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -59,7 +59,7 @@
         self._name = name
         self._membership = membership
         self._hosted = hosted
-        self._alone = alone
+        self.alone = alone
         self._log = log
         self._metrics = metrics
         self._rng = rng
@@ -167,13 +167,17 @@
             decided = self._hosted.acquire(service, work)
         elif host is not None:
             decided = self._ask(service, work, self._link_by_name[host])
+        if isinstance(decided, actions.Start) and not self.alone.bears(
+            service, work.router, decided.server
+        ):
+            decided, work = None, self._give_back(service, work, decided)
         if decided is None:
             self._metrics.count("placed_alone_total", service=service.name)
-            decided = self._alone.acquire(service, work)
+            decided = self.alone.acquire(service, work)
             if isinstance(decided, actions.Start):
                 self._tell_started(service, work, decided.server)
         elif isinstance(decided, actions.Start):
-            self._alone.note_started_elsewhere(service, work, decided.server)
+            self.alone.note_started_elsewhere(service, work, decided.server)
         if isinstance(decided, actions.Start):
             self._remember(service, work, decided.server)
             self._log.write(
@@ -192,6 +196,29 @@
             )
         return decided
 
+    def _give_back(
+        self,
+        service: fleet_configuration.Service,
+        work: job.Job,
+        start: actions.Start,
+    ) -> job.Job:
+        """Decline a start at a cold server; return the request without it.
+
+        A host that is new, or one of two, does not know all that we sent
+        there. What a cold server bears is kept by each router for itself.
+        """
+        self._hosted.note_end(service, work.key)
+        self._tell(
+            service, peer_messages.End(service=service.name, key=work.key)
+        )
+        self._log.write(
+            "placing",
+            "Declined a start at a cold server.",
+            id=work.key,
+            server=start.server,
+        )
+        return work._replace(avoid=work.avoid | {start.server})
+
     def _ask(
         self,
         service: fleet_configuration.Service,
@@ -237,7 +264,7 @@
     ) -> None:
         """A request's first token came."""
         self._reading.discard(key)
-        self._alone.note_first_token(service, key)
+        self.alone.note_first_token(service, key)
         self._hosted.note_first_token(service, key)
         self._tell(
             service, peer_messages.FirstToken(service=service.name, key=key)
@@ -247,7 +274,7 @@
         """A request ended at its server, or its caller left."""
         self._reading.discard(key)
         self._running.discard(key)
-        self._alone.note_end(service, key)
+        self.alone.note_end(service, key)
         self._hosted.note_end(service, key)
         self._tell(service, peer_messages.End(service=service.name, key=key))
 
@@ -261,7 +288,7 @@
         """A request failed at its server."""
         self._reading.discard(key)
         self._running.discard(key)
-        self._alone.note_failure(service, key, certain=certain)
+        self.alone.note_failure(service, key, certain=certain)
         self._hosted.note_failure(service, key, certain=certain)
         self._tell(
             service,
--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -324,15 +324,11 @@
 
 
 BOUNDS = platform_settings.Bounds(
-    drain_seconds=2.0,
     grace_seconds=3.0,
     retry_ratio=0.2,
     retry_window_seconds=10.0,
     retry_extra=50.0,
-    cold_over=1.5,
-    cold_slack=5.0,
     quota_window_seconds=4.0,
-    reuse_window_seconds=7.0,
 )
 
 
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -173,3 +173,27 @@
         for name in askers:
             fakes.call(routers[name], "/ask/1", attempt=f"{name}-{turn}")
     assert sorted(len(server.requests) for server in servers) == [0, 0, 8]
+
+
+def test_router_keeps_to_its_part_of_a_cold_server_whoever_decides(store):
+    """A host that has just begun grants a start at a cold server.
+
+    It does not know that this router has already sent there what its part
+    allows. The router declines and sends the request elsewhere.
+    """
+    cold, warm = _engines(2)
+    routers, host = _start_fleet(store, [warm])
+    asker = next(name for name in routers if name != host)
+    store.put("servers", "e-0", cold.describe(ColdLeftMs=60000))
+    for router in routers.values():
+        directory = router.discovery.directory
+        fakes.wait_for(lambda known=directory: "e-0" in known.server_by_name)
+    alone = routers[asker].placing.alone
+    service = routers[asker].discovery.configuration.service_by_name["assist"]
+    while alone.bears(service, asker, "e-0"):
+        scheduler = alone.find_scheduler(service)
+        scheduler.note_sent(asker, "e-0", time.monotonic())
+    for turn in range(4):
+        answer = fakes.call(routers[asker], "/ask/1", attempt=f"a-{turn}")
+        assert answer.served
+    assert cold.requests == []
