Take an overloaded entry VM out of rotation; hosts learn of ends they did not hear

A stalled VM of 0.387 cores took its host for silent (714 requests waiting), dropped the link, and the ends it had told on it were lost; the places stayed taken until the callers' deadlines. That VM got 950 requests a second on kept connections, its neighbour 15. Ruled out: slow engines.

Change: on a new connection a router tells all that still runs, the rest is forgotten; a router that does not come back within a second is forgotten; a watch that woke late does not judge. A router whose timers wake late says that it is not ready and, once the platform took note, ends connections with their answers.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
@@ -137,6 +137,14 @@
         self.cache.generated -= run.job.output_tokens
         self.cache.end(run.job.parts)
 
+    def find_running(self, router: str) -> list[str]:
+        """Return the keys of a router's requests at the engine."""
+        return [
+            key
+            for key, run in self._run_by_key.items()
+            if run.job.router == router
+        ]
+
     def find_overdue(self, now: float) -> list[str]:
         """Return the keys of requests whose callers have given up."""
         return [
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -18,6 +18,7 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Set
 import math
 import random
 
@@ -226,6 +227,29 @@
         self._dispatched_at = -math.inf
         return refused + self.dispatch(now)
 
+    def reconcile(
+        self,
+        router: str,
+        *,
+        running: Set[str],
+        reading: Set[str],
+        now: float,
+    ) -> list[actions.Action]:
+        """Take which of a router's requests run, and which are still read.
+
+        What it told while its connection was down is lost. Without this
+        their unread tokens kept engines closed until their deadlines: 400,000
+        tokens that nobody read, with half of the batches empty.
+        """
+        for engine in self._engine_by_server.values():
+            for key in engine.find_running(router):
+                if key not in running:
+                    engine.end(key, now)
+                    self._server_by_key.pop(key, None)
+                elif key not in reading:
+                    engine.note_first_token(key, now, learn=False)
+        return self.dispatch(now)
+
     def expire(self, now: float) -> list[actions.Action]:
         """Forget running requests whose callers must have given up.
 
--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -46,7 +46,7 @@
         self._returned_at = -RETURN_SECONDS
         self._missing_since_by_name: dict[str, float] = {}
         # Looked up by every request; built anew after a change.
-        self._closed_by_service: dict[str, tuple[str, ...]] = {}
+        self._closed_by_service: dict[str, list[str]] = {}
 
     def set_out(self, data_centres: Iterable[str], now: float) -> None:
         """Take which data centres are out of service."""
@@ -138,15 +138,15 @@
             key=lambda server: server.name,
         )
 
-    def find_closed(self, service: str) -> tuple[str, ...]:
+    def find_closed(self, service: str) -> list[str]:
         """Return the names of the servers that must not get new work."""
         closed = self._closed_by_service.get(service)
         if closed is None:
-            closed = tuple(
+            closed = [
                 server.name
                 for server in self.server_by_name.values()
                 if server.service == service and not self.may_get_work(server)
-            )
+            ]
             self._closed_by_service[service] = closed
         return closed
 
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -319,3 +319,25 @@
             running += [(now + 0.4, started) for started in _keys(ended)]
     assert begun["modest"] > 100
     assert begun["eager"] < 2 * begun["modest"]
+
+
+def test_requests_whose_ends_were_not_heard_do_not_keep_engines_closed():
+    """A router's connection to the host breaks while its requests run.
+
+    Their first tokens and ends are told to nobody. When it connects again it
+    tells what still runs; the engine is open again at once, not when the
+    callers' deadlines have passed.
+    """
+    scheduler = _make(servers=1, slots=64, kv_tokens=10_000_000)
+    for n in range(3):
+        scheduler.submit(_job(f"a{n}", prompt=8000), 0.0)
+    other = _job("other", prompt=900, router="r-2")
+    scheduler.submit(other, 0.0)
+    assert scheduler.submit(_job("b", prompt=9000, now=1.0), 1.0) == []
+    decided = scheduler.reconcile(
+        "r-1", running={"a1", "a2"}, reading={"a2"}, now=1.01
+    )
+    assert _keys(decided) == ["b"]
+    (engine,) = scheduler.describe(1.01)
+    assert engine["running"] == 4
+    assert engine["unread"] == 17_900
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Set
 import random
 import time
 
@@ -167,6 +168,18 @@
         if ended:
             self._apply(scheduler.note_end(work.key, now))
 
+    def reconcile(
+        self, router: str, *, running: Set[str], reading: Set[str]
+    ) -> None:
+        """Take which of a router's requests run, and which are still read."""
+        now = time.monotonic()
+        for scheduler in self._scheduler_by_service.values():
+            self._apply(
+                scheduler.reconcile(
+                    router, running=running, reading=reading, now=now
+                )
+            )
+
     def note_first_token(
         self,
         service: fleet_configuration.Service,
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -20,6 +20,9 @@
 from daisypick_router import peer_messages
 
 BEAT_SECONDS = 0.05
+# Time for a router whose connection ended to connect again: three of its
+# tries. A process that was killed is back after about a second.
+_GONE_SECONDS = 1.0
 
 handler_by_type: dict[type, typing.Callable[..., None]] = {}
 
@@ -64,8 +67,23 @@
         try:
             channel.run()
         finally:
-            self._router_by_channel.pop(channel, None)
             self._waiting_by_channel.pop(channel, None)
+            router = self._router_by_channel.pop(channel, None)
+            if router is not None:
+                gevent.spawn_later(_GONE_SECONDS, self._forget_if_gone, router)
+
+    def _forget_if_gone(self, router: str) -> None:
+        """Forget what a router runs that did not connect again.
+
+        Its process was killed, and engines drop requests whose connections
+        end; or it is cut off from us and starts requests by its own part.
+        """
+        if router in self._router_by_channel.values():
+            return
+        self._log.write("peer", "A router did not come back.", router=router)
+        self._engines.reconcile(
+            router, running=frozenset(), reading=frozenset()
+        )
 
     def _note_bad(self, trouble: failure.Failure) -> None:
         self._log.write("peer", "Bad message.", reason=trouble.reason)
@@ -144,6 +162,20 @@
             ended=message.ended,
         )
 
+    @handles(peer_messages.Reconcile)
+    def _reconcile(
+        self,
+        channel: peer_channel.PeerChannel,
+        message: peer_messages.Reconcile,
+    ) -> None:
+        router = self._router_by_channel.get(channel)
+        if router is not None:
+            self._engines.reconcile(
+                router,
+                running=frozenset(message.running),
+                reading=frozenset(message.reading),
+            )
+
     @handles(peer_messages.Withdraw)
     def _withdraw(
         self,
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -85,6 +85,22 @@
     ended: bool
 
 
+@register("reconcile")
+class Reconcile(typing.NamedTuple):
+    """All requests of the asker that run, of all services.
+
+    Sent when a connection stands, after what ran lately: what was told while
+    there was none is lost.
+
+    Attributes:
+        running: Keys of those that run.
+        reading: Keys of those of them whose first token is still to come.
+    """
+
+    running: tuple[str, ...]
+    reading: tuple[str, ...]
+
+
 @register("withdraw")
 class Withdraw(typing.NamedTuple):
     """The caller of a waiting or running request left."""
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -31,6 +31,10 @@
 # How many of a service's possible hosts a router keeps connections to.
 _CANDIDATES = 2
 _WATCH_SECONDS = 0.05
+# A watch that wakes so late tells of our own processor, not of a host: what
+# the host said may lie unread. Links that were given up for that filled the
+# host's belief with requests whose ends it never heard of.
+_STALLED_SECONDS = 0.15
 _REPORT_SECONDS = 1.0
 # Placements that are told to a new host, so that it knows what engines keep;
 # an engine's memory turns over in about this many requests of a router.
@@ -116,8 +120,11 @@
 
     def _watch(self) -> None:
         while True:
+            slept_at = time.monotonic()
             gevent.sleep(_WATCH_SECONDS)
             now = time.monotonic()
+            if now - slept_at > _STALLED_SECONDS:
+                continue
             for link in list(self._link_by_name.values()):
                 link.watch_silence(now)
 
@@ -361,6 +368,11 @@
         """Tell a host that we connected to what runs and what ran lately."""
         for service in self._placed_by_service:
             self._tell_placed(link, service)
+        link.tell(
+            peer_messages.Reconcile(
+                running=tuple(self._running), reading=tuple(self._reading)
+            )
+        )
 
     def _tell_placed(self, link: peer_link.PeerLink, service: str) -> None:
         for placed in self._placed_by_service.get(service, ()):
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -23,6 +23,7 @@
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_servers
 from daisypick_router import engine_way
+from daisypick_router import load_watch
 from daisypick_router import log as logs
 from daisypick_router import membership as memberships
 from daisypick_router import metrics as metric_numbers
@@ -106,8 +107,10 @@
         self.peer_host = peer_host.PeerHost(
             discovery=self.discovery, engines=self._hosted, log=self.log
         )
+        self.load = load_watch.LoadWatch(log=self.log)
         self.serving = serving.Serving(
             discovery=self.discovery,
+            overload=self.load.overload,
             plain=plain_way.PlainWay(
                 pool=self._pool,
                 servers=plain_servers.PlainServers(
@@ -156,6 +159,7 @@
         self._alone.start()
         self.placing.start()
         self.peer_host.start()
+        self.load.start()
         gevent.spawn(self._keep_house)
         self._listen(self.settings.caller_address, self._serve_caller)
         self._listen(self.settings.ready_address, self._serve_platform)
@@ -188,6 +192,7 @@
             self.discovery.configuration is not None
             and self.discovery.has_servers
             and self.serving.stopping_since is None
+            and self.load.overload.is_ready
         )
 
     def _limits(self) -> http_server.Limits:
@@ -255,6 +260,7 @@
         self.metrics.set_level("routers", self.membership.routers)
         self.metrics.set_level("connections", len(self._connections))
         self.metrics.set_level("requests_running", self.serving.running)
+        self.metrics.set_level("timer_lag_seconds", self.load.overload.lag)
         self.metrics.set_level("server_connections_opened", self._pool.opened)
         self.metrics.set_level("server_connections_reused", self._pool.reused)
         return self.metrics.write().encode()
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -11,6 +11,7 @@
 
 from daisypick_core.results import codes
 from daisypick_core.results import failure
+from daisypick_core.serving import overload as overloads
 from daisypick_http import messages
 from daisypick_http import server as http_server
 from daisypick_platform import request_headers
@@ -37,6 +38,7 @@
         self,
         *,
         discovery: discoveries.Discovery,
+        overload: overloads.Overload,
         plain: plain_way.PlainWay,
         engine: engine_way.EngineWay,
         tries: try_rules.Tries,
@@ -45,6 +47,7 @@
         rng: random.Random,
     ) -> None:
         self._discovery = discovery
+        self._overload = overload
         self._plain = plain
         self._engine = engine
         self._tries = tries
@@ -62,12 +65,19 @@
         """Serve one request of a caller."""
         self.running += 1
         try:
-            if self.stopping_since is not None:
+            if self._ends_connections():
                 connection.close_after_answer()
             self._handle(connection, request)
         finally:
             self.running -= 1
 
+    def _ends_connections(self) -> bool:
+        """Tell whether callers should go on at another router."""
+        return (
+            self.stopping_since is not None
+            or self._overload.ends_connections(time.monotonic())
+        )
+
     def _handle(
         self,
         connection: http_server.CallerConnection,
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -278,6 +278,92 @@
         )
 
 
+def test_host_learns_of_ends_that_it_did_not_hear(store):
+    """A router's connection to the host breaks while a request runs.
+
+    The request ends meanwhile, and so many more that it is no longer among
+    the remembered ones. The host would take its place at the engine for taken
+    until the caller's deadline; it learns of the end as soon as the router is
+    connected again.
+    """
+    gate = gevent.event.Event()
+
+    def _hold(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        gate.wait(5.0)
+        fakes.end_stream(connection)
+
+    server = fakes.FakeServer("e-0", "assist", _hold)
+    routers, host = _start_fleet(store, [server])
+    asker = next(name for name in routers if name != host)
+    link = routers[asker].placing.find_link(host)
+    hosted = routers[host].placing._hosted
+
+    def _count_running():
+        engines = hosted.describe("assist")["engines"]
+        return sum(engine["running"] for engine in engines)
+
+    call = gevent.spawn(fakes.call, routers[asker], "/ask/1")
+    fakes.wait_for(lambda: _count_running() == 1)
+    connect, link._connect = link._connect, lambda: None
+    link._channel.close()
+    gate.set()
+    assert call.get().served
+    assert _count_running() == 1
+    routers[asker].placing._placed_by_service.clear()
+    link._connect = connect
+    fakes.wait_for(lambda: _count_running() == 0, 0.9)
+
+
+def test_host_forgets_a_router_that_does_not_come_back(store):
+    """A router is killed while its request runs at an engine.
+
+    Its connection to the engine ended with it. A second later the host takes
+    that place for free.
+    """
+
+    def _hold(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        gevent.sleep(5.0)
+
+    server = fakes.FakeServer("e-0", "assist", _hold)
+    routers, host = _start_fleet(store, [server])
+    asker = next(name for name in routers if name != host)
+    hosted = routers[host].placing._hosted
+    with fakes.connect(routers[asker]) as caller:
+        caller.sendall(fakes.write_request("/ask/1", attempt="a-1"))
+        fakes.wait_for(
+            lambda: hosted.describe("assist")["engines"][0]["running"] == 1
+        )
+        routers[asker].placing.find_link(host).stop()
+        fakes.wait_for(
+            lambda: hosted.describe("assist")["engines"][0]["running"] == 0,
+            2.0,
+        )
+
+
+def test_router_that_stalled_does_not_take_its_host_for_silent(store):
+    """A small VM is busy for half a second while requests wait at the host.
+
+    The host's heartbeats lie unread meanwhile. The router must read them
+    before it judges, or it would drop the link and decide alone.
+    """
+    routers, host = _start_fleet(store, _engines(1))
+    asker = next(name for name in routers if name != host)
+    link = routers[asker].placing.find_link(host)
+    channel = link._channel
+    heard = []
+    link._deliver_by_key["a-1"] = heard.append
+    link._asked_at = time.monotonic()
+    time.sleep(0.4)
+    gevent.sleep(0.02)
+    assert heard == []
+    assert not channel.closed
+    link.forget("a-1")
+
+
 def _make_job(key, *, arrived_at):
     return job.Job(
         key=key,
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -472,6 +472,30 @@
     assert fakes.read_answer(idle[-1]).served
 
 
+def test_overloaded_router_is_not_ready_and_ends_connections(store):
+    """A flood comes on kept connections of one small VM, others idle.
+
+    Its timers wake late. It tells the platform that it is not ready, and when
+    that has taken note its answers end their connections, so that callers go
+    to other VMs. When its timers keep time it is ready again.
+    """
+    server = _desk(fakes.answer_ok)
+    router = _serve(store, server)
+    now = time.monotonic()
+    for _ in range(2):
+        router.load.take(0.4, now - 3.0)
+    assert not router.is_ready
+    with fakes.connect(router) as caller:
+        caller.sendall(fakes.write_request("/look/1", attempt="a-1"))
+        answer = fakes.read_answer(caller)
+        assert answer.served
+        assert answer.headers["connection"] == "close"
+        assert caller.recv(1) == b""
+    for _ in range(40):
+        router.load.take(0.0, now + 2.0)
+    assert router.is_ready
+
+
 def test_idle_connection_with_an_unread_request_is_not_closed(store):
     """Descriptors run short while the router is busy and reads late.
 
