--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -86,9 +86,17 @@
 
     def _note(self, kind: str, stored: dict, deleted: bool) -> None:
         self.events.append((self.revision, kind, stored, deleted))
+        self._wake()
+
+    def _wake(self) -> None:
         self.changed.set()
         self.changed = event.Event()
 
+    def refuse(self) -> None:
+        """Answer 503 from now on, also to the watches that wait."""
+        self.down = True
+        self._wake()
+
     def _serve(self, connection: socket.socket, address: tuple) -> None:
         while True:
             request = read_request(connection)
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -560,6 +560,42 @@
         assert idle[1].recv(1) == b""
 
 
+@pytest.mark.parametrize("kind", ["config", "servers", "evacuations"])
+def test_change_is_in_force_soon_after_an_outage(store, kind):
+    """The store refuses for a while; when it is back one thing changes.
+
+    While it is away one watcher asks at a time. When it is back, none may wait
+    for its turn until another one's watch has ended: its change would be in
+    force three seconds late.
+    """
+    router = _serve(store, _desk(fakes.answer_ok))
+    directory = router.discovery.directory
+    for turn in range(2):
+        store.refuse()
+        fakes.wait_for(lambda: router.discovery._outage.is_on, 4.5)
+        gevent.sleep(1.2)
+        store.down = False
+        fakes.wait_for(lambda: not router.discovery._outage.is_on)
+        gevent.sleep(0.5)
+        if kind == "config":
+            version = 10 + turn
+            store.put(kind, "main", fakes.make_manifest(version=version))
+            fakes.wait_for(
+                lambda known=version: (
+                    router.discovery.configuration.version == known
+                ),
+                1.0,
+            )
+            continue
+        name = f"new-{turn}"
+        store.put(kind, name, _desk(fakes.answer_ok, name).describe())
+        known = {
+            "servers": lambda: directory.server_by_name,
+            "evacuations": lambda: directory.data_centres_out,
+        }[kind]
+        fakes.wait_for(lambda new=name, find=known: new in find(), 1.0)
+
+
 def test_change_made_after_a_silent_outage_is_in_force_soon(store):
     """The store is silent for longer than a watch waits, then it is back.
 
