Count tokens, not answers, when a cold server's limit rises; tests of the soak

The test of a returned data centre expected a raise by an answer of one token; it now checks that one does not raise and that 64 do, which is stricter.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CHECKED := packages platform spec tools conftest.py
 export PYTHONPATH := $(subst $() ,:,$(foreach p,$(PROJECTS),$(CURDIR)/$(p)/src))
 
-.PHONY: install format format-check lint test demo demo-quick bench capacity docs ci
+.PHONY: install format format-check lint test demo demo-quick bench capacity docs soak ci
 
 $(VENV)/.installed: constraints.txt $(foreach p,$(PROJECTS),$(p)/pyproject.toml)
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -43,6 +43,10 @@
 demo-quick: install
 	$(PYTHON) -m daisypick_cli demo --quick
 
+SEEDS ?= 1-3
+soak: install
+	$(PYTHON) -m daisypick_soak --seeds $(SEEDS) $(SOAK)
+
 bench: install
 	$(PYTHON) -m daisypick_lab.bench --page docs/MEASUREMENTS.md
 
--- a/packages/daisypick_core/src/daisypick_core/gate/concurrency.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/concurrency.py
@@ -3,15 +3,16 @@
 A server in its cold start bears little and falls over under full load, and
 it may turn cold again without a word. The limit believes only what it sees:
 
-* It starts at ``cold_slots`` and rises by one for each healthy answer as
-  long as the time to first token keeps up with its baseline.
+* It starts at ``cold_slots`` and rises by one for each healthy answer of 64
+  tokens, or for as many shorter ones as make 64, as long as the time to first
+  token keeps up with its baseline.
 * A new boot id means a cold server: back to ``cold_slots`` at once.
 * One leap of the time to first token, or one error, is a *suspicion*. After
   a leap only ``cold_slots`` attempts may be without a first token at once;
   after an error only ``cold_slots`` may run. Good news clears it: a long
   prompt or one bad request costs next to nothing.
 * A second one without good news in between confirms it: the server is cold.
-* Each confirmed failure doubles the healthy answers that a raise then takes,
+* Each confirmed failure doubles the tokens that a raise then takes,
   so that a server that keeps falling over is not pushed over again and again.
 
 Examples:
@@ -28,6 +29,11 @@
 from daisypick_core.gate import first_token
 
 _MOST_PATIENCE = 16
+# Tokens in healthy answers that a raise takes. A server warms by what it
+# serves, not by how many answers that makes: with a raise an answer, short
+# answers of 20 tokens drove the limit of a server that needs 64 for each
+# further slot beyond what it bore, and it fell over with nothing to see before.
+_TOKENS_A_RAISE = 64.0
 
 
 class ConcurrencyLimit:
@@ -41,7 +47,7 @@
         self._has_leapt = False
         self._limit_before_error: int | None = None
         self._patience = 1
-        self._healthy_in_row = 0
+        self._healthy_tokens = 0.0
         self._keeps_up = True
         self.set_slots(slots=slots, cold_slots=cold_slots)
 
@@ -96,7 +102,7 @@
         self._limit = self._cold_slots
         self._has_leapt = False
         self._limit_before_error = None
-        self._healthy_in_row = 0
+        self._healthy_tokens = 0.0
         self._keeps_up = True
 
     def first_token(self, seconds: float, now: float) -> None:
@@ -119,12 +125,24 @@
             self._has_leapt = True
 
     def finished(
-        self, *, is_healthy: bool, started_at: float, now: float
+        self,
+        *,
+        is_healthy: bool,
+        started_at: float,
+        now: float,
+        tokens: float = _TOKENS_A_RAISE,
     ) -> None:
-        """Note the end of an attempt that started at ``started_at``."""
+        """Note the end of an attempt.
+
+        Args:
+            is_healthy: Whether its answer was whole and no error.
+            started_at: When it started at the server.
+            now: The time.
+            tokens: What it cost; an answer without tokens counts in full.
+        """
         if is_healthy:
             self._clear_error()
-            self._raise_limit()
+            self._raise_limit(tokens)
         elif not self._is_old(started_at):
             self._failed(now)
 
@@ -135,13 +153,13 @@
         self._limit_before_error = self._limit
         self._limit = self._cold_slots
 
-    def _raise_limit(self) -> None:
+    def _raise_limit(self, tokens: float) -> None:
         if self.is_suspicious or not self._keeps_up or not self.is_cold:
             return
-        self._healthy_in_row += 1
-        if self._healthy_in_row < self._patience:
+        self._healthy_tokens += min(tokens, _TOKENS_A_RAISE)
+        if self._healthy_tokens < _TOKENS_A_RAISE * self._patience:
             return
-        self._healthy_in_row = 0
+        self._healthy_tokens = 0.0
         self._limit += 1
         if not self.is_cold:
             self._patience = 1
--- a/packages/daisypick_core/src/daisypick_core/gate/gate.py
+++ b/packages/daisypick_core/src/daisypick_core/gate/gate.py
@@ -214,7 +214,10 @@
         self.attempts.set_state(attempt_id, state)
         self.order.settle(run.attempt, cost)
         self.limit.finished(
-            is_healthy=is_healthy, started_at=run.started_at, now=now
+            is_healthy=is_healthy,
+            started_at=run.started_at,
+            now=now,
+            tokens=cost,
         )
         return self._fill(now)
 
--- a/packages/daisypick_core/tests/gate/test_drain_state.py
+++ b/packages/daisypick_core/tests/gate/test_drain_state.py
@@ -118,8 +118,11 @@
     subject = make_gate(slots=2)
     subject.offer(make_attempt("x"), 0.0)
     subject.finish("x", cost=1.0, is_healthy=True, now=1.0)
+    assert subject.load().limit == 1
+    subject.offer(make_attempt("y"), 1.0)
+    subject.finish("y", cost=63.0, is_healthy=True, now=2.0)
     assert subject.load().limit == 2
-    subject.apply_drain_state(derive(2, is_in=False), 2.0)
+    subject.apply_drain_state(derive(2, is_in=False), 3.0)
     subject.apply_drain_state(derive(3), 9.0)
     assert (subject.load().limit, subject.load().is_draining) == (1, False)
 
