Let an agent that drains end only when its keys are free again

The caller's next attempt found the key held by an agent that had restarted since, which nobody can tell from one that ran it.

Change: an agent is idle only when no key is being given back.

--- a/packages/daisypick_node/src/daisypick_node/agent/claim_service.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/claim_service.py
@@ -90,6 +90,7 @@
         self._tickets = itertools.count()
         self._settled_by_ticket: dict[int, gevent.event.AsyncResult] = {}
         self._verdict_by_attempt: dict[str, gevent.event.AsyncResult] = {}
+        self._releasing = 0
         self._perform_gate: Callable[[list[gate_actions.Action]], None] = (
             lambda due: None
         )
@@ -124,6 +125,16 @@
         """Give back the key of an attempt that is barred."""
         self._pursue(self._claimant.release(attempt))
 
+    def is_idle(self) -> bool:
+        """Tell whether no key is being given back.
+
+        An agent that drains gives back what waits. If it ended before the
+        keys are free again, the next attempt would find one held by an
+        agent that has restarted since, and its caller would be told that
+        the outcome is unknown although nothing ran.
+        """
+        return self._releasing == 0
+
     def tick(self) -> None:
         """Let time pass."""
         now = self._clock()
@@ -153,6 +164,7 @@
                 waiter = self._verdict_by_attempt.pop(action.attempt_id)
                 waiter.set(action.verdict)
             else:
+                self._releasing += isinstance(action, actions.Release)
                 gevent.spawn(_handler_by_action[type(action)], self, action)
 
     def _commit_claim(self, action: actions.Commit) -> None:
@@ -167,7 +179,10 @@
         self._pursue(due)
 
     def _release_claim(self, action: actions.Release) -> None:
-        self._submit(action.batcher, action.claim)
+        try:
+            self._submit(action.batcher, action.claim)
+        finally:
+            self._releasing -= 1
 
     def _ask_holder(self, action: actions.Ask) -> None:
         status = self._question(action.holder)
--- a/packages/daisypick_node/src/daisypick_node/agent/process.py
+++ b/packages/daisypick_node/src/daisypick_node/agent/process.py
@@ -186,10 +186,11 @@
         self.driver.drain(admission.SHUTDOWN)
 
     def is_idle(self) -> bool:
-        """Tell whether no attempt runs and no answer is being read."""
+        """Tell whether nothing runs, is being read or is given back."""
         return (
             self.gate.running_count == 0
             and not self.driver.answers.has_readers()
+            and self.claims.is_idle()
         )
 
     def stop(self) -> None:
--- a/packages/daisypick_node/tests/test_at_most_once.py
+++ b/packages/daisypick_node/tests/test_at_most_once.py
@@ -3,6 +3,7 @@
 import gevent.event
 import pytest
 
+from daisypick_core.messages import attempt as attempt_message
 from daisypick_standins.platform import faults
 
 BOOKINGS = "/services/desk/bookings"
@@ -124,3 +125,36 @@
     answer = call.get(timeout=20)
     assert (answer.status_code, answer.read()) == (200, b"plot 7")
     assert runs(fleet) == 1
+
+
+def test_agent_does_not_end_while_it_gives_a_key_back(fleet):
+    # An agent drains: it gives back a booking that waited, and its key. If
+    # it ended before the key is free, the caller's next attempt would find
+    # it held by an agent that has restarted since, and be told that the
+    # outcome is unknown although nothing ran.
+    agent = fleet.agents[0]
+    go_on = gevent.event.Event()
+    submit = agent.claims._submit
+    agent.claims._submit = lambda batcher, claim: go_on.wait()
+    attempt = attempt_message.Attempt(
+        attempt_id="a1",
+        request_id="r1",
+        organisation="union",
+        service="desk",
+        estimate=1.0,
+        deadline=1e9,
+        incarnation=agent.gate.incarnation,
+        epoch=0,
+        router="127.0.0.1:1",
+        idempotency_key="k",
+        fingerprint="f",
+    )
+    assert agent.is_idle()
+    agent.claims.release(attempt)
+    drained = gevent.spawn(agent.drain)
+    gevent.sleep(0.2)
+    assert not drained.dead
+    agent.claims._submit = submit
+    go_on.set()
+    drained.get(timeout=5)
+    assert agent.is_idle()
