Take settings that change while a router runs; split links off placing

Change: the file is read every two seconds and on SIGHUP; bounds of retries, descriptors and the time to stop are replaced, connections are not touched; a faulty file is told once. The connections to candidates and the choice of whom to follow stand in host_links.py. Tests: change without a signal, with one, faulty files.

--- a/packages/daisypick_core/src/daisypick_core/serving/retry_budget.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/retry_budget.py
@@ -32,6 +32,17 @@
         self._requests_by_service: dict[str, send_window.SendWindow] = {}
         self._retries_by_service: dict[str, send_window.SendWindow] = {}
 
+    def set_bounds(
+        self, *, ratio: float, window_seconds: float, extra: float
+    ) -> None:
+        """Take other bounds; what was sent before still counts."""
+        self._ratio = ratio
+        self._seconds = window_seconds
+        self._extra = extra
+        for windows in (self._requests_by_service, self._retries_by_service):
+            for window in windows.values():
+                window.set_seconds(window_seconds)
+
     def set_fleet(self, *, routers: int) -> None:
         """Take the number of routers that share the fixed allowance."""
         self._routers = max(routers, 1)
--- a/packages/daisypick_core/src/daisypick_core/serving/send_window.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/send_window.py
@@ -25,6 +25,10 @@
         self.last = -math.inf
         self._times: collections.deque[float] = collections.deque()
 
+    def set_seconds(self, seconds: float) -> None:
+        """Take another length; what was counted stays as far as it lies in."""
+        self._seconds = seconds
+
     def add(self, now: float) -> None:
         """Count one."""
         self._times.append(now)
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -16,12 +16,12 @@
 from gevent import event
 
 from daisypick_core.scheduling import actions
-from daisypick_core.scheduling import hosts
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import pauses
 from daisypick_core.scheduling import scheduler as schedulers
 from daisypick_core.serving import fleet_configuration
 from daisypick_router import engine_servers
+from daisypick_router import host_links
 from daisypick_router import log as logs
 from daisypick_router import membership as memberships
 from daisypick_router import metrics as metric_numbers
@@ -29,16 +29,6 @@
 from daisypick_router import peer_messages
 from daisypick_router import store_feed
 
-# How many of a service's possible hosts a router keeps connections to.
-_CANDIDATES = 2
-_WATCH_SECONDS = 0.05
-# Stands for the platform's store in the order of hosts: the first router in it
-# watches the store for the others. No service has this name.
-_STORE = "/store"
-# A watch that wakes so late tells of our own processor, not of a host: what
-# the host said may lie unread. Links that were given up for that filled the
-# host's belief with requests whose ends it never heard of.
-_STALLED_SECONDS = 0.15
 _REPORT_SECONDS = 1.0
 # Placements that are told to a new host, so that it knows what engines keep;
 # an engine's memory turns over in about this many requests of a router.
@@ -69,19 +59,21 @@
         rng: random.Random,
     ) -> None:
         self._name = name
-        self._power = power
-        self._membership = membership
         self._hosted = hosted
-        self._feed = feed
-        self._followed: peer_link.PeerLink | None = None
+        self.links = host_links.HostLinks(
+            name=name,
+            power=power,
+            membership=membership,
+            feed=feed,
+            log=log,
+            rng=rng,
+            on_up=self._tell_running,
+        )
         self.alone = alone
         self._log = log
         self._metrics = metrics
         self._rng = rng
-        self._link_by_name: dict[str, peer_link.PeerLink] = {}
-        self._services: set[str] = set()
         self._host_by_service: dict[str, str] = {}
-        self._order_by_service: dict[str, list[str]] = {}
         self._placed_by_service: dict[str, collections.deque[_Placed]] = {}
         self._reading: set[str] = set()
         self._running: set[str] = set()
@@ -91,87 +83,9 @@
 
     def start(self) -> None:
         """Begin to watch the hosts."""
-        gevent.spawn(self._watch)
+        self.links.start()
         gevent.spawn(self._report)
 
-    def update(self) -> None:
-        """Take the routers from the membership and connect to hosts."""
-        members = self._membership.member_by_name
-        wanted: set[str] = set()
-        power_by_router = {
-            name: member.power for name, member in members.items()
-        }
-        power_by_router[self._name] = self._power
-        for service in self._services | {_STORE}:
-            order = hosts.order_hosts(service, power_by_router)
-            self._order_by_service[service] = order
-            wanted.update(order[:_CANDIDATES])
-        wanted.discard(self._name)
-        for name in list(self._link_by_name):
-            if name not in wanted:
-                self._link_by_name.pop(name).stop()
-        for name in wanted - self._link_by_name.keys():
-            self._connect(members[name])
-
-    def _connect(self, member: memberships.Member) -> None:
-        link = peer_link.PeerLink(
-            name=member.name,
-            address=member.address,
-            own_name=self._name,
-            log=self._log,
-            rng=self._rng,
-            on_up=self._greet_host,
-            on_feed=self._feed.take,
-        )
-        self._link_by_name[member.name] = link
-        link.start()
-
-    def _greet_host(self, link: peer_link.PeerLink) -> None:
-        if self._followed is link:
-            self._followed = None
-        self._choose_followed()
-        self._tell_running(link)
-
-    def _choose_followed(self) -> None:
-        """Follow the first router that can pass on the store's changes."""
-        followed = None
-        if self._membership.routers >= store_feed.LEAST_ROUTERS:
-            followed = self._find_followed()
-        if followed is self._followed:
-            return
-        if self._followed is not None:
-            self._followed.tell(peer_messages.Follow(wanted=False))
-        self._followed = followed
-        if followed is not None:
-            followed.tell(peer_messages.Follow(wanted=True))
-        self._log.write(
-            "store",
-            "Another router passes on changes."
-            if followed
-            else "We watch the store ourselves.",
-            router=followed.name if followed else None,
-        )
-
-    def _find_followed(self) -> peer_link.PeerLink | None:
-        for name in self._order_by_service.get(_STORE, [])[:_CANDIDATES]:
-            if name == self._name:
-                return None
-            link = self._link_by_name.get(name)
-            if link is not None and link.is_connected:
-                return link
-        return None
-
-    def _watch(self) -> None:
-        while True:
-            slept_at = time.monotonic()
-            gevent.sleep(_WATCH_SECONDS)
-            now = time.monotonic()
-            if now - slept_at > _STALLED_SECONDS:
-                continue
-            for link in list(self._link_by_name.values()):
-                link.watch_silence(now)
-            self._choose_followed()
-
     def _report(self) -> None:
         """Log what the schedulers hosted here believe, once a second."""
         while True:
@@ -185,28 +99,17 @@
                         **self._hosted.describe(service),
                     )
 
-    def find_link(self, router: str) -> peer_link.PeerLink | None:
-        """Return the link to a router, if we keep one."""
-        return self._link_by_name.get(router)
-
     def find_host(self, service: str) -> str | None:
         """Return the first candidate that can be asked."""
-        if service not in self._services:
-            self._services.add(service)
-            self.update()
-        for name in self._order_by_service[service][:_CANDIDATES]:
-            link = self._link_by_name.get(name)
-            if name == self._name or (link is not None and link.is_up):
-                self._note_host(service, name)
-                return name
-        self._note_host(service, "")
-        return None
+        name = self.links.find_host(service)
+        self._note_host(service, name or "")
+        return name
 
     def _note_host(self, service: str, name: str) -> None:
         if self._host_by_service.get(service) == name:
             return
         self._host_by_service[service] = name
-        link = self._link_by_name.get(name)
+        link = self.links.find_link(name)
         if name == self._name:
             self._tell_ourselves(service)
         elif link is not None:
@@ -245,7 +148,7 @@
         if host == self._name:
             decided = self._hosted.acquire(service, work)
         elif host is not None:
-            decided = self._ask(service, work, self._link_by_name[host])
+            decided = self._ask(service, work, self.links.find_link(host))
         if isinstance(decided, actions.Start) and not self.alone.bears(
             service, work.router, decided.server
         ):
@@ -381,7 +284,7 @@
         self, service: fleet_configuration.Service, message: typing.Any
     ) -> None:
         for name in self._find_told(service.name):
-            link = self._link_by_name.get(name)
+            link = self.links.find_link(name)
             if link is not None:
                 link.tell(message)
 
@@ -391,7 +294,7 @@
         One behind the host was told nothing of it; it is told all that runs
         when it becomes our host.
         """
-        candidates = self._order_by_service.get(service, [])[:_CANDIDATES]
+        candidates = self.links.find_candidates(service)
         host = self._host_by_service.get(service)
         if host in candidates:
             return candidates[: candidates.index(host) + 1]
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -32,6 +32,7 @@
 from daisypick_router import plain_servers
 from daisypick_router import plain_way
 from daisypick_router import serving
+from daisypick_router import settings_watch
 from daisypick_router import store_feed
 from daisypick_router import tries as try_rules
 
@@ -151,13 +152,16 @@
         self._connections: dict[http_server.CallerConnection, None] = {}
         self._most_connections = int(settings.most_files * _CALLER_SHARE)
         self._listeners: list[gevent_server.StreamServer] = []
+        self._settings_watch = settings_watch.SettingsWatch(
+            settings=settings, log=self.log, on_change=self.take_settings
+        )
         self.stopped = gevent_event.Event()
         self._take_members()
 
     def run(self) -> None:
         """Serve until the process is told to stop and has stopped."""
         gevent.signal_handler(signal.SIGTERM, self.begin_stop)
-        gevent.signal_handler(signal.SIGHUP, self._reload)
+        gevent.signal_handler(signal.SIGHUP, self._settings_watch.look_soon)
         gevent.spawn(self.log.run)
         self.start()
         self.stopped.wait()
@@ -173,6 +177,7 @@
         self.placing.start()
         self.peer_host.start()
         self.load.start()
+        self._settings_watch.start()
         gevent.spawn(self._keep_house)
         self._listen(self.settings.caller_address, self._serve_caller)
         self._listen(self.settings.ready_address, self._serve_platform)
@@ -288,24 +293,26 @@
         self._budget.set_fleet(routers=routers)
         self._hosted.set_fleet(routers=routers, share=1.0)
         self._alone.set_fleet(routers=routers, share=1.0 / routers)
-        self.placing.update()
+        self.placing.links.update()
 
     def _keep_house(self) -> None:
         while True:
             gevent.sleep(_HOUSEKEEPING_SECONDS)
             self._pool.close_stale()
 
-    def _reload(self) -> None:
-        loaded = platform_settings.load()
-        if failure.is_failure(loaded):
-            self.log.write(
-                "process",
-                "Settings are unreadable; the last ones stand.",
-                reason=loaded.reason,
-            )
-            return
-        self.log.write("process", "Read the settings again.")
-        self.settings = loaded
+    def take_settings(self, settings: platform_settings.Settings) -> None:
+        """Put changed settings in force, without touching a connection.
+
+        Addresses and the name are the process's for its life.
+        """
+        self.settings = settings
+        bounds = settings.bounds
+        self._budget.set_bounds(
+            ratio=bounds.retry_ratio,
+            window_seconds=bounds.retry_window_seconds,
+            extra=bounds.retry_extra,
+        )
+        self._most_connections = int(settings.most_files * _CALLER_SHARE)
 
     def begin_stop(self) -> None:
         """Stop gracefully; ``stopped`` is set when it is done."""
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -297,7 +297,7 @@
     server = fakes.FakeServer("e-0", "assist", _hold)
     routers, host = _start_fleet(store, [server])
     asker = next(name for name in routers if name != host)
-    link = routers[asker].placing.find_link(host)
+    link = routers[asker].placing.links.find_link(host)
     hosted = routers[host].placing._hosted
 
     def _count_running():
@@ -337,7 +337,7 @@
         fakes.wait_for(
             lambda: hosted.describe("assist")["engines"][0]["running"] == 1
         )
-        routers[asker].placing.find_link(host).stop()
+        routers[asker].placing.links.find_link(host).stop()
         fakes.wait_for(
             lambda: hosted.describe("assist")["engines"][0]["running"] == 0,
             2.0,
@@ -352,7 +352,7 @@
     """
     routers, host = _start_fleet(store, _engines(1))
     asker = next(name for name in routers if name != host)
-    link = routers[asker].placing.find_link(host)
+    link = routers[asker].placing.links.find_link(host)
     channel = link._channel
     heard = []
     link._deliver_by_key["a-1"] = heard.append
--- /dev/null
+++ b/packages/daisypick_router/tests/test_settings_watch.py
@@ -0,0 +1,63 @@
+"""Settings that change while a router runs."""
+
+import fakes
+import pytest
+
+from daisypick_platform import settings as platform_settings
+
+_FILE = """\
+NodeName = "r-1"
+Ip = "127.0.0.1"
+Zone = "a"
+InternalPorts = [7400, 7415]
+[Limits]
+MaxFds = {files}
+[Bounds]
+GraceS = {grace}
+BudgetRatio = 0.2
+BudgetWindowS = 10
+BudgetExtra = {extra}
+[Provider]
+Address = "127.0.0.1:1"
+"""
+
+
+@pytest.fixture
+def router(monkeypatch, tmp_path):
+    path = tmp_path / "node.toml"
+    path.write_text(_FILE.format(files=1000, grace=8, extra=10))
+    monkeypatch.setenv(platform_settings.VARIABLE, str(path))
+    router = fakes.make_router(fakes.FakeStore())
+    router.path = path
+    router._settings_watch.look(asked=False)
+    return router
+
+
+def test_change_without_a_signal_is_in_force(router):
+    """The platform writes the file anew and tells nobody."""
+    assert router._budget.take("desk", 0.0)
+    router.path.write_text(_FILE.format(files=400, grace=5, extra=0))
+    router._settings_watch.look(asked=False)
+    assert router.settings.bounds.grace_seconds == 5.0
+    assert router._most_connections == 180
+    assert not router._budget.take("desk", 0.1)
+
+
+def test_signal_makes_it_sooner(router):
+    router._settings_watch.start()
+    router.path.write_text(_FILE.format(files=400, grace=5, extra=0))
+    router._settings_watch.look_soon()
+    fakes.wait_for(lambda: router.settings.most_files == 400, 0.5)
+
+
+@pytest.mark.parametrize("text", ["", "NodeName = ", _FILE[:60]])
+def test_faulty_file_changes_nothing_and_is_told_once(router, text):
+    """The file is read while it is half written, or is faulty for good."""
+    before = router.settings
+    said = []
+    router._settings_watch._log.write = lambda *words, **more: said.append(more)
+    router.path.write_text(text)
+    for _ in range(3):
+        router._settings_watch.look(asked=False)
+    assert router.settings == before
+    assert [line["code"] > 0 for line in said] == [True]
--- a/packages/daisypick_router/tests/test_store_feed.py
+++ b/packages/daisypick_router/tests/test_store_feed.py
@@ -42,7 +42,7 @@
     return [
         name
         for name, router in routers.items()
-        if router.placing._followed is not None
+        if router.placing.links.followed is not None
     ]
 
 
@@ -109,7 +109,7 @@
             return
         take(message)
 
-    routers[name].placing._followed._on_feed = _lose_one
+    routers[name].placing.links.followed._on_feed = _lose_one
     server = fakes.FakeServer("e-1", "assist", fakes.stream_five)
     store.put("servers", "e-1", server.describe(Slots=3))
     fakes.wait_for(lambda: lost)
