--- a/packages/daisypick_core/src/daisypick_core/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/__init__.py
@@ -13,7 +13,6 @@
 * ``fairness``: who is served next, locally and across the fleet.
 * ``gate``: the agent's decisions about its one backend server.
 * ``queues``: waiting work by organisation, with deadlines.
-* ``orders``: orders to engines, and who may give them.
 * ``claims``: at most once for requests that may not be repeated.
 * ``routing``: the router's backlog, pick and retries.
 * ``membership``: which processes are believed to be alive.
--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -81,8 +81,6 @@
 WITHDRAWN = define(3003, "Attempt was withdrawn before it started", 503)
 NOT_CONFIGURED = define(3004, "Process has no configuration yet", 503)
 STALE_EPOCH = define(3005, "Attempt is of an epoch that has passed", 503)
-LEASE_NOT_HELD = define(3006, "Lease of the engine is not held", 503)
-ORDER_IN_PROGRESS = define(3007, "Another order may still be at work", 503)
 
 KEY_IN_PROGRESS = define(
     4001, "Idempotency key is in progress", 409, RAN_UNKNOWN
--- a/packages/daisypick_node/src/daisypick_node/platform/http.py
+++ b/packages/daisypick_node/src/daisypick_node/platform/http.py
@@ -47,10 +47,6 @@
     names: list[str]
 
 
-class _WeightsBody(typing.TypedDict):
-    size: int
-
-
 @interface.register("http")
 class HttpPlatformClient:
     """Calls the platform over HTTP.
@@ -164,12 +160,6 @@
             return body
         return [interface.Vm(**entry) for entry in body["vms"]]
 
-    def fetch_weights(self, model: str) -> int | failure_value.Failure:
-        """Ask the rate-limited weight store for a model."""
-        path = f"/v1/weights/{_quote(model)}"
-        body = self._call_json("weights", "POST", path, _WeightsBody)
-        return body if failure_value.is_failure(body) else body["size"]
-
     def _call_json(
         self, call: str, method: str, path: str, shape: typing.Any
     ) -> typing.Any:
--- a/packages/daisypick_node/src/daisypick_node/platform/interface.py
+++ b/packages/daisypick_node/src/daisypick_node/platform/interface.py
@@ -84,13 +84,6 @@
         """Return the lagging list of VMs."""
         ...
 
-    def fetch_weights(self, model: str) -> int | failure_value.Failure:
-        """Ask the rate-limited weight store for a model; return its size.
-
-        A failure with ``retry_after`` says when the rate allows it.
-        """
-        ...
-
 
 Factory = Callable[..., PlatformClient]
 
--- a/packages/daisypick_standins/src/daisypick_standins/platform/__init__.py
+++ b/packages/daisypick_standins/src/daisypick_standins/platform/__init__.py
@@ -2,7 +2,6 @@
 
 * ``store``: objects with versions, as a plain object.
 * ``vms``: the lagging list of VMs.
-* ``weights``: the rate-limited weight store.
 * ``faults``: what goes wrong on command.
 * ``server``: all of it over HTTP, see ``docs/PLATFORM_API.md``.
 """
