Let the router's tests read answers as the soak does

The same reader stood twice (duplicates: fakes.py and http_words.py). The router's tests now use the soak's. Router and platform tests: pass.

--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -17,6 +17,7 @@
 
 from daisypick_platform import settings as platform_settings
 from daisypick_router import process
+from daisypick_soak import http_words
 
 HOST = "plots.example"
 KEY = "key-of-farm"
@@ -45,12 +46,7 @@
     return first, headers, body
 
 
-def write_answer(status: int, headers: dict[str, str], body: bytes) -> bytes:
-    """Return an answer framed by its length."""
-    lines = [f"HTTP/1.1 {status} Word"]
-    lines += [f"{name}: {value}" for name, value in headers.items()]
-    lines.append(f"Content-Length: {len(body)}")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+write_answer = http_words.write_answer
 
 
 class FakeStore:
@@ -412,72 +408,8 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-class Answer:
-    """A caller's view of an answer.
-
-    Attributes:
-        status: HTTP status; zero if the connection ended before it.
-        headers: By lower-case name.
-        body: What came of the body.
-        whole: Whether its framing says that it is whole.
-    """
-
-    def __init__(self) -> None:
-        self.status = 0
-        self.headers: dict[str, str] = {}
-        self.body = b""
-        self.whole = False
-
-    @property
-    def served(self) -> bool:
-        """Whether it is a whole success."""
-        return self.status == 200 and self.whole
-
-
-def read_answer(connection: socket.socket) -> Answer:
-    """Read one answer."""
-    answer = Answer()
-    data = b""
-    while b"\r\n\r\n" not in data:
-        piece = connection.recv(65536)
-        if not piece:
-            return answer
-        data += piece
-    head, _, data = data.partition(b"\r\n\r\n")
-    first, *lines = head.split(b"\r\n")
-    answer.status = int(first.split()[1])
-    for line in lines:
-        name, _, value = line.partition(b": ")
-        answer.headers[name.decode().lower()] = value.decode()
-    if "content-length" in answer.headers:
-        length = int(answer.headers["content-length"])
-        while len(data) < length:
-            piece = connection.recv(65536)
-            if not piece:
-                break
-            data += piece
-        answer.body, answer.whole = data, len(data) == length
-        return answer
-    while True:
-        if data.endswith(b"0\r\n\r\n"):
-            answer.whole = True
-            break
-        piece = connection.recv(65536)
-        if not piece:
-            break
-        data += piece
-    answer.body = _join_chunks(data)
-    return answer
-
-
-def _join_chunks(data: bytes) -> bytes:
-    body = b""
-    while data:
-        size, _, rest = data.partition(b"\r\n")
-        length = int(size, 16)
-        body += rest[:length]
-        data = rest[length + 2 :]
-    return body
+Answer = http_words.Answer
+read_answer = http_words.read_answer
 
 
 def call(router: process.RouterProcess, path: str, **words: str) -> Answer:
