--- a/packages/daisypick_core/src/daisypick_core/scheduling/pauses.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/pauses.py
@@ -2,8 +2,8 @@
 
 A flood of one organisation that was refused by its service's scheduler asks
 again at once, and each question costs two messages and two wake-ups. On a
-small VM 700 such requests a second left no time for anybody else's: their
-connections were accepted and never read. So a refusal says for how long the
+small VM such a flood left 714 questions open at once, and requests of others
+ended at their deadlines without an answer. So a refusal says for how long the
 next ones would fare the same, and the router refuses them by itself.
 
 Examples:
