--- a/packages/daisypick_core/src/daisypick_core/serving/overload.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/overload.py
@@ -4,10 +4,10 @@
 neighbours idle: a VM of 0.387 cores wrote some 950 log lines of requests a
 second and read others too late, with 30 a second at the next one. The process
 notices by its own timers: one that wakes late tells for how long anything else
-waits for the processor. While that goes on it tells the platform that it is not ready, and
-after the platform has taken note it ends connections with their answers, so
-that their callers connect elsewhere. It is ready again when its timers keep
-time and some seconds have passed.
+waits for the processor. While that goes on it tells the platform that it is
+not ready, and after the platform has taken note it ends connections with their
+answers, so that their callers connect elsewhere. It is ready again when its
+timers keep time and some seconds have passed.
 
 Examples:
     >>> overload = Overload()
