Learn how fast engines read; admit a request by its predicted first token

The learned rate could not tell: it took 0.06 s off every first token, where 0.01 s is true there, so 30,000 tokens a second looked like 45,000.

A service has a line (base, seconds a token; weighted least squares that forgets), an engine a factor against it. What is ahead of a request at an engine follows first tokens, which came a base time after their prompt was read, and stands while one is overdue. A request enters an engine only if its predicted first token, with a margin of the predictor's own spread, is within its objective, and while 0.1 s of reading wait there. What is beyond a share needs spare capacity as before, but one engine with a long prompt no longer counts for several.

Seen: first tokens on kt lie on a line (0.010 s + tokens / 30,000 a second, residual 0.025 to 0.07 s).

--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
@@ -9,19 +9,8 @@
 
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import prefix_cache
+from daisypick_core.scheduling import reading_speed
 
-# Prompt tokens that an engine reads a second while it also generates; where
-# the belief starts before it has learned the engine's own rate. Engines in
-# use read 140,000 alone and spend a quarter of their steps on generating.
-FIRST_RATE = 100_000.0
-# Seconds from a request's way to its first token with nothing ahead of it.
-BASE_SECONDS = 0.06
-# Weight of one observation in the learned rate, and how far the rate may
-# move from ``FIRST_RATE``: a wrong belief must not shut an engine out.
-_LEARNING = 0.15
-_SLOWEST, _FASTEST = 0.1, 2.0
-# Fewer prompt tokens than this say little about the rate beside the base.
-_LEAST_TOKENS_TO_LEARN = 3000
 # Part of the memory that is given to running requests. Outputs are longer
 # than expected about half of the time, and an engine that runs out throws a
 # running request out of its memory and reads it from the start.
@@ -33,26 +22,53 @@
 
 
 class _Run:
-    """A request at the engine."""
+    """A request at the engine.
 
-    __slots__ = ("ahead", "job", "started_at", "unread")
+    Attributes:
+        job: The request.
+        unread: Prompt tokens of its own to read.
+        tokens: The same and those ahead of it.
+        started_at: When it was sent.
+        first_at: When its first token is expected.
+    """
+
+    __slots__ = ("first_at", "job", "started_at", "tokens", "unread")
 
     def __init__(
-        self, *, work: job.Job, unread: int, ahead: float, started_at: float
+        self,
+        *,
+        work: job.Job,
+        unread: int,
+        tokens: float,
+        started_at: float,
+        first_at: float,
     ) -> None:
         self.job = work
         self.unread = unread
-        self.ahead = ahead
+        self.tokens = tokens
         self.started_at = started_at
+        self.first_at = first_at
 
 
 class EngineBelief:
-    """Requests, memory and speed of one engine."""
+    """Requests, memory and speed of one engine.
+
+    Prompts are read in the order of their starts. A first token tells that
+    its prompt was read a base time before, and so how much of the next ones
+    is read. While the first token of the oldest prompt is overdue nothing
+    counts as read, so an engine that has stopped gets no more.
+    """
 
-    def __init__(self, *, slots: int, kv_tokens: int) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        kv_tokens: int,
+        speed: reading_speed.EngineSpeed,
+    ) -> None:
         self.slots = slots
         self.kv_tokens = kv_tokens
-        self.rate = FIRST_RATE
+        self.speed = speed
         self.cache = prefix_cache.PrefixCache(capacity=kv_tokens)
         self._run_by_key: dict[str, _Run] = {}
         # Requests without a first token in the order of their start, and
@@ -61,7 +77,9 @@
         # kept a small VM from answering in time.
         self._reading_by_key: dict[str, _Run] = {}
         self._unread = 0
-        self._progress_at = 0.0
+        # What was still to read at a moment in the past.
+        self._left = 0.0
+        self._left_at = 0.0
 
     @property
     def running(self) -> int:
@@ -77,8 +95,12 @@
         if not self._reading_by_key:
             return 0.0
         head = next(iter(self._reading_by_key.values()))
-        done = min((now - self._progress_at) * self.rate, head.unread)
-        return self._unread - max(done, 0.0)
+        elapsed = max(min(now, head.first_at) - self._left_at, 0.0)
+        return max(self._left - elapsed / self.speed.token_seconds, 0.0)
+
+    def wait(self, now: float) -> float:
+        """Return the seconds of reading that are ahead of a new request."""
+        return self.unread(now) * self.speed.token_seconds
 
     def has_memory(self, work: job.Job, share: float = 1.0) -> bool:
         """Tell whether a request's tokens fit beside the running ones."""
@@ -86,21 +108,21 @@
         room = self.kv_tokens * _MEMORY_SHARE * share - self.cache.held
         return wanted <= room or not self._run_by_key
 
-    def start(self, work: job.Job, now: float) -> None:
-        """A request is sent to the engine."""
-        ahead = self.unread(now)
-        kept = self.cache.count_kept(work.parts)
-        if not self._reading_by_key:
-            self._progress_at = now
+    def start(self, work: job.Job, now: float, ahead: float) -> None:
+        """A request is sent to the engine with ``ahead`` tokens before it."""
+        unread = max(work.prompt_tokens - self.cache.count_kept(work.parts), 0)
+        self._left = self.unread(now) + unread
+        self._left_at = now
         run = _Run(
             work=work,
-            unread=max(work.prompt_tokens - kept, 0),
-            ahead=ahead,
+            unread=unread,
+            tokens=ahead + unread,
             started_at=now,
+            first_at=now + self.speed.predict(ahead + unread),
         )
         self._run_by_key[work.key] = run
         self._reading_by_key[work.key] = run
-        self._unread += run.unread
+        self._unread += unread
         self.cache.generated += work.output_tokens
         self.cache.begin(work.parts)
 
@@ -109,25 +131,24 @@
     ) -> None:
         """A request's first token came back."""
         run = self._stop_reading(key, now)
-        if run is not None and learn:
-            self._learn(run, now)
+        if run is None or not learn:
+            return
+        self._left = float(self._unread)
+        if self._reading_by_key:
+            head = next(iter(self._reading_by_key.values()))
+            base = self.speed.predict(0.0)
+            since = min(max(now - head.started_at, 0.0), base)
+            self._left -= min(since / self.speed.token_seconds, head.unread)
+        self.speed.learn(run.tokens, now - run.started_at)
 
     def _stop_reading(self, key: str, now: float) -> _Run | None:
         run = self._reading_by_key.pop(key, None)
         if run is not None:
             self._unread -= run.unread
-            self._progress_at = now
+            self._left = min(self.unread(now), float(self._unread))
+            self._left_at = now
         return run
 
-    def _learn(self, run: _Run, now: float) -> None:
-        tokens = run.ahead + run.unread
-        if tokens < _LEAST_TOKENS_TO_LEARN:
-            return
-        seconds = max(now - run.started_at - BASE_SECONDS, 0.005)
-        seen = tokens / seconds
-        seen = min(max(seen, _SLOWEST * FIRST_RATE), _FASTEST * FIRST_RATE)
-        self.rate += _LEARNING * (seen - self.rate)
-
     def end(self, key: str, now: float) -> None:
         """A request ended, well or not."""
         run = self._run_by_key.pop(key, None)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
@@ -15,24 +15,27 @@
 from daisypick_core.scheduling import engine_belief
 from daisypick_core.scheduling import job
 
-# Prompt tokens that may be waiting at one engine: a quarter of a second of
-# reading, which leaves half of the shortest objective for the rest.
-UNREAD_TOKENS = 25_000.0
-# Seconds that a request in the batch counts when engines are compared; each
-# slows the tokens of the others by about a hundredth of a full batch's time.
+# Seconds of reading that may wait at one engine. What waits here can still
+# be ordered, what waits there cannot; this much keeps an engine busy until
+# the next start reaches it.
+OPEN_SECONDS = 0.1
+# How many times the usual error of a prediction a first token must be ahead
+# of its objective.
+_MARGIN = 1.0
+# Seconds that a request in the batch counts when engines are compared: it
+# slows the tokens of all others a little.
 _SLOT_SECONDS = 0.0015
 # How much a token that another engine keeps counts when it is read again.
 # Reading it costs the engine once; dropping from its memory what others need
-# costs several times that. Measured: mean worth 0.534 at 1, 0.573 at 4, 0.597
-# at 12 over the heavy days of a fleet of 6 engines.
+# costs several times that.
 _REREAD_WEIGHT = 12.0
 # What an engine in another data centre counts more, in seconds: as much as
 # reading some 80 tokens again, about the part of a prompt that short requests
 # share. Bytes between data centres cost up to a twentieth of what such a
 # request is worth.
 _AWAY_SECONDS = 0.01
-# Kept tokens, beyond what any open engine keeps, for which a request waits.
-# Reading 2,000 tokens takes an engine 14 ms, about a short request's time.
+# Kept tokens, beyond what any open engine keeps, for which a request waits:
+# about as many as a short request has of its own.
 _WORTH_WAITING_TOKENS = 2000
 
 
@@ -62,6 +65,7 @@
     bears: Callable[[str], bool],
     share: float,
     may_wait: bool,
+    now: float,
 ) -> Placement | None:
     """Return the best place for a request, or ``None`` if none has room.
 
@@ -74,6 +78,7 @@
         bears: Tells whether a server, which may be cold, bears one more.
         share: Part of every engine that may be used.
         may_wait: Whether the request has time to wait for a busy engine.
+        now: The time.
     """
     kept_by_server = {
         server: engine.cache.count_kept(work.parts)
@@ -91,14 +96,16 @@
         if server in work.avoid or not bears(server):
             continue
         unread = max(work.prompt_tokens - kept, 0)
-        if ahead and ahead + unread > UNREAD_TOKENS * share:
+        engine = engine_by_server[server]
+        if ahead and not _is_in_time(work, engine, ahead / share + unread, now):
             most_busy = max(most_busy, kept)
             continue
-        engine = engine_by_server[server]
         if not engine.has_memory(work, share):
             continue
         tokens = ahead + unread + (elsewhere - kept) * _REREAD_WEIGHT
-        cost = tokens / engine.rate + engine.running * _SLOT_SECONDS
+        cost = (
+            tokens * engine.speed.token_seconds + engine.running * _SLOT_SECONDS
+        )
         if data_centre_by_server[server] != work.data_centre:
             cost += _AWAY_SECONDS
         if best is None or cost < best_cost:
@@ -113,3 +120,15 @@
     ):
         return None
     return best
+
+
+def _is_in_time(
+    work: job.Job,
+    engine: engine_belief.EngineBelief,
+    tokens: float,
+    now: float,
+) -> bool:
+    seconds = engine.speed.predict(tokens)
+    return now + seconds * (1.0 + _MARGIN * engine.speed.spread) <= (
+        work.objective_at
+    )
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/reading_speed.py
@@ -0,0 +1,149 @@
+"""How long engines take to a first token, learned from those that came.
+
+An engine reads prompts one after the other, so the time from a request's way
+to its first token is a fixed part plus a part for each token to read, its own
+and those ahead of it. A line through what was seen of all engines of a
+service gives both; a factor for each engine tells how much slower than that
+it is now. An engine that turns slow or cold is so known after a few first
+tokens, and one that nothing is known of counts as an average one.
+
+Examples:
+    >>> speed = ServiceSpeed()
+    >>> for tokens in (500, 2000, 8000) * 20:
+    ...     speed.learn(tokens, 0.02 + tokens / 40_000.0)
+    >>> round(speed.predict(4000), 2)
+    0.12
+    >>> slow, sound = EngineSpeed(service=speed), EngineSpeed(service=speed)
+    >>> for _ in range(40):
+    ...     slow.learn(4000, 0.24)
+    ...     sound.learn(4000, 0.12)
+    >>> round(slow.predict(4000) / sound.predict(4000), 1)
+    2.0
+"""
+
+# Where the belief starts, in seconds and in seconds a token. Weighs as much
+# as one first token at each of two sizes, so a handful of first tokens
+# outweigh it.
+_FIRST_BASE = 0.03
+_FIRST_TOKEN_SECONDS = 1.0 / 50_000.0
+_PRIOR_TOKENS = 5000.0
+# Part of what is known that each first token leaves in force: some hundred
+# first tokens of a service make its line, some ten of an engine its factor.
+_SERVICE_MEMORY = 0.99
+_ENGINE_MEMORY = 0.9
+# Bounds of an engine's factor: one lie or one lost answer must neither shut
+# an engine out nor open it to everything.
+_LEAST_FACTOR, _MOST_FACTOR = 0.3, 20.0
+_LEAST_SECONDS = 0.001
+# A first token counts as at most so many times later, or sooner, than
+# expected. Some wait for a place in a full batch or for memory, which says
+# nothing of reading: unbounded, a few of them tilted the line until tokens
+# seemed to take no time.
+_MOST_OFF = 2.0
+
+
+class ServiceSpeed:
+    """The line of a service: a base, and seconds a token.
+
+    A weighted least squares fit that forgets; errors grow with the time
+    itself, so an observation weighs by the inverse of its time.
+
+    Args:
+        base: Seconds with nothing to read, to begin with.
+        token_seconds: Seconds a token, to begin with.
+    """
+
+    def __init__(
+        self,
+        *,
+        base: float = _FIRST_BASE,
+        token_seconds: float = _FIRST_TOKEN_SECONDS,
+    ) -> None:
+        self.base = base
+        self.token_seconds = token_seconds
+        # Relative error that is usual, of predictions of first tokens.
+        self.spread = 0.25
+        self._weight = 0.0
+        self._tokens = 0.0
+        self._seconds = 0.0
+        self._tokens_squared = 0.0
+        self._tokens_seconds = 0.0
+        self._add(0.0, base)
+        self._add(_PRIOR_TOKENS, self.predict(_PRIOR_TOKENS))
+
+    def predict(self, tokens: float) -> float:
+        """Return the seconds to a first token with ``tokens`` to read."""
+        return self.base + tokens * self.token_seconds
+
+    def learn(self, tokens: float, seconds: float) -> None:
+        """Take a first token that was seen."""
+        expected = self.predict(tokens)
+        seconds = min(max(seconds, expected / _MOST_OFF), expected * _MOST_OFF)
+        self._weight *= _SERVICE_MEMORY
+        self._tokens *= _SERVICE_MEMORY
+        self._seconds *= _SERVICE_MEMORY
+        self._tokens_squared *= _SERVICE_MEMORY
+        self._tokens_seconds *= _SERVICE_MEMORY
+        self._add(tokens, seconds)
+        self._fit()
+
+    def note_error(self, relative: float) -> None:
+        """Take by which part of itself a prediction was off."""
+        error = min(abs(relative), 1.0)
+        self.spread += (1.0 - _SERVICE_MEMORY) * (error - self.spread)
+
+    def _add(self, tokens: float, seconds: float) -> None:
+        weight = 1.0 / max(self.predict(tokens), _LEAST_SECONDS)
+        self._weight += weight
+        self._tokens += weight * tokens
+        self._seconds += weight * seconds
+        self._tokens_squared += weight * tokens * tokens
+        self._tokens_seconds += weight * tokens * seconds
+
+    def _fit(self) -> None:
+        mean_tokens = self._tokens / self._weight
+        mean_seconds = self._seconds / self._weight
+        variance = self._tokens_squared / self._weight - mean_tokens**2
+        together = self._tokens_seconds / self._weight
+        together -= mean_tokens * mean_seconds
+        if variance <= 1.0:
+            return
+        slope = max(together / variance, 0.0)
+        base = mean_seconds - slope * mean_tokens
+        if base < _LEAST_SECONDS:
+            base = _LEAST_SECONDS
+            slope = (mean_seconds - base) / max(mean_tokens, 1.0)
+        if slope > 0.0:
+            self.base, self.token_seconds = base, slope
+
+
+class EngineSpeed:
+    """One engine against the line of its service."""
+
+    def __init__(self, *, service: ServiceSpeed) -> None:
+        self._service = service
+        self.factor = 1.0
+
+    @property
+    def token_seconds(self) -> float:
+        """Seconds that the engine reads at a token."""
+        return self._service.token_seconds * self.factor
+
+    @property
+    def spread(self) -> float:
+        """Relative error that predictions usually have."""
+        return self._service.spread
+
+    def predict(self, tokens: float) -> float:
+        """Return the seconds to a first token with ``tokens`` to read."""
+        return self._service.predict(tokens) * self.factor
+
+    def learn(self, tokens: float, seconds: float) -> None:
+        """Take a first token that was seen."""
+        expected = self._service.predict(tokens)
+        self._service.note_error(seconds / (expected * self.factor) - 1.0)
+        seen = seconds / expected
+        seen = min(max(seen, self.factor / _MOST_OFF), self.factor * _MOST_OFF)
+        factor = self.factor + (1.0 - _ENGINE_MEMORY) * (seen - self.factor)
+        self.factor = min(max(factor, _LEAST_FACTOR), _MOST_FACTOR)
+        self._service.learn(tokens, seconds)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -27,6 +27,7 @@
 from daisypick_core.scheduling import fair_share
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import placement
+from daisypick_core.scheduling import reading_speed
 from daisypick_core.scheduling import server_state
 from daisypick_core.scheduling import waiting as waiting_jobs
 from daisypick_core.serving import cold_limit
@@ -36,20 +37,17 @@
 GIVE_UP_SHARE = 0.6
 # What is beyond an organisation's share starts only while a quarter of all
 # slots is free and engines have no more than eight tenths to read of what
-# they may have; so what is within finds room at once. Measured as mean worth
-# over heavy days: 0.632 with four tenths, 0.631 with eight, which refuse
-# nobody on a calm day (0.80 and 0.85 there); 0.622 with nine tenths of the
-# slots.
+# they may have; so what is within finds room at once. An engine counts with
+# no more than that: one long prompt does not make a calm fleet busy.
 SPARE_SLOTS = 0.75
 SPARE_UNREAD = 0.8
 # Part of the objective in which a request may wait for the engine that keeps
 # its prompt while others are open. It may then still start elsewhere.
 _OWNER_WAIT_SHARE = 0.25
 # Requests of an organisation, and of all, that are looked at when something
-# may start, and the least time from one look to the next, in seconds. A look
-# at a request takes about 30 us; a host that looked at every waiting request
-# at each event was busy with nothing else under a flood, and callers waited
-# to their deadlines. This is a tenth of a processor at the most.
+# may start, and the least time from one look to the next, in seconds. A host
+# that looked at every waiting request at each event was busy with nothing
+# else under a flood, and callers waited to their deadlines.
 _LOOKED_AT = 3
 _LOOKED_AT_IN_ALL = 24
 _DISPATCH_SECONDS = 0.008
@@ -75,6 +73,8 @@
         cold_rate: Requests a second that a cold engine bears.
         window_seconds: Over which capacity is shared fairly.
         rng: Randomness for times to come back.
+        speed: What is known of the service's engines, shared by the
+            schedulers of a process.
     """
 
     def __init__(
@@ -84,6 +84,7 @@
         cold_rate: float,
         window_seconds: float,
         rng: random.Random,
+        speed: reading_speed.ServiceSpeed,
     ) -> None:
         self._kv_tokens = kv_tokens
         self._cold_rate = cold_rate
@@ -99,6 +100,7 @@
         self._server_by_key: dict[str, str] = {}
         self._waiting = waiting_jobs.Waiting()
         self._dispatched_at = -math.inf
+        self._speed = speed
 
     def set_fleet(self, *, routers: int, share: float) -> None:
         """Take the number of routers and the part of the capacity to use.
@@ -128,7 +130,9 @@
             reborn = name in before and before[name].born != state.born
             if engine is None or reborn:
                 self._engine_by_server[name] = engine_belief.EngineBelief(
-                    slots=state.slots, kv_tokens=self._kv_tokens
+                    slots=state.slots,
+                    kv_tokens=self._kv_tokens,
+                    speed=reading_speed.EngineSpeed(service=self._speed),
                 )
         for name in list(self._engine_by_server):
             if name in self._state_by_server:
@@ -218,13 +222,26 @@
         return self.note_end(key, now)
 
     def note_started_elsewhere(
-        self, work: job.Job, server: str, now: float
+        self,
+        work: job.Job,
+        server: str,
+        now: float,
+        *,
+        ahead: float | None = None,
     ) -> None:
-        """A router started a request without asking."""
+        """A router started a request without asking us.
+
+        Args:
+            work: The request.
+            server: Where it runs.
+            now: The time.
+            ahead: Prompt tokens that the server had to read before, where
+                whoever started it knew.
+        """
         engine = self._engine_by_server.get(server)
         if engine is None or work.key in self._server_by_key:
             return
-        self._record_start(work, server, engine, now)
+        self._record_start(work, server, engine, now, ahead)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse what waits too long; start what has become possible."""
@@ -278,7 +295,9 @@
                 "running": engine.running,
                 "unread": int(engine.unread(now)),
                 "held": engine.cache.held,
-                "rate": int(engine.rate),
+                "token_us": round(engine.speed.token_seconds * 1e6, 1),
+                "base": round(engine.speed.predict(0.0), 4),
+                "spread": round(engine.speed.spread, 3),
                 "cold": self._state_by_server[name].cold_until > now,
                 "aside": self.outcomes.is_aside(name, now),
             }
@@ -315,9 +334,8 @@
                 continue
             if self.outcomes.is_aside(name, now):
                 continue
-            unread = engine.unread(now)
-            if unread < placement.UNREAD_TOKENS * self._share or not unread:
-                unread_by_server[name] = unread
+            if engine.wait(now) < placement.OPEN_SECONDS * self._share:
+                unread_by_server[name] = engine.unread(now)
         return unread_by_server
 
     def _find_busy(
@@ -378,6 +396,7 @@
             bears=lambda server: self.bears(work.router, server, now),
             share=self._share,
             may_wait=_waited_share(work, now) < _OWNER_WAIT_SHARE,
+            now=now,
         )
 
     def _is_spare(self, now: float) -> bool:
@@ -389,11 +408,11 @@
         ]
         slots = sum(engine.slots for engine in engines) * self._share
         running = sum(engine.running for engine in engines)
-        unread = sum(engine.unread(now) for engine in engines)
-        most_unread = placement.UNREAD_TOKENS * self._share * len(engines)
+        most_wait = placement.OPEN_SECONDS * self._share
+        wait = sum(min(engine.wait(now), most_wait) for engine in engines)
         return (
             running < slots * SPARE_SLOTS
-            and unread < most_unread * SPARE_UNREAD
+            and wait < most_wait * len(engines) * SPARE_UNREAD
         )
 
     def bears(self, router: str, server: str, now: float) -> bool:
@@ -427,12 +446,11 @@
         engine = self._engine_by_server[server]
         self._record_start(work, server, engine, now)
         state = self._state_by_server[server]
-        unread = engine.unread(now)
         full = engine.running >= max(state.slots * self._share, 1.0)
-        if full or unread >= placement.UNREAD_TOKENS * self._share:
+        if full or engine.wait(now) >= placement.OPEN_SECONDS * self._share:
             del unread_by_server[server]
         else:
-            unread_by_server[server] = unread
+            unread_by_server[server] = engine.unread(now)
         return actions.Start(
             key=work.key,
             server=server,
@@ -447,8 +465,12 @@
         server: str,
         engine: engine_belief.EngineBelief,
         now: float,
+        ahead: float | None = None,
     ) -> None:
-        engine.start(work, now)
+        if ahead is None:
+            # All routers are taken to do as we do with our share.
+            ahead = engine.unread(now) / self._share
+        engine.start(work, now, ahead)
         self.note_sent(work.router, server, now)
         self._server_by_key[work.key] = server
         self.shares.begin(work.organisation, work.cost, now)
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import MutableMapping
 from collections.abc import Set
 import random
 import time
@@ -14,6 +15,7 @@
 
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import job
+from daisypick_core.scheduling import reading_speed
 from daisypick_core.scheduling import scheduler as schedulers
 from daisypick_core.scheduling import server_state
 from daisypick_core.serving import fleet_configuration
@@ -34,10 +36,12 @@
         discovery: "discoveries.Discovery",
         window_seconds: float,
         rng: random.Random,
+        speed_by_service: MutableMapping[str, reading_speed.ServiceSpeed],
     ) -> None:
         self._discovery = discovery
         self._window_seconds = window_seconds
         self._rng = rng
+        self._speed_by_service = speed_by_service
         self._routers = 1
         self._share = 1.0
         self._has_waiting = event.Event()
@@ -95,6 +99,9 @@
                 cold_rate=service.cold_rate,
                 window_seconds=self._window_seconds,
                 rng=self._rng,
+                speed=self._speed_by_service.setdefault(
+                    service.name, reading_speed.ServiceSpeed()
+                ),
             )
             scheduler.set_fleet(routers=self._routers, share=self._share)
             self._scheduler_by_service[service.name] = scheduler
@@ -140,11 +147,18 @@
         return scheduler.bears(router, server, time.monotonic())
 
     def note_started_elsewhere(
-        self, service: fleet_configuration.Service, work: job.Job, server: str
+        self,
+        service: fleet_configuration.Service,
+        work: job.Job,
+        server: str,
+        *,
+        ahead: float | None = None,
     ) -> None:
         """A request was started by decision of somebody else."""
         scheduler = self.find_scheduler(service)
-        scheduler.note_started_elsewhere(work, server, time.monotonic())
+        scheduler.note_started_elsewhere(
+            work, server, time.monotonic(), ahead=ahead
+        )
 
     def note_known(
         self,
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -159,7 +159,9 @@
             if isinstance(decided, actions.Start):
                 self._tell_started(service, work, decided.server)
         elif isinstance(decided, actions.Start):
-            self.alone.note_started_elsewhere(service, work, decided.server)
+            self.alone.note_started_elsewhere(
+                service, work, decided.server, ahead=decided.ahead
+            )
         if isinstance(decided, actions.Start):
             self._remember(service, work, decided.server)
             self._log.write(
@@ -247,6 +249,7 @@
     ) -> None:
         """A request's first token came."""
         self._reading.discard(key)
+        self._log.write("placing", "First event.", id=key)
         self.alone.note_first_token(service, key)
         self._hosted.note_first_token(service, key)
         self._tell(
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -11,6 +11,7 @@
 from gevent import server as gevent_server
 
 from daisypick_core.results import failure
+from daisypick_core.scheduling import reading_speed
 from daisypick_core.serving import cold_limit
 from daisypick_core.serving import outcomes as outcome_records
 from daisypick_core.serving import retry_budget
@@ -95,11 +96,14 @@
             log=self.log,
             metrics=self.metrics,
         )
+        # Learned by either; a router that becomes host knows the engines.
+        speed_by_service: dict[str, reading_speed.ServiceSpeed] = {}
         self._hosted, self._alone = (
             engine_servers.EngineServers(
                 discovery=self.discovery,
                 window_seconds=settings.bounds.quota_window_seconds,
                 rng=rng,
+                speed_by_service=speed_by_service,
             )
             for _ in range(2)
         )
