Copy prompts that another engine keeps instead of reading them again

A start names the engine that has read most of the prompt, if that is 50 tokens or more beyond what the chosen one keeps and copying takes less than half of the time of reading as learned. Only what was read is copied; what is on its way into an engine is not there yet. Placing counts a copied token by the link's time, so it need not wait for owners. A prompt that was given up before its first token is no longer believed to be kept.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/actions.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/actions.py
@@ -12,6 +12,8 @@
         kept: Prompt tokens that the server is believed to keep.
         ahead: Prompt tokens that it has to read before.
         elsewhere: Most prompt tokens that any server is believed to keep.
+        source: Server from which KV cache is copied; empty for none.
+        copied: Prompt tokens that are copied from there.
     """
 
     key: str
@@ -19,6 +21,8 @@
     kept: int = 0
     ahead: int = 0
     elsewhere: int = 0
+    source: str = ""
+    copied: int = 0
 
 
 class Refuse(typing.NamedTuple):
--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
@@ -108,9 +108,19 @@
         room = self.kv_tokens * _MEMORY_SHARE * share - self.cache.held
         return wanted <= room or not self._run_by_key
 
-    def start(self, work: job.Job, now: float, ahead: float) -> None:
-        """A request is sent to the engine with ``ahead`` tokens before it."""
-        unread = max(work.prompt_tokens - self.cache.count_kept(work.parts), 0)
+    def start(
+        self, work: job.Job, now: float, *, ahead: float, saved: float = 0.0
+    ) -> None:
+        """A request is sent to the engine.
+
+        Args:
+            work: The request.
+            now: The time.
+            ahead: Prompt tokens that the engine reads before.
+            saved: Prompt tokens worth of reading that copying spares it.
+        """
+        kept = self.cache.count_kept(work.parts)
+        unread = max(work.prompt_tokens - kept - int(saved), 0)
         self._left = self.unread(now) + unread
         self._left_at = now
         run = _Run(
@@ -131,7 +141,10 @@
     ) -> None:
         """A request's first token came back."""
         run = self._stop_reading(key, now)
-        if run is None or not learn:
+        if run is None:
+            return
+        self.cache.note_read(run.job.parts)
+        if not learn:
             return
         self._left = float(self._unread)
         if self._reading_by_key:
@@ -154,9 +167,11 @@
         run = self._run_by_key.pop(key, None)
         if run is None:
             return
-        self._stop_reading(key, now)
+        was_reading = self._stop_reading(key, now) is not None
         self.cache.generated -= run.job.output_tokens
         self.cache.end(run.job.parts)
+        if was_reading:
+            self.cache.forget_unread(run.job.parts)
 
     def find_running(self, router: str) -> list[str]:
         """Return the keys of a router's requests at the engine."""
--- a/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
@@ -1,10 +1,12 @@
 """Which open engine a request goes to.
 
-The engine with the earliest first token wins. What an engine keeps of the
-prompt counts as read; reading again what another engine keeps counts more
-than the time it takes, for it drops from memory what others need. For the same
-reason a request waits a while for an engine that is busy but keeps its
-prompt. Engines in the caller's data centre go before equal ones elsewhere.
+The engine with the earliest first token wins, if that is within the request's
+objective. What an engine keeps of the prompt counts as read; reading again
+what another engine keeps counts more than the time it takes, for it drops
+from memory what others need. Where engines can copy KV cache from each other,
+a request names one that has read most of its prompt, and may go to any. Else
+it waits a while for an engine that is busy but keeps its prompt. Engines in
+the caller's data centre go before equal ones elsewhere.
 """
 
 from collections.abc import Callable
@@ -39,6 +41,14 @@
 _WORTH_WAITING_TOKENS = 2000
 
 
+# Least tokens that are worth a copy, which takes a message between engines.
+_LEAST_COPIED = 50
+# Part of the time of reading that copying may take at the most, and how much
+# of its own time it counts: copies wait for each other on an engine's link.
+_MOST_COPY_SHARE = 0.5
+_COPY_WEIGHT = 2.0
+
+
 class Placement(typing.NamedTuple):
     """Where a request goes, and what decided it.
 
@@ -47,12 +57,34 @@
         kept: Prompt tokens that it is believed to keep.
         ahead: Prompt tokens that it has to read before.
         elsewhere: Most prompt tokens that any server is believed to keep.
+        source: Server from which KV cache is copied; empty for none.
+        copied: Prompt tokens that are copied from there.
+        saved: Prompt tokens worth of reading that the copy spares.
     """
 
     server: str
     kept: int
     ahead: float
     elsewhere: int
+    source: str
+    copied: int
+    saved: float
+
+
+class _Kept(typing.NamedTuple):
+    """Tokens of a prompt that engines keep.
+
+    Attributes:
+        by_server: Kept or on their way, by server.
+        most: The most of them.
+        source: Server that has read the most, and keeps it.
+        read: What that one has read.
+    """
+
+    by_server: dict[str, int]
+    most: int
+    source: str
+    read: int
 
 
 def choose(
@@ -66,6 +98,7 @@
     share: float,
     may_wait: bool,
     now: float,
+    copy_token_seconds: float = 0.0,
 ) -> Placement | None:
     """Return the best place for a request, or ``None`` if none has room.
 
@@ -79,49 +112,109 @@
         share: Part of every engine that may be used.
         may_wait: Whether the request has time to wait for a busy engine.
         now: The time.
+        copy_token_seconds: Seconds in which an engine copies a token of KV
+            cache from another one; zero if it cannot.
     """
-    kept_by_server = {
-        server: engine.cache.count_kept(work.parts)
-        for server, engine in engine_by_server.items()
-    }
-    elsewhere = max(kept_by_server.values())
+    kept = _find_kept(work, engine_by_server)
     best = None
     best_cost = 0.0
     most_busy = max(
-        (kept_by_server[name] for name in busy if name not in work.avoid),
+        (kept.by_server[name] for name in busy if name not in work.avoid),
         default=0,
     )
     for server, ahead in ahead_by_server.items():
-        kept = kept_by_server[server]
         if server in work.avoid or not bears(server):
             continue
-        unread = max(work.prompt_tokens - kept, 0)
         engine = engine_by_server[server]
+        place = _plan(server, engine, kept, ahead, copy_token_seconds)
+        unread = max(work.prompt_tokens - place.kept - place.saved, 0.0)
         if ahead and not _is_in_time(work, engine, ahead / share + unread, now):
-            most_busy = max(most_busy, kept)
+            most_busy = max(most_busy, place.kept)
             continue
         if not engine.has_memory(work, share):
             continue
-        tokens = ahead + unread + (elsewhere - kept) * _REREAD_WEIGHT
-        cost = (
-            tokens * engine.speed.token_seconds + engine.running * _SLOT_SECONDS
-        )
+        cost = _weigh(place, engine, unread, copy_token_seconds)
         if data_centre_by_server[server] != work.data_centre:
             cost += _AWAY_SECONDS
         if best is None or cost < best_cost:
-            best = Placement(
-                server=server, kept=kept, ahead=ahead, elsewhere=elsewhere
-            )
+            best = place
             best_cost = cost
     if (
         may_wait
         and best is not None
-        and most_busy - best.kept >= _WORTH_WAITING_TOKENS
+        and most_busy - best.kept - best.copied >= _WORTH_WAITING_TOKENS
     ):
         return None
     return best
 
 
+def _find_kept(
+    work: job.Job,
+    engine_by_server: Mapping[str, engine_belief.EngineBelief],
+) -> _Kept:
+    by_server = {}
+    source, read, least_running = "", 0, 0
+    for server, engine in engine_by_server.items():
+        by_server[server] = engine.cache.count_kept(work.parts)
+        if not by_server[server]:
+            continue
+        has_read = engine.cache.count_read(work.parts)
+        if has_read > read or (
+            has_read and has_read == read and engine.running < least_running
+        ):
+            source, read, least_running = server, has_read, engine.running
+    return _Kept(
+        by_server=by_server,
+        most=max(by_server.values()),
+        source=source,
+        read=read,
+    )
+
+
+def _plan(
+    server: str,
+    engine: engine_belief.EngineBelief,
+    kept: _Kept,
+    ahead: float,
+    copy_token_seconds: float,
+) -> Placement:
+    """Return a request's place at a server, with a copy where that helps."""
+    own = kept.by_server[server]
+    copied = kept.read - own
+    copy_share = copy_token_seconds / engine.speed.token_seconds
+    if (
+        copied < _LEAST_COPIED
+        or not copy_token_seconds
+        or copy_share > _MOST_COPY_SHARE
+    ):
+        copied = 0
+    return Placement(
+        server=server,
+        kept=own,
+        ahead=ahead,
+        elsewhere=kept.most,
+        source=kept.source if copied else "",
+        copied=copied,
+        saved=copied * (1.0 - copy_share),
+    )
+
+
+def _weigh(
+    place: Placement,
+    engine: engine_belief.EngineBelief,
+    unread: float,
+    copy_token_seconds: float,
+) -> float:
+    """Return what a place costs, in seconds."""
+    again = max(place.elsewhere - place.kept - place.copied, 0)
+    tokens = place.ahead + unread + again * _REREAD_WEIGHT
+    return (
+        tokens * engine.speed.token_seconds
+        + place.copied * copy_token_seconds * _COPY_WEIGHT
+        + engine.running * _SLOT_SECONDS
+    )
+
+
 def _is_in_time(
     work: job.Job,
     engine: engine_belief.EngineBelief,
--- a/packages/daisypick_core/src/daisypick_core/scheduling/prefix_cache.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/prefix_cache.py
@@ -32,6 +32,7 @@
             collections.OrderedDict()
         )
         self._users_by_part: dict[str, int] = {}
+        self._read: set[str] = set()
         self._kept = 0
         self._held = 0
         self.generated = 0
@@ -50,6 +51,24 @@
             kept += part.tokens
         return kept
 
+    def count_read(self, parts: Iterable[job.Part]) -> int:
+        """Return the tokens of the leading parts that were read in full.
+
+        Only these can be copied to another engine; the rest is on its way.
+        """
+        read = 0
+        for part in parts:
+            if part.name not in self._read:
+                break
+            read += part.tokens
+        return read
+
+    def note_read(self, parts: Iterable[job.Part]) -> None:
+        """A prompt of these parts was read."""
+        self._read.update(
+            part.name for part in parts if part.name in self._tokens_by_part
+        )
+
     def count_unheld(self, parts: Iterable[job.Part]) -> int:
         """Return the tokens that would be held in addition."""
         return sum(
@@ -82,6 +101,18 @@
                 self._held -= part.tokens
         self._drop_oldest()
 
+    def forget_unread(self, parts: Iterable[job.Part]) -> None:
+        """Drop parts that nobody reads any more and that were not read.
+
+        A request that ends before its first token leaves them half read at
+        the best; believed to be kept, they would draw others to an engine
+        that has to read them again.
+        """
+        for part in parts:
+            if part.name in self._read or part.name in self._users_by_part:
+                continue
+            self._kept -= self._tokens_by_part.pop(part.name, 0)
+
     def _drop_oldest(self) -> None:
         if self._kept + self.generated <= self._capacity:
             return
@@ -89,5 +120,6 @@
             if name in self._users_by_part:
                 continue
             self._kept -= self._tokens_by_part.pop(name)
+            self._read.discard(name)
             if self._kept + self.generated <= self._capacity:
                 return
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -70,6 +70,8 @@
 
     Args:
         kv_tokens: KV cache of one engine.
+        copy_token_seconds: Seconds in which an engine copies a token of KV
+            cache from another one; zero if it cannot.
         cold_rate: Requests a second that a cold engine bears.
         window_seconds: Over which capacity is shared fairly.
         rng: Randomness for times to come back.
@@ -81,12 +83,14 @@
         self,
         *,
         kv_tokens: int,
+        copy_token_seconds: float = 0.0,
         cold_rate: float,
         window_seconds: float,
         rng: random.Random,
         speed: reading_speed.ServiceSpeed,
     ) -> None:
         self._kv_tokens = kv_tokens
+        self._copy_token_seconds = copy_token_seconds
         self._cold_rate = cold_rate
         self._rng = rng
         self._share = 1.0
@@ -228,6 +232,7 @@
         now: float,
         *,
         ahead: float | None = None,
+        copied: int = 0,
     ) -> None:
         """A router started a request without asking us.
 
@@ -237,11 +242,16 @@
             now: The time.
             ahead: Prompt tokens that the server had to read before, where
                 whoever started it knew.
+            copied: Prompt tokens that it copies from another one.
         """
         engine = self._engine_by_server.get(server)
         if engine is None or work.key in self._server_by_key:
             return
-        self._record_start(work, server, engine, now, ahead)
+        token_seconds = engine.speed.token_seconds
+        saved = copied * (1.0 - self._copy_token_seconds / token_seconds)
+        self._record_start(
+            work, server, engine, now, ahead=ahead, saved=max(saved, 0.0)
+        )
 
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse what waits too long; start what has become possible."""
@@ -397,6 +407,7 @@
             share=self._share,
             may_wait=_waited_share(work, now) < _OWNER_WAIT_SHARE,
             now=now,
+            copy_token_seconds=self._copy_token_seconds,
         )
 
     def _is_spare(self, now: float) -> bool:
@@ -444,7 +455,7 @@
     ) -> actions.Start:
         server = place.server
         engine = self._engine_by_server[server]
-        self._record_start(work, server, engine, now)
+        self._record_start(work, server, engine, now, saved=place.saved)
         state = self._state_by_server[server]
         full = engine.running >= max(state.slots * self._share, 1.0)
         if full or engine.wait(now) >= placement.OPEN_SECONDS * self._share:
@@ -457,6 +468,8 @@
             kept=place.kept,
             ahead=int(place.ahead),
             elsewhere=place.elsewhere,
+            source=place.source,
+            copied=place.copied,
         )
 
     def _record_start(
@@ -465,12 +478,14 @@
         server: str,
         engine: engine_belief.EngineBelief,
         now: float,
+        *,
         ahead: float | None = None,
+        saved: float = 0.0,
     ) -> None:
         if ahead is None:
             # All routers are taken to do as we do with our share.
             ahead = engine.unread(now) / self._share
-        engine.start(work, now, ahead)
+        engine.start(work, now, ahead=ahead, saved=saved)
         self.note_sent(work.router, server, now)
         self._server_by_key[work.key] = server
         self.shares.begin(work.organisation, work.cost, now)
--- a/packages/daisypick_core/src/daisypick_core/serving/fleet_configuration.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/fleet_configuration.py
@@ -28,10 +28,13 @@
     Attributes:
         slots: Requests that run in one batch.
         kv_tokens: Tokens that its KV cache holds.
+        copy_token_seconds: Seconds in which one token of KV cache is copied
+            from another engine of the service; zero if they cannot copy.
     """
 
     slots: int
     kv_tokens: int
+    copy_token_seconds: float = 0.0
 
 
 class Service(typing.NamedTuple):
--- a/packages/daisypick_core/tests/scheduling/test_engine_belief.py
+++ b/packages/daisypick_core/tests/scheduling/test_engine_belief.py
@@ -32,8 +32,8 @@
 def test_unread_falls_while_the_first_request_is_read():
     engine = _engine()
     assert engine.unread(0.0) == 0.0
-    engine.start(_job("a", 5000), 0.0, 0.0)
-    engine.start(_job("b", 3000), 0.0, 5000.0)
+    engine.start(_job("a", 5000), 0.0, ahead=0.0)
+    engine.start(_job("b", 3000), 0.0, ahead=5000.0)
     assert engine.unread(0.0) == 8000.0
     assert engine.unread(0.02) == 6000.0
     assert engine.unread(9.0) == 2000.0
@@ -47,7 +47,7 @@
     """
     engine = _engine()
     for number in range(4):
-        engine.start(_job(f"a{number}", 5000), 0.0, 5000.0 * number)
+        engine.start(_job(f"a{number}", 5000), 0.0, ahead=5000.0 * number)
     assert engine.wait(0.04) == 0.16
     assert round(engine.wait(5.0), 3) == 0.14
 
@@ -59,8 +59,8 @@
     only then keeps too little work at engines with a long base.
     """
     engine = _engine()
-    engine.start(_job("a", 5000), 0.0, 0.0)
-    engine.start(_job("b", 3000), 0.0, 5000.0)
+    engine.start(_job("a", 5000), 0.0, ahead=0.0)
+    engine.start(_job("b", 3000), 0.0, ahead=5000.0)
     engine.note_first_token("a", 0.06)
     assert round(engine.unread(0.06)) == 2000
 
@@ -68,7 +68,7 @@
 def test_unread_counts_no_request_that_was_read_or_has_ended():
     engine = _engine()
     for key in ("a", "b", "c"):
-        engine.start(_job(key, 1000), 0.0, 0.0)
+        engine.start(_job(key, 1000), 0.0, ahead=0.0)
     engine.note_first_token("b", 0.0, learn=False)
     assert engine.unread(0.0) == 2000.0
     engine.end("a", 0.0)
--- a/packages/daisypick_core/tests/scheduling/test_placement.py
+++ b/packages/daisypick_core/tests/scheduling/test_placement.py
@@ -36,7 +36,9 @@
     }
 
 
-def _choose(work, engines, *, busy=(), may_wait=True, places=None):
+def _choose(
+    work, engines, *, busy=(), may_wait=True, places=None, copy_seconds=0.0
+):
     return placement.choose(
         work,
         engine_by_server=engines,
@@ -51,6 +53,7 @@
         share=1.0,
         may_wait=may_wait,
         now=0.0,
+        copy_token_seconds=copy_seconds,
     )
 
 
@@ -110,7 +113,7 @@
     in what arrives in order, and it would make others late as well.
     """
     engines = _engines("e-0")
-    engines["e-0"].start(_job("before", prompt=30_000), 0.0, 0.0)
+    engines["e-0"].start(_job("before", prompt=30_000), 0.0, ahead=0.0)
     assert _choose(_job("x", prompt=1000), engines).server == "e-0"
     assert _choose(_job("y", prompt=20_000), engines) is None
     urgent = _job("z", prompt=1000)._replace(objective_at=0.3)
@@ -124,6 +127,57 @@
     """
     engines = _engines("slow")
     engines["slow"].speed.factor = 10.0
-    engines["slow"].start(_job("before", prompt=1000), 0.0, 0.0)
+    engines["slow"].start(_job("before", prompt=1000), 0.0, ahead=0.0)
     assert _choose(_job("x", prompt=1000), engines).server == "slow"
     assert _choose(_job("y", prompt=4000), engines) is None
+
+
+def _read(engine, *parts):
+    engine.cache.begin(parts)
+    engine.cache.note_read(parts)
+    engine.cache.end(parts)
+
+
+def test_prompt_kept_by_a_busy_engine_is_copied_not_waited_for():
+    """The engine that keeps a long prompt is busy, another one is free.
+
+    Copying takes a tenth of the time of reading here, so the request starts
+    at once, and nothing is read twice.
+    """
+    engines = _engines("e-0", "e-1")
+    _read(engines["e-1"], TALK)
+    work = _job("x", TALK, job.Part(name="x", tokens=500), prompt=5500)
+    place = _choose(work, engines, busy=["e-1"], copy_seconds=1e-6)
+    assert (place.server, place.source, place.copied) == ("e-0", "e-1", 5000)
+    assert round(place.saved) == 4500
+
+
+def test_prompt_that_is_still_being_read_is_not_copied():
+    """A part is on its way into an engine; there is nothing to copy yet."""
+    engines = _engines("e-0", "e-1")
+    engines["e-1"].cache.begin([TALK])
+    work = _job("x", TALK, job.Part(name="x", tokens=500), prompt=5500)
+    place = _choose(
+        work, engines, busy=["e-1"], may_wait=False, copy_seconds=1e-6
+    )
+    assert (place.server, place.source, place.copied) == ("e-0", "", 0)
+
+
+def test_nothing_is_copied_over_a_link_slower_than_reading():
+    engines = _engines("e-0", "e-1")
+    _read(engines["e-1"], TALK)
+    work = _job("x", TALK, prompt=5000)
+    place = _choose(
+        work, engines, busy=["e-1"], may_wait=False, copy_seconds=2e-5
+    )
+    assert (place.source, place.copied) == ("", 0)
+
+
+def test_copy_comes_from_the_engine_with_the_least_to_do():
+    engines = _engines("e-0", "e-1", "e-2")
+    for name in ("e-1", "e-2"):
+        _read(engines[name], TALK)
+    engines["e-1"].start(_job("before", prompt=400), 0.0, ahead=0.0)
+    work = _job("x", TALK, prompt=5000)
+    place = _choose(work, engines, busy=["e-1", "e-2"], copy_seconds=1e-6)
+    assert place.source == "e-2"
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -96,6 +96,7 @@
         if scheduler is None:
             scheduler = schedulers.Scheduler(
                 kv_tokens=service.engine.kv_tokens,
+                copy_token_seconds=service.engine.copy_token_seconds,
                 cold_rate=service.cold_rate,
                 window_seconds=self._window_seconds,
                 rng=self._rng,
@@ -153,11 +154,12 @@
         server: str,
         *,
         ahead: float | None = None,
+        copied: int = 0,
     ) -> None:
         """A request was started by decision of somebody else."""
         scheduler = self.find_scheduler(service)
         scheduler.note_started_elsewhere(
-            work, server, time.monotonic(), ahead=ahead
+            work, server, time.monotonic(), ahead=ahead, copied=copied
         )
 
     def note_known(
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -81,7 +81,8 @@
             if server is None or not directory.may_get_work(server):
                 self._placing.note_end(context.service, work.key)
                 continue
-            tried = self._try(connection, context, work, server, stream)
+            source = directory.server_by_name.get(decided.source)
+            tried = self._try(connection, context, work, server, source, stream)
             if isinstance(tried, str):
                 return tried
             self._tries.note_failed(context, decided.server, tried)
@@ -137,12 +138,15 @@
         context: contexts.Context,
         work: job.Job,
         server: backend_server.BackendServer,
+        source: backend_server.BackendServer | None,
         stream: event_stream.EventStream,
     ) -> try_rules.FailedTry | str:
         """Send a request once and pass on what comes."""
         tried: try_rules.FailedTry | str | None = None
         try:
-            tried = self._exchange(connection, context, work, server, stream)
+            tried = self._exchange(
+                connection, context, work, server, source, stream
+            )
         finally:
             if tried is None or isinstance(tried, str):
                 self._placing.note_end(context.service, work.key)
@@ -159,6 +163,7 @@
         context: contexts.Context,
         work: job.Job,
         server: backend_server.BackendServer,
+        source: backend_server.BackendServer | None,
         stream: event_stream.EventStream,
     ) -> try_rules.FailedTry | str:
         opened = exchange.open_exchange(
@@ -167,6 +172,7 @@
             server,
             last_event=stream.last_id,
             silence=self._first_silence(context),
+            copy_from=source.address if source is not None else None,
         )
         if isinstance(opened, exchange.NotRun):
             context.arrivals += opened.arrived
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -57,6 +57,7 @@
     *,
     last_event: int | None,
     silence: float,
+    copy_from: tuple[str, int] | None = None,
 ) -> Outcome:
     """Send a request and read the head of its answer.
 
@@ -66,6 +67,7 @@
         server: Where it goes.
         last_event: Go on after this event of a stream.
         silence: Seconds without a byte after which the server is given up.
+        copy_from: Address of a server that keeps more of the prompt.
     """
     try:
         connection = pool.take(server.address)
@@ -74,7 +76,7 @@
     finished = False
     try:
         outcome = _send_and_read(
-            connection, context, server, last_event, silence
+            connection, context, server, last_event, silence, copy_from
         )
         finished = isinstance(outcome, Opened) or connection.is_reusable()
     finally:
@@ -91,6 +93,7 @@
     server: backend_server.BackendServer,
     last_event: int | None,
     silence: float,
+    copy_from: tuple[str, int] | None,
 ) -> Outcome:
     request = context.request
     now = time.monotonic()
@@ -103,6 +106,7 @@
             server=server.name,
             organisation=context.organisation,
             last_event=last_event,
+            copy_from=copy_from,
         ),
         body=request.body,
     )
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -170,6 +170,8 @@
     kept: int
     ahead: int
     elsewhere: int
+    source: str = ""
+    copied: int = 0
 
 
 @register("refuse")
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -160,7 +160,11 @@
                 self._tell_started(service, work, decided.server)
         elif isinstance(decided, actions.Start):
             self.alone.note_started_elsewhere(
-                service, work, decided.server, ahead=decided.ahead
+                service,
+                work,
+                decided.server,
+                ahead=decided.ahead,
+                copied=decided.copied,
             )
         if isinstance(decided, actions.Start):
             self._remember(service, work, decided.server)
@@ -176,6 +180,8 @@
                 kept=decided.kept,
                 elsewhere=decided.elsewhere,
                 ahead=decided.ahead,
+                source=decided.source,
+                copied=decided.copied,
                 waited=round(time.monotonic() - work.arrived_at, 4),
             )
         return decided
--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -304,7 +304,12 @@
                 "Name": "assist",
                 "ColdStartS": 3.0,
                 "ColdPerS": 20.0,
-                "Engine": {"Slots": 8, "KvTokenCapacity": 100000},
+                "Engine": {
+                    "Slots": 8,
+                    "KvTokenCapacity": 100000,
+                    "KvBytes": 131072,
+                    "LinkMbps": 260000.0,
+                },
             },
         ],
         "Limits": {
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -183,6 +183,38 @@
     assert b"piece 2" in data
 
 
+def test_engine_is_told_which_other_one_keeps_the_prompt(store):
+    """Two requests share a prompt, and the first one's engine is full.
+
+    The second goes to another engine, which copies what the first has read;
+    a caller's own word on copies never passes.
+    """
+    gate = gevent.event.Event()
+
+    def _stay(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        gate.wait(3.0)
+        fakes.end_stream(connection)
+
+    servers = [_assist(_stay, name=name) for name in ("e-1", "e-2")]
+    for server in servers:
+        store.put("servers", server.name, server.describe(Slots=1))
+    router = fakes.start_router(store)
+    with fakes.connect(router) as one, fakes.connect(router) as other:
+        one.sendall(fakes.write_request("/ask/1", Kv_Fetch="10.0.0.1:1"))
+        assert b"200" in one.recv(65536)
+        other.sendall(fakes.write_request("/ask/1", attempt="a-2"))
+        assert b"200" in other.recv(65536)
+        gate.set()
+    first, second = sorted(
+        servers, key=lambda server: "kv-fetch" in server.requests[0]
+    )
+    assert "kv-fetch" not in first.requests[0]
+    address = f"127.0.0.1:{first.server.server_port}"
+    assert second.requests[0]["kv-fetch"] == address
+
+
 def _break_after_two(server, connection, first, headers, body):
     fakes.begin_stream(server, connection, headers)
     fakes.send_events(connection, [1, 2])
