Let the routers' parts of a cold server's rate add up to it

With 27 routers and a rate of 12 a part is below one; it was turned into one request in 2.5 s, but each router began that time by itself, so in the first second of a cold server all could send one. A router that had not read the list of routers took itself for one of eight, which after a fault that stops all of them is the same mistake.

Who has a part of one when there are more routers than the rate allows requests is drawn by rendezvous hashing for each server; the rest is shared out the same way, so the parts add up exactly. A router that does not know the list sends nothing to cold servers.

Tests: the one for all routers together excused the first turn of each router; the new one does not, for 1 to 690 routers. New: member lists that differ; nobody known. The old module fails the first for 27 and 690 routers (27 and 690 in a second).

Also: a test of the router failed once (address in use: a port was looked up in the kernel's own range for outgoing connections and taken before its use); the stand-ins take ports outside that range now.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -31,6 +31,7 @@
 from daisypick_core.scheduling import server_state
 from daisypick_core.scheduling import waiting as waiting_jobs
 from daisypick_core.serving import cold_limit
+from daisypick_core.serving import cold_parts
 from daisypick_core.serving import outcomes
 
 # Part of the objective after which a waiting request is refused.
@@ -97,7 +98,7 @@
         self.shares = fair_share.FairShare(window_seconds=window_seconds)
         self.outcomes = outcomes.Outcomes()
         self._cold_by_router: dict[str, cold_limit.ColdLimit] = {}
-        self._routers = 1
+        self._cold_parts = cold_parts.ColdParts()
         self._state_by_server: dict[str, server_state.ServerState] = {}
         self._data_centre_by_server: dict[str, str] = {}
         self._engine_by_server: dict[str, engine_belief.EngineBelief] = {}
@@ -106,16 +107,18 @@
         self._dispatched_at = -math.inf
         self._speed = speed
 
-    def set_fleet(self, *, routers: int, share: float) -> None:
-        """Take the number of routers and the part of the capacity to use.
+    def set_fleet(self, *, routers: Iterable[str], share: float) -> None:
+        """Take the routers and the part of the capacity to use.
 
         A scheduler that decides for all routers uses all of it; a router that
         decides alone its part.
+
+        Args:
+            routers: Names of all routers; none while they are not known.
+            share: Part of every engine that may be used.
         """
-        self._routers = max(routers, 1)
         self._share = share
-        for limit in self._cold_by_router.values():
-            limit.set_fleet(routers=self._routers)
+        self._cold_parts.set_routers(routers)
 
     def set_servers(self, states: Iterable[server_state.ServerState]) -> None:
         """Take the servers that may get work.
@@ -441,8 +444,7 @@
     def _cold_limit(self, router: str) -> cold_limit.ColdLimit:
         limit = self._cold_by_router.get(router)
         if limit is None:
-            limit = cold_limit.ColdLimit()
-            limit.set_fleet(routers=self._routers)
+            limit = cold_limit.ColdLimit(router=router, parts=self._cold_parts)
             self._cold_by_router[router] = limit
         return limit
 
--- a/packages/daisypick_core/src/daisypick_core/serving/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/__init__.py
@@ -5,6 +5,7 @@
 * ``backend_server``: one start of a backend server.
 * ``directory``: the backend servers that may get work.
 * ``send_window``: how often something happened in a sliding window.
+* ``cold_parts``: how much of a cold server's rate each router has.
 * ``cold_limit``: how much a cold backend server gets.
 * ``retry_budget``: how many requests may be sent once more.
 * ``outcomes``: backend servers set aside for what they did.
--- a/packages/daisypick_core/src/daisypick_core/serving/cold_limit.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/cold_limit.py
@@ -1,25 +1,24 @@
-"""How much a cold backend server gets from this router.
+"""How much a cold backend server gets from one router.
 
-A cold server fails under more than ``cold_rate`` requests a second, whoever
-sends them. Routers can be cut off from each other and from the platform, so
-each keeps to its own part of the rate, whatever else it hears: the sum over
-all routers then stays within what the server bears without any agreement.
-
-With more routers than the rate allows a second, each may send one request in
-as many seconds as its turn takes.
+``cold_parts`` says which part of the server's rate the router has; here it is
+kept to it. What was sent while the server was warm counts too: a server can
+turn cold at any moment.
 
 The window is somewhat longer than a second, because a request that is sent
 in one second may arrive in the next, together with that second's own.
 
 Examples:
-    >>> limit = ColdLimit()
-    >>> limit.set_fleet(routers=5)
+    >>> from daisypick_core.serving import cold_parts
+    >>> parts = cold_parts.ColdParts()
+    >>> parts.set_routers([f"r-{number}" for number in range(5)])
+    >>> limit = ColdLimit(router="r-0", parts=parts)
     >>> [limit.take("i-1", rate=23.0, now=0.01 * n) for n in range(6)]
-    [True, True, True, True, False, False]
+    [True, True, True, True, True, False]
     >>> limit.take("i-1", rate=23.0, now=1.2)
     True
 """
 
+from daisypick_core.serving import cold_parts
 from daisypick_core.serving import send_window
 
 # A second, and the spread of arrivals seen on links between data centres.
@@ -27,25 +26,18 @@
 
 
 class ColdLimit:
-    """Sends to cold servers, by server."""
+    """Sends of a router to cold servers, by server."""
 
-    def __init__(self) -> None:
-        self._routers = 1
+    def __init__(self, *, router: str, parts: cold_parts.ColdParts) -> None:
+        self._router = router
+        self._parts = parts
         self._window_by_server: dict[str, send_window.SendWindow] = {}
 
-    def set_fleet(self, *, routers: int) -> None:
-        """Take the number of routers that share the rate."""
-        self._routers = max(routers, 1)
-
     def allows(self, server: str, rate: float, now: float) -> bool:
         """Tell whether one more request may be sent now."""
+        part = self._parts.find_part(self._router, server, rate=rate)
         window = self._window_by_server.get(server)
-        if window is None:
-            return True
-        part = rate / self._routers
-        if part < 1.0:
-            return now - window.last >= _WINDOW_SECONDS / part
-        return window.count(now) < int(part)
+        return part > (0 if window is None else window.count(now))
 
     def take(self, server: str, rate: float, now: float) -> bool:
         """Count a request and return ``True``, or refuse it."""
@@ -55,11 +47,7 @@
         return True
 
     def note(self, server: str, now: float) -> None:
-        """Count a request that is sent, whether the server is cold or not.
-
-        A server can turn cold at any moment; what it got in the second
-        before counts then.
-        """
+        """Count a request that is sent, whether the server is cold or not."""
         window = self._window_by_server.get(server)
         if window is None:
             window = send_window.SendWindow(seconds=_WINDOW_SECONDS)
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -18,7 +18,9 @@
         rng=random.Random(1),
         speed=reading_speed.ServiceSpeed(base=0.01, token_seconds=1e-5),
     )
-    scheduler.set_fleet(routers=5, share=share)
+    scheduler.set_fleet(
+        routers=[f"r-{number}" for number in range(1, 6)], share=share
+    )
     scheduler.set_servers(
         _state(f"e-{number}", slots=slots) for number in range(servers)
     )
--- a/packages/daisypick_core/tests/serving/test_limits.py
+++ b/packages/daisypick_core/tests/serving/test_limits.py
@@ -1,38 +1,83 @@
 """Bounds that all routers together keep, each by its own part."""
 
+import random
+
 import pytest
 
 from daisypick_core.serving import cold_limit
+from daisypick_core.serving import cold_parts
 from daisypick_core.serving import outcomes as outcome_records
 from daisypick_core.serving import retry_budget
 
 
-@pytest.mark.parametrize("routers", [12, 100, 690])
-def test_cold_server_gets_no_more_than_it_bears_from_all_routers(routers):
-    """Routers that know nothing of each other send all that they may.
+def _make_limit(name, known):
+    parts = cold_parts.ColdParts()
+    parts.set_routers(known)
+    return cold_limit.ColdLimit(router=name, parts=parts)
 
-    Each begins at a moment of its own. After the first turn of each the
-    server gets no more than its rate in any second.
-    """
-    limits = [cold_limit.ColdLimit() for _ in range(routers)]
-    for number, limit in enumerate(limits):
-        limit.set_fleet(routers=routers)
-        limit.note("i-1", now=-1.1 * routers / 24.0 * number / routers)
-    sent = [
+
+def _send_all(limits, *, rate, seconds):
+    """Return when requests go to a server, each as soon as it may."""
+    return [
         0.01 * tick
-        for tick in range(500)
+        for tick in range(int(seconds * 100))
         for limit in limits
-        if limit.take("i-1", rate=24.0, now=0.01 * tick)
+        if limit.take("i-1", rate=rate, now=0.01 * tick)
     ]
-    for begin in range(400):
-        start = 0.01 * begin
-        assert sum(start <= at < start + 1.0 for at in sent) <= 24
-    assert len(sent) > 80
+
+
+def _find_most(sent, seconds):
+    """Return the most requests in any second."""
+    return max(
+        sum(start <= at < start + 1.0 for at in sent)
+        for start in (0.01 * tick for tick in range(int(seconds * 100)))
+    )
+
+
+@pytest.mark.parametrize("routers", [1, 5, 12, 27, 100, 690])
+def test_cold_server_gets_no_more_than_it_bears_from_all_routers(routers):
+    """Routers that know nothing of each other's sends send all they may.
+
+    A server is cold in a fleet of more routers than it bears requests; each
+    router is within a bound of its own, and in the first second all of them
+    send one. It crashes, and its callers lose their answers.
+    """
+    names = [f"r-{number}" for number in range(routers)]
+    limits = [_make_limit(name, names) for name in names]
+    sent = _send_all(limits, rate=12.0, seconds=5.0)
+    assert _find_most(sent, 5.0) <= 12
+    assert len(sent) >= 40
+
+
+def test_cold_server_bears_routers_that_come_go_and_are_not_told():
+    """Thirty routers, each of which misses some of the others or has some more.
+
+    Machines were added and others lost, and not all routers have heard. The
+    platform allows half as much again as the rate, and five.
+    """
+    rng = random.Random(3)
+    names = [f"r-{number}" for number in range(30)]
+    for _ in range(20):
+        limits = []
+        for name in names:
+            known = {other for other in names if rng.random() < 0.85} | {name}
+            known |= {f"gone-{rng.randrange(4)}" for _ in range(2)}
+            limits.append(_make_limit(name, known))
+        sent = _send_all(limits, rate=12.0, seconds=3.0)
+        assert _find_most(sent, 3.0) <= 12 * 1.5 + 5
+
+
+def test_router_that_knows_nobody_sends_nothing_to_a_cold_server():
+    """All routers start again while the store is away, beside a cold server.
+
+    Each would take itself for one of few, and all together send too much.
+    """
+    limits = [_make_limit(f"r-{number}", []) for number in range(27)]
+    assert _send_all(limits, rate=12.0, seconds=2.0) == []
 
 
 def test_sends_to_a_warm_server_count_when_it_turns_cold():
-    limit = cold_limit.ColdLimit()
-    limit.set_fleet(routers=1)
+    limit = _make_limit("r-1", ["r-1"])
     for _ in range(30):
         limit.note("i-1", now=5.0)
     assert not limit.allows("i-1", rate=23.0, now=5.5)
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -42,7 +42,7 @@
         self._window_seconds = window_seconds
         self._rng = rng
         self._speed_by_service = speed_by_service
-        self._routers = 1
+        self._routers: frozenset[str] = frozenset()
         self._share = 1.0
         self._has_waiting = event.Event()
         self._scheduler_by_service: dict[str, schedulers.Scheduler] = {}
@@ -53,8 +53,8 @@
         gevent.spawn(self._tick)
         gevent.spawn(self._expire)
 
-    def set_fleet(self, *, routers: int, share: float) -> None:
-        """Take the number of routers and the part of the capacity to use."""
+    def set_fleet(self, *, routers: frozenset[str], share: float) -> None:
+        """Take the routers and the part of the capacity to use."""
         self._routers = routers
         self._share = share
         for scheduler in self._scheduler_by_service.values():
--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -84,6 +84,18 @@
         known = len(self.member_by_name.keys() | {self._name})
         return known if self._listed else max(known, _ASSUMED_ROUTERS)
 
+    @property
+    def names(self) -> frozenset[str]:
+        """Names of all routers; empty while the list was not read.
+
+        What must not be exceeded by all together is divided by these. A
+        router that starts while the store is away does not know how many
+        start beside it.
+        """
+        if not self._listed:
+            return frozenset()
+        return frozenset(self.member_by_name) | {self._name}
+
     def start(self) -> None:
         """Begin to follow the other routers and to renew our entry."""
         gevent.spawn(self._read)
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -13,6 +13,7 @@
 from daisypick_core.results import failure
 from daisypick_core.scheduling import reading_speed
 from daisypick_core.serving import cold_limit
+from daisypick_core.serving import cold_parts
 from daisypick_core.serving import outcomes as outcome_records
 from daisypick_core.serving import retry_budget
 from daisypick_http import messages
@@ -65,7 +66,7 @@
         store = stores.StoreClient(address=settings.store_address)
         self.store = store
         self._pool = pools.Pool(connect_timeout=_CONNECT_SECONDS)
-        self._cold = cold_limit.ColdLimit()
+        self._cold_parts = cold_parts.ColdParts()
         self._budget = retry_budget.RetryBudget(
             ratio=settings.bounds.retry_ratio,
             window_seconds=settings.bounds.retry_window_seconds,
@@ -132,7 +133,9 @@
                 servers=plain_servers.PlainServers(
                     discovery=self.discovery,
                     outcomes=outcomes,
-                    cold=self._cold,
+                    cold=cold_limit.ColdLimit(
+                        router=settings.name, parts=self._cold_parts
+                    ),
                     data_centre=settings.data_centre,
                     rng=rng,
                 ),
@@ -293,10 +296,11 @@
 
     def _take_members(self) -> None:
         routers = self.membership.routers
-        self._cold.set_fleet(routers=routers)
+        names = self.membership.names
+        self._cold_parts.set_routers(names)
         self._budget.set_fleet(routers=routers)
-        self._hosted.set_fleet(routers=routers, share=1.0)
-        self._alone.set_fleet(routers=routers, share=1.0 / routers)
+        self._hosted.set_fleet(routers=names, share=1.0)
+        self._alone.set_fleet(routers=names, share=1.0 / routers)
         self.placing.links.update()
 
     def _keep_house(self) -> None:
--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -4,8 +4,11 @@
 tests need it, and do nothing that they were not told to do.
 """
 
+import collections
 from collections.abc import Callable
+import itertools
 import json
+import os
 import random
 import socket as plain_socket
 import time
@@ -325,11 +328,28 @@
     return manifest
 
 
+_port_numbers = itertools.cycle(range(20_000, 30_000))
+# Test processes that run at once begin at different ports.
+collections.deque(
+    itertools.islice(_port_numbers, os.getpid() * 97 % 10_000), maxlen=0
+)
+
+
 def find_port() -> int:
-    """Return a free port of the loopback address."""
-    with plain_socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Return a free port of the loopback address.
+
+    It lies outside the range from which the kernel takes ports of outgoing
+    connections: one of those took a port of that range between the look and
+    the use, and a router could not listen.
+    """
+    while True:
+        port = next(_port_numbers)
+        with plain_socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 BOUNDS = platform_settings.Bounds(
