Hand a service over at once when its host stops

Where the next candidate had stopped too, routers decided alone for up to three seconds, as each keeps connections to two candidates only.

A host that stops says so; askers leave it out of their order until its next process writes a new entry, connect to the next candidate, and tell it what runs. What waits at the old host is still decided there, and what it starts after that is told to the new one. A first token of a request that was told of later teaches nothing about speed: when it was sent is not known.

Both tests were seen red: without the word no router leaves the host, and without the order the routers that are left know none.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
@@ -27,7 +27,8 @@
     Attributes:
         job: The request.
         unread: Prompt tokens of its own to read.
-        tokens: The same and those ahead of it.
+        tokens: The same and those ahead of it; ``None`` if these are not
+            known.
         started_at: When it was sent.
         first_at: When its first token is expected.
     """
@@ -39,7 +40,7 @@
         *,
         work: job.Job,
         unread: int,
-        tokens: float,
+        tokens: float | None,
         started_at: float,
         first_at: float,
     ) -> None:
@@ -109,14 +110,21 @@
         return wanted <= room or not self._run_by_key
 
     def start(
-        self, work: job.Job, now: float, *, ahead: float, saved: float = 0.0
+        self,
+        work: job.Job,
+        now: float,
+        *,
+        ahead: float | None,
+        saved: float = 0.0,
     ) -> None:
         """A request is sent to the engine.
 
         Args:
             work: The request.
             now: The time.
-            ahead: Prompt tokens that the engine reads before.
+            ahead: Prompt tokens that the engine reads before; ``None`` if the
+                request was sent some time ago, so that its first token will
+                tell nothing of the engine's speed.
             saved: Prompt tokens worth of reading that copying spares it.
         """
         kept = self.cache.count_kept(work.parts)
@@ -126,9 +134,9 @@
         run = _Run(
             work=work,
             unread=unread,
-            tokens=ahead + unread,
+            tokens=None if ahead is None else ahead + unread,
             started_at=now,
-            first_at=now + self.speed.predict(ahead + unread),
+            first_at=now + self.speed.predict((ahead or 0.0) + unread),
         )
         self._run_by_key[work.key] = run
         self._reading_by_key[work.key] = run
@@ -152,7 +160,8 @@
             base = self.speed.predict(0.0)
             since = min(max(now - head.started_at, 0.0), base)
             self._left -= min(since / self.speed.token_seconds, head.unread)
-        self.speed.learn(run.tokens, now - run.started_at)
+        if run.tokens is not None:
+            self.speed.learn(run.tokens, now - run.started_at)
 
     def _stop_reading(self, key: str, now: float) -> _Run | None:
         run = self._reading_by_key.pop(key, None)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -244,7 +244,7 @@
             server: Where it runs.
             now: The time.
             ahead: Prompt tokens that the server had to read before, where
-                whoever started it knew.
+                whoever started it knew and it was started just now.
             copied: Prompt tokens that it copies from another one.
         """
         engine = self._engine_by_server.get(server)
@@ -457,7 +457,11 @@
     ) -> actions.Start:
         server = place.server
         engine = self._engine_by_server[server]
-        self._record_start(work, server, engine, now, saved=place.saved)
+        # All routers are taken to do with their shares as we do with ours.
+        ahead = engine.unread(now) / self._share
+        self._record_start(
+            work, server, engine, now, ahead=ahead, saved=place.saved
+        )
         state = self._state_by_server[server]
         full = engine.running >= max(state.slots * self._share, 1.0)
         if full or engine.wait(now) >= placement.OPEN_SECONDS * self._share:
@@ -481,12 +485,9 @@
         engine: engine_belief.EngineBelief,
         now: float,
         *,
-        ahead: float | None = None,
+        ahead: float | None,
         saved: float = 0.0,
     ) -> None:
-        if ahead is None:
-            # All routers are taken to do as we do with our share.
-            ahead = engine.unread(now) / self._share
         engine.start(work, now, ahead=ahead, saved=saved)
         self.note_sent(work.router, server, now)
         self._server_by_key[work.key] = server
--- a/packages/daisypick_router/src/daisypick_router/host_links.py
+++ b/packages/daisypick_router/src/daisypick_router/host_links.py
@@ -57,7 +57,12 @@
         self._link_by_name: dict[str, peer_link.PeerLink] = {}
         self._services: set[str] = set()
         self._candidates_by_service: dict[str, list[str]] = {}
+        # Revision of its entry when a router said that it stops. Its next
+        # process writes another one.
+        self._left_revision_by_name: dict[str, int] = {}
         self.followed: peer_link.PeerLink | None = None
+        # Whether our process stops, and another should host what we host.
+        self.leaving = False
 
     def start(self) -> None:
         """Begin to watch for silent hosts."""
@@ -67,7 +72,9 @@
         """Take the routers from the membership and connect to candidates."""
         members = self._membership.member_by_name
         power_by_router = {
-            name: member.power for name, member in members.items()
+            name: member.power
+            for name, member in members.items()
+            if self._left_revision_by_name.get(name) != member.revision
         }
         power_by_router[self._name] = self._power
         wanted: set[str] = set()
@@ -76,8 +83,9 @@
             self._candidates_by_service[service] = order[:_CANDIDATES]
             wanted.update(order[:_CANDIDATES])
         wanted.discard(self._name)
-        for name in list(self._link_by_name):
-            if name not in wanted:
+        for name, link in list(self._link_by_name.items()):
+            # One that stops still decides what waits there.
+            if name not in wanted and not (link.leaving and link.is_connected):
                 self._link_by_name.pop(name).stop()
         for name in wanted - self._link_by_name.keys():
             self._connect(members[name])
@@ -91,10 +99,22 @@
             rng=self._rng,
             on_up=self._greet,
             on_feed=self._feed.take,
+            on_leaving=self._note_leaving,
         )
         self._link_by_name[member.name] = link
         link.start()
 
+    def _note_leaving(self, link: peer_link.PeerLink) -> None:
+        """Take the next router into the order in place of one that stops.
+
+        In a series of stops the second candidate may be gone as well, and
+        routers that knew of no other decided alone for seconds.
+        """
+        member = self._membership.member_by_name.get(link.name)
+        if member is not None:
+            self._left_revision_by_name[link.name] = member.revision
+            self.update()
+
     def find_link(self, router: str) -> peer_link.PeerLink | None:
         """Return the link to a router, if we keep one."""
         return self._link_by_name.get(router)
@@ -108,11 +128,16 @@
 
     def find_host(self, service: str) -> str | None:
         """Return the first candidate that can be asked; it may be us."""
+        ours = None
         for name in self.find_candidates(service):
             link = self._link_by_name.get(name)
-            if name == self._name or (link is not None and link.is_up):
+            if name == self._name:
+                ours = name
+                if not self.leaving:
+                    return name
+            elif link is not None and link.is_up:
                 return name
-        return None
+        return ours
 
     def _greet(self, link: peer_link.PeerLink) -> None:
         if self.followed is link:
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -55,11 +55,22 @@
         self._log = log
         self._router_by_channel: dict[peer_channel.PeerChannel, str] = {}
         self._waiting_by_channel: dict[peer_channel.PeerChannel, set[str]] = {}
+        self._leaving = False
 
     def start(self) -> None:
         """Begin to tell askers that we live."""
         gevent.spawn(self._beat)
 
+    def leave(self) -> None:
+        """Tell askers that we stop; what waits here is still decided here.
+
+        A host that stops lives on while its callers' answers end, and asked
+        by some routers only it fills engines beside the next host.
+        """
+        self._leaving = True
+        for channel in list(self._waiting_by_channel):
+            channel.send(peer_messages.Leaving())
+
     def serve(self, socket, address) -> None:  # noqa: ANN001
         """Serve one router's connection."""
         del address
@@ -119,6 +130,8 @@
         self, channel: peer_channel.PeerChannel, message: peer_messages.Hello
     ) -> None:
         self._router_by_channel[channel] = message.router
+        if self._leaving:
+            channel.send(peer_messages.Leaving())
 
     @handles(peer_messages.Follow)
     def _follow(
--- a/packages/daisypick_router/src/daisypick_router/peer_link.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -33,7 +33,8 @@
     """Keeps a connection to one router up, and who waits for its answers.
 
     ``on_up(link)`` is called when a connection stands, to tell the host what
-    runs; ``on_feed(message)`` gets what it passes on of the store.
+    runs; ``on_feed(message)`` gets what it passes on of the store;
+    ``on_leaving(link)`` is called when it says that it stops.
     """
 
     def __init__(
@@ -46,6 +47,7 @@
         rng: random.Random,
         on_up: Callable[["PeerLink"], None],
         on_feed: Callable[[peer_messages.Feed], None],
+        on_leaving: Callable[["PeerLink"], None],
     ) -> None:
         self.name = name
         self._address = address
@@ -54,8 +56,10 @@
         self._rng = rng
         self._on_up = on_up
         self._on_feed = on_feed
+        self._on_leaving = on_leaving
         self._channel: peer_channel.PeerChannel | None = None
         self._distrusted_until = 0.0
+        self.leaving = False
         self._deliver_by_key: dict[str, Callable[[typing.Any], None]] = {}
         self._asked_at = 0.0
         self._greenlet: gevent.Greenlet | None = None
@@ -76,7 +80,7 @@
     def is_up(self) -> bool:
         """Whether the host may be asked."""
         trusted = time.monotonic() >= self._distrusted_until
-        return self.is_connected and trusted
+        return self.is_connected and trusted and not self.leaving
 
     @property
     def is_connected(self) -> bool:
@@ -153,6 +157,7 @@
             socket=connected, on_message=self._take, on_bad=self._note_bad
         )
         self._channel = channel
+        self.leaving = False
         channel.send(peer_messages.Hello(router=self._own_name))
         self._on_up(self)
         channel.run()
@@ -167,6 +172,11 @@
         if isinstance(message, peer_messages.Feed):
             self._on_feed(message)
             return
+        if isinstance(message, peer_messages.Leaving):
+            self.leaving = True
+            self._log.write("peer", "A host stops.", host=self.name)
+            self._on_leaving(self)
+            return
         key = getattr(message, "key", None)
         if key is None:
             return
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -191,6 +191,11 @@
     key: str
 
 
+@register("leaving")
+class Leaving(typing.NamedTuple):
+    """We stop; ask the next candidate from now on."""
+
+
 @register("beat")
 class Beat(typing.NamedTuple):
     """We live, and what you asked for still waits."""
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -159,6 +159,9 @@
             if isinstance(decided, actions.Start):
                 self._tell_started(service, work, decided.server)
         elif isinstance(decided, actions.Start):
+            if self._host_by_service.get(service.name) != host:
+                # Another host since we asked; it does not know of this one.
+                self._tell_started(service, work, decided.server)
             self.alone.note_started_elsewhere(
                 service,
                 work,
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -99,7 +99,7 @@
         )
         # Learned by either; a router that becomes host knows the engines.
         speed_by_service: dict[str, reading_speed.ServiceSpeed] = {}
-        self._hosted, self._alone = (
+        self.hosted, self._alone = (
             engine_servers.EngineServers(
                 discovery=self.discovery,
                 window_seconds=settings.bounds.quota_window_seconds,
@@ -112,7 +112,7 @@
             name=settings.name,
             power=settings.processor,
             membership=self.membership,
-            hosted=self._hosted,
+            hosted=self.hosted,
             feed=feed,
             alone=self._alone,
             log=self.log,
@@ -121,7 +121,7 @@
         )
         self.peer_host = peer_host.PeerHost(
             discovery=self.discovery,
-            engines=self._hosted,
+            engines=self.hosted,
             feed=feed,
             log=self.log,
         )
@@ -179,7 +179,7 @@
         self.log.write("process", "Started.", ip=self.settings.ip)
         self.discovery.start()
         self.membership.start()
-        self._hosted.start()
+        self.hosted.start()
         self._alone.start()
         self.placing.start()
         self.peer_host.start()
@@ -291,7 +291,7 @@
         return self.metrics.write().encode()
 
     def _take_servers(self) -> None:
-        self._hosted.update_servers()
+        self.hosted.update_servers()
         self._alone.update_servers()
 
     def _take_members(self) -> None:
@@ -299,7 +299,7 @@
         names = self.membership.names
         self._cold_parts.set_routers(names)
         self._budget.set_fleet(routers=routers)
-        self._hosted.set_fleet(routers=names, share=1.0)
+        self.hosted.set_fleet(routers=names, share=1.0)
         self._alone.set_fleet(routers=names, share=1.0 / routers)
         self.placing.links.update()
 
@@ -328,6 +328,8 @@
             return
         self.log.write("process", "Stopping.", running=self.serving.running)
         self.serving.stopping_since = time.monotonic()
+        self.placing.links.leaving = True
+        self.peer_host.leave()
         for connection in self._connections:
             connection.close_after_answer()
         gevent.spawn(self._stop)
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -77,6 +77,64 @@
     assert routers[asker].placing.find_host("assist") != host
 
 
+def test_host_that_stops_hands_over_at_once(store):
+    """The host is told to stop while a caller's long answer keeps it alive.
+
+    Routers that hear of it late go on asking it, others ask the next host,
+    and the two fill the same engines. All ask the next host within moments,
+    and that one knows what runs.
+    """
+    gate = gevent.event.Event()
+
+    def _stay(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        gate.wait(5.0)
+        fakes.end_stream(connection)
+
+    routers, host = _start_fleet(
+        store, [fakes.FakeServer("e-1", "assist", _stay)]
+    )
+    order = hosts.order_hosts("assist", dict.fromkeys(routers, 1.0))
+    with fakes.connect(routers[host]) as caller:
+        caller.sendall(fakes.write_request("/ask/1"))
+        assert b"200" in caller.recv(65536)
+        routers[host].begin_stop()
+        for router in routers.values():
+            fakes.wait_for(
+                lambda known=router: (
+                    known.placing.find_host("assist") == order[1]
+                ),
+                0.5,
+            )
+        next_host = routers[order[1]].hosted
+        fakes.wait_for(
+            lambda: next_host.describe("assist")["engines"][0]["running"] == 1,
+            0.5,
+        )
+        gate.set()
+
+
+def test_router_knows_a_host_after_two_have_stopped(store):
+    """Routers are replaced one after the other, the host and then the next.
+
+    Those that kept connections to these two only would decide alone, each
+    with its small part, until they read the list of routers again.
+    """
+    names = ("r-1", "r-2", "r-3", "r-4")
+    routers, _ = _start_fleet(store, _engines(1), names=names)
+    order = hosts.order_hosts("assist", dict.fromkeys(names, 1.0))
+    for stopping in (0, 1):
+        routers[order[stopping]].begin_stop()
+        for name in order[stopping + 1 :]:
+            fakes.wait_for(
+                lambda known=routers[name], wanted=order[stopping + 1]: (
+                    known.placing.find_host("assist") == wanted
+                ),
+                0.7,
+            )
+
+
 def test_host_that_is_cut_off_from_the_list_does_not_open_a_closed_server(
     store,
 ):
