Refuse a waiting request as soon as its own prompt leaves no time

A waiting request was refused at 0.6 of its objective, whatever it has to read: a long prompt was kept waiting when it could not be in time any more, and its caller came back late for that.

It waits as long as what is left of the objective suffices for its own prompt (what no engine keeps of it, by the learned line with its spread), within 0.3 and 0.6 of the objective.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -11,8 +11,9 @@
 within it the request whose objective ends first. What is beyond a share waits
 for capacity that is spare, which so goes evenly to those who want it.
 
-*Refusing.* A request that did not start by a part of its objective is refused
-with a time to come back: what starts later would be late and delay others. Of
+*Refusing.* A request that has not started when its own prompt just leaves time
+for it is refused with a time to come back: what starts later would be late and
+delay others. Of
 an organisation beyond its share only so many wait as may still start; the
 rest of its flood is refused at once.
 """
@@ -34,8 +35,10 @@
 from daisypick_core.serving import cold_parts
 from daisypick_core.serving import outcomes
 
-# Part of the objective after which a waiting request is refused.
-GIVE_UP_SHARE = 0.6
+# Parts of the objective that a request may wait: as long as the rest suffices
+# for its own prompt, within these bounds.
+LEAST_WAIT_SHARE = 0.3
+MOST_WAIT_SHARE = 0.6
 # What is beyond an organisation's share starts only while a quarter of all
 # slots is free and engines have no more than eight tenths to read of what
 # they may have; so what is within finds room at once. An engine counts with
@@ -167,9 +170,26 @@
             return [self._refuse(work, "too many requests wait")]
         if not self._waiting:
             self._dispatched_at = -math.inf
-        self._waiting.add(work)
+        self._waiting.add(work, latest_at=self._find_latest(work))
         return self.dispatch(now)
 
+    def _find_latest(self, work: job.Job) -> float:
+        """Return until when a request waits for its start.
+
+        What engines keep of its prompt is not read again. One whose prompt
+        takes nearly the whole objective still waits a while for an idle
+        engine; it would be late anyway.
+        """
+        kept = max(
+            self._engine_by_server[name].cache.count_kept(work.parts)
+            for name in self._state_by_server
+        )
+        seconds = self._speed.predict(max(work.prompt_tokens - kept, 0))
+        seconds *= 1.0 + self._speed.spread
+        patience = work.objective_at - work.arrived_at
+        wait = max(patience - seconds, patience * LEAST_WAIT_SHARE)
+        return work.arrived_at + min(wait, patience * MOST_WAIT_SHARE)
+
     def _floods(self, work: job.Job, now: float) -> bool:
         """Tell whether too many of an organisation beyond its share wait."""
         waiting = self._waiting.count(work.organisation)
@@ -259,7 +279,7 @@
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse what waits too long; start what has become possible."""
         refused: list[actions.Action] = []
-        for work in self._waiting.select(lambda job: _is_too_late(job, now)):
+        for work in self._waiting.find_late(now):
             self._waiting.remove(work)
             refused.append(self._refuse(work, "no engine has room in time"))
         self._dispatched_at = -math.inf
@@ -508,7 +528,3 @@
     """Return which part of its objective a request has waited."""
     patience = work.objective_at - work.arrived_at
     return (now - work.arrived_at) / max(patience, 0.001)
-
-
-def _is_too_late(work: job.Job, now: float) -> bool:
-    return _waited_share(work, now) >= GIVE_UP_SHARE
--- a/packages/daisypick_core/src/daisypick_core/scheduling/waiting.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/waiting.py
@@ -6,8 +6,6 @@
     (0, [])
 """
 
-from collections.abc import Callable
-
 from daisypick_core.scheduling import job
 
 
@@ -15,6 +13,7 @@
     """Queues by organisation; in each, whose objective ends first."""
 
     def __init__(self) -> None:
+        self._latest_by_key: dict[str, float] = {}
         self._queue_by_organisation: dict[str, list[job.Job]] = {}
         self._count = 0
 
@@ -22,8 +21,9 @@
         """Return how many wait."""
         return self._count
 
-    def add(self, work: job.Job) -> None:
-        """Take a request."""
+    def add(self, work: job.Job, *, latest_at: float) -> None:
+        """Take a request that is of use until ``latest_at``."""
+        self._latest_by_key[work.key] = latest_at
         queue = self._queue_by_organisation.setdefault(work.organisation, [])
         queue.append(work)
         queue.sort(key=lambda waiting: waiting.objective_at)
@@ -33,6 +33,7 @@
         """Drop a request that waits."""
         queue = self._queue_by_organisation[work.organisation]
         queue.remove(work)
+        del self._latest_by_key[work.key]
         self._count -= 1
         if not queue:
             del self._queue_by_organisation[work.organisation]
@@ -57,11 +58,11 @@
         """Return the first requests of an organisation."""
         return self._queue_by_organisation[organisation][:count]
 
-    def select(self, chosen: Callable[[job.Job], bool]) -> list[job.Job]:
-        """Return the requests for which ``chosen`` says so."""
+    def find_late(self, now: float) -> list[job.Job]:
+        """Return the requests that waited too long."""
         return [
             work
             for queue in self._queue_by_organisation.values()
             for work in queue
-            if chosen(work)
+            if now >= self._latest_by_key[work.key]
         ]
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -188,6 +188,24 @@
     assert refused.retry_after > 0.0
 
 
+def test_request_whose_prompt_leaves_no_time_is_refused_as_soon_as_that_is_so():
+    """A long and a short prompt wait for a full engine, one objective.
+
+    Reading the long one takes 0.3 s of the 0.5; after 0.2 s it cannot be in
+    time any more, and its caller is told then. What an engine keeps of a
+    prompt does not count.
+    """
+    scheduler = _make(servers=1, slots=1, kv_tokens=1_000_000)
+    talk = job.Part(name="talk", tokens=29_000)
+    scheduler.submit(_job("a", parts=(talk,), prompt=29_000), 0.0)
+    parts = (job.Part(name="new", tokens=29_000),)
+    scheduler.submit(_job("long", parts=parts, prompt=29_000), 0.0)
+    scheduler.submit(_job("kept", parts=(talk,), prompt=29_000), 0.0)
+    assert scheduler.tick(0.14) == []
+    assert [refused.key for refused in scheduler.tick(0.21)] == ["long"]
+    assert [refused.key for refused in scheduler.tick(0.31)] == ["kept"]
+
+
 def test_engine_gets_no_more_than_it_can_read_in_time():
     """Long prompts arrive at once: an engine gets as many as it can begin."""
     scheduler = _make(servers=1, slots=64, kv_tokens=10_000_000)
