--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 lint: install
 	$(VENV)/bin/ruff check $(CHECKED)
 	$(PYTHON) tools/check_imports.py packages platform spec tools
+	$(PYTHON) tools/check_comments.py packages platform spec
 	$(PYTHON) -m daisypick_platform.wire_names packages spec tools
 	$(PYTHON) tools/write_configuration_page.py --check
 	$(PYTHON) tools/write_reference_pages.py --check
--- a/packages/daisypick_core/src/daisypick_core/scheduling/pauses.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/pauses.py
@@ -2,8 +2,8 @@
 
 A flood of one organisation that was refused by its service's scheduler asks
 again at once, and each question costs two messages and two wake-ups. On a
-small VM such a flood left 714 questions open at once, and requests of others
-ended at their deadlines without an answer. So a refusal says for how long the
+small VM hundreds of them are open at once, and requests of others end at their
+deadlines without an answer. So a refusal says for how long the
 next ones would fare the same, and the router refuses them by itself.
 
 Examples:
--- a/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
@@ -31,16 +31,13 @@
 # Reading it costs the engine once; dropping from its memory what others need
 # costs several times that.
 _REREAD_WEIGHT = 12.0
-# What an engine in another data centre counts more, in seconds: as much as
-# reading some 80 tokens again, about the part of a prompt that short requests
-# share. Bytes between data centres cost up to a twentieth of what such a
-# request is worth.
+# What an engine in another data centre counts more, in seconds: an equal one
+# nearby goes first, one that keeps a long part of the prompt does not.
 _AWAY_SECONDS = 0.01
 # Kept tokens, beyond what any open engine keeps, for which a request waits:
 # about as many as a short request has of its own.
 _WORTH_WAITING_TOKENS = 2000
 
-
 # Least tokens that are worth a copy, which takes a message between engines.
 _LEAST_COPIED = 50
 # Part of the time of reading that copying may take at the most, and how much
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -296,8 +296,8 @@
         """Take which of a router's requests run, and which are still read.
 
         What it told while its connection was down is lost. Without this
-        their unread tokens kept engines closed until their deadlines: 400,000
-        tokens that nobody read, with half of the batches empty.
+        their places and unread tokens keep engines closed until their
+        deadlines, with batches half empty.
         """
         for engine in self._engine_by_server.values():
             for key in engine.find_running(router):
--- a/packages/daisypick_router/src/daisypick_router/load_watch.py
+++ b/packages/daisypick_router/src/daisypick_router/load_watch.py
@@ -37,8 +37,8 @@
             slept_at = time.monotonic()
             gevent.sleep(_PERIOD_SECONDS)
             # The loop wakes timers before greenlets that are ready to run, of
-            # which a flood leaves hundreds: timers kept time to 0.1 s while
-            # refusals took 0.3 s. This goes through that queue once.
+            # which a flood leaves hundreds: timers keep time while callers
+            # wait. This goes through that queue once.
             gevent.sleep(0)
             now = time.monotonic()
             self.take(now - slept_at - _PERIOD_SECONDS, now)
--- a/packages/daisypick_router/src/daisypick_router/log.py
+++ b/packages/daisypick_router/src/daisypick_router/log.py
@@ -5,8 +5,8 @@
 ten times a second. When the reader of our output is slow or too much is
 said, lines are left out and counted, and the count is a line of its own.
 
-A line takes 2.9 us here and 7.9 us by eliot, which also writes while the caller
-waits (20,000 lines each, in memory); see ``docs/design/platform.md``.
+Not by eliot, which writes while the caller waits; ``docs/design/platform.md``
+compares them.
 """
 
 import collections
@@ -17,8 +17,7 @@
 import gevent
 import msgspec
 
-# Lines a second that a router writes at the most; a line takes 2.9 us
-# and some 240 bytes, so the bound is 0.2% of a core and 100 KB/s.
+# Lines a second that a router writes at the most, of a few hundred bytes each.
 _LINES_PER_SECOND = 400
 _MOST_WAITING = 2000
 # Lines of these parts come with each request and are left out beyond the
--- a/packages/daisypick_router/src/daisypick_router/settings_watch.py
+++ b/packages/daisypick_router/src/daisypick_router/settings_watch.py
@@ -14,7 +14,7 @@
 from daisypick_router import log as logs
 
 # Operators allow two seconds for a change of the configuration; settings
-# change far more seldom, and reading them takes 0.3 ms.
+# change far more seldom.
 _PERIOD_SECONDS = 2.0
 
 
