Weigh copies of KV cache more, so that engines keep less of the same

A copy is cheap for the request, but the part is then kept twice, and something else is dropped and read again; 2 times the link's time does not show that. Change: 6 times.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
@@ -41,9 +41,10 @@
 # Least tokens that are worth a copy, which takes a message between engines.
 _LEAST_COPIED = 50
 # Part of the time of reading that copying may take at the most, and how much
-# of its own time it counts: copies wait for each other on an engine's link.
+# of its own time it counts: copies wait for each other on an engine's link,
+# and what two engines keep drops something else from the memory of one.
 _MOST_COPY_SHARE = 0.5
-_COPY_WEIGHT = 2.0
+_COPY_WEIGHT = 6.0
 
 
 class Placement(typing.NamedTuple):
