Look past waiting requests that no engine can begin in time

The host looks at three requests of an organisation, those whose objective ends first; with admission by predicted first token they are the very ones that no busy engine can begin in time, and all behind them waited until these were refused.

Those that are in time if they begin when the first engine has read what is ahead go before the others.

The test was seen red with the look at the first three.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -170,11 +170,11 @@
             return [self._refuse(work, "too many requests wait")]
         if not self._waiting:
             self._dispatched_at = -math.inf
-        self._waiting.add(work, latest_at=self._find_latest(work))
+        self._add_waiting(work)
         return self.dispatch(now)
 
-    def _find_latest(self, work: job.Job) -> float:
-        """Return until when a request waits for its start.
+    def _add_waiting(self, work: job.Job) -> None:
+        """Let a request wait as long as it may.
 
         What engines keep of its prompt is not read again. One whose prompt
         takes nearly the whole objective still waits a while for an idle
@@ -188,7 +188,11 @@
         seconds *= 1.0 + self._speed.spread
         patience = work.objective_at - work.arrived_at
         wait = max(patience - seconds, patience * LEAST_WAIT_SHARE)
-        return work.arrived_at + min(wait, patience * MOST_WAIT_SHARE)
+        self._waiting.add(
+            work,
+            latest_at=work.arrived_at + min(wait, patience * MOST_WAIT_SHARE),
+            in_time_until=work.objective_at - seconds,
+        )
 
     def _floods(self, work: job.Job, now: float) -> bool:
         """Tell whether too many of an organisation beyond its share wait."""
@@ -395,9 +399,14 @@
             key=lambda organisation: self.shares.read_begun(organisation, now),
         )
         spare = self._is_spare(now)
+        begin_at = now + min(
+            self._engine_by_server[name].wait(now) for name in unread_by_server
+        )
         looked_at = 0
         for organisation in order:
-            for work in self._waiting.peek(organisation, _LOOKED_AT):
+            for work in self._waiting.peek(
+                organisation, _LOOKED_AT, begin_at=begin_at
+            ):
                 within = self.shares.is_within(organisation, work.cost, now)
                 if not within and not spare:
                     continue
--- a/packages/daisypick_core/src/daisypick_core/scheduling/waiting.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/waiting.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self._latest_by_key: dict[str, float] = {}
+        self._in_time_by_key: dict[str, float] = {}
         self._queue_by_organisation: dict[str, list[job.Job]] = {}
         self._count = 0
 
@@ -21,9 +22,18 @@
         """Return how many wait."""
         return self._count
 
-    def add(self, work: job.Job, *, latest_at: float) -> None:
-        """Take a request that is of use until ``latest_at``."""
+    def add(
+        self, work: job.Job, *, latest_at: float, in_time_until: float
+    ) -> None:
+        """Take a request.
+
+        Args:
+            work: The request.
+            latest_at: Until when it waits.
+            in_time_until: Until when an idle engine could begin it in time.
+        """
         self._latest_by_key[work.key] = latest_at
+        self._in_time_by_key[work.key] = in_time_until
         queue = self._queue_by_organisation.setdefault(work.organisation, [])
         queue.append(work)
         queue.sort(key=lambda waiting: waiting.objective_at)
@@ -34,6 +44,7 @@
         queue = self._queue_by_organisation[work.organisation]
         queue.remove(work)
         del self._latest_by_key[work.key]
+        del self._in_time_by_key[work.key]
         self._count -= 1
         if not queue:
             del self._queue_by_organisation[work.organisation]
@@ -54,9 +65,20 @@
         """Return how many of an organisation wait."""
         return len(self._queue_by_organisation.get(organisation, ()))
 
-    def peek(self, organisation: str, count: int) -> list[job.Job]:
-        """Return the first requests of an organisation."""
-        return self._queue_by_organisation[organisation][:count]
+    def peek(
+        self, organisation: str, count: int, *, begin_at: float
+    ) -> list[job.Job]:
+        """Return the first requests of an organisation.
+
+        Those that are in time if they begin at ``begin_at`` go before others.
+        The ones that have waited longest are the first that no engine can
+        begin in time; looked at alone, they keep all behind them waiting.
+        """
+        queue = self._queue_by_organisation[organisation]
+        in_time = [
+            work for work in queue if self._in_time_by_key[work.key] >= begin_at
+        ]
+        return (in_time or queue)[:count]
 
     def find_late(self, now: float) -> list[job.Job]:
         """Return the requests that waited too long."""
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -206,6 +206,23 @@
     assert [refused.key for refused in scheduler.tick(0.31)] == ["kept"]
 
 
+def test_requests_that_are_too_late_do_not_keep_later_ones_waiting():
+    """Long prompts wait for an engine that reads another, then a short one.
+
+    When there is room again the long ones cannot be in time any more behind
+    what the engine still reads, and the look at an organisation ends after
+    three. The short one is in time and starts.
+    """
+    scheduler = _make(servers=1, slots=8, kv_tokens=10_000_000)
+    for name in ("first", "b", "c", "d", "e"):
+        scheduler.submit(_job(name, prompt=15_000), 0.0)
+    short = _job("short", prompt=500, objective_at=0.6)
+    assert scheduler.submit(short, 0.0) == []
+    scheduler.note_first_token("first", 0.16)
+    decided = scheduler.tick(0.25)
+    assert "short" in _keys(decided)
+
+
 def test_engine_gets_no_more_than_it_can_read_in_time():
     """Long prompts arrive at once: an engine gets as many as it can begin."""
     scheduler = _make(servers=1, slots=64, kv_tokens=10_000_000)
