Let a flood's new request take the place of one that is too late

Of an organisation beyond its share 32 requests wait; its flood comes late from two small VMs, so those 32 soon cannot begin in time anywhere, but stay until 0.6 of their objective, and each new request, which could be in time, is refused at once and pauses its router. Other organisations beyond their shares had few waiting and fresh ones.

When a flood has all its places and one of them is too late for the engine with the least to read, that one is refused, which is true and known, and the new one waits instead.

The test was seen red without the change.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -158,6 +158,7 @@
         if not self._may_ever_start(work):
             return [self._refuse(work, "all backend servers were tried")]
         self.shares.ask(work.organisation, work.cost, now)
+        displaced = self._make_room(work, now)
         if self._floods(work, now):
             return [
                 self._refuse(
@@ -171,7 +172,7 @@
         if not self._waiting:
             self._dispatched_at = -math.inf
         self._add_waiting(work)
-        return self.dispatch(now)
+        return displaced + self.dispatch(now)
 
     def _add_waiting(self, work: job.Job) -> None:
         """Let a request wait as long as it may.
@@ -194,6 +195,25 @@
             in_time_until=work.objective_at - seconds,
         )
 
+    def _make_room(self, work: job.Job, now: float) -> list[actions.Action]:
+        """Refuse a request that is too late in favour of one that is not.
+
+        Of a flood only some wait. Once these are too late for any engine they
+        are refused one by one at their time, and each new one, which could be
+        in time, at once: the organisation waits through and gets nothing.
+        """
+        if not self._floods(work, now):
+            return []
+        least_wait = min(
+            self._engine_by_server[name].wait(now)
+            for name in self._state_by_server
+        )
+        late = self._waiting.find_too_late(work.organisation, now + least_wait)
+        if late is None:
+            return []
+        self._waiting.remove(late)
+        return [self._refuse(late, "no engine can begin it in time")]
+
     def _floods(self, work: job.Job, now: float) -> bool:
         """Tell whether too many of an organisation beyond its share wait."""
         waiting = self._waiting.count(work.organisation)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/waiting.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/waiting.py
@@ -80,6 +80,19 @@
         ]
         return (in_time or queue)[:count]
 
+    def find_too_late(
+        self, organisation: str, begin_at: float
+    ) -> job.Job | None:
+        """Return a request that is not in time if it begins then, if any."""
+        return next(
+            (
+                work
+                for work in self._queue_by_organisation.get(organisation, ())
+                if begin_at > self._in_time_by_key[work.key]
+            ),
+            None,
+        )
+
     def find_late(self, now: float) -> list[job.Job]:
         """Return the requests that waited too long."""
         return [
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -206,6 +206,31 @@
     assert [refused.key for refused in scheduler.tick(0.31)] == ["kept"]
 
 
+def test_flood_that_waits_too_late_makes_room_for_what_is_in_time():
+    """An organisation floods busy engines; as many of it wait as may.
+
+    When these are too late for any engine, a new request of it is in time.
+    It takes the place of one of them, whose caller is told at once; refused
+    instead, the organisation would get nothing while others are served.
+    """
+    scheduler = _make(servers=1, slots=1)
+    scheduler.shares.set_capacity(tokens_per_second=100.0)
+    long = _job("long", organisation="flood", prompt=60_000)
+    assert _keys(scheduler.submit(long, 0.0)) == ["long"]
+    _flood(scheduler, 40, now=0.0)
+    waiting = scheduler.waiting
+    fresh = _job("fresh", organisation="flood", now=0.15, objective_at=1.0)
+    refused = _refused(scheduler.submit(fresh, 0.15))
+    assert refused == ["flood-0"]
+    assert scheduler.waiting == waiting
+
+
+def _refused(decided):
+    return [
+        action.key for action in decided if isinstance(action, actions.Refuse)
+    ]
+
+
 def test_requests_that_are_too_late_do_not_keep_later_ones_waiting():
     """Long prompts wait for an engine that reads another, then a short one.
 
