--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -177,17 +177,11 @@
     def _add_waiting(self, work: job.Job) -> None:
         """Let a request wait as long as it may.
 
-        What engines keep of its prompt is not read again. One whose prompt
-        takes nearly the whole objective still waits a while for an idle
-        engine; it would be late anyway.
+        One whose prompt takes nearly the whole objective still waits a while
+        for an idle engine; it would be late anyway.
         """
-        kept = max(
-            self._engine_by_server[name].cache.count_kept(work.parts)
-            for name in self._state_by_server
-        )
-        seconds = self._speed.predict(max(work.prompt_tokens - kept, 0))
-        seconds *= 1.0 + self._speed.spread
         patience = work.objective_at - work.arrived_at
+        seconds = self._find_reading_seconds(work)
         wait = max(patience - seconds, patience * LEAST_WAIT_SHARE)
         self._waiting.add(
             work,
@@ -195,6 +189,18 @@
             in_time_until=work.objective_at - seconds,
         )
 
+    def _find_reading_seconds(self, work: job.Job) -> float:
+        """Return the time to a first token at an idle engine, with a margin.
+
+        What engines keep of the prompt is not read again.
+        """
+        kept = max(
+            self._engine_by_server[name].cache.count_kept(work.parts)
+            for name in self._state_by_server
+        )
+        seconds = self._speed.predict(max(work.prompt_tokens - kept, 0))
+        return seconds * (1.0 + self._speed.spread)
+
     def _make_room(self, work: job.Job, now: float) -> list[actions.Action]:
         """Refuse a request that is too late in favour of one that is not.
 
@@ -208,8 +214,10 @@
             self._engine_by_server[name].wait(now)
             for name in self._state_by_server
         )
-        late = self._waiting.find_too_late(work.organisation, now + least_wait)
-        if late is None:
+        begin_at = now + least_wait
+        late = self._waiting.find_too_late(work.organisation, begin_at)
+        in_time_until = work.objective_at - self._find_reading_seconds(work)
+        if late is None or begin_at > in_time_until:
             return []
         self._waiting.remove(late)
         return [self._refuse(late, "no engine can begin it in time")]
