--- a/tools/check_comments.py
+++ b/tools/check_comments.py
@@ -16,6 +16,8 @@
 import sys
 import tokenize
 
+import offences
+
 _STORY = re.compile(
     r"\bMeasured:|\b[Mm]easured (as|at|on|with)\b|\b[Mm]ean worth\b"
     r"|\bworth 0\.\d|\b[Ii]n a trial\b"
@@ -50,16 +52,7 @@
 
 def main(folders: list[str]) -> int:
     """Check every Python file below the folders, tests aside."""
-    offences = [
-        offence
-        for folder in folders
-        for path in sorted(pathlib.Path(folder).rglob("*.py"))
-        if "tests" not in path.parts
-        for offence in find_stories(path)
-    ]
-    for offence in offences:
-        print(offence)
-    return 1 if offences else 0
+    return offences.report(folders, find_stories, with_tests=False)
 
 
 if __name__ == "__main__":
--- a/tools/check_imports.py
+++ b/tools/check_imports.py
@@ -14,6 +14,8 @@
 import pathlib
 import sys
 
+import offences
+
 _ALLOWED = frozenset({"typing", "collections.abc", "__future__"})
 
 
@@ -41,15 +43,7 @@
 
 def main(folders: list[str]) -> int:
     """Check every Python file below the folders."""
-    offences = [
-        offence
-        for folder in folders
-        for path in sorted(pathlib.Path(folder).rglob("*.py"))
-        for offence in find_name_imports(path)
-    ]
-    for offence in offences:
-        print(offence)
-    return 1 if offences else 0
+    return offences.report(folders, find_name_imports, with_tests=True)
 
 
 if __name__ == "__main__":
--- a/tools/tests/test_check_comments.py
+++ b/tools/tests/test_check_comments.py
@@ -1,15 +1,8 @@
 """Comments that tell a measurement are found; others are not."""
 
-import importlib.util
-import pathlib
-
+import check_comments
 import pytest
 
-_PATH = pathlib.Path(__file__).parent.parent / "check_comments.py"
-_SPEC = importlib.util.spec_from_file_location("check_comments", _PATH)
-check_comments = importlib.util.module_from_spec(_SPEC)
-_SPEC.loader.exec_module(check_comments)
-
 
 @pytest.mark.parametrize(
     "source",
