--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -183,6 +183,7 @@
         self.script = script
         self.data_centre = data_centre
         self.requests: list[dict] = []
+        self.times: list[float] = []
         self.connections = 0
         self.closed_by_peer = event.Event()
         self.server = gevent_server.StreamServer(("127.0.0.1", 0), self._serve)
@@ -214,6 +215,7 @@
                 return
             first, headers, body = request
             self.requests.append(headers)
+            self.times.append(time.monotonic())
             if self.script(self, connection, first, headers, body) == "close":
                 return
 
