Log once a second what organisations ask and get, and how late the loop runs

Cause: lines of single requests are left out beyond 400 a second, which is when an organisation's share goes wrong.

Change: a router writes one line a second with the sums of the 16 organisations that asked most (requests, tokens asked, tokens begun, refused, late, largest request), the host of a scheduler one with what it decided for each (submitted, started, displaced, waited out, beyond, waiting), and each process one with its greatest lag, connections, requests and processor time.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -27,6 +27,7 @@
 from daisypick_core.scheduling import engine_belief
 from daisypick_core.scheduling import fair_share
 from daisypick_core.scheduling import job
+from daisypick_core.scheduling import organisation_tally
 from daisypick_core.scheduling import placement
 from daisypick_core.scheduling import reading_speed
 from daisypick_core.scheduling import server_state
@@ -100,6 +101,7 @@
         self._share = 1.0
         self.shares = fair_share.FairShare(window_seconds=window_seconds)
         self.outcomes = outcomes.Outcomes()
+        self.tally = organisation_tally.OrganisationTally()
         self._cold_by_router: dict[str, cold_limit.ColdLimit] = {}
         self._cold_parts = cold_parts.ColdParts()
         self._state_by_server: dict[str, server_state.ServerState] = {}
@@ -158,8 +160,10 @@
         if not self._may_ever_start(work):
             return [self._refuse(work, "all backend servers were tried")]
         self.shares.ask(work.organisation, work.cost, now)
+        self.tally.add(work.organisation, submitted=1, asked=work.cost)
         displaced = self._make_room(work, now)
         if self._floods(work, now):
+            self.tally.add(work.organisation, refused_beyond=1)
             return [
                 self._refuse(
                     work,
@@ -220,6 +224,7 @@
         if late is None or begin_at > in_time_until:
             return []
         self._waiting.remove(late)
+        self.tally.add(work.organisation, displaced=1)
         return [self._refuse(late, "no engine can begin it in time")]
 
     def _floods(self, work: job.Job, now: float) -> bool:
@@ -313,6 +318,7 @@
         refused: list[actions.Action] = []
         for work in self._waiting.find_late(now):
             self._waiting.remove(work)
+            self.tally.add(work.organisation, waited_out=1)
             refused.append(self._refuse(work, "no engine has room in time"))
         self._dispatched_at = -math.inf
         return refused + self.dispatch(now)
@@ -375,6 +381,10 @@
         """Requests that wait."""
         return len(self._waiting)
 
+    def count_waiting(self, organisation: str) -> int:
+        """Return how many requests of an organisation wait."""
+        return self._waiting.count(organisation)
+
     def dispatch(self, now: float) -> list[actions.Action]:
         """Start what can start, the least served organisation first."""
         started: list[actions.Action] = []
@@ -519,6 +529,7 @@
         self._record_start(
             work, server, engine, now, ahead=ahead, saved=place.saved
         )
+        self.tally.add(work.organisation, started=1, begun=work.cost)
         state = self._state_by_server[server]
         full = engine.running >= max(state.slots * self._share, 1.0)
         if full or engine.wait(now) >= placement.OPEN_SECONDS * self._share:
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -23,12 +23,15 @@
         arrivals: How many of them it reached.
         may_have_run: Whether one of them may have run it.
         attempt: Id of the caller's attempt.
+        tokens: What it counts against its organisation's share.
+        first_event_at: When the first event of a stream came.
     """
 
     __slots__ = (
         "arrivals",
         "attempt",
         "deadline",
+        "first_event_at",
         "kept_headers",
         "may_have_run",
         "objective_at",
@@ -36,6 +39,7 @@
         "request",
         "route",
         "service",
+        "tokens",
         "tried",
         "version",
         "words",
@@ -67,6 +71,8 @@
         self.tried: set[str] = set()
         self.arrivals = 0
         self.may_have_run = False
+        self.tokens = 0.0
+        self.first_event_at: float | None = None
 
     @property
     def may_run_again(self) -> bool:
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -236,6 +236,16 @@
             "engines": scheduler.describe(now),
         }
 
+    def take_tally(self, service: str, most: int) -> list[dict]:
+        """Return what was decided for each organisation since the last call."""
+        scheduler = self._scheduler_by_service.get(service)
+        if scheduler is None:
+            return []
+        rows = scheduler.tally.take(most, by="asked")
+        for row in rows:
+            row["waiting"] = scheduler.count_waiting(row["organisation"])
+        return rows
+
     def _apply(self, decided: Iterable[actions.Action]) -> None:
         for action in decided:
             deliver = self._deliver_by_key.pop(action.key, None)
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -68,10 +68,42 @@
         context: contexts.Context,
     ) -> failure.Failure | str:
         """Answer a request; return a word on how, or the failure."""
+        refused = False
+        try:
+            outcome = self._serve(connection, context)
+            refused = failure.is_failure(outcome)
+            return outcome
+        finally:
+            self._count_work(context, refused=refused)
+
+    def _count_work(self, context: contexts.Context, *, refused: bool) -> None:
+        """Add to the organisation's sums what the request asked and got.
+
+        What begins is counted when it begins, by ``_note_first``.
+        """
+        began_at = context.first_event_at
+        missed = began_at is None or began_at > context.objective_at
+        organisation = context.organisation or ""
+        tally = self._placing.tally
+        tally.add(
+            organisation,
+            requests=1,
+            asked=context.tokens,
+            refused=int(refused),
+            late=int(missed and not refused),
+        )
+        tally.note_most(organisation, "largest", context.tokens)
+
+    def _serve(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+    ) -> failure.Failure | str:
         stream = event_stream.EventStream(last_id=context.words.last_event)
         tried: try_rules.FailedTry | None = None
         while tried is None or self._tries.may_send_again(context, tried):
             work = self._make_job(context)
+            context.tokens = work.cost
             decided = self._placing.acquire(context.service, work)
             if isinstance(decided, actions.Refuse):
                 return self._give_up(context, tried, decided)
@@ -257,6 +289,9 @@
 
     def _note_first(self, context: contexts.Context, work: job.Job) -> None:
         self._placing.note_first_token(context.service, work.key)
+        if context.first_event_at is None:
+            context.first_event_at = time.monotonic()
+            self._placing.tally.add(work.organisation, begun=work.cost)
         self._metrics.observe(
             "first_event_seconds",
             time.monotonic() - context.request.began_at,
--- a/packages/daisypick_router/src/daisypick_router/load_watch.py
+++ b/packages/daisypick_router/src/daisypick_router/load_watch.py
@@ -18,6 +18,12 @@
         self._log = log
         self._woke_at = time.monotonic()
         self._last_lag = 0.0
+        self._most_lag = 0.0
+
+    def take_most_lag(self) -> float:
+        """Return how late the timer woke at the most since the last call."""
+        most, self._most_lag = self._most_lag, 0.0
+        return most
 
     def find_lag(self) -> float:
         """Return how late anything may have been read just now, in seconds.
@@ -47,6 +53,7 @@
         """Take how late the timer woke."""
         self._woke_at = now
         self._last_lag = max(lag, 0.0)
+        self._most_lag = max(self._most_lag, lag)
         was_ready = self.overload.is_ready
         self.overload.note_lag(lag, now)
         if was_ready != self.overload.is_ready:
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -17,6 +17,7 @@
 
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import job
+from daisypick_core.scheduling import organisation_tally
 from daisypick_core.scheduling import pauses
 from daisypick_core.scheduling import scheduler as schedulers
 from daisypick_core.serving import fleet_configuration
@@ -30,6 +31,8 @@
 from daisypick_router import store_feed
 
 _REPORT_SECONDS = 1.0
+# Organisations in one line of a report; a flood is among those that ask most.
+_REPORTED_ORGANISATIONS = 16
 # Placements that are told to a new host, so that it knows what engines keep;
 # an engine's memory turns over in about this many requests of a router.
 _REMEMBERED = 400
@@ -73,6 +76,8 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        # What callers of this router asked for and got.
+        self.tally = organisation_tally.OrganisationTally()
         self._host_by_service: dict[str, str] = {}
         self._placed_by_service: dict[str, collections.deque[_Placed]] = {}
         self._reading: set[str] = set()
@@ -87,7 +92,7 @@
         gevent.spawn(self._report)
 
     def _report(self) -> None:
-        """Log what the schedulers hosted here believe, once a second."""
+        """Log what schedulers hosted here believe and what callers got."""
         while True:
             gevent.sleep(_REPORT_SECONDS)
             for service, host in self._host_by_service.items():
@@ -98,6 +103,21 @@
                         service=service,
                         **self._hosted.describe(service),
                     )
+                    self._log.write(
+                        "shares",
+                        "Decisions by organisation.",
+                        service=service,
+                        organisations=self._hosted.take_tally(
+                            service, _REPORTED_ORGANISATIONS
+                        ),
+                    )
+            self._log.write(
+                "shares",
+                "Work by organisation.",
+                organisations=self.tally.take(
+                    _REPORTED_ORGANISATIONS, by="asked"
+                ),
+            )
 
     def find_host(self, service: str) -> str | None:
         """Return the first candidate that can be asked."""
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -307,6 +307,14 @@
         while True:
             gevent.sleep(_HOUSEKEEPING_SECONDS)
             self._pool.close_stale()
+            self.log.write(
+                "process",
+                "Load.",
+                lag_seconds=round(self.load.take_most_lag(), 3),
+                connections=len(self._connections),
+                running=self.serving.running,
+                processor_seconds=round(time.process_time(), 3),
+            )
 
     def take_settings(self, settings: platform_settings.Settings) -> None:
         """Put changed settings in force, without touching a connection.
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -223,6 +223,24 @@
     return "close"
 
 
+def test_work_is_counted_by_organisation(store):
+    """What callers asked for and got stands in one line a second.
+
+    Lines of single requests are left out under a flood, and what each
+    organisation got could then not be told.
+    """
+    server = _assist(fakes.stream_five)
+    router = _serve(store, server)
+    assert fakes.call(router, "/ask/1", attempt="a-1").served
+    paused = router.placing._pauses_by_service["assist"]
+    paused.set("farm", seconds=5.0, now=time.monotonic())
+    assert fakes.call(router, "/ask/1", attempt="a-2").status == 503
+    (row,) = router.placing.tally.take(9, by="asked")
+    assert row["organisation"] == "farm"
+    assert (row["requests"], row["refused"], row["late"]) == (2, 1, 0)
+    assert row["asked"] == 2 * row["begun"] == 2 * row["largest"]
+
+
 def test_broken_stream_goes_on_at_another_server(store):
     """A server crashes in the middle of the third event.
 
