Send nothing on after its deadline or after its caller has left (GONE)

Cause: nothing looked at the time or at the caller between placing a request and sending it. On a VM whose loop is held up by a flood (front-batak-3 and -4, 0.387 cores) a handler goes on in a later turn of the loop. (1) The router's own log: "silent for -0.350 s", "-0.342 s", "-0.149 s", which is a request sent that long after its deadline. (2) The reader of a connection sees the caller's end and ends the handler, but that word waits for its turn too: in the test a handler was woken by its new connection first and sent the request on. Ruled out: the engine's side (each case came from one of the flooded VMs); a wait for a start, which ends after 0.6 of an objective.

Change: just before a request is sent, its deadline is compared with the time and its caller's connection is looked at without taking bytes. A request that is too late says so and blames no server. What remains is the time from the send to the engine.

--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -210,14 +210,32 @@
         if self.is_idle and not self._has_unread():
             self.close_softly()
 
+    def has_left(self) -> bool:
+        """Tell whether the caller closed, though nobody may have read that.
+
+        A busy process reads late. What it sends on after its caller has left
+        costs a backend server work that is for nobody.
+        """
+        return self._peek() == b""
+
     def _has_unread(self) -> bool:
+        return bool(self._peek())
+
+    def _peek(self) -> bytes | None:
+        """Return the next unread byte, or none after the caller's end.
+
+        ``None`` if nothing has come yet.
+        """
         timeout = self._socket.gettimeout()
         self._socket.settimeout(0.0)
         try:
-            return bool(self._socket.recv(1, plain_socket.MSG_PEEK))
+            return self._socket.recv(1, plain_socket.MSG_PEEK)
+        except BlockingIOError:
+            return None
         except OSError:
-            # Nothing to read, or the connection is gone.
-            return False
+            # Reset, or closed by the reader, whose word to end the handler
+            # may still wait for its turn in the loop.
+            return b""
         finally:
             self._socket.settimeout(timeout)
 
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -180,7 +180,7 @@
                 connection, context, work, server, source, stream
             )
         finally:
-            if tried is None or isinstance(tried, str):
+            if not _blames_server(tried):
                 self._placing.note_end(context.service, work.key)
             else:
                 down = isinstance(tried, exchange.NotRun) and tried.server_down
@@ -200,6 +200,7 @@
     ) -> try_rules.FailedTry | str:
         opened = exchange.open_exchange(
             self._pool,
+            connection,
             context,
             server,
             last_event=stream.last_id,
@@ -297,3 +298,10 @@
             time.monotonic() - context.request.began_at,
             route=context.route.name,
         )
+
+
+def _blames_server(tried: try_rules.FailedTry | str | None) -> bool:
+    """Tell whether a try failed at its server."""
+    if tried is None or isinstance(tried, str):
+        return False
+    return not (isinstance(tried, exchange.NotRun) and tried.too_late)
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -11,6 +11,7 @@
 from daisypick_http import connection as connections
 from daisypick_http import messages
 from daisypick_http import pool as pools
+from daisypick_http import server as http_server
 from daisypick_platform import request_headers
 from daisypick_router import context as contexts
 
@@ -25,12 +26,14 @@
         arrived: Whether the server saw it and turned it away.
         server_down: Whether the server could not be reached.
         misdirected: Whether another server lives at the address now.
+        too_late: Whether it was not sent, as its deadline had passed.
     """
 
     reason: str
     arrived: bool
     server_down: bool = False
     misdirected: bool = False
+    too_late: bool = False
 
 
 class Unknown(typing.NamedTuple):
@@ -52,6 +55,7 @@
 
 def open_exchange(
     pool: pools.Pool,
+    caller: http_server.CallerConnection,
     context: contexts.Context,
     server: backend_server.BackendServer,
     *,
@@ -63,16 +67,28 @@
 
     Args:
         pool: Connections to backend servers.
+        caller: Whose request it is.
         context: The request.
         server: Where it goes.
         last_event: Go on after this event of a stream.
         silence: Seconds without a byte after which the server is given up.
         copy_from: Address of a server that keeps more of the prompt.
+
+    Raises:
+        CallerLeft: The caller left before the request was sent.
     """
     try:
         connection = pool.take(server.address)
     except connections.NotConnectedError as error:
         return NotRun(reason=str(error), arrived=False, server_down=True)
+    # The loop may have been busy since anybody looked at the time or the
+    # caller; a server works in vain on what is sent too late.
+    if time.monotonic() >= context.deadline:
+        pool.give_back(connection)
+        return NotRun(reason="too late to send", arrived=False, too_late=True)
+    if caller.has_left():
+        pool.give_back(connection)
+        raise http_server.CallerLeft
     finished = False
     try:
         outcome = _send_and_read(
--- a/packages/daisypick_router/src/daisypick_router/plain_way.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_way.py
@@ -53,7 +53,7 @@
                 break
             context.tried.add(server.name)
             try:
-                tried = self._try(context, server)
+                tried = self._try(connection, context, server)
             finally:
                 self._servers.end(server.name)
             if isinstance(tried, relay.Whole):
@@ -70,14 +70,22 @@
         return try_rules.conclude(context, tried)
 
     def _try(
-        self, context: contexts.Context, server: backend_server.BackendServer
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+        server: backend_server.BackendServer,
     ) -> try_rules.FailedTry | relay.Whole:
         silence = context.deadline - time.monotonic()
         if context.route.kind == route_table.SAFE:
             patience = context.route.objective * _SAFE_SILENCE_OBJECTIVES
             silence = min(silence, patience)
         opened = exchange.open_exchange(
-            self._pool, context, server, last_event=None, silence=silence
+            self._pool,
+            connection,
+            context,
+            server,
+            last_event=None,
+            silence=silence,
         )
         if isinstance(opened, exchange.NotRun):
             context.arrivals += opened.arrived
--- a/packages/daisypick_router/src/daisypick_router/tries.py
+++ b/packages/daisypick_router/src/daisypick_router/tries.py
@@ -72,8 +72,9 @@
         not_run = isinstance(tried, exchange.NotRun)
         if not not_run:
             context.may_have_run = True
-        down = not_run and (tried.server_down or tried.misdirected)
-        self.outcomes.note_failure(server, time.monotonic(), certain=down)
+        if not (not_run and tried.too_late):
+            down = not_run and (tried.server_down or tried.misdirected)
+            self.outcomes.note_failure(server, time.monotonic(), certain=down)
         self._metrics.count("failed_tries_total", kind=type(tried).__name__)
         self._log.write(
             "send",
--- /dev/null
+++ b/packages/daisypick_router/tests/test_late_loop.py
@@ -0,0 +1,83 @@
+"""Requests of a router whose loop is held up.
+
+Other callers and the requests of a flood keep a small VM's loop busy for
+tenths of a second. What happened meanwhile lies unread: callers have left,
+deadlines have passed.
+"""
+
+import time
+
+import fakes
+import gevent
+import pytest
+
+
+@pytest.fixture
+def store():
+    found = fakes.FakeStore()
+    found.put("config", "main", fakes.make_manifest())
+    yield found
+    found.server.stop()
+
+
+def _serve(store, *servers):
+    for server in servers:
+        store.put("servers", server.name, server.describe())
+    return fakes.start_router(store)
+
+
+def _hold_up_before_sending(router, meanwhile):
+    """Hold the loop when a request is placed; ``meanwhile`` happens then."""
+    acquire = router.placing.acquire
+
+    def _acquire(service, work):
+        decided = acquire(service, work)
+        meanwhile()
+        return decided
+
+    router.placing.acquire = _acquire
+
+
+def test_request_whose_caller_left_unnoticed_is_not_sent(store):
+    """Guards against work at engines for callers that are gone (GONE).
+
+    Callers of a flooded VM gave up at their deadlines, and up to 20 of their
+    requests in a day reached engines more than half a second later. The
+    router had read the requests late, in turns of a loop that was held up,
+    and sent them while the callers' ends lay unread on their connections: the
+    bench saw "the client's deadline passes" at 19.515 s and the request reach
+    a server at 20.439 s, and the router's log said "silent for -0.350 s".
+    """
+    server = fakes.FakeServer("e-1", "assist", fakes.stream_five)
+    router = _serve(store, server)
+    caller = fakes.connect(router)
+
+    def _leave():
+        caller._sock.close()
+        time.sleep(0.02)
+
+    _hold_up_before_sending(router, _leave)
+    caller.sendall(fakes.write_request("/ask/1"))
+    fakes.wait_for(lambda: router.serving.running == 1)
+    fakes.wait_for(lambda: router.serving.running == 0)
+    gevent.sleep(0.05)
+    assert server.requests == []
+    (engine,) = router.hosted.describe("assist")["engines"]
+    assert engine["running"] == 0
+
+
+def test_request_whose_deadline_passed_unnoticed_is_not_sent(store):
+    """Guards against sending a request on after its deadline (GONE).
+
+    The same loop was held up until after the deadline. The request still
+    went to an engine, with no time left, and the engine was blamed for its
+    silence.
+    """
+    server = fakes.FakeServer("e-1", "assist", fakes.stream_five)
+    router = _serve(store, server)
+    _hold_up_before_sending(router, lambda: time.sleep(0.25))
+    answer = fakes.call(router, "/ask/1", patience="200")
+    assert answer.status == 503
+    assert server.requests == []
+    (engine,) = router.hosted.describe("assist")["engines"]
+    assert not engine["aside"]
