Count a half-read request as one, so that its connection is not closed (LOST)

What callers saw, in the test: a request that comes in two pieces has no answer. Its first piece was read; the connection counted as idle because no handler ran, and was closed by a stop or when descriptors were short; the rest of the request was thrown away.

Change: a connection is idle when no request is begun either. Test seen red.

--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -76,6 +76,9 @@
         self._handler: gevent.Greenlet | None = None
         self.idle_since = time.monotonic()
         self._idle_timeout = limits().idle_timeout
+        self._reader = request_reader.RequestReader(
+            header_bytes=limits().header_bytes, body_bytes=limits().body_bytes
+        )
         self.closing = False
         self._aborted = False
         self._keep_alive = True
@@ -83,20 +86,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is read or handled."""
-        return self._handler is None
+        """Whether no request is read, in part or whole, or handled."""
+        return self._handler is None and self._reader.began_at is None
 
     def run(self) -> None:
         """Serve the connection until either end closes it."""
         self._socket.setsockopt(
             plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
         )
-        limits = self._limits()
-        reader = request_reader.RequestReader(
-            header_bytes=limits.header_bytes, body_bytes=limits.body_bytes
-        )
         try:
-            while not self._aborted and self._read_once(reader):
+            while not self._aborted and self._read_once(self._reader):
                 pass
         finally:
             if self._handler is not None:
--- a/packages/daisypick_router/tests/test_late_loop.py
+++ b/packages/daisypick_router/tests/test_late_loop.py
@@ -81,3 +81,22 @@
     assert server.requests == []
     (engine,) = router.hosted.describe("assist")["engines"]
     assert not engine["aside"]
+
+
+def test_half_read_request_is_not_taken_for_an_idle_connection(store):
+    """Guards against closing a connection in the middle of a request (LOST).
+
+    A caller's request comes in two pieces while its router stops. The first
+    piece was read; the connection counted as idle, was closed, and the rest
+    was thrown away, so a whole request had no answer.
+    """
+    router = _serve(store, fakes.FakeServer("d-1", "desk", fakes.answer_ok))
+    request = fakes.write_request("/reserve/1")
+    with fakes.connect(router) as caller:
+        caller.sendall(request[:-4])
+        fakes.wait_for(lambda: router._connections)
+        gevent.sleep(0.05)
+        for connection in list(router._connections):
+            connection.close_idle()
+        caller.sendall(request[-4:])
+        assert fakes.read_answer(caller).served
