Tell from routers' logs who was served least (daisypick fairness)

`daisypick fairness LOG...` sums the lines "Work by organisation." of all routers and shows for each organisation that waited through six seconds what it got against half of what it asked or of what the best served one got (a margin below 1 is unfair). What is asked is counted when a request comes, not when it ends.

--- a/packages/daisypick_cli/src/daisypick_cli/commands/__init__.py
+++ b/packages/daisypick_cli/src/daisypick_cli/commands/__init__.py
@@ -5,4 +5,5 @@
 * ``data_centre``: ``data-centre out`` and ``data-centre in``.
 * ``inspection``: ``status``, ``dump``, ``explain``.
 * ``key``: ``hash-key``.
+* ``logs``: ``fairness``.
 """
--- a/packages/daisypick_cli/src/daisypick_cli/main.py
+++ b/packages/daisypick_cli/src/daisypick_cli/main.py
@@ -16,10 +16,11 @@
 from daisypick_cli.commands import folder_commands
 from daisypick_cli.commands import inspection
 from daisypick_cli.commands import key
+from daisypick_cli.commands import logs
 
 VERSION = "0.1.0"
 GROUP = "daisypick.commands"
-_MODULES = (folder_commands, data_centre, inspection, key)
+_MODULES = (folder_commands, data_centre, inspection, key, logs)
 
 
 def make_application() -> application.Application:
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/fair_windows.py
@@ -0,0 +1,130 @@
+"""Who was served least, for what it asked, while others were served.
+
+An organisation *waits through* a span if in each second of it one of its
+requests is refused, or begins late. What is due to it there is half of what
+it asked, or of what the best served one got, whichever is less, second by
+second. The margin is what it got, and three of its largest requests, against
+that: below one the fleet was unfair to it.
+
+Examples:
+    >>> flood = [Second(asked=900.0, got=100.0, missed=True, largest=10.0)] * 6
+    >>> best = [Second(asked=600.0, got=600.0, missed=False, largest=10.0)] * 6
+    >>> (least,) = find_least_served(
+    ...     {"flood": dict(enumerate(flood)), "best": dict(enumerate(best))}
+    ... )
+    >>> least.organisation, least.best, least.begins, least.margin
+    ('flood', 'best', 0, 0.35)
+"""
+
+from collections.abc import Mapping
+import typing
+
+SPAN_SECONDS = 6
+# Requests that may start a moment sooner or later than the span.
+_ALLOWED_LARGEST = 3
+_DUE_SHARE = 0.5
+
+_SecondBySecond = Mapping[int, "Second"]
+
+
+class Second(typing.NamedTuple):
+    """One organisation in one second, in tokens.
+
+    Attributes:
+        asked: Tokens of the requests that came.
+        got: Tokens of the requests that began.
+        missed: Whether a request was refused, or began late or never.
+        largest: Tokens of the largest request.
+    """
+
+    asked: float
+    got: float
+    missed: bool
+    largest: float
+
+
+class Served(typing.NamedTuple):
+    """What an organisation got in a span in which it waited through.
+
+    Attributes:
+        organisation: Which one.
+        begins: First second of the span.
+        asked: Tokens that it asked for.
+        got: Tokens that it got.
+        best: The best served organisation.
+        best_got: Tokens that this one got.
+        margin: What it got against what was due.
+    """
+
+    organisation: str
+    begins: int
+    asked: float
+    got: float
+    best: str
+    best_got: float
+    margin: float
+
+
+_NOTHING = Second(asked=0.0, got=0.0, missed=False, largest=0.0)
+
+
+def find_least_served(
+    by_organisation: Mapping[str, _SecondBySecond],
+) -> list[Served]:
+    """Return the worst span of each organisation that ever waited through.
+
+    Args:
+        by_organisation: For each organisation its seconds, by their number.
+    """
+    numbers = {
+        number for seconds in by_organisation.values() for number in seconds
+    }
+    if not numbers:
+        return []
+    worst: dict[str, Served] = {}
+    for begins in range(min(numbers), max(numbers) - SPAN_SECONDS + 2):
+        for served in _judge_span(by_organisation, begins):
+            before = worst.get(served.organisation)
+            if before is None or served.margin < before.margin:
+                worst[served.organisation] = served
+    return sorted(worst.values(), key=lambda served: served.margin)
+
+
+def _judge_span(
+    by_organisation: Mapping[str, _SecondBySecond], begins: int
+) -> list[Served]:
+    spans = {
+        organisation: [
+            seconds.get(number, _NOTHING)
+            for number in range(begins, begins + SPAN_SECONDS)
+        ]
+        for organisation, seconds in by_organisation.items()
+    }
+    best = max(spans, key=lambda organisation: _sum_got(spans[organisation]))
+    judged = []
+    for organisation, span in spans.items():
+        if not all(second.missed for second in span):
+            continue
+        due = _DUE_SHARE * sum(
+            min(own.asked, other.got)
+            for own, other in zip(span, spans[best], strict=True)
+        )
+        if due <= 0.0:
+            continue
+        allowed = _ALLOWED_LARGEST * max(second.largest for second in span)
+        judged.append(
+            Served(
+                organisation=organisation,
+                begins=begins,
+                asked=sum(second.asked for second in span),
+                got=_sum_got(span),
+                best=best,
+                best_got=_sum_got(spans[best]),
+                margin=round((_sum_got(span) + allowed) / due, 3),
+            )
+        )
+    return judged
+
+
+def _sum_got(span: list[Second]) -> float:
+    return sum(second.got for second in span)
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -23,7 +23,6 @@
         arrivals: How many of them it reached.
         may_have_run: Whether one of them may have run it.
         attempt: Id of the caller's attempt.
-        tokens: What it counts against its organisation's share.
         first_event_at: When the first event of a stream came.
     """
 
@@ -39,7 +38,6 @@
         "request",
         "route",
         "service",
-        "tokens",
         "tried",
         "version",
         "words",
@@ -71,7 +69,6 @@
         self.tried: set[str] = set()
         self.arrivals = 0
         self.may_have_run = False
-        self.tokens = 0.0
         self.first_event_at: float | None = None
 
     @property
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -74,25 +74,24 @@
             refused = failure.is_failure(outcome)
             return outcome
         finally:
-            self._count_work(context, refused=refused)
+            self._count_missed(context, refused=refused)
 
-    def _count_work(self, context: contexts.Context, *, refused: bool) -> None:
-        """Add to the organisation's sums what the request asked and got.
+    def _count_asked(self, work: job.Job) -> None:
+        self._placing.tally.add(work.organisation, requests=1, asked=work.cost)
+        self._placing.tally.note_most(work.organisation, "largest", work.cost)
 
-        What begins is counted when it begins, by ``_note_first``.
-        """
+    def _count_missed(
+        self, context: contexts.Context, *, refused: bool
+    ) -> None:
+        """Count a request that was refused, or began late or never."""
         began_at = context.first_event_at
-        missed = began_at is None or began_at > context.objective_at
-        organisation = context.organisation or ""
-        tally = self._placing.tally
-        tally.add(
-            organisation,
-            requests=1,
-            asked=context.tokens,
-            refused=int(refused),
-            late=int(missed and not refused),
-        )
-        tally.note_most(organisation, "largest", context.tokens)
+        in_time = began_at is not None and began_at <= context.objective_at
+        if refused or not in_time:
+            self._placing.tally.add(
+                context.organisation or "",
+                refused=int(refused),
+                late=int(not refused),
+            )
 
     def _serve(
         self,
@@ -103,7 +102,8 @@
         tried: try_rules.FailedTry | None = None
         while tried is None or self._tries.may_send_again(context, tried):
             work = self._make_job(context)
-            context.tokens = work.cost
+            if tried is None:
+                self._count_asked(work)
             decided = self._placing.acquire(context.service, work)
             if isinstance(decided, actions.Refuse):
                 return self._give_up(context, tried, decided)
