Place a request that was read late like one that has just come (FAIR)

Cause: these VMs' loops are late by 0.1 to 1.2 s under the flood. A request's objective runs from when its first byte was read; when the request is placed a turn of the loop later, little of it is left. No engine with anything to read can begin it in time, so it is refused, and the organisation that had begun least was the one that could not start.

Change: the objective for placing is at least the route's whole objective from the moment of placing, as it already was for a request that a server had failed. A late answer counts for more to its caller than a refusal; which organisation goes first is still decided by what each has begun.

Test red before.

--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -139,12 +139,12 @@
         expected = words.expected_tokens
         if not expected:
             expected = int(words.output_tokens * _OUTPUT_SHARE)
-        objective_at = context.objective_at
-        if context.arrivals:
-            # Late already; the caller's patience decides.
-            objective_at = max(
-                objective_at, time.monotonic() + context.route.objective
-            )
+        # A request that was read late, or fails at a server, is late already.
+        # Judged by what is left of its objective it would be refused, and an
+        # organisation whose callers reach a busy VM would get nothing.
+        objective_at = max(
+            context.objective_at, time.monotonic() + context.route.objective
+        )
         # The host may be cut off from the platform's list while we are not.
         closed = self._discovery.directory.find_closed(context.service.name)
         return job.Job(
--- a/packages/daisypick_router/tests/test_late_loop.py
+++ b/packages/daisypick_router/tests/test_late_loop.py
@@ -11,6 +11,9 @@
 import gevent
 import pytest
 
+from daisypick_core.scheduling import job
+from daisypick_router import serving
+
 
 @pytest.fixture
 def store():
@@ -100,3 +103,38 @@
             connection.close_idle()
         caller.sendall(request[-4:])
         assert fakes.read_answer(caller).served
+
+
+def test_request_that_was_read_late_is_placed_like_others(store, monkeypatch):
+    """Guards against starving whom a busy VM serves (FAIR).
+
+    A flood of one organisation came through two VMs of 0.387 cores whose
+    loops were late by more than half of an objective. Its requests reached
+    the host with no time left, so no engine could begin them in time: of
+    1,981 thousand tokens that it asked for in a second 5 thousand began,
+    with none waiting, while others began 600 thousand. The host's line
+    "Decisions by organisation." showed it: 744 submitted, 2 started.
+    """
+    server = fakes.FakeServer("e-1", "assist", fakes.stream_five)
+    router = _serve(store, server)
+    service = router.discovery.configuration.service_by_name["assist"]
+    other = job.Job(
+        key="other/0",
+        router="r-1",
+        organisation="mill",
+        parts=(job.Part(name="other", tokens=4000),),
+        prompt_tokens=4000,
+        output_tokens=10,
+        arrived_at=time.monotonic(),
+        objective_at=time.monotonic() + 1.0,
+        deadline_at=time.monotonic() + 5.0,
+    )
+    identify = serving.identify.identify
+
+    def _identify_late(*words):
+        time.sleep(0.25)
+        router.hosted.note_started_elsewhere(service, other, "e-1", ahead=0.0)
+        return identify(*words)
+
+    monkeypatch.setattr(serving.identify, "identify", _identify_late)
+    assert fakes.call(router, "/ask/1").served
