Count a start once against its share, however often it is told (FAIR)

Cause: that VM takes its host for silent while its own loop is late, connects again, and tells what it started lately, up to 400 requests, so that a new host would know. For four seconds the least served organisation was taken for the best served, and went last, with 32 requests waiting. A cold server's allowance was used up in the same way.

Ruled out by the host's lines: late arrival alone (32 waited all through), requests too large to place, the order among organisations.

Change: a start counts against its share, and for a cold server, once by its key, and not if its request is older than the window.

Test red before.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -30,6 +30,7 @@
 from daisypick_core.scheduling import organisation_tally
 from daisypick_core.scheduling import placement
 from daisypick_core.scheduling import reading_speed
+from daisypick_core.scheduling import recent_keys
 from daisypick_core.scheduling import server_state
 from daisypick_core.scheduling import waiting as waiting_jobs
 from daisypick_core.serving import cold_limit
@@ -100,6 +101,7 @@
         self._rng = rng
         self._share = 1.0
         self.shares = fair_share.FairShare(window_seconds=window_seconds)
+        self._counted = recent_keys.RecentKeys(seconds=window_seconds)
         self.outcomes = outcomes.Outcomes()
         self.tally = organisation_tally.OrganisationTally()
         self._cold_by_router: dict[str, cold_limit.ColdLimit] = {}
@@ -564,9 +566,21 @@
         saved: float = 0.0,
     ) -> None:
         engine.start(work, now, ahead=ahead, saved=saved)
-        self.note_sent(work.router, server, now)
         self._server_by_key[work.key] = server
-        self.shares.begin(work.organisation, work.cost, now)
+        if self._counts(work, now):
+            self.note_sent(work.router, server, now)
+            self.shares.begin(work.organisation, work.cost, now)
+
+    def _counts(self, work: job.Job, now: float) -> bool:
+        """Tell whether a start counts now, against its share and elsewhere.
+
+        A router that connects again tells what it started lately, most of it
+        for the second time. Counted again, that is some seconds' worth of
+        starts at once, and its organisation gets nothing until they have
+        left the window.
+        """
+        is_new = self._counted.add(work.key, now)
+        return is_new and now - work.arrived_at < self._counted.seconds
 
     def _refuse(
         self, work: job.Job, reason: str, *, pause: float = 0.0
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -407,3 +407,32 @@
     # 9,000 of "b", and 2,900 of "a2" and "other": 7,000 of 9,900 tokens are
     # read when the first token of "a1" is due, and then it is overdue.
     assert engine["unread"] == 11_900
+
+
+def test_starts_that_are_told_again_do_not_count_again():
+    """Guards against starving whose router connects again (FAIR).
+
+    The router of a flooded VM took its host for silent and connected again,
+    and told what it had started lately, some hundred requests, most of which
+    the host had decided itself. All counted once more against their
+    organisation's share: the host refused with "4339892 tokens begun of
+    465364" while it had begun 300,000, so whoever had got least went last.
+    """
+    scheduler = _make(servers=2, slots=64, kv_tokens=10**6)
+    started = [_job(f"flood-{n}", organisation="flood") for n in range(20)]
+    for work in started:
+        scheduler.submit(work, 0.0)
+        scheduler.note_first_token(work.key, 0.05)
+        scheduler.note_end(work.key, 0.06)
+    begun = scheduler.shares.read_begun("flood", 0.5)
+    assert begun == 20 * 1200.0
+    for work in started:
+        scheduler.note_started_elsewhere(work, "e-0", 0.5)
+        scheduler.note_end(work.key, 0.5)
+    assert scheduler.shares.read_begun("flood", 0.5) == begun
+    unknown = _job("other-0", organisation="flood", now=0.4)
+    scheduler.note_started_elsewhere(unknown, "e-0", 0.5)
+    assert scheduler.shares.read_begun("flood", 0.5) == begun + 1200.0
+    long_ago = _job("other-1", organisation="flood", now=-9.0)
+    scheduler.note_started_elsewhere(long_ago, "e-0", 0.5)
+    assert scheduler.shares.read_begun("flood", 0.5) == begun + 1200.0
