--- a/packages/daisypick_router/src/daisypick_router/peer_channel.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_channel.py
@@ -30,6 +30,12 @@
 
     ``on_message(channel, message)`` gets what the peer says,
     ``on_bad(failure)`` what is no message.
+
+    Attributes:
+        heard_at: When something last came.
+        closed: Whether the connection has ended.
+        queued: How many messages were ever to be sent.
+        written: How many of them have left.
     """
 
     def __init__(
@@ -47,6 +53,8 @@
         self._has_unsent = event.Event()
         self.heard_at = time.monotonic()
         self.closed = False
+        self.queued = 0
+        self.written = 0
         socket.setsockopt(plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1)
 
     def send(self, message: typing.Any) -> None:
@@ -55,12 +63,25 @@
             return
         line = peer_messages.encode(message)
         self._unsent.append(line)
+        self.queued += 1
         self._unsent_bytes += len(line)
         if self._unsent_bytes > _MOST_UNSENT:
             self.close()
             return
         self._has_unsent.set()
 
+    def has_unread(self) -> bool:
+        """Tell whether the peer said something that was not read yet."""
+        timeout = self._socket.gettimeout()
+        self._socket.settimeout(0.0)
+        try:
+            return bool(self._socket.recv(1, plain_socket.MSG_PEEK))
+        except OSError:
+            # Nothing has come, or the connection has ended.
+            return False
+        finally:
+            self._socket.settimeout(timeout)
+
     def run(self) -> None:
         """Read until the connection ends."""
         writer = gevent.spawn(self._write)
@@ -97,11 +118,13 @@
             self._has_unsent.wait()
             self._has_unsent.clear()
             data = b"".join(self._unsent)
+            leaving = self.queued
             self._unsent.clear()
             self._unsent_bytes = 0
             try:
                 self._socket.settimeout(_SEND_SECONDS)
                 self._socket.sendall(data)
+                self.written = leaving
             except OSError:
                 # Seen by the reader as the end of the connection.
                 self.close()
--- a/packages/daisypick_router/src/daisypick_router/peer_link.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -61,7 +61,10 @@
         self._distrusted_until = 0.0
         self.leaving = False
         self._deliver_by_key: dict[str, Callable[[typing.Any], None]] = {}
-        self._asked_at = 0.0
+        # When the first question that waits was seen to have left, and its
+        # number among the messages of the channel.
+        self._asked_at: float | None = None
+        self._first_asked = 0
         self._greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -94,7 +97,8 @@
     ) -> None:
         """Ask; ``deliver`` gets the answer, or ``None`` if none will come."""
         if not self._deliver_by_key:
-            self._asked_at = time.monotonic()
+            self._asked_at = None
+            self._first_asked = self._channel.queued + 1
         self._deliver_by_key[message.work.key] = deliver
         self._channel.send(message)
 
@@ -111,8 +115,13 @@
         """Give up what waits if the host is silent for too long."""
         if not self._deliver_by_key or self._channel is None:
             return
+        if self._asked_at is None:
+            if self._channel.written < self._first_asked:
+                # A late loop has not sent it yet; the host knows of nothing.
+                return
+            self._asked_at = now
         heard_at = max(self._channel.heard_at, self._asked_at)
-        if now - heard_at < SILENCE_SECONDS:
+        if now - heard_at < SILENCE_SECONDS or self._channel.has_unread():
             return
         self._log.write(
             "peer",
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -1,5 +1,7 @@
 """Starts decided by one router for all, and alone when it is silent."""
 
+import random
+import socket
 import time
 
 import fakes
@@ -9,6 +11,8 @@
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import hosts
 from daisypick_core.scheduling import job
+from daisypick_router import log as logs
+from daisypick_router import peer_link
 from daisypick_router import peer_messages
 
 
@@ -443,3 +447,86 @@
         objective_at=arrived_at + 0.5,
         deadline_at=arrived_at + 8.0,
     )
+
+
+@pytest.fixture
+def asked():
+    """A link on which a question waits, and the host's end of it."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    link = peer_link.PeerLink(
+        name="r-2",
+        address=listener.getsockname(),
+        own_name="r-1",
+        log=logs.Log(process="r-1"),
+        rng=random.Random(1),
+        on_up=lambda link: None,
+        on_feed=lambda message: None,
+        on_leaving=lambda link: None,
+    )
+    link.start()
+    fakes.wait_for(lambda: link.is_connected)
+    host, _ = listener.accept()
+    gevent.sleep(0.02)
+    link.ask(
+        peer_messages.Submit(service="assist", work=_wire_job("a-1/0")),
+        lambda answer: None,
+    )
+    yield link, host
+    link.stop()
+    host.close()
+    listener.close()
+
+
+def _watch_for(link, seconds):
+    """Let a link judge its host now, and that much later."""
+    now = time.monotonic()
+    link.watch_silence(now)
+    link.watch_silence(now + seconds)
+
+
+def test_host_whose_words_lie_unread_is_not_silent(asked):
+    """Guards against giving up a host that answered in time (FAIR).
+
+    The loop of a flooded VM gets to its watch of silent hosts before it gets
+    to what they said. It closed the connection, and all that waited on it
+    was asked for again or decided alone.
+    """
+    link, host = asked
+    gevent.sleep(0.02)
+    host.sendall(b'["beat",1]\n')
+    _watch_for(link, 1.0)
+    assert link.is_connected
+    gevent.sleep(0.02)
+    _watch_for(link, 1.0)
+    assert not link.is_connected
+
+
+def test_host_that_was_not_asked_yet_is_not_silent(asked):
+    """Guards against giving up a host before it was asked (FAIR).
+
+    A question waits for its turn in a late loop before it is sent. The host
+    knows of nothing and says nothing; its silence counted from when the
+    question was made, and a flooded router closed the connection seven times
+    in nine seconds ("A host of schedulers is silent.").
+    """
+    link, _ = asked
+    _watch_for(link, 1.0)
+    assert link.is_connected
+    gevent.sleep(0.02)
+    _watch_for(link, 1.0)
+    assert not link.is_connected
+
+
+def _wire_job(key):
+    return peer_messages.WireJob(
+        key=key,
+        organisation="farm",
+        parts=(),
+        prompt_tokens=1,
+        output_tokens=1,
+        age=0.0,
+        objective_in=1.0,
+        deadline_in=2.0,
+        avoid=(),
+        data_centre="a",
+    )
