Ask for no more of a flood than may wait at the host (FAIR)

Change: while an organisation was paused in the last two seconds, a router has as many questions open for it as may wait at the host, and refuses the rest at once. Test red before.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/pauses.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/pauses.py
@@ -13,8 +13,16 @@
     (True, False)
     >>> pauses.is_paused("farm", now=1.04)
     False
+    >>> pauses.was_paused("flood", now=1.5), pauses.was_paused("farm", now=1.5)
+    (True, False)
 """
 
+import math
+
+# How long an organisation counts as a flood after its last pause; some times
+# as long as the loop of a busy VM is late.
+_FLOOD_SECONDS = 2.0
+
 
 class Pauses:
     """Ends of pauses by organisation."""
@@ -28,10 +36,11 @@
 
     def is_paused(self, organisation: str, now: float) -> bool:
         """Tell whether an organisation's requests are refused now."""
-        until = self._until_by_organisation.get(organisation)
-        if until is None:
-            return False
-        if now >= until:
-            del self._until_by_organisation[organisation]
-            return False
-        return True
+        return now < self._find_end(organisation)
+
+    def was_paused(self, organisation: str, now: float) -> bool:
+        """Tell whether an organisation was paused a moment ago, or is now."""
+        return now < self._find_end(organisation) + _FLOOD_SECONDS
+
+    def _find_end(self, organisation: str) -> float:
+        return self._until_by_organisation.get(organisation, -math.inf)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -62,7 +62,7 @@
 # The same for one organisation that is beyond its share. The largest ones
 # start some 75 requests a second, so about as many as these start before the
 # first of them is given up.
-_MOST_WAITING_BEYOND = 32
+MOST_WAITING_BEYOND = 32
 # How long routers need not ask for an organisation of which so many wait:
 # two or three of them start in this time.
 _PAUSE_SECONDS = 0.04
@@ -232,7 +232,7 @@
     def _floods(self, work: job.Job, now: float) -> bool:
         """Tell whether too many of an organisation beyond its share wait."""
         waiting = self._waiting.count(work.organisation)
-        return waiting >= _MOST_WAITING_BEYOND and not self.shares.is_within(
+        return waiting >= MOST_WAITING_BEYOND and not self.shares.is_within(
             work.organisation, work.cost, now
         )
 
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -90,6 +90,10 @@
         self._pauses_by_service: dict[str, pauses.Pauses] = (
             collections.defaultdict(pauses.Pauses)
         )
+        # Requests of each organisation that wait for a decision.
+        self._asking_by_service: dict[str, collections.Counter[str]] = (
+            collections.defaultdict(collections.Counter)
+        )
 
     def start(self) -> None:
         """Begin to watch the hosts."""
@@ -152,19 +156,40 @@
         """Wait until a request may start, or is refused."""
         paused = self._pauses_by_service[service.name]
         if paused.is_paused(work.organisation, work.arrived_at):
-            self._metrics.count("refused_unasked_total", service=service.name)
-            return actions.Refuse(
-                key=work.key,
-                retry_after=self._rng.uniform(*schedulers.RETRY_AFTER),
-                reason="its organisation was refused just before",
+            return self._refuse_unasked(
+                service, work, "its organisation was refused just before"
             )
-        decided = self._decide(service, work)
+        asking = self._asking_by_service[service.name]
+        if paused.was_paused(work.organisation, work.arrived_at) and (
+            asking[work.organisation] >= schedulers.MOST_WAITING_BEYOND
+        ):
+            return self._refuse_unasked(
+                service, work, "as many of its organisation ask as may wait"
+            )
+        asking[work.organisation] += 1
+        try:
+            decided = self._decide(service, work)
+        finally:
+            asking[work.organisation] -= 1
         if isinstance(decided, actions.Refuse) and decided.pause > 0.0:
             paused.set(
                 work.organisation, seconds=decided.pause, now=time.monotonic()
             )
         return decided
 
+    def _refuse_unasked(
+        self,
+        service: fleet_configuration.Service,
+        work: job.Job,
+        reason: str,
+    ) -> actions.Refuse:
+        self._metrics.count("refused_unasked_total", service=service.name)
+        return actions.Refuse(
+            key=work.key,
+            retry_after=self._rng.uniform(*schedulers.RETRY_AFTER),
+            reason=reason,
+        )
+
     def _decide(
         self, service: fleet_configuration.Service, work: job.Job
     ) -> actions.Action:
--- a/packages/daisypick_router/tests/test_late_loop.py
+++ b/packages/daisypick_router/tests/test_late_loop.py
@@ -12,6 +12,7 @@
 import pytest
 
 from daisypick_core.scheduling import job
+from daisypick_core.scheduling import scheduler
 from daisypick_router import serving
 
 
@@ -164,3 +165,32 @@
     assert fakes.call(router, "/ask/1", attempt="a-2").served
     (after,) = router.hosted.describe("assist")["engines"]
     assert after["base"] != before["base"]
+
+
+def test_flood_asks_for_no_more_than_may_wait(store):
+    """Guards against a loop that is busy with questions (FAIR).
+
+    A late loop reads hundreds of a flood's requests in one turn, and asked
+    the host about each before the first answer said that it need not. As
+    many are asked for as may wait there; the rest is refused at once.
+    """
+    router = _serve(store, fakes.FakeServer("e-1", "assist", fakes.stream_five))
+    service = router.discovery.configuration.service_by_name["assist"]
+    decided = gevent.event.Event()
+    router.placing._decide = lambda service, work: decided.wait(5.0)
+    pauses = router.placing._pauses_by_service["assist"]
+    pauses.set("flood", seconds=0.0, now=time.monotonic())
+
+    def _ask(organisation, count):
+        works = [_make_job(organisation, number) for number in range(count)]
+        asked = [
+            gevent.spawn(router.placing.acquire, service, work)
+            for work in works
+        ]
+        gevent.sleep(0.02)
+        return sum(not one.ready() for one in asked)
+
+    most = scheduler.MOST_WAITING_BEYOND
+    assert _ask("flood", most + 20) == most
+    assert _ask("farm", most + 20) == most + 20
+    decided.set()
