--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -55,7 +55,9 @@
     """A caller's connection.
 
     ``handle(connection, request)`` answers each request by ``send_whole`` or
-    by ``begin_stream``, ``send_chunk`` and ``end_stream``.
+    by ``begin_stream``, ``send_chunk`` and ``end_stream``. It runs in a
+    greenlet of its own, which ``begin(greenlet, request)`` starts, at once or
+    when there is time.
 
     Attributes:
         idle_since: When it last had nothing to do.
@@ -69,8 +71,12 @@
         socket: plain_socket.socket,
         handle: Callable[["CallerConnection", messages.Request], None],
         limits: Callable[[], Limits],
+        begin: Callable[[gevent.Greenlet, messages.Request], None] | None = (
+            None
+        ),
     ) -> None:
         self._socket = socket
+        self._begin = begin or _begin_at_once
         self._handle = handle
         self._limits = limits
         self._handler: gevent.Greenlet | None = None
@@ -180,7 +186,8 @@
     def _start(self, request: messages.Request) -> None:
         self._keep_alive = request.keep_alive
         self.answer_begun = False
-        self._handler = gevent.spawn(self._run_handler, request)
+        self._handler = gevent.Greenlet(self._run_handler, request)
+        self._begin(self._handler, request)
 
     def _run_handler(self, request: messages.Request) -> None:
         try:
@@ -306,3 +313,8 @@
     def _finish(self) -> None:
         if not self._keep_alive:
             self.close_softly()
+
+
+def _begin_at_once(handler: gevent.Greenlet, request: messages.Request) -> None:
+    del request
+    handler.start()
--- a/packages/daisypick_router/src/daisypick_router/load_watch.py
+++ b/packages/daisypick_router/src/daisypick_router/load_watch.py
@@ -1,5 +1,6 @@
 """A timer that tells how late this process runs."""
 
+from collections.abc import Callable
 import time
 
 import gevent
@@ -14,11 +15,18 @@
 
 
 class LoadWatch:
-    """Feeds ``overload`` and logs when it begins and ends."""
+    """Feeds ``overload`` and logs when it begins and ends.
 
-    def __init__(self, *, log: logs.Log) -> None:
+    ``find_wait(now)`` tells how long requests wait to begin; callers wait for
+    that as they do for a late loop.
+    """
+
+    def __init__(
+        self, *, log: logs.Log, find_wait: Callable[[float], float]
+    ) -> None:
         self.overload = overloads.Overload()
         self._log = log
+        self._find_wait = find_wait
         self._woke_at = time.monotonic()
         self._last_lag = 0.0
         self._most_lag = 0.0
@@ -62,7 +70,7 @@
         self._last_lag = max(lag, 0.0)
         self._most_lag = max(self._most_lag, lag)
         was_ready = self.overload.is_ready
-        self.overload.note_lag(lag, now)
+        self.overload.note_lag(max(lag, self._find_wait(now)), now)
         if was_ready != self.overload.is_ready:
             say = "Overloaded; not ready." if was_ready else "Ready again."
             self._log.write(
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -25,6 +25,7 @@
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_servers
 from daisypick_router import engine_way
+from daisypick_router import intake
 from daisypick_router import load_watch
 from daisypick_router import log as logs
 from daisypick_router import membership as memberships
@@ -72,7 +73,10 @@
             window_seconds=settings.bounds.retry_window_seconds,
             extra=settings.bounds.retry_extra,
         )
-        self.load = load_watch.LoadWatch(log=self.log)
+        self._intake = intake.Intake()
+        self.load = load_watch.LoadWatch(
+            log=self.log, find_wait=self._intake.find_wait
+        )
         feed = store_feed.StoreFeed(find_lag=self.load.find_lag)
         self.discovery = discoveries.Discovery(
             store=store,
@@ -186,6 +190,7 @@
         self.placing.start()
         self.peer_host.start()
         self.load.start()
+        self._intake.start()
         self._settings_watch.start()
         gevent.spawn(self._keep_house)
         self._listen(self.settings.caller_address, self._serve_caller)
@@ -231,7 +236,10 @@
     def _serve_caller(self, socket, address) -> None:  # noqa: ANN001
         del address
         connection = http_server.CallerConnection(
-            socket=socket, handle=self.serving.handle, limits=self._limits
+            socket=socket,
+            handle=self.serving.handle,
+            limits=self._limits,
+            begin=self._intake.add,
         )
         self._connections[connection] = None
         if len(self._connections) > self._most_connections:
@@ -313,6 +321,9 @@
                 "process",
                 "Load.",
                 lag_seconds=round(self.load.take_most_lag(), 3),
+                intake_seconds=round(
+                    self._intake.find_wait(time.monotonic()), 3
+                ),
                 connections=len(self._connections),
                 running=self.serving.running,
                 processor_seconds=round(time.process_time(), 3),
