Drop sums by organisation that nobody logs

Cause: sums are taken once a second where a service is hosted; those of schedulers that host nothing, and of a router's own for times without a host, were kept: a counter for each organisation that ever asked. Counts of open questions stayed as zeros in the same way. Found by reading.

Change: all are taken once a second, an organisation without open questions is dropped. Test red before. Index modules name the new modules.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
@@ -9,6 +9,9 @@
 * ``prefix_cache``: which parts of prompts an engine is believed to keep.
 * ``engine_belief``: what an engine is believed to be doing.
 * ``fair_share``: which organisations are within their share.
+* ``recent_keys``: which starts were counted already.
+* ``organisation_tally``: what organisations asked and got, for log lines.
+* ``fair_windows``: who was served least, from such lines.
 * ``placement``: which open engine a request goes to.
 * ``waiting``: requests that wait, by organisation.
 * ``hosts``: which router hosts the scheduler of a service.
--- a/packages/daisypick_router/src/daisypick_router/__init__.py
+++ b/packages/daisypick_router/src/daisypick_router/__init__.py
@@ -4,6 +4,7 @@
 step there is a module of its own.
 
 * ``process``: wires everything, starts and stops.
+* ``intake``: which request that was read begins next.
 * ``serving``: the way of a request.
 * ``identify``: whose request it is and where it leads.
 * ``exchange``: one request at one backend server.
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -105,21 +105,14 @@
         while True:
             gevent.sleep(_REPORT_SECONDS)
             for service, host in self._host_by_service.items():
+                # Of every scheduler, or sums of all organisations that ever
+                # asked would pile up in those that host nothing.
+                self.alone.take_tally(service, 0)
+                decisions = self._hosted.take_tally(
+                    service, _REPORTED_ORGANISATIONS
+                )
                 if host == self._name:
-                    self._log.write(
-                        "placing",
-                        "State of a service.",
-                        service=service,
-                        **self._hosted.describe(service),
-                    )
-                    self._log.write(
-                        "shares",
-                        "Decisions by organisation.",
-                        service=service,
-                        organisations=self._hosted.take_tally(
-                            service, _REPORTED_ORGANISATIONS
-                        ),
-                    )
+                    self._report_service(service, decisions)
             self._log.write(
                 "shares",
                 "Work by organisation.",
@@ -128,6 +121,20 @@
                 ),
             )
 
+    def _report_service(self, service: str, decisions: list[dict]) -> None:
+        self._log.write(
+            "placing",
+            "State of a service.",
+            service=service,
+            **self._hosted.describe(service),
+        )
+        self._log.write(
+            "shares",
+            "Decisions by organisation.",
+            service=service,
+            organisations=decisions,
+        )
+
     def find_host(self, service: str) -> str | None:
         """Return the first candidate that can be asked."""
         name = self.links.find_host(service)
@@ -165,6 +172,8 @@
             decided = self._decide(service, work)
         finally:
             asking[work.organisation] -= 1
+            if not asking[work.organisation]:
+                del asking[work.organisation]
         if isinstance(decided, actions.Refuse) and decided.pause > 0.0:
             self._pauses_by_service[service.name].set(
                 work.organisation, seconds=decided.pause, now=time.monotonic()
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -449,6 +449,23 @@
     )
 
 
+def test_sums_by_organisation_do_not_pile_up(store):
+    """Guards against memory that grows with every organisation that asks.
+
+    Only the host's sums are logged; those of a router's own scheduler for
+    times without a host were kept for good.
+    """
+    routers, _ = _start_fleet(store, _engines(1))
+    for name, router in routers.items():
+        service = router.discovery.configuration.service_by_name["assist"]
+        work = _make_job(f"{name}-1", arrived_at=time.monotonic())
+        router.placing.alone.acquire(service, work)
+        scheduler = router.placing.alone.find_scheduler(service)
+        fakes.wait_for(
+            lambda known=scheduler: not known.tally._sums_by_organisation
+        )
+
+
 @pytest.fixture
 def asked():
     """A link on which a question waits, and the host's end of it."""
