Take changes of backend servers one at a time

Each entry that changed made every router rebuild both schedulers' view of all servers, so a start cost the square of the fleet. Change: the watch hands on together what came together; the directory keeps servers by service, and schedulers take and drop single servers (EngineFleet, which makes a belief with the first request only). A configuration that leaves the services as they are touches no server. Many changes at once are one line of the log.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_belief.py
@@ -103,6 +103,10 @@
         """Tell whether a request is at the engine."""
         return key in self._run_by_key
 
+    def has_slot(self, share: float) -> bool:
+        """Tell whether a part of the slots has room for one more request."""
+        return self.running < max(self.slots * share, 1.0)
+
     def unread(self, now: float) -> float:
         """Return the prompt tokens that are still to be read."""
         if not self._reading_by_key:
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -24,7 +24,7 @@
 import random
 
 from daisypick_core.scheduling import actions
-from daisypick_core.scheduling import engine_belief
+from daisypick_core.scheduling import engine_fleet
 from daisypick_core.scheduling import fair_share
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import organisation_tally
@@ -35,7 +35,6 @@
 from daisypick_core.scheduling import waiting as waiting_jobs
 from daisypick_core.serving import cold_limit
 from daisypick_core.serving import cold_parts
-from daisypick_core.serving import outcomes
 
 # Parts of the objective that a request may wait: as long as the rest suffices
 # for its own prompt, within these bounds.
@@ -95,20 +94,15 @@
         rng: random.Random,
         speed: reading_speed.ServiceSpeed,
     ) -> None:
-        self._kv_tokens = kv_tokens
         self._copy_token_seconds = copy_token_seconds
         self._cold_rate = cold_rate
         self._rng = rng
-        self._share = 1.0
         self.shares = fair_share.FairShare(window_seconds=window_seconds)
         self._counted = recent_keys.RecentKeys(seconds=window_seconds)
-        self.outcomes = outcomes.Outcomes()
         self.tally = organisation_tally.OrganisationTally()
         self._cold_by_router: dict[str, cold_limit.ColdLimit] = {}
         self._cold_parts = cold_parts.ColdParts()
-        self._state_by_server: dict[str, server_state.ServerState] = {}
-        self._data_centre_by_server: dict[str, str] = {}
-        self._engine_by_server: dict[str, engine_belief.EngineBelief] = {}
+        self._fleet = engine_fleet.EngineFleet(kv_tokens=kv_tokens, speed=speed)
         self._server_by_key: dict[str, str] = {}
         self._waiting = waiting_jobs.Waiting()
         self._dispatched_at = -math.inf
@@ -124,40 +118,24 @@
             routers: Names of all routers; none while they are not known.
             share: Part of every engine that may be used.
         """
-        self._share = share
+        self._fleet.share = share
         self._cold_parts.set_routers(routers)
 
     def set_servers(self, states: Iterable[server_state.ServerState]) -> None:
-        """Take the servers that may get work.
+        """Take all servers that may get work."""
+        self._fleet.replace_all(states)
 
-        A server that drains keeps its belief until its requests have ended;
-        one that started anew knows nothing of before.
-        """
-        before = self._state_by_server
-        self._state_by_server = {state.name: state for state in states}
-        self._data_centre_by_server = {
-            name: state.data_centre
-            for name, state in self._state_by_server.items()
-        }
-        for name, state in self._state_by_server.items():
-            engine = self._engine_by_server.get(name)
-            reborn = name in before and before[name].born != state.born
-            if engine is None or reborn:
-                self._engine_by_server[name] = engine_belief.EngineBelief(
-                    slots=state.slots,
-                    kv_tokens=self._kv_tokens,
-                    speed=reading_speed.EngineSpeed(service=self._speed),
-                )
-        for name in list(self._engine_by_server):
-            if name in self._state_by_server:
-                continue
-            if not self._engine_by_server[name].running:
-                del self._engine_by_server[name]
-                self.outcomes.forget(name)
+    def put_server(self, state: server_state.ServerState) -> None:
+        """Take a server that may get work, or a change of it."""
+        self._fleet.put(state)
+
+    def drop_server(self, name: str) -> None:
+        """Take note that a server gets no more work."""
+        self._fleet.drop(name)
 
     def submit(self, work: job.Job, now: float) -> list[actions.Action]:
         """Take a request; it starts, waits or is refused."""
-        if not self._state_by_server:
+        if not self._fleet:
             return [self._refuse(work, "no backend server takes work")]
         if not self._may_ever_start(work):
             return [self._refuse(work, "all backend servers were tried")]
@@ -201,8 +179,8 @@
         What engines keep of the prompt is not read again.
         """
         kept = max(
-            self._engine_by_server[name].cache.count_kept(work.parts)
-            for name in self._state_by_server
+            self._fleet.find(name).cache.count_kept(work.parts)
+            for name in self._fleet.state_by_server
         )
         seconds = self._speed.predict(max(work.prompt_tokens - kept, 0))
         return seconds * (1.0 + self._speed.spread)
@@ -217,8 +195,8 @@
         if not self._floods(work, now):
             return []
         least_wait = min(
-            self._engine_by_server[name].wait(now)
-            for name in self._state_by_server
+            self._fleet.find(name).wait(now)
+            for name in self._fleet.state_by_server
         )
         begin_at = now + least_wait
         late = self._waiting.find_too_late(work.organisation, begin_at)
@@ -245,7 +223,9 @@
         )
 
     def _may_ever_start(self, work: job.Job) -> bool:
-        return any(name not in work.avoid for name in self._state_by_server)
+        return any(
+            name not in work.avoid for name in self._fleet.state_by_server
+        )
 
     def withdraw(self, key: str, now: float) -> list[actions.Action]:
         """The caller of a waiting or running request left."""
@@ -269,10 +249,8 @@
         server = self._server_by_key.get(key)
         if server is None:
             return []
-        self.outcomes.note_success(server)
-        engine = self._engine_by_server.get(server)
-        if engine is not None:
-            engine.note_first_token(key, now, learn=learn, late=late)
+        self._fleet.outcomes.note_success(server)
+        self._fleet.note_first_token(server, key, now, learn=learn, late=late)
         return self.dispatch(now)
 
     def note_end(self, key: str, now: float) -> list[actions.Action]:
@@ -280,9 +258,7 @@
         server = self._server_by_key.pop(key, None)
         if server is None:
             return []
-        engine = self._engine_by_server.get(server)
-        if engine is not None:
-            engine.end(key, now)
+        self._fleet.end(server, key, now)
         return self.dispatch(now)
 
     def note_failure(
@@ -291,7 +267,7 @@
         """A request failed at its server; ``certain`` if that is down."""
         server = self._server_by_key.get(key)
         if server is not None:
-            self.outcomes.note_failure(server, now, certain=certain)
+            self._fleet.outcomes.note_failure(server, now, certain=certain)
         return self.note_end(key, now)
 
     def note_started_elsewhere(
@@ -313,13 +289,12 @@
                 whoever started it knew and it was started just now.
             copied: Prompt tokens that it copies from another one.
         """
-        engine = self._engine_by_server.get(server)
-        if engine is None or work.key in self._server_by_key:
+        if work.key in self._server_by_key:
             return
-        token_seconds = engine.speed.token_seconds
+        token_seconds = self._fleet.find(server).speed.token_seconds
         saved = copied * (1.0 - self._copy_token_seconds / token_seconds)
         self._record_start(
-            work, server, engine, now, ahead=ahead, saved=max(saved, 0.0)
+            work, server, now, ahead=ahead, saved=max(saved, 0.0)
         )
 
     def tick(self, now: float) -> list[actions.Action]:
@@ -346,13 +321,12 @@
         their places and unread tokens keep engines closed until their
         deadlines, with batches half empty.
         """
-        for engine in self._engine_by_server.values():
-            for key in engine.find_running(router):
-                if key not in running:
-                    engine.end(key, now)
-                    self._server_by_key.pop(key, None)
-                elif key not in reading:
-                    engine.note_first_token(key, now, learn=False)
+        for server, key in self._fleet.find_running(router):
+            if key not in running:
+                self._fleet.end(server, key, now)
+                self._server_by_key.pop(key, None)
+            elif key not in reading:
+                self._fleet.note_first_token(server, key, now, learn=False)
         return self.dispatch(now)
 
     def expire(self, now: float) -> list[actions.Action]:
@@ -361,30 +335,32 @@
         The router that would have told us of their end is gone, or its word
         was lost. Without this their places would be taken for good.
         """
-        for engine in self._engine_by_server.values():
-            for key in engine.find_overdue(now):
-                engine.end(key, now)
-                self._server_by_key.pop(key, None)
+        for server, key in self._fleet.find_overdue(now):
+            self._fleet.end(server, key, now)
+            self._server_by_key.pop(key, None)
         return self.dispatch(now)
 
     def describe(self, now: float) -> list[dict[str, object]]:
         """Return a line for each engine, for logs and dumps."""
         return [
-            {
-                "server": name,
-                "running": engine.running,
-                "unread": int(engine.unread(now)),
-                "held": engine.cache.held,
-                "token_us": round(engine.speed.token_seconds * 1e6, 1),
-                "base": round(engine.speed.predict(0.0), 4),
-                "spread": round(engine.speed.spread, 3),
-                "cold": self._state_by_server[name].cold_until > now,
-                "aside": self.outcomes.is_aside(name, now),
-            }
-            for name, engine in self._engine_by_server.items()
-            if name in self._state_by_server
+            self._describe_engine(name, now)
+            for name in self._fleet.state_by_server
         ]
 
+    def _describe_engine(self, name: str, now: float) -> dict[str, object]:
+        engine = self._fleet.find(name)
+        return {
+            "server": name,
+            "running": engine.running,
+            "unread": int(engine.unread(now)),
+            "held": engine.cache.held,
+            "token_us": round(engine.speed.token_seconds * 1e6, 1),
+            "base": round(engine.speed.predict(0.0), 4),
+            "spread": round(engine.speed.spread, 3),
+            "cold": self._fleet.state_by_server[name].cold_until > now,
+            "aside": self._fleet.outcomes.is_aside(name, now),
+        }
+
     @property
     def waiting(self) -> int:
         """Requests that wait."""
@@ -412,13 +388,13 @@
     def _find_open(self, now: float) -> dict[str, float]:
         """Return the unread tokens of each server that may get a request."""
         unread_by_server = {}
-        for name, state in self._state_by_server.items():
-            engine = self._engine_by_server[name]
-            if engine.running >= max(state.slots * self._share, 1.0):
+        for name in self._fleet.state_by_server:
+            engine = self._fleet.find(name)
+            if not engine.has_slot(self._fleet.share):
                 continue
-            if self.outcomes.is_aside(name, now):
+            if self._fleet.outcomes.is_aside(name, now):
                 continue
-            if engine.wait(now) < placement.OPEN_SECONDS * self._share:
+            if engine.wait(now) < placement.OPEN_SECONDS * self._fleet.share:
                 unread_by_server[name] = engine.unread(now)
         return unread_by_server
 
@@ -428,11 +404,10 @@
         """Return the servers that are closed only for what they read."""
         return [
             name
-            for name, state in self._state_by_server.items()
+            for name in self._fleet.state_by_server
             if name not in unread_by_server
-            and self._engine_by_server[name].running
-            < max(state.slots * self._share, 1.0)
-            and not self.outcomes.is_aside(name, now)
+            and self._fleet.find(name).has_slot(self._fleet.share)
+            and not self._fleet.outcomes.is_aside(name, now)
         ]
 
     def _start_next(
@@ -447,7 +422,7 @@
         )
         spare = self._is_spare(now)
         begin_at = now + min(
-            self._engine_by_server[name].wait(now) for name in unread_by_server
+            self._fleet.find(name).wait(now) for name in unread_by_server
         )
         looked_at = 0
         for organisation in order:
@@ -476,14 +451,14 @@
         return placement.choose(
             work,
             engine_by_server={
-                name: self._engine_by_server[name]
-                for name in self._state_by_server
+                name: self._fleet.find(name)
+                for name in self._fleet.state_by_server
             },
             ahead_by_server=unread_by_server,
             busy=busy,
-            data_centre_by_server=self._data_centre_by_server,
+            data_centre_by_server=self._fleet.data_centre_by_server,
             bears=lambda server: self.bears(work.router, server, now),
-            share=self._share,
+            share=self._fleet.share,
             may_wait=_waited_share(work, now) < _OWNER_WAIT_SHARE,
             now=now,
             copy_token_seconds=self._copy_token_seconds,
@@ -492,13 +467,13 @@
     def _is_spare(self, now: float) -> bool:
         """Tell whether there is capacity that nobody else wants."""
         engines = [
-            self._engine_by_server[name]
-            for name in self._state_by_server
-            if not self.outcomes.is_aside(name, now)
+            self._fleet.find(name)
+            for name in self._fleet.state_by_server
+            if not self._fleet.outcomes.is_aside(name, now)
         ]
-        slots = sum(engine.slots for engine in engines) * self._share
+        slots = sum(engine.slots for engine in engines) * self._fleet.share
         running = sum(engine.running for engine in engines)
-        most_wait = placement.OPEN_SECONDS * self._share
+        most_wait = placement.OPEN_SECONDS * self._fleet.share
         wait = sum(min(engine.wait(now), most_wait) for engine in engines)
         return (
             running < slots * SPARE_SLOTS
@@ -507,7 +482,7 @@
 
     def bears(self, router: str, server: str, now: float) -> bool:
         """Tell whether a server, if it is cold, bears one more of a router."""
-        state = self._state_by_server.get(server)
+        state = self._fleet.state_by_server.get(server)
         if state is None or state.cold_until <= now or not self._cold_rate:
             return True
         limit = self._cold_limit(router)
@@ -532,16 +507,13 @@
         now: float,
     ) -> actions.Start:
         server = place.server
-        engine = self._engine_by_server[server]
         # All routers are taken to do with their shares as we do with ours.
-        ahead = engine.unread(now) / self._share
-        self._record_start(
-            work, server, engine, now, ahead=ahead, saved=place.saved
-        )
+        ahead = self._fleet.find(server).unread(now) / self._fleet.share
+        self._record_start(work, server, now, ahead=ahead, saved=place.saved)
         self.tally.add(work.organisation, started=1, begun=work.cost)
-        state = self._state_by_server[server]
-        full = engine.running >= max(state.slots * self._share, 1.0)
-        if full or engine.wait(now) >= placement.OPEN_SECONDS * self._share:
+        engine = self._fleet.find(server)
+        is_busy = engine.wait(now) >= placement.OPEN_SECONDS * self._fleet.share
+        if is_busy or not engine.has_slot(self._fleet.share):
             del unread_by_server[server]
         else:
             unread_by_server[server] = engine.unread(now)
@@ -559,13 +531,13 @@
         self,
         work: job.Job,
         server: str,
-        engine: engine_belief.EngineBelief,
         now: float,
         *,
         ahead: float | None,
-        saved: float = 0.0,
+        saved: float,
     ) -> None:
-        engine.start(work, now, ahead=ahead, saved=saved)
+        if not self._fleet.start(work, server, now, ahead=ahead, saved=saved):
+            return
         self._server_by_key[work.key] = server
         if self._counts(work, now):
             self.note_sent(work.router, server, now)
--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -45,11 +45,16 @@
         self._out_since: float | None = None
         self._returned_at = -RETURN_SECONDS
         self._missing_since_by_name: dict[str, float] = {}
-        # Looked up by every request; built anew after a change.
+        self._names_by_service: dict[str, set[str]] = {}
+        # Looked up by every request; built anew after a change of the service.
+        self._ready_by_service: dict[
+            str, list[backend_server.BackendServer]
+        ] = {}
         self._closed_by_service: dict[str, list[str]] = {}
 
     def set_out(self, data_centres: Iterable[str], now: float) -> None:
         """Take which data centres are out of service."""
+        self._ready_by_service.clear()
         self._closed_by_service.clear()
         out = frozenset(data_centres)
         for back in self.data_centres_out - out:
@@ -101,9 +106,15 @@
 
     def put(self, server: backend_server.BackendServer) -> None:
         """Take a new or changed entry."""
-        self._closed_by_service.clear()
         self._missing_since_by_name.pop(server.name, None)
+        before = self.server_by_name.get(server.name)
+        if before is not None and before.service != server.service:
+            self._drop(server.name)
         self.server_by_name[server.name] = server
+        self._names_by_service.setdefault(server.service, set()).add(
+            server.name
+        )
+        self._note_change(server.service)
 
     def remove(self, name: str, now: float) -> None:
         """Take note that an entry is gone from the list."""
@@ -112,31 +123,43 @@
         if self.is_settling(now):
             self._missing_since_by_name.setdefault(name, now)
             return
-        self._closed_by_service.clear()
         self._missing_since_by_name.pop(name, None)
-        del self.server_by_name[name]
+        self._drop(name)
 
     def expire(self, now: float) -> list[str]:
         """Drop what is still missing after the platform's return."""
         if self.is_settling(now):
             return []
-        self._closed_by_service.clear()
         names = list(self._missing_since_by_name)
         for name in names:
-            self.server_by_name.pop(name, None)
+            self._drop(name)
         self._missing_since_by_name.clear()
         return names
 
+    def _drop(self, name: str) -> None:
+        server = self.server_by_name.pop(name, None)
+        if server is not None:
+            self._names_by_service[server.service].discard(name)
+            self._note_change(server.service)
+
+    def _note_change(self, service: str) -> None:
+        self._ready_by_service.pop(service, None)
+        self._closed_by_service.pop(service, None)
+
     def find_ready(self, service: str) -> list[backend_server.BackendServer]:
-        """Return the servers of a service that may get new work, by name."""
-        return sorted(
-            (
+        """Return the servers of a service that may get new work, by name.
+
+        The list is not to be changed.
+        """
+        ready = self._ready_by_service.get(service)
+        if ready is None:
+            ready = [
                 server
-                for server in self.server_by_name.values()
-                if server.service == service and self.may_get_work(server)
-            ),
-            key=lambda server: server.name,
-        )
+                for server in self._find_servers(service)
+                if self.may_get_work(server)
+            ]
+            self._ready_by_service[service] = ready
+        return ready
 
     def find_closed(self, service: str) -> list[str]:
         """Return the names of the servers that must not get new work."""
@@ -144,12 +167,16 @@
         if closed is None:
             closed = [
                 server.name
-                for server in self.server_by_name.values()
-                if server.service == service and not self.may_get_work(server)
+                for server in self._find_servers(service)
+                if not self.may_get_work(server)
             ]
             self._closed_by_service[service] = closed
         return closed
 
+    def _find_servers(self, service: str) -> list[backend_server.BackendServer]:
+        names = sorted(self._names_by_service.get(service, ()))
+        return [self.server_by_name[name] for name in names]
+
     def may_get_work(self, server: backend_server.BackendServer) -> bool:
         """Tell whether a server stays and its data centre is in service."""
         return (
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -6,12 +6,14 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 import random
 import time
 
 import gevent
 
 from daisypick_core.results import failure
+from daisypick_core.serving import backend_server
 from daisypick_core.serving import directory as directories
 from daisypick_core.serving import fleet_configuration
 from daisypick_platform import entries
@@ -21,12 +23,15 @@
 from daisypick_router import log as logs
 
 _EXPIRE_SECONDS = 0.2
+# Changes of entries that came together and are each logged by itself.
+_LOGGED_CHANGES = 16
 
 
 class Discovery:
     """The newest configuration and the servers that may get work.
 
-    ``on_servers()`` is called when the servers have changed.
+    ``on_servers(names)`` is called with the servers that have changed, or
+    ``None`` if any may have.
     """
 
     def __init__(
@@ -35,7 +40,7 @@
         store: stores.StoreClient,
         log: logs.Log,
         rng: random.Random,
-        on_servers: Callable[[], None],
+        on_servers: Callable[[Collection[str] | None], None],
         feed: watch.Feed | None = None,
     ) -> None:
         self._store = store
@@ -53,23 +58,23 @@
     def start(self) -> None:
         """Begin to follow the store."""
         self._follow(
-            manifest.KIND, self._take_configurations, self._take_configuration
+            manifest.KIND, self._take_configurations, self._take_configurations
         )
-        self._follow(entries.KIND, self._take_servers, self._take_server)
-        self._follow(entries.OUT_KIND, self._take_out_list, self._take_out)
+        self._follow(entries.KIND, self._take_servers, self._change_servers)
+        self._follow(entries.OUT_KIND, self._take_out_list, self._change_out)
         gevent.spawn(self._expire_missing)
 
     def _follow(
         self,
         kind: str,
         on_list: Callable[[tuple[stores.StoredObject, ...]], None],
-        on_change: Callable[[stores.StoredObject], None],
+        on_changes: Callable[[tuple[stores.StoredObject, ...]], None],
     ) -> None:
         watcher = watch.Watcher(
             store=self._store,
             kind=kind,
             on_list=on_list,
-            on_change=on_change,
+            on_changes=on_changes,
             on_contact=self._note_contact,
             outage=self._outage,
             rng=self._rng,
@@ -120,7 +125,8 @@
             routes=len(decoded.routes),
             tokens_per_second=decoded.limits.tokens_per_second,
         )
-        self._on_servers()
+        same = held and held.service_by_name == decoded.service_by_name
+        self._on_servers(() if same else None)
 
     def _take_servers(self, objects: tuple[stores.StoredObject, ...]) -> None:
         now = time.monotonic()
@@ -135,9 +141,11 @@
             listed=len(objects),
             known=len(self.directory.server_by_name),
         )
-        self._on_servers()
+        self._on_servers(None)
 
-    def _read_server(self, stored: stores.StoredObject, now: float):  # noqa: ANN202
+    def _read_server(
+        self, stored: stores.StoredObject, now: float
+    ) -> backend_server.BackendServer | None:
         decoded = entries.decode(stored.name, stored.spec, now)
         if not failure.is_failure(decoded):
             return decoded
@@ -148,32 +156,60 @@
             )
         return None
 
-    def _take_server(self, stored: stores.StoredObject) -> None:
+    def _change_servers(self, objects: tuple[stores.StoredObject, ...]) -> None:
         now = time.monotonic()
+        for stored in objects:
+            self._change_server(
+                stored, now, log=len(objects) <= _LOGGED_CHANGES
+            )
+        if len(objects) > _LOGGED_CHANGES:
+            self._log.write(
+                "servers",
+                "Many entries changed.",
+                changed=len(objects),
+                known=len(self.directory.server_by_name),
+            )
+        self._on_servers([stored.name for stored in objects])
+
+    def _change_server(
+        self, stored: stores.StoredObject, now: float, *, log: bool
+    ) -> None:
         server = None
         if not stored.deleted:
             server = self._read_server(stored, now)
         if server is None:
             self.directory.remove(stored.name, now)
-            self._log.write("servers", "An entry is gone.", server=stored.name)
         else:
             self.directory.put(server)
-            self._log.write(
-                "servers",
-                "An entry changed.",
-                server=server.name,
-                draining=server.draining,
-                cold_seconds=round(max(server.cold_until - now, 0.0), 3),
-                born=server.born,
-            )
-        self._on_servers()
+        if log:
+            self._log_change(stored.name, server, now)
+
+    def _log_change(
+        self, name: str, server: backend_server.BackendServer | None, now: float
+    ) -> None:
+        if server is None:
+            self._log.write("servers", "An entry is gone.", server=name)
+            return
+        self._log.write(
+            "servers",
+            "An entry changed.",
+            server=server.name,
+            draining=server.draining,
+            cold_seconds=round(max(server.cold_until - now, 0.0), 3),
+            born=server.born,
+        )
 
     def _take_out_list(self, objects: tuple[stores.StoredObject, ...]) -> None:
         self.directory.set_out(
             (stored.name for stored in objects if not stored.deleted),
             time.monotonic(),
         )
-        self._on_servers()
+        self._on_servers(None)
+
+    def _change_out(self, objects: tuple[stores.StoredObject, ...]) -> None:
+        for stored in objects:
+            self._take_out(stored)
+        self._on_servers(None)
 
     def _take_out(self, stored: stores.StoredObject) -> None:
         out = set(self.directory.data_centres_out)
@@ -188,7 +224,6 @@
             data_centre=stored.name,
             out=not stored.deleted,
         )
-        self._on_servers()
 
     def _expire_missing(self) -> None:
         while True:
@@ -198,4 +233,4 @@
                 self._log.write(
                     "servers", "Missing entries are gone.", servers=gone
                 )
-                self._on_servers()
+                self._on_servers(gone)
--- a/packages/daisypick_router/src/daisypick_router/engine_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_servers.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import MutableMapping
 from collections.abc import Set
@@ -18,6 +19,7 @@
 from daisypick_core.scheduling import reading_speed
 from daisypick_core.scheduling import scheduler as schedulers
 from daisypick_core.scheduling import server_state
+from daisypick_core.serving import backend_server
 from daisypick_core.serving import fleet_configuration
 from daisypick_router import discovery as discoveries
 
@@ -60,10 +62,15 @@
         for scheduler in self._scheduler_by_service.values():
             scheduler.set_fleet(routers=routers, share=share)
 
-    def update_servers(self) -> None:
-        """Take the servers that may get work from the directory."""
+    def update_servers(self, names: Collection[str] | None = None) -> None:
+        """Take servers from the directory.
+
+        Args:
+            names: Those that changed; ``None`` for all. A fleet announces
+                thousands of servers when it starts; taking all for each of
+                them kept every router busy with nothing else.
+        """
         configuration = self._discovery.configuration
-        directory = self._discovery.directory
         if configuration is None:
             return
         for service in configuration.service_by_name.values():
@@ -74,20 +81,55 @@
                 tokens_per_second=configuration.limits.tokens_per_second
                 * self._share
             )
-            scheduler.set_servers(
-                server_state.ServerState(
-                    name=server.name,
-                    slots=min(server.slots, service.engine.slots),
-                    cold_until=directory.find_cold_until(
-                        server, service.cold_seconds
-                    ),
-                    born=server.born,
-                    data_centre=server.data_centre,
-                )
-                for server in directory.find_ready(service.name)
-            )
+            if names is None:
+                self._take_all(service, scheduler)
+            else:
+                self._take_some(service, scheduler, names)
             self._apply(scheduler.dispatch(time.monotonic()))
 
+    def _take_all(
+        self,
+        service: fleet_configuration.Service,
+        scheduler: schedulers.Scheduler,
+    ) -> None:
+        scheduler.set_servers(
+            self._describe_server(service, server)
+            for server in self._discovery.directory.find_ready(service.name)
+        )
+
+    def _take_some(
+        self,
+        service: fleet_configuration.Service,
+        scheduler: schedulers.Scheduler,
+        names: Collection[str],
+    ) -> None:
+        directory = self._discovery.directory
+        for name in names:
+            server = directory.server_by_name.get(name)
+            if (
+                server is not None
+                and server.service == service.name
+                and directory.may_get_work(server)
+            ):
+                scheduler.put_server(self._describe_server(service, server))
+            else:
+                scheduler.drop_server(name)
+
+    def _describe_server(
+        self,
+        service: fleet_configuration.Service,
+        server: backend_server.BackendServer,
+    ) -> server_state.ServerState:
+        return server_state.ServerState(
+            name=server.name,
+            slots=min(server.slots, service.engine.slots),
+            cold_until=self._discovery.directory.find_cold_until(
+                server, service.cold_seconds
+            ),
+            born=server.born,
+            data_centre=server.data_centre,
+        )
+
     def find_scheduler(
         self, service: fleet_configuration.Service
     ) -> schedulers.Scheduler:
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -1,5 +1,6 @@
 """The router process: wired, started and stopped."""
 
+from collections.abc import Collection
 import gc
 import random
 import signal
@@ -300,9 +301,9 @@
         self.metrics.set_level("server_connections_reused", self._pool.reused)
         return self.metrics.write().encode()
 
-    def _take_servers(self) -> None:
-        self.hosted.update_servers()
-        self._alone.update_servers()
+    def _take_servers(self, names: Collection[str] | None) -> None:
+        self.hosted.update_servers(names)
+        self._alone.update_servers(names)
 
     def _take_members(self) -> None:
         routers = self.membership.routers
