Take the last item out of an indexed set by an equal one

Cause: the set compared the last item by identity, so discarding the last item by an equal string of another identity wrote beyond its list (IndexError, seen in test_placing once schedulers kept servers in such a set). Change: the position decides. The test was red before.

--- a/packages/daisypick_core/src/daisypick_core/queues/indexed_set.py
+++ b/packages/daisypick_core/src/daisypick_core/queues/indexed_set.py
@@ -45,7 +45,7 @@
         if position is None:
             return False
         last = self.items.pop()
-        if last is not item:
+        if position < len(self.items):
             self.items[position] = last
             self._position_by_item[last] = position
         return True
