Forget sends and organisations that lie outside their windows

Cause: a scheduler kept a window for every pair of router and server that was ever used, and sums for every organisation that ever asked, of which each new level went through all; both grow with the fleet and with 22,000 organisations. Change: windows without a send and organisations without a token in the window are dropped, once a second and with each level.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/fair_share.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/fair_share.py
@@ -34,10 +34,12 @@
 class _SlidingSum:
     """Sum over the last steps."""
 
-    __slots__ = ("_first", "_sums", "total")
+    __slots__ = ("_first", "_sums", "newest", "total")
 
     def __init__(self) -> None:
         self._first = 0
+        # Step of the newest amount.
+        self.newest = 0
         self._sums: list[float] = [0.0] * _STEPS
         self.total = 0.0
 
@@ -53,6 +55,7 @@
         """Add to the newest step."""
         self.move_to(step)
         self._sums[(step + _STEPS - 1) % _STEPS] += amount
+        self.newest = max(self.newest, step)
         self.total += amount
 
 
@@ -75,6 +78,17 @@
     return math.inf
 
 
+def _drop_old(sum_by_organisation: dict[str, _SlidingSum], step: int) -> None:
+    """Drop organisations of which nothing lies in the window any more."""
+    old = [
+        organisation
+        for organisation, known in sum_by_organisation.items()
+        if step - known.newest > _STEPS
+    ]
+    for organisation in old:
+        del sum_by_organisation[organisation]
+
+
 class FairShare:
     """Asked and begun tokens by organisation, in a sliding window."""
 
@@ -104,14 +118,20 @@
         begun = self._begun.setdefault(organisation, _SlidingSum())
         begun.add(self._step(now), tokens)
 
+    def __len__(self) -> int:
+        """Return how many organisations are remembered."""
+        return len(self._asked.keys() | self._begun.keys())
+
     def find_level(self, now: float) -> float:
         """Return the tokens of the window that each may have at the most."""
         if now - self._level_at < _LEVEL_SECONDS:
             return self._level
         self._level_at = now
         self._level = math.inf
+        step = self._step(now)
+        _drop_old(self._asked, step)
+        _drop_old(self._begun, step)
         if self._capacity > 0.0:
-            step = self._step(now)
             for asked in self._asked.values():
                 asked.move_to(step)
             self._level = fill(
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -329,8 +329,15 @@
         for server, key in self._fleet.find_overdue(now):
             self._fleet.end(server, key, now)
             self._server_by_key.pop(key, None)
+        self._expire_cold_limits(now)
         return self.dispatch(now)
 
+    def _expire_cold_limits(self, now: float) -> None:
+        for router, limit in list(self._cold_by_router.items()):
+            limit.expire(now)
+            if not len(limit):
+                del self._cold_by_router[router]
+
     def describe(self, now: float) -> list[dict[str, object]]:
         """Return a line for each of the fullest engines, for logs."""
         return [
--- a/packages/daisypick_core/src/daisypick_core/serving/cold_limit.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/cold_limit.py
@@ -55,6 +55,16 @@
         window.add(now)
         window.count(now)
 
-    def forget(self, server: str) -> None:
-        """Drop a server that is gone."""
-        self._window_by_server.pop(server, None)
+    def __len__(self) -> int:
+        """Return for how many servers something is remembered."""
+        return len(self._window_by_server)
+
+    def expire(self, now: float) -> None:
+        """Drop servers to which nothing was sent within the window.
+
+        Kept for good, each router and each server that it ever used would
+        stay in the memory of a host.
+        """
+        for server, window in list(self._window_by_server.items()):
+            if not window.count(now):
+                del self._window_by_server[server]
--- a/packages/daisypick_core/tests/serving/test_limits.py
+++ b/packages/daisypick_core/tests/serving/test_limits.py
@@ -126,3 +126,17 @@
         outcomes.note_failure("i-1", now=float(now))
         outcomes.note_success("i-1")
         assert not outcomes.is_aside("i-1", now=float(now))
+
+
+def test_cold_limit_remembers_only_what_it_sent_lately():
+    """Guards against a memory of every server that a router ever used."""
+    parts = cold_parts.ColdParts()
+    parts.set_routers(["r-1"])
+    limit = cold_limit.ColdLimit(router="r-1", parts=parts)
+    for number in range(100):
+        limit.note(f"i-{number}", 0.01 * number)
+    limit.expire(1.05)
+    assert len(limit) == 100
+    limit.expire(1.595)
+    assert len(limit) == 50
+    assert [limit.take("i-99", 1.0, now) for now in (1.595, 2.2)] == [False, True]
