Pass the store's changes on by a tree of routers

Cause: one router sent every change and every proof to all others: 686 messages each at the size to design for, four proofs a second, some 140 KB/s (computed from 50 bytes a proof) where a router may send 27 for control. Change: routers stand in the order that all work out; each passes on to 64 at the most (membership/relay_tree). Whoever hears no fresh proof asks the store itself, as before, and passes that on to those below it; whoever's source is gone follows the next one above. A message carries the process that watched and a number, so that two routers with other lists, which each follow the other, drop what came before; its age grows on its way. A message is encoded once for all. The followers of a router are a metric. Tests (red with their safeguard taken away): a proof that goes round, its age, a chain of four of which one asks the store, a silent and a killed router amid it.

--- a/packages/daisypick_core/src/daisypick_core/membership/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/membership/__init__.py
@@ -2,4 +2,5 @@
 
 * ``directory``: processes known from contact, from the configuration and
   from the platform's lagging list.
+* ``relay_tree``: whom a router hears changes from.
 """
--- a/packages/daisypick_core/tests/serving/test_limits.py
+++ b/packages/daisypick_core/tests/serving/test_limits.py
@@ -139,4 +139,7 @@
     assert len(limit) == 100
     limit.expire(1.595)
     assert len(limit) == 50
-    assert [limit.take("i-99", 1.0, now) for now in (1.595, 2.2)] == [False, True]
+    assert [limit.take("i-99", 1.0, now) for now in (1.595, 2.2)] == [
+        False,
+        True,
+    ]
--- a/packages/daisypick_router/src/daisypick_router/host_links.py
+++ b/packages/daisypick_router/src/daisypick_router/host_links.py
@@ -11,6 +11,7 @@
 
 import gevent
 
+from daisypick_core.membership import relay_tree
 from daisypick_core.scheduling import hosts
 from daisypick_router import log as logs
 from daisypick_router import membership as memberships
@@ -26,7 +27,8 @@
 # host's belief with requests whose ends it never heard of.
 _STALLED_SECONDS = 0.15
 # Stands for the platform's store in the orders: the first router in this one
-# watches the store for the others. No service has this name.
+# watches the store, and the others hear of changes by a tree below it. No
+# service has this name.
 _STORE = "/store"
 
 
@@ -57,6 +59,8 @@
         self._link_by_name: dict[str, peer_link.PeerLink] = {}
         self._services: set[str] = set()
         self._candidates_by_service: dict[str, list[str]] = {}
+        # Routers to hear the store's changes from, the first choice first.
+        self._sources: list[str] = []
         # Revision of its entry when a router said that it stops. Its next
         # process writes another one.
         self._left_revision_by_name: dict[str, int] = {}
@@ -78,10 +82,13 @@
         }
         power_by_router[self._name] = self._power
         wanted: set[str] = set()
-        for service in self._services | {_STORE}:
+        for service in self._services:
             order = hosts.order_hosts(service, power_by_router)
             self._candidates_by_service[service] = order[:_CANDIDATES]
             wanted.update(order[:_CANDIDATES])
+        order = hosts.order_hosts(_STORE, power_by_router)
+        self._sources = relay_tree.find_sources(order, self._name)
+        wanted.update(self._sources)
         wanted.discard(self._name)
         for name, link in list(self._link_by_name.items()):
             # One that stops still decides what waits there.
@@ -142,6 +149,7 @@
     def _greet(self, link: peer_link.PeerLink) -> None:
         if self.followed is link:
             self.followed = None
+            self._feed.is_following = False
         self._choose_followed()
         self._on_up(link)
 
@@ -155,6 +163,7 @@
         if self.followed is not None:
             self.followed.tell(peer_messages.Follow(wanted=False))
         self.followed = followed
+        self._feed.is_following = followed is not None
         if followed is not None:
             followed.tell(peer_messages.Follow(wanted=True))
         self._log.write(
@@ -166,9 +175,7 @@
         )
 
     def _find_followed(self) -> peer_link.PeerLink | None:
-        for name in self._candidates_by_service.get(_STORE, ()):
-            if name == self._name:
-                return None
+        for name in self._sources:
             link = self._link_by_name.get(name)
             if link is not None and link.is_connected:
                 return link
--- a/packages/daisypick_router/src/daisypick_router/peer_channel.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_channel.py
@@ -59,9 +59,13 @@
 
     def send(self, message: typing.Any) -> None:
         """Send a message soon; a closed channel drops it."""
+        if not self.closed:
+            self.send_line(peer_messages.encode(message))
+
+    def send_line(self, line: bytes) -> None:
+        """Send an encoded message, such as one that goes to many."""
         if self.closed:
             return
-        line = peer_messages.encode(message)
         self._unsent.append(line)
         self.queued += 1
         self._unsent_bytes += len(line)
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -160,7 +160,9 @@
         since: Revision from which the store was watched.
         revision: Revision up to which nothing was missed.
         objects: Name, revision, content and whether it was deleted, of each.
-        age: Seconds by which the sender may have read the answer late.
+        age: Seconds by which it may have been read late on its way.
+        origin: Which process watched the store.
+        number: Rises from one message of that process to the next.
     """
 
     kind: str
@@ -168,6 +170,8 @@
     revision: int
     objects: tuple[tuple[str, int, typing.Any, bool], ...]
     age: float
+    origin: str
+    number: int
 
 
 @register("start")
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -78,13 +78,16 @@
         self.load = load_watch.LoadWatch(
             log=self.log, find_wait=self._intake.find_wait
         )
-        feed = store_feed.StoreFeed(find_lag=self.load.find_lag)
+        self._feed = store_feed.StoreFeed(
+            find_lag=self.load.find_lag,
+            origin=f"{settings.name}/{rng.getrandbits(64):x}",
+        )
         self.discovery = discoveries.Discovery(
             store=store,
             log=self.log,
             rng=rng,
             on_servers=self._take_servers,
-            feed=feed,
+            feed=self._feed,
         )
         self.membership = memberships.Membership(
             store=store,
@@ -118,7 +121,7 @@
             power=settings.processor,
             membership=self.membership,
             hosted=self.hosted,
-            feed=feed,
+            feed=self._feed,
             alone=self._alone,
             load=self.load,
             log=self.log,
@@ -128,7 +131,7 @@
         self.peer_host = peer_host.PeerHost(
             discovery=self.discovery,
             engines=self.hosted,
-            feed=feed,
+            feed=self._feed,
             load=self.load,
             log=self.log,
         )
@@ -294,6 +297,7 @@
 
     def _write_metrics(self) -> bytes:
         self.metrics.set_level("routers", self.membership.routers)
+        self.metrics.set_level("store_followers", self._feed.followers)
         self.metrics.set_level("connections", len(self._connections))
         self.metrics.set_level("requests_running", self.serving.running)
         self.metrics.set_level("timer_lag_seconds", self.load.overload.lag)
--- a/packages/daisypick_router/src/daisypick_router/store_feed.py
+++ b/packages/daisypick_router/src/daisypick_router/store_feed.py
@@ -2,11 +2,11 @@
 
 The store's rate grows more slowly than the fleet, and each watch that waits
 or answers is a call. So in a large fleet one router watches and the others
-follow it over the connections that they keep anyway. Each answer of the
+follow it, in a tree in which each passes on what it hears. Each answer of the
 store, also an empty one, is passed on: it proves that nothing was missed up to
 that moment. A router that has no fresh proof asks the store itself, from the
-revision that it has reached; so it is never further behind than by the age
-of a proof, whatever happens to the router that it follows.
+revision that it has reached, and passes that on; so neither it nor those below
+it are further behind than by the age of a proof, whatever happens above.
 """
 
 import collections
@@ -29,6 +29,8 @@
 # as a configuration of hundreds of routes, each asks the store, which spares
 # the links between data centres.
 _MOST_BYTES = 4096
+# Routers that lately watched the store, whose newest messages are known.
+_MOST_ORIGINS = 64
 
 
 class _Kind:
@@ -46,11 +48,19 @@
     """Both sides: passes on what we watch, and takes what others pass on.
 
     ``find_lag()`` tells how late this process runs; a proof that was read
-    late, or passed on late, is that much older.
+    late, or passed on late, is that much older. ``origin`` is another one for
+    each process, since its messages are numbered anew.
+
+    Attributes:
+        is_following: Whether another router passes changes on to us.
     """
 
-    def __init__(self, *, find_lag: Callable[[], float]) -> None:
+    def __init__(self, *, find_lag: Callable[[], float], origin: str) -> None:
         self._find_lag = find_lag
+        self._origin = origin
+        self._published = 0
+        self._number_by_origin: dict[str, int] = {}
+        self.is_following = False
         self._followers: set[peer_channel.PeerChannel] = set()
         self._by_kind: dict[str, _Kind] = collections.defaultdict(_Kind)
 
@@ -62,34 +72,74 @@
         """A router's connection ended, or it follows another one."""
         self._followers.discard(channel)
 
+    @property
+    def followers(self) -> int:
+        """Routers that we pass changes on to."""
+        return len(self._followers)
+
     def has_followers(self) -> bool:
-        """Whether others rely on our watches."""
+        """Whether others hear of changes from us."""
         return bool(self._followers)
 
+    def must_watch(self) -> bool:
+        """Whether these rely on watches of our own."""
+        return self.has_followers() and not self.is_following
+
     def publish(self, kind: str, since: int, listing: stores.Listing) -> None:
         """Pass on what a watch from ``since`` answered."""
         if not self._followers:
             return
+        self._published += 1
         message = peer_messages.Feed(
             kind=kind,
             since=since,
             revision=listing.revision,
             objects=tuple(tuple(stored) for stored in listing.objects),
             age=round(self._find_lag(), 3),
+            origin=self._origin,
+            number=self._published,
         )
-        if len(peer_messages.encode(message)) > _MOST_BYTES:
+        line = peer_messages.encode(message)
+        if len(line) > _MOST_BYTES:
             message = message._replace(since=listing.revision, objects=())
+            line = peer_messages.encode(message)
+        self._send(line)
+
+    def _send(self, line: bytes) -> None:
         for channel in self._followers:
-            channel.send(message)
+            channel.send_line(line)
 
     def take(self, message: peer_messages.Feed) -> None:
         """Take what the router that we follow passes on."""
+        if not self._is_new(message):
+            return
         known = self._by_kind[message.kind]
-        proven_at = time.monotonic() - message.age - self._find_lag()
+        age = message.age + self._find_lag()
+        if self._followers:
+            passed_on = message._replace(age=round(age, 3))
+            self._send(peer_messages.encode(passed_on))
+        proven_at = time.monotonic() - age
         known.proven_at = max(known.proven_at, proven_at)
         known.waiting.append(message)
         known.changed.set()
 
+    def _is_new(self, message: peer_messages.Feed) -> bool:
+        """Tell whether a message did not come before, by any way.
+
+        Two routers that each follow the other would pass it on for ever, and
+        take it for a fresh proof each time.
+        """
+        origin, number = message.origin, message.number
+        if origin == self._origin:
+            return False
+        if number <= self._number_by_origin.get(origin, 0):
+            return False
+        self._number_by_origin.pop(origin, None)
+        self._number_by_origin[origin] = number
+        while len(self._number_by_origin) > _MOST_ORIGINS:
+            del self._number_by_origin[next(iter(self._number_by_origin))]
+        return True
+
     def is_fresh(self, kind: str) -> bool:
         """Whether it proves that nothing was missed up to a moment ago."""
         return self._stale_at(kind) > time.monotonic()
--- a/packages/daisypick_router/tests/test_store_feed.py
+++ b/packages/daisypick_router/tests/test_store_feed.py
@@ -4,6 +4,10 @@
 import gevent
 import pytest
 
+from daisypick_core.membership import relay_tree
+from daisypick_core.scheduling import hosts
+from daisypick_platform import store as stores
+from daisypick_router import peer_messages
 from daisypick_router import store_feed
 
 NAMES = tuple(f"r-{number}" for number in range(4))
@@ -139,13 +143,143 @@
     What they prove is older by as much; else it would trust them for longer
     than a change may take to be in force.
     """
-    lag = [0.0]
-    feed = store_feed.StoreFeed(find_lag=lambda: lag[0])
-    message = store_feed.peer_messages.Feed(
-        kind="servers", since=1, revision=1, objects=(), age=0.0
-    )
+    feed = _make_feed()
+    message = _make_message()
     feed.take(message)
     assert feed.is_fresh("servers")
-    late = store_feed.StoreFeed(find_lag=lambda: 1.6)
+    late = _make_feed(lag=1.6)
     late.take(message)
     assert not late.is_fresh("servers")
+
+
+def _make_feed(*, lag=0.0, origin="r-1/1"):
+    return store_feed.StoreFeed(find_lag=lambda: lag, origin=origin)
+
+
+def _make_message(**changes):
+    words = {
+        "kind": "servers",
+        "since": 1,
+        "revision": 1,
+        "objects": (),
+        "age": 0.0,
+        "origin": "root",
+        "number": 1,
+        **changes,
+    }
+    return peer_messages.Feed(**words)
+
+
+class _Channel:
+    """Hands what is sent to another feed, at once."""
+
+    def __init__(self, feed):
+        self._feed = feed
+        self.sent = []
+
+    def send_line(self, line):
+        message = peer_messages.decode(line)
+        self.sent.append(message)
+        self._feed.take(message)
+
+
+def test_proof_does_not_go_round_for_ever():
+    """Two routers with other lists of the fleet each follow the other.
+
+    Passed on for ever, an old proof would look fresh each time, and both would
+    overlook servers that leave.
+    """
+    first, second = _make_feed(), _make_feed(origin="r-2/1")
+    there, back = _Channel(second), _Channel(first)
+    first.add_follower(there)
+    second.add_follower(back)
+    first.take(_make_message())
+    assert (len(there.sent), len(back.sent)) == (1, 1)
+    listing = stores.Listing(objects=(), revision=2)
+    first.publish("servers", 1, listing)
+    assert (len(there.sent), len(back.sent)) == (2, 2)
+
+
+def test_age_of_a_proof_grows_on_its_way():
+    """A router in the tree reads late what it passes on."""
+    below = _make_feed(origin="r-2/1")
+    late = _make_feed(lag=0.9)
+    late.add_follower(_Channel(below))
+    late.take(_make_message(age=0.5))
+    assert late.is_fresh("servers")
+    assert below.is_fresh("servers")
+    late.take(_make_message(age=0.7, number=2, kind="evacuations"))
+    assert not below.is_fresh("evacuations")
+
+
+@pytest.fixture
+def chain(store, monkeypatch):
+    """Four routers, each of which hears of changes from the one before."""
+    monkeypatch.setattr(relay_tree, "FAN_OUT", 1)
+    monkeypatch.setattr(store_feed, "LEAST_ROUTERS", 4)
+    server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.put("servers", "e-0", server.describe())
+    routers = {name: fakes.start_router(store, name) for name in NAMES}
+    for router in routers.values():
+        fakes.wait_for(
+            lambda known=router: known.membership.routers == len(NAMES), 8.0
+        )
+    fakes.wait_for(lambda: len(_find_followers(routers)) == 3)
+    order = hosts.order_hosts("/store", dict.fromkeys(NAMES, 1.0))
+    gevent.sleep(2.0)
+    followed = [routers[name].placing.links.followed for name in order]
+    assert [link and link.name for link in followed] == [None, *order[:3]]
+    return [routers[name] for name in order]
+
+
+def test_change_reaches_all_along_a_chain(store, chain):
+    """Only the first router asks the store; each passes changes on."""
+    server = fakes.FakeServer("e-1", "assist", fakes.stream_five)
+    before = [router.store.calls for router in chain]
+    for slots in range(1, 4):
+        store.put("servers", "e-1", server.describe(Slots=slots))
+        for router in chain:
+            fakes.wait_for(
+                lambda known=router, count=slots: _sees(
+                    known, "e-1", slots=count
+                ),
+                0.6,
+            )
+    asked = [
+        router.store.calls > calls
+        for router, calls in zip(chain, before, strict=True)
+    ]
+    assert asked == [True, False, False, False]
+
+
+def test_those_below_a_router_that_passes_nothing_on_ask_the_store(
+    store, chain
+):
+    """A router amid the tree stands still; its connections stay.
+
+    The one below it has no fresh proof any more, asks the store and passes
+    that on, so the last one sees a server leave in time as well.
+    """
+    chain[1].discovery._feed._send = lambda line: None
+    server = fakes.FakeServer("e-1", "assist", fakes.stream_five)
+    store.put("servers", "e-1", server.describe(Slots=3))
+    for router in chain[2:]:
+        fakes.wait_for(lambda known=router: _sees(known, "e-1", slots=3), 1.9)
+
+
+def test_those_below_a_router_that_died_hear_from_another(store, chain):
+    """A router amid the tree is killed; the tree is mended within a second."""
+    third = chain[2].placing.links
+    for channel in list(chain[1].peer_host._waiting_by_channel):
+        channel.close()
+    chain[1].peer_host.serve = lambda socket, address: socket.close()
+    fakes.wait_for(
+        lambda: (
+            third.followed and third.followed.name == chain[0].settings.name
+        ),
+        1.0,
+    )
+    server = fakes.FakeServer("e-1", "assist", fakes.stream_five)
+    store.put("servers", "e-1", server.describe(Slots=3))
+    for router in chain[2:]:
+        fakes.wait_for(lambda known=router: _sees(known, "e-1", slots=3), 1.9)
