--- a/packages/daisypick_router/tests/test_fleet_size.py
+++ b/packages/daisypick_router/tests/test_fleet_size.py
@@ -66,3 +66,31 @@
     monkeypatch.setattr(outcomes.Outcomes, "is_aside", _count)
     fakes.call(router, "/look/1")
     assert 0 < looks <= 3 * 32
+
+
+def test_long_list_is_read_though_some_of_its_calls_are_refused(store):
+    """Guards against routers that never know any server after a restart.
+
+    All routers of a large fleet start at once and read a list of dozens of
+    pages each, more calls than the store takes; it refuses some. One refused
+    page made a router begin at the first one.
+    """
+    engine = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.page = 10
+    for number in range(_SERVERS):
+        store.put("servers", f"e-{number}", engine.describe())
+    answer = store._answer
+    calls = 0
+
+    def _refuse_some(method, target, body):
+        nonlocal calls
+        if "AfterRev" in target:
+            calls += 1
+            if calls % 10 == 0:
+                return 429, {}
+        return answer(method, target, body)
+
+    store._answer = _refuse_some
+    router = fakes.start_router(store, "r-1")
+    directory = router.discovery.directory
+    fakes.wait_for(lambda: len(directory.find_ready("assist")) == _SERVERS, 3.0)
