--- a/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
@@ -18,6 +18,9 @@
 * ``placement``: which open engine a request goes to.
 * ``waiting``: requests that wait, by organisation.
 * ``hosts``: which router hosts the scheduler of a service.
+* ``cold_fleet``: what routers sent to servers that may turn cold.
+* ``admission``: which requests may wait, and for how long.
+* ``fleet_report``: what is believed of engines, for logs.
 * ``actions``: what a scheduler asks its driver to do.
 * ``scheduler``: the decisions.
 """
--- a/packages/daisypick_core/src/daisypick_core/scheduling/job.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/job.py
@@ -44,6 +44,11 @@
         """Tokens that count against the organisation's share."""
         return find_cost(self.prompt_tokens, self.output_tokens)
 
+    def find_waited_share(self, now: float) -> float:
+        """Return which part of its objective the request has waited."""
+        patience = self.objective_at - self.arrived_at
+        return (now - self.arrived_at) / max(patience, 0.001)
+
 
 def find_cost(prompt_tokens: int, output_tokens: int) -> float:
     """Return the tokens that a request counts against its share.
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -11,23 +11,23 @@
 within it the request whose objective ends first. What is beyond a share waits
 for capacity that is spare, which so goes evenly to those who want it.
 
-*Refusing.* A request that has not started when its own prompt just leaves time
-for it is refused with a time to come back: what starts later would be late and
-delay others. Of
-an organisation beyond its share only so many wait as may still start; the
-rest of its flood is refused at once.
+*Refusing* is told in ``admission``: a request that has not started when its own
+prompt just leaves time for it is refused with a time to come back, since what
+starts later would be late and delay others.
 """
 
 from collections.abc import Iterable
 from collections.abc import Set
-import heapq
 import math
 import random
 
 from daisypick_core.scheduling import actions
+from daisypick_core.scheduling import admission
+from daisypick_core.scheduling import cold_fleet
 from daisypick_core.scheduling import engine_fleet
 from daisypick_core.scheduling import engine_look
 from daisypick_core.scheduling import fair_share
+from daisypick_core.scheduling import fleet_report
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import organisation_tally
 from daisypick_core.scheduling import placement
@@ -35,13 +35,7 @@
 from daisypick_core.scheduling import recent_keys
 from daisypick_core.scheduling import server_state
 from daisypick_core.scheduling import waiting as waiting_jobs
-from daisypick_core.serving import cold_limit
-from daisypick_core.serving import cold_parts
 
-# Parts of the objective that a request may wait: as long as the rest suffices
-# for its own prompt, within these bounds.
-LEAST_WAIT_SHARE = 0.3
-MOST_WAIT_SHARE = 0.6
 # Part of the objective in which a request may wait for the engine that keeps
 # its prompt while others are open. It may then still start elsewhere.
 _OWNER_WAIT_SHARE = 0.25
@@ -52,17 +46,9 @@
 _LOOKED_AT = 3
 _LOOKED_AT_IN_ALL = 24
 _DISPATCH_SECONDS = 0.008
-# Requests that wait at the most; more than start within an objective.
-_MOST_WAITING = 400
-# The same for one organisation that is beyond its share. The largest ones
-# start some 75 requests a second, so about as many as these start before the
-# first of them is given up.
-MOST_WAITING_BEYOND = 32
 # How long routers need not ask for an organisation of which so many wait:
 # two or three of them start in this time.
 _PAUSE_SECONDS = 0.04
-# Engines that a line of the log names.
-_DESCRIBED = 48
 # Callers come back at random within this range of seconds, so that those
 # refused together do not return together.
 RETRY_AFTER = (0.4, 1.4)
@@ -93,18 +79,22 @@
         speed: reading_speed.ServiceSpeed,
     ) -> None:
         self._copy_token_seconds = copy_token_seconds
-        self._cold_rate = cold_rate
         self._rng = rng
         self.shares = fair_share.FairShare(window_seconds=window_seconds)
         self._counted = recent_keys.RecentKeys(seconds=window_seconds)
         self.tally = organisation_tally.OrganisationTally()
-        self._cold_by_router: dict[str, cold_limit.ColdLimit] = {}
-        self._cold_parts = cold_parts.ColdParts()
+        self._cold = cold_fleet.ColdFleet(rate=cold_rate)
         self._fleet = engine_fleet.EngineFleet(kv_tokens=kv_tokens, speed=speed)
         self._server_by_key: dict[str, str] = {}
         self._waiting = waiting_jobs.Waiting()
+        self._admission = admission.Admission(
+            waiting=self._waiting,
+            shares=self.shares,
+            fleet=self._fleet,
+            speed=speed,
+            rng=rng,
+        )
         self._dispatched_at = -math.inf
-        self._speed = speed
 
     def set_fleet(self, *, routers: Iterable[str], share: float) -> None:
         """Take the routers and the part of the capacity to use.
@@ -117,7 +107,7 @@
             share: Part of every engine that may be used.
         """
         self._fleet.set_share(share)
-        self._cold_parts.set_routers(routers)
+        self._cold.set_routers(routers)
 
     def set_servers(self, states: Iterable[server_state.ServerState]) -> None:
         """Take all servers that may get work."""
@@ -140,79 +130,24 @@
         self.shares.ask(work.organisation, work.cost, now)
         self.tally.add(work.organisation, submitted=1, asked=work.cost)
         displaced = self._make_room(work, now)
-        if self._floods(work, now):
+        if self._admission.floods(work, now):
             self.tally.add(work.organisation, refused_beyond=1)
-            return [
-                self._refuse(
-                    work,
-                    self._tell_share(work.organisation, now),
-                    pause=_PAUSE_SECONDS,
-                )
-            ]
-        if self.waiting >= _MOST_WAITING:
+            reason = self._admission.tell_share(work.organisation, now)
+            return [self._refuse(work, reason, pause=_PAUSE_SECONDS)]
+        if self._admission.is_full():
             return [self._refuse(work, "too many requests wait")]
         if not self._waiting:
             self._dispatched_at = -math.inf
-        self._add_waiting(work)
+        self._admission.add(work)
         return displaced + self.dispatch(now)
 
-    def _add_waiting(self, work: job.Job) -> None:
-        """Let a request wait as long as it may.
-
-        One whose prompt takes nearly the whole objective still waits a while
-        for an idle engine; it would be late anyway.
-        """
-        patience = work.objective_at - work.arrived_at
-        seconds = self._find_reading_seconds(work)
-        wait = max(patience - seconds, patience * LEAST_WAIT_SHARE)
-        self._waiting.add(
-            work,
-            latest_at=work.arrived_at + min(wait, patience * MOST_WAIT_SHARE),
-            in_time_until=work.objective_at - seconds,
-        )
-
-    def _find_reading_seconds(self, work: job.Job) -> float:
-        """Return the time to a first token at an idle engine, with a margin.
-
-        What engines keep of the prompt is not read again.
-        """
-        kept = self._fleet.count_kept(work.parts)
-        seconds = self._speed.predict(max(work.prompt_tokens - kept, 0))
-        return seconds * (1.0 + self._speed.spread)
-
     def _make_room(self, work: job.Job, now: float) -> list[actions.Action]:
-        """Refuse a request that is too late in favour of one that is not.
-
-        Of a flood only some wait. Once these are too late for any engine they
-        are refused one by one at their time, and each new one, which could be
-        in time, at once: the organisation waits through and gets nothing.
-        """
-        if not self._floods(work, now):
-            return []
-        begin_at = now + self._fleet.find_least_wait(self._rng, now)
-        late = self._waiting.find_too_late(work.organisation, begin_at)
-        in_time_until = work.objective_at - self._find_reading_seconds(work)
-        if late is None or begin_at > in_time_until:
+        late = self._admission.take_too_late(work, now)
+        if late is None:
             return []
-        self._waiting.remove(late)
         self.tally.add(work.organisation, displaced=1)
         return [self._refuse(late, "no engine can begin it in time")]
 
-    def _floods(self, work: job.Job, now: float) -> bool:
-        """Tell whether too many of an organisation beyond its share wait."""
-        waiting = self._waiting.count(work.organisation)
-        return waiting >= MOST_WAITING_BEYOND and not self.shares.is_within(
-            work.organisation, work.cost, now
-        )
-
-    def _tell_share(self, organisation: str, now: float) -> str:
-        begun = self.shares.read_begun(organisation, now)
-        return (
-            f"beyond its organisation's share: {begun:.0f} tokens begun of"
-            f" {self.shares.find_level(now):.0f},"
-            f" {self._waiting.count(organisation)} wait"
-        )
-
     def _may_ever_start(self, work: job.Job) -> bool:
         return any(
             name not in work.avoid for name in self._fleet.state_by_server
@@ -329,47 +264,16 @@
         for server, key in self._fleet.find_overdue(now):
             self._fleet.end(server, key, now)
             self._server_by_key.pop(key, None)
-        self._expire_cold_limits(now)
+        self._cold.expire(now)
         return self.dispatch(now)
 
-    def _expire_cold_limits(self, now: float) -> None:
-        for router, limit in list(self._cold_by_router.items()):
-            limit.expire(now)
-            if not len(limit):
-                del self._cold_by_router[router]
-
     def describe(self, now: float) -> list[dict[str, object]]:
         """Return a line for each of the fullest engines, for logs."""
-        return [
-            self._describe_engine(name, now)
-            for name in heapq.nlargest(
-                _DESCRIBED,
-                self._fleet.state_by_server,
-                key=lambda name: self._fleet.find(name).running,
-            )
-        ]
+        return fleet_report.describe_engines(self._fleet, now)
 
     def describe_fleet(self) -> dict[str, int]:
         """Return sums over all engines, for logs."""
-        return {
-            "servers": len(self._fleet),
-            "slots": self._fleet.slots,
-            "running": self._fleet.running,
-        }
-
-    def _describe_engine(self, name: str, now: float) -> dict[str, object]:
-        engine = self._fleet.find(name)
-        return {
-            "server": name,
-            "running": engine.running,
-            "unread": int(engine.unread(now)),
-            "held": engine.cache.held,
-            "token_us": round(engine.speed.token_seconds * 1e6, 1),
-            "base": round(engine.speed.predict(0.0), 4),
-            "spread": round(engine.speed.spread, 3),
-            "cold": self._fleet.state_by_server[name].cold_until > now,
-            "aside": self._fleet.outcomes.is_aside(name, now),
-        }
+        return fleet_report.describe_sums(self._fleet)
 
     @property
     def waiting(self) -> int:
@@ -433,7 +337,7 @@
             data_centre_by_server=self._fleet.data_centre_by_server,
             bears=lambda server: self.bears(work.router, server, now),
             share=self._fleet.share,
-            may_wait=_waited_share(work, now) < _OWNER_WAIT_SHARE,
+            may_wait=work.find_waited_share(now) < _OWNER_WAIT_SHARE,
             now=now,
             copy_token_seconds=self._copy_token_seconds,
         )
@@ -441,21 +345,13 @@
     def bears(self, router: str, server: str, now: float) -> bool:
         """Tell whether a server, if it is cold, bears one more of a router."""
         state = self._fleet.state_by_server.get(server)
-        if state is None or state.cold_until <= now or not self._cold_rate:
+        if state is None or state.cold_until <= now:
             return True
-        limit = self._cold_limit(router)
-        return limit.allows(server, self._cold_rate, now)
+        return self._cold.bears(router, server, now)
 
     def note_sent(self, router: str, server: str, now: float) -> None:
         """Count a request of a router, in case the server is or turns cold."""
-        self._cold_limit(router).note(server, now)
-
-    def _cold_limit(self, router: str) -> cold_limit.ColdLimit:
-        limit = self._cold_by_router.get(router)
-        if limit is None:
-            limit = cold_limit.ColdLimit(router=router, parts=self._cold_parts)
-            self._cold_by_router[router] = limit
-        return limit
+        self._cold.note_sent(router, server, now)
 
     def _start(
         self,
@@ -516,9 +412,3 @@
             reason=reason,
             pause=pause,
         )
-
-
-def _waited_share(work: job.Job, now: float) -> float:
-    """Return which part of its objective a request has waited."""
-    patience = work.objective_at - work.arrived_at
-    return (now - work.arrived_at) / max(patience, 0.001)
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -16,6 +16,7 @@
 from gevent import event
 
 from daisypick_core.scheduling import actions
+from daisypick_core.scheduling import admission
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import organisation_tally
 from daisypick_core.scheduling import pauses
@@ -197,7 +198,7 @@
         asking = self._asking_by_service[service.name][organisation]
         if paused.is_paused(organisation, now):
             reason = "its organisation was refused just before"
-        elif asking >= schedulers.MOST_WAITING_BEYOND:
+        elif asking >= admission.MOST_WAITING_BEYOND:
             reason = "as many of its organisation ask as may wait"
         else:
             return None
