Read later pages of a long list without asking the store's rate

Cause: after a kill of all routers of a large fleet each reads dozens of pages, and the store answers so many calls a second of all together. Change: the pages behind the first may be seconds old, which the store does not count; what has changed since the oldest page comes with a watch before the list is used, or the whole list is read anew if that history is gone. A list of one page is as before. The test was red with the changes not applied.

--- a/packages/daisypick_router/tests/test_fleet_size.py
+++ b/packages/daisypick_router/tests/test_fleet_size.py
@@ -94,3 +94,48 @@
     router = fakes.start_router(store, "r-1")
     directory = router.discovery.directory
     fakes.wait_for(lambda: len(directory.find_ready("assist")) == _SERVERS, 3.0)
+
+
+def test_server_that_left_is_not_taken_from_an_old_page(store, monkeypatch):
+    """Guards against work for a server that is gone from the list.
+
+    The pages behind the first of a long list may be seconds old. A router that
+    starts sees what has changed since before it takes any request.
+    """
+    engine = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.page = 10
+    for number in range(30):
+        store.put("servers", f"e-{number:02}", engine.describe())
+    old = dict(store.objects["servers"]), store.revision
+    store.put("servers", "e-27", engine.describe(State="draining"))
+    store.remove("servers", "e-28")
+    store.put("servers", "e-30", engine.describe())
+    read_list = store._list
+    stale = 0
+
+    def _list_as_it_was(kind, words):
+        nonlocal stale
+        if kind != "servers" or "StaleOk" not in words:
+            return read_list(kind, words)
+        stale += 1
+        now = store.objects["servers"], store.revision
+        store.objects["servers"], store.revision = old
+        try:
+            return read_list(kind, words)
+        finally:
+            store.objects["servers"], store.revision = now
+
+    store._list = _list_as_it_was
+    taken = []
+    put = directories.Directory.put
+
+    def _note(known, server):
+        taken.append((server.name, server.draining))
+        put(known, server)
+
+    monkeypatch.setattr(directories.Directory, "put", _note)
+    router = fakes.start_router(store, "r-1")
+    fakes.wait_for(lambda: router.discovery.has_servers)
+    assert stale == 2
+    assert {("e-26", False), ("e-27", True), ("e-30", False)} <= set(taken)
+    assert not {("e-27", False), ("e-28", False)} & set(taken)
