--- a/packages/daisypick_core/src/daisypick_core/membership/relay_tree.py
+++ b/packages/daisypick_core/src/daisypick_core/membership/relay_tree.py
@@ -18,8 +18,7 @@
 
 from collections.abc import Sequence
 
-# Routers that one passes changes on to. At some four proofs a second of some
-# 50 bytes that is half of what a router may send for control.
+# Routers that one passes changes on to.
 FAN_OUT = 64
 
 
