--- a/packages/daisypick_router/tests/test_store_feed.py
+++ b/packages/daisypick_router/tests/test_store_feed.py
@@ -227,6 +227,12 @@
     fakes.wait_for(lambda: len(_find_followers(routers)) == 3)
     order = hosts.order_hosts("/store", dict.fromkeys(NAMES, 1.0))
     gevent.sleep(2.0)
+    # What each had asked the store before it followed is answered by now.
+    store.put("servers", "e-0", server.describe(Slots=9))
+    store.put("config", "main", fakes.make_manifest(version=2))
+    for router in routers.values():
+        fakes.wait_for(lambda known=router: _sees(known, "e-0", slots=9))
+    gevent.sleep(1.0)
     followed = [routers[name].placing.links.followed for name in order]
     assert [link and link.name for link in followed] == [None, *order[:3]]
     return [routers[name] for name in order]
