Log each request that a router leaves unanswered

Change: part "connection", "Closed with a request unanswered.", with the reason, how far the request had come (unhandled, waiting, sent, streaming), the requests that the connection had carried, the servers and the age. Also for requests dropped unhandled with their connection and for those that end with the process. "Closed idle connections." tells of those closed for descriptors. A request that was read and waits for the one before it keeps its connection from counting as idle.

--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -57,12 +57,15 @@
     ``handle(connection, request)`` answers each request by ``send_whole`` or
     by ``begin_stream``, ``send_chunk`` and ``end_stream``. It runs in a
     greenlet of its own, which ``begin(greenlet, request)`` starts, at once or
-    when there is time.
+    when there is time. ``on_drop(request, reason)`` is told of each whole
+    request that ends with the connection and was never handled.
 
     Attributes:
         idle_since: When it last had nothing to do.
         closing: Whether our side has ended.
+        exchanges: Requests that were begun on it.
         answer_begun: Whether the head of the running answer went out.
+        answer_ended: Whether the running answer went out whole.
     """
 
     def __init__(
@@ -74,12 +77,16 @@
         begin: Callable[[gevent.Greenlet, messages.Request], None] | None = (
             None
         ),
+        on_drop: Callable[[messages.Request, str], None] | None = None,
     ) -> None:
         self._socket = socket
         self._begin = begin or _begin_at_once
+        self._on_drop = on_drop or _ignore_drop
+        self._unbegun: messages.Request | None = None
         self._handle = handle
         self._limits = limits
         self._handler: gevent.Greenlet | None = None
+        self._end = "closed by the router"
         self.idle_since = time.monotonic()
         self._idle_timeout = limits().idle_timeout
         self._reader = request_reader.RequestReader(
@@ -88,12 +95,19 @@
         self.closing = False
         self._aborted = False
         self._keep_alive = True
+        self.exchanges = 0
         self.answer_begun = False
+        self.answer_ended = False
 
     @property
     def is_idle(self) -> bool:
         """Whether no request is read, in part or whole, or handled."""
-        return self._handler is None and self._reader.began_at is None
+        reader = self._reader
+        return (
+            self._handler is None
+            and reader.began_at is None
+            and not reader.requests
+        )
 
     def run(self) -> None:
         """Serve the connection until either end closes it."""
@@ -105,8 +119,16 @@
                 pass
         finally:
             if self._handler is not None:
-                self._handler.kill(CallerLeft(), block=False)
+                self._handler.kill(CallerLeft(self._end), block=False)
             self._socket.close()
+            self._drop_unhandled()
+
+    def _drop_unhandled(self) -> None:
+        unhandled = [*self._reader.requests]
+        if self._unbegun is not None:
+            unhandled.insert(0, self._unbegun)
+        for request in unhandled:
+            self._on_drop(request, self._end)
 
     def _read_once(self, reader: request_reader.RequestReader) -> bool:
         """Read and serve what came; return whether to go on."""
@@ -118,17 +140,19 @@
             data = self._socket.recv(_RECEIVE_BYTES)
         except TimeoutError:
             return True
-        except OSError:
+        except OSError as error:
+            self._end = str(error)
             return False
         if not data:
+            self._end = "closed by the caller"
             return False
-        if self.closing and self._handler is None:
-            return True
         limits = self._limits()
         reader.set_limits(
             header_bytes=limits.header_bytes, body_bytes=limits.body_bytes
         )
         reader.feed(data, time.monotonic())
+        if self.closing and self._handler is None:
+            return True
         if reader.wants_continue and not reader.refusal:
             reader.wants_continue = False
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -136,12 +160,11 @@
 
     def _serve_read(self, reader: request_reader.RequestReader) -> bool:
         while reader.requests and not self._aborted:
-            request = reader.requests.pop(0)
             if self._handler is not None:
                 self._handler.join()
             if self.closing or self._aborted:
                 break
-            self._start(request)
+            self._start(reader.requests.pop(0))
         if reader.refusal is not None and not self.closing:
             if self._handler is not None:
                 self._handler.join()
@@ -185,11 +208,15 @@
 
     def _start(self, request: messages.Request) -> None:
         self._keep_alive = request.keep_alive
+        self.exchanges += 1
         self.answer_begun = False
+        self.answer_ended = False
+        self._unbegun = request
         self._handler = gevent.Greenlet(self._run_handler, request)
         self._begin(self._handler, request)
 
     def _run_handler(self, request: messages.Request) -> None:
+        self._unbegun = None
         try:
             self._handle(self, request)
         except OSError:
@@ -311,6 +338,7 @@
         self.write(messages.write_head(status=status, headers=headers) + body)
 
     def _finish(self) -> None:
+        self.answer_ended = True
         if not self._keep_alive:
             self.close_softly()
 
@@ -318,3 +346,7 @@
 def _begin_at_once(handler: gevent.Greenlet, request: messages.Request) -> None:
     del request
     handler.start()
+
+
+def _ignore_drop(request: messages.Request, reason: str) -> None:
+    del request, reason
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -23,6 +23,7 @@
         may_have_run: Whether one of them may have run it.
         attempt: Id of the caller's attempt.
         first_event_at: When the first event of a stream came.
+        is_sent: Whether it was sent to a backend server.
     """
 
     __slots__ = (
@@ -30,6 +31,7 @@
         "attempt",
         "deadline",
         "first_event_at",
+        "is_sent",
         "may_have_run",
         "objective_at",
         "organisation",
@@ -67,6 +69,14 @@
         self.arrivals = 0
         self.may_have_run = False
         self.first_event_at: float | None = None
+        self.is_sent = False
+
+    @property
+    def stage(self) -> str:
+        """How far it came: ``waiting``, ``sent`` or ``streaming``."""
+        if self.first_event_at is not None:
+            return "streaming"
+        return "sent" if self.is_sent else "waiting"
 
     @property
     def may_run_again(self) -> bool:
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -127,6 +127,7 @@
         body=request.body,
     )
     try:
+        context.is_sent = True
         connection.send(data, method=request.method, timeout=_SEND_SECONDS)
         return _read_head(connection, context, silence)
     except connections.ConnectionBrokeError as error:
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -244,6 +244,7 @@
             handle=self.serving.handle,
             limits=self._limits,
             begin=self._intake.add,
+            on_drop=self.serving.note_dropped,
         )
         self._connections[connection] = None
         if len(self._connections) > self._most_connections:
@@ -268,6 +269,12 @@
             if connection.closing:
                 self._connections.pop(connection, None)
         self.metrics.count("idle_connections_closed_total", len(closed))
+        self.log.write(
+            "connection",
+            "Closed idle connections.",
+            closed=len(closed),
+            connections=len(self._connections),
+        )
 
     def _serve_platform(self, socket, address) -> None:  # noqa: ANN001
         del address
@@ -371,6 +378,7 @@
         latest = began + self.settings.bounds.grace_seconds * _STOP_SHARE
         while time.monotonic() < latest and self._connections:
             gevent.sleep(0.05)
+        self.serving.note_stopped()
         self.log.write("process", "Stopped.", running=self.serving.running)
         self.stopped.set()
 
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -55,7 +55,14 @@
         self._metrics = metrics
         self._rng = rng
         self.stopping_since: float | None = None
-        self.running = 0
+        self._running: dict[
+            http_server.CallerConnection, contexts.Context | None
+        ] = {}
+
+    @property
+    def running(self) -> int:
+        """How many requests are handled."""
+        return len(self._running)
 
     def handle(
         self,
@@ -63,13 +70,56 @@
         request: messages.Request,
     ) -> None:
         """Serve one request of a caller."""
-        self.running += 1
+        self._running[connection] = None
+        reason: str | None = None
         try:
             if self._ends_connections():
                 connection.close_after_answer()
-            self._handle(connection, request)
+            reason = self._handle(connection, request)
+        except BaseException as error:
+            reason = f"{type(error).__name__}: {error}"
+            raise
         finally:
-            self.running -= 1
+            context = self._running.pop(connection)
+            if not connection.answer_ended:
+                self._log_unanswered(
+                    connection.exchanges, request, context, reason
+                )
+
+    def note_dropped(self, request: messages.Request, reason: str) -> None:
+        """Log a whole request that ended with its connection, unhandled."""
+        self._log_unanswered(0, request, None, reason)
+
+    def note_stopped(self) -> None:
+        """Log the requests that end with the process."""
+        for connection, context in self._running.items():
+            if context is not None:
+                self._log_unanswered(
+                    connection.exchanges,
+                    context.request,
+                    context,
+                    "the process stops",
+                )
+
+    def _log_unanswered(
+        self,
+        exchanges: int,
+        request: messages.Request,
+        context: contexts.Context | None,
+        reason: str | None,
+    ) -> None:
+        self._metrics.count("requests_unanswered_total")
+        self._log.write(
+            "connection",
+            "Closed with a request unanswered.",
+            id=request_headers.read_caller(request.headers).attempt,
+            reason=reason,
+            stage=context.stage if context else "unhandled",
+            exchanges=exchanges,
+            route=context.route.name if context else None,
+            servers=sorted(context.tried) if context else [],
+            seconds=round(time.monotonic() - request.began_at, 4),
+        )
 
     def _ends_connections(self) -> bool:
         """Tell whether callers should go on at another router."""
@@ -82,11 +132,13 @@
         self,
         connection: http_server.CallerConnection,
         request: messages.Request,
-    ) -> None:
+    ) -> str | None:
+        """Answer a request; return why it failed, if it did."""
         found = self._identify(request)
         if failure.is_failure(found):
             self._refuse(connection, None, found, request)
-            return
+            return found.reason
+        self._running[connection] = found
         self._tries.note_request(found.service.name)
         way = self._plain if found.service.engine is None else self._engine
         try:
@@ -99,8 +151,9 @@
             raise
         if failure.is_failure(outcome):
             self._refuse(connection, found, outcome, request)
-            return
+            return outcome.reason
         self._note_end(found, outcome)
+        return None
 
     def _identify(
         self, request: messages.Request
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -445,6 +445,70 @@
     assert router.stopped.wait(4.0)
 
 
+def _note_unanswered(router):
+    """Return the list that gets the lines of requests without an answer."""
+    lines = []
+    write = router.log.write
+
+    def _write(part, say, **fields):
+        if part == "connection":
+            lines.append(fields)
+        write(part, say, **fields)
+
+    router.log.write = _write
+    return lines
+
+
+def test_request_whose_stream_is_cut_is_logged(store):
+    """Guards against answers that end early without a trace (LOST)."""
+
+    def _break_off(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        return "close"
+
+    router = _serve(store, _assist(_break_off))
+    lines = _note_unanswered(router)
+    assert not fakes.call(router, "/ask/1").whole
+    (line,) = lines
+    assert line["id"] == "a-1"
+    assert line["stage"] == "streaming"
+    assert line["reason"] == "connection ended within the answer"
+    assert line["servers"] == ["e-1"]
+
+
+def test_requests_that_end_with_the_process_are_logged(store):
+    """Guards against requests cut by a stop without a trace (LOST)."""
+
+    def _hang(server, connection, first, headers, body):
+        gevent.sleep(10.0)
+
+    router = _serve(store, _assist(_hang))
+    lines = _note_unanswered(router)
+    with fakes.connect(router) as caller:
+        caller.sendall(fakes.write_request("/ask/1", patience="9000"))
+        fakes.wait_for(lambda: router.serving.running == 1)
+        gevent.sleep(0.05)
+        router.serving.note_stopped()
+        (line,) = lines
+        assert (line["id"], line["stage"]) == ("a-1", "sent")
+        assert line["reason"] == "the process stops"
+
+
+def test_request_that_was_never_begun_is_logged(store):
+    """Guards against requests dropped with their connection, untraced."""
+    router = _serve(store, _desk(fakes.answer_ok))
+    lines = _note_unanswered(router)
+    router._intake.add = lambda handler, request: None
+    with fakes.connect(router) as caller:
+        caller.sendall(fakes.write_request("/look/1"))
+        gevent.sleep(0.05)
+    fakes.wait_for(lambda: lines)
+    (line,) = lines
+    assert (line["id"], line["stage"]) == ("a-1", "unhandled")
+    assert line["reason"] == "closed by the caller"
+
+
 def test_router_that_stops_leaves_no_caller_on_an_unread_connection(store):
     """Guards against callers who wait on a connection nobody reads (LOST).
 
