Read what lies unread before a peer counts as silent (LOST)

Cause: the loop takes 64 events from the kernel in one turn, twice as many each time that it meets so many, and runs due timers before it takes the rest.

Change: a read, a connection being established and a caller's half-read request are looked at once more when their timer has run. Peers' links too.

--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -14,6 +14,7 @@
 from daisypick_http import messages
 
 _RECEIVE_BYTES = 65536
+_LEAST_TIMEOUT_SECONDS = 0.001
 # The kernel gives up on unacknowledged bytes after this long, so a peer
 # that went dark holds no connection for the quarter of an hour that is the
 # system's default. Three times the longest freeze that a peer survives here.
@@ -46,6 +47,38 @@
     probed.setsockopt(tcp, plain_socket.TCP_USER_TIMEOUT, seconds * 1000)
 
 
+def receive(connected: socket.socket, timeout: float) -> bytes:
+    """Return the next bytes, or none after the peer's end.
+
+    The loop takes a bounded number of events from the kernel in a turn, and
+    runs the timers that are due before it takes the rest. After a hold-up
+    timers thus run for sockets whose bytes came in time, so what lies unread
+    is looked for before a peer counts as silent.
+
+    Raises:
+        TimeoutError: Nothing came within ``timeout`` seconds.
+        OSError: The connection broke.
+    """
+    try:
+        connected.settimeout(max(timeout, _LEAST_TIMEOUT_SECONDS))
+        return connected.recv(_RECEIVE_BYTES)
+    except TimeoutError:
+        connected.settimeout(0.0)
+        try:
+            return connected.recv(_RECEIVE_BYTES)
+        except BlockingIOError:
+            raise TimeoutError("timed out") from None
+
+
+def is_connected(connecting: socket.socket) -> bool:
+    """Tell whether a connection has been established."""
+    try:
+        connecting.getpeername()
+    except OSError:
+        return False
+    return True
+
+
 class Connection:
     """A connected socket and the answer that is being read from it."""
 
@@ -85,12 +118,20 @@
             )
             if silence_limit is not None:
                 probe_silence(self._socket, silence_limit)
-            self._socket.settimeout(connect_timeout)
-            self._socket.connect(address)
+            self._connect(connect_timeout)
         except OSError as error:
             self._socket.close()
             raise NotConnectedError(f"{address}: {error}") from error
 
+    def _connect(self, timeout: float) -> None:
+        self._socket.settimeout(timeout)
+        try:
+            self._socket.connect(self.address)
+        except TimeoutError:
+            # A loop that was held up may run the timer first.
+            if not is_connected(self._socket):
+                raise
+
     def send(self, data: bytes, *, method: bytes, timeout: float) -> None:
         """Send a request and get ready for its answer.
 
@@ -113,8 +154,7 @@
             ConnectionBrokeError: The connection was reset.
         """
         try:
-            self._socket.settimeout(max(timeout, 0.001))
-            data = self._socket.recv(_RECEIVE_BYTES)
+            data = receive(self._socket, timeout)
         except TimeoutError as error:
             raise AnswerTimeoutError(f"silent for {timeout:.3f} s") from error
         except OSError as error:
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -19,6 +19,7 @@
 from daisypick_http import request_reader
 
 _RECEIVE_BYTES = 65536
+_LEAST_TIMEOUT_SECONDS = 0.001
 # Longest wait for the caller's end of a connection that we have ended.
 _LINGER_SECONDS = 1.0
 
@@ -133,9 +134,10 @@
     def _read_once(self, reader: request_reader.RequestReader) -> bool:
         """Read and serve what came; return whether to go on."""
         timeout = self._next_timeout(reader)
-        if timeout <= 0.0:
+        # What lies unread after a hold-up came in time.
+        if timeout <= 0.0 and (self.closing or not self._has_unread()):
             return self._end_silence(reader)
-        self._socket.settimeout(timeout)
+        self._socket.settimeout(max(timeout, _LEAST_TIMEOUT_SECONDS))
         try:
             data = self._socket.recv(_RECEIVE_BYTES)
         except TimeoutError:
--- /dev/null
+++ b/packages/daisypick_http/tests/test_server.py
@@ -0,0 +1,67 @@
+"""Callers' connections."""
+
+import time
+
+import fresh_loop
+import gevent
+from gevent import server as gevent_server
+from gevent import socket
+
+from daisypick_http import server
+
+# More than the event loop takes from the kernel in one turn.
+_CALLERS = 150
+
+
+def _answer(connection, request):
+    del request
+    connection.send_whole(status=200, headers=(), body=b"")
+
+
+class _Served:
+    """Callers' connections of one listener."""
+
+    def __init__(self):
+        self.connections = []
+        self._server = gevent_server.StreamServer(
+            ("127.0.0.1", 0), self._serve, backlog=512
+        )
+        self._server.start()
+        self.address = ("127.0.0.1", self._server.server_port)
+
+    def _serve(self, connected, address):
+        del address
+        connection = server.CallerConnection(
+            socket=connected,
+            handle=_answer,
+            limits=lambda: server.Limits(header_timeout=0.3),
+        )
+        self.connections.append(connection)
+        connection.run()
+
+
+@fresh_loop.run
+def test_request_whose_rest_lies_unread_is_not_refused_as_slow():
+    """Guards against a 408 for what came in time and was read late."""
+    served = _Served()
+    callers = []
+    for _ in range(_CALLERS):
+        callers.append(socket.create_connection(served.address))
+        callers[-1].sendall(b"GET / HTTP/1.1\r\n")
+        gevent.sleep(0)
+    while any(known.is_idle for known in served.connections) or (
+        len(served.connections) < _CALLERS
+    ):
+        gevent.sleep(0.005)
+    for caller in callers:
+        caller.sendall(b"Host: plots.example\r\n\r\n")
+    time.sleep(0.5)
+    answers = [caller.recv(12) for caller in callers]
+    assert answers == [b"HTTP/1.1 200"] * _CALLERS
+
+
+def test_request_that_comes_too_slowly_is_refused():
+    """Guards against connections that are held by half a request."""
+    caller = socket.create_connection(_Served().address)
+    caller.sendall(b"GET / HTTP/1.1\r\n")
+    assert caller.recv(12) == b"HTTP/1.1 408"
--- a/packages/daisypick_router/src/daisypick_router/peer_link.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -158,6 +158,11 @@
         try:
             connected.connect(self._address)
         except OSError:
+            # A loop that was held up may run the timer first.
+            stands = connection.is_connected(connected)
+        else:
+            stands = True
+        if not stands:
             # Tried again after the pause; the state of links is in the dump.
             connected.close()
             return
