Refuse a request for which no descriptor is left; blame nobody (LOST)

Cause: a VM whose callers leave connections idle runs out of descriptors. The OSError of opening a socket towards an engine was taken for the caller's own end, and the caller's connection was cut.

Change: NoDescriptorsError. The longest idle connection to a server gives way; if there is none the request is refused at once with code 8004, 503, Retry-After (nothing was sent), and no server is blamed. A link to another router is tried again; its greenlet ended for good before.

--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -1,7 +1,8 @@
 """One connection to another process, for one exchange after the other.
 
 Errors are told apart by what they say about the request: with
-``NotConnectedError`` nothing was sent; after ``ConnectionBrokeError`` and
+``NotConnectedError`` nothing was sent, which with ``NoDescriptorsError`` tells
+nothing of the peer; after ``ConnectionBrokeError`` and
 ``AnswerTimeoutError`` a request that was sent may have run.
 """
 
@@ -25,6 +26,10 @@
     """The connection was not established; nothing was sent."""
 
 
+class NoDescriptorsError(NotConnectedError):
+    """This process has no descriptor left; the peer was not tried."""
+
+
 class ConnectionBrokeError(Exception):
     """The connection broke; what was sent may have run."""
 
@@ -70,6 +75,18 @@
             raise TimeoutError("timed out") from None
 
 
+def open_socket() -> socket.socket:
+    """Return a socket that is not connected.
+
+    Raises:
+        NoDescriptorsError: This process has no descriptor left.
+    """
+    try:
+        return socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as error:
+        raise NoDescriptorsError(str(error)) from error
+
+
 def is_connected(connecting: socket.socket) -> bool:
     """Tell whether a connection has been established."""
     try:
@@ -98,6 +115,7 @@
                 whose peer does not answer probes; ``None`` for no probes.
 
         Raises:
+            NoDescriptorsError: This process has no descriptor left.
             NotConnectedError: The peer refused, reset or did not answer in
                 ``connect_timeout`` seconds.
         """
@@ -106,7 +124,7 @@
         self.idle_limit: float | None = None
         self.exchanges = 0
         self.reader: answer_reader.AnswerReader | None = None
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self._socket = open_socket()
         try:
             self._socket.setsockopt(
                 plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
--- a/packages/daisypick_http/src/daisypick_http/pool.py
+++ b/packages/daisypick_http/src/daisypick_http/pool.py
@@ -37,6 +37,8 @@
         """Return a connection that can carry a request.
 
         Raises:
+            NoDescriptorsError: A new connection was needed, and this process
+                has no descriptor left and no idle connection to close.
             NotConnectedError: A new connection was needed and refused.
         """
         now = time.monotonic()
@@ -47,13 +49,30 @@
                 self.reused += 1
                 return kept
             kept.close()
-        connection = connections.Connection(
+        try:
+            connection = self._open(address)
+        except connections.NoDescriptorsError:
+            if not self._close_oldest():
+                raise
+            connection = self._open(address)
+        self.opened += 1
+        return connection
+
+    def _open(self, address: tuple[str, int]) -> connections.Connection:
+        return connections.Connection(
             address=address,
             connect_timeout=self._connect_timeout,
             silence_limit=self._silence_limit,
         )
-        self.opened += 1
-        return connection
+
+    def _close_oldest(self) -> bool:
+        """Close the connection that is idle for the longest time."""
+        idle = [kept for kept in self._idle_by_address.values() if kept]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda kept: kept[0].idle_since)
+        oldest.pop(0).close()
+        return True
 
     def give_back(self, connection: connections.Connection) -> None:
         """Keep a connection whose answer was whole; close any other."""
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -319,4 +319,4 @@
     """Tell whether a try failed at its server."""
     if tried is None or isinstance(tried, str):
         return False
-    return not (isinstance(tried, exchange.NotRun) and tried.too_late)
+    return not (isinstance(tried, exchange.NotRun) and tried.unsent)
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -26,14 +26,16 @@
         arrived: Whether the server saw it and turned it away.
         server_down: Whether the server could not be reached.
         misdirected: Whether another server lives at the address now.
-        too_late: Whether it was not sent, as its deadline had passed.
+        unsent: Whether it was not sent for a reason that tells nothing of
+            the server: its deadline had passed, or this process has no
+            descriptor left.
     """
 
     reason: str
     arrived: bool
     server_down: bool = False
     misdirected: bool = False
-    too_late: bool = False
+    unsent: bool = False
 
 
 class Unknown(typing.NamedTuple):
@@ -79,13 +81,15 @@
     """
     try:
         connection = pool.take(server.address)
+    except connections.NoDescriptorsError as error:
+        return NotRun(reason=str(error), arrived=False, unsent=True)
     except connections.NotConnectedError as error:
         return NotRun(reason=str(error), arrived=False, server_down=True)
     # The loop may have been busy since anybody looked at the time or the
     # caller; a server works in vain on what is sent too late.
     if time.monotonic() >= context.deadline:
         pool.give_back(connection)
-        return NotRun(reason="too late to send", arrived=False, too_late=True)
+        return NotRun(reason="too late to send", arrived=False, unsent=True)
     if caller.has_left():
         pool.give_back(connection)
         raise http_server.CallerLeft
--- a/packages/daisypick_router/src/daisypick_router/peer_link.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -6,7 +6,6 @@
 import typing
 
 import gevent
-from gevent import socket
 
 from daisypick_core.results import failure
 from daisypick_http import connection
@@ -153,7 +152,13 @@
             gevent.sleep(_PAUSE_SECONDS * self._rng.uniform(0.5, 1.5))
 
     def _connect(self) -> None:
-        connected = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            connected = connection.open_socket()
+        except connection.NoDescriptorsError as error:
+            self._log.write(
+                "peer", "No link.", host=self.name, reason=str(error)
+            )
+            return
         connected.settimeout(_CONNECT_SECONDS)
         try:
             connected.connect(self._address)
--- a/packages/daisypick_router/src/daisypick_router/tries.py
+++ b/packages/daisypick_router/src/daisypick_router/tries.py
@@ -49,6 +49,8 @@
     ) -> bool:
         """Tell whether one more server may get the request."""
         if isinstance(tried, exchange.NotRun):
+            if tried.unsent:
+                return False
             if not tried.arrived:
                 return time.monotonic() < context.deadline
         elif not context.may_run_again:
@@ -72,7 +74,7 @@
         not_run = isinstance(tried, exchange.NotRun)
         if not not_run:
             context.may_have_run = True
-        if not (not_run and tried.too_late):
+        if not (not_run and tried.unsent):
             down = not_run and (tried.server_down or tried.misdirected)
             self.outcomes.note_failure(server, time.monotonic(), certain=down)
         self._metrics.count("failed_tries_total", kind=type(tried).__name__)
@@ -97,6 +99,10 @@
         return failure.Failure(code=code, reason=reason)
     if context.may_have_run:
         return failure.Failure(code=codes.ANSWER_BROKEN, reason=reason)
+    if isinstance(tried, exchange.NotRun) and tried.unsent:
+        return failure.Failure(
+            code=codes.NO_DESCRIPTORS, reason=reason, retry_after=RETRY_AFTER
+        )
     return failure.Failure(
         code=codes.NO_BACKEND_SERVER, reason=reason, retry_after=RETRY_AFTER
     )
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -2,6 +2,7 @@
 
 import time
 
+import descriptors
 import fakes
 import gevent
 import pytest
@@ -509,6 +510,24 @@
     assert line["reason"] == "closed by the caller"
 
 
+@pytest.mark.parametrize("path", ["/look/1", "/reserve/1", "/ask/1"])
+def test_request_is_refused_when_descriptors_run_out(store, path):
+    """Guards against cut connections for want of a descriptor (LOST)."""
+    desk, engine = _desk(fakes.answer_ok), _assist(fakes.stream_five)
+    router = _serve(store, desk, engine)
+    with fakes.connect(router) as caller:
+        fakes.wait_for(lambda: router._connections)
+        with descriptors.run_out():
+            caller.sendall(fakes.write_request(path))
+            answer = fakes.read_answer(caller)
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0.0
+            assert b'"ran": "no"' in answer.body
+        assert desk.requests == engine.requests == []
+        caller.sendall(fakes.write_request(path, attempt="a-2"))
+        assert fakes.read_answer(caller).status == 200
+
+
 def test_router_that_stops_leaves_no_caller_on_an_unread_connection(store):
     """Guards against callers who wait on a connection nobody reads (LOST).
 
