Give a silent server up only if another one may follow (LOST)

Callers saw: streams of sound engines cut after a pause of 1.2 s, although nothing else could go on with them, and a 502 for a lookup whose only server was still at work.

The same rule cut every stream that may not be resumed.

Cause: the limits on silence did not ask whether giving up leads anywhere: whether the route may be resumed or repeated, tries and budget are left, a server is left.

Change: one question, Tries.may_give_up, asked before a limit on silence holds, for first events, later ones and plain answers. Else the answer is awaited until the deadline; a caller that leaves ends it as before.

Tests: test_stream_that_may_not_go_on_is_not_cut_for_a_pause, ..._on_its_last_server_..., test_last_plain_server_is_not_given_up_for_its_silence, red before; test_stream_goes_on_elsewhere_when_its_server_falls_silent, green before and after.

--- a/packages/daisypick_core/src/daisypick_core/serving/retry_budget.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/retry_budget.py
@@ -51,16 +51,20 @@
         """Count a request of a caller."""
         self._window(self._requests_by_service, service).add(now)
 
-    def take(self, service: str, now: float) -> bool:
-        """Count a repeated send and return ``True``, or refuse it."""
+    def allows(self, service: str, now: float) -> bool:
+        """Tell whether a repeated send is within the budget."""
         requests = self._window(self._requests_by_service, service)
         retries = self._window(self._retries_by_service, service)
         allowed = _USED_SHARE * (
             self._ratio * requests.count(now) + self._extra / self._routers
         )
-        if retries.count(now) + 1 > allowed:
+        return retries.count(now) + 1 <= allowed
+
+    def take(self, service: str, now: float) -> bool:
+        """Count a repeated send and return ``True``, or refuse it."""
+        if not self.allows(service, now):
             return False
-        retries.add(now)
+        self._window(self._retries_by_service, service).add(now)
         return True
 
     def _window(
--- a/packages/daisypick_router/src/daisypick_router/engine_way.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_way.py
@@ -29,11 +29,10 @@
 from daisypick_router import tries as try_rules
 
 _EVENT_STREAM = b"text/event-stream"
-# Silence after which a server that began a stream is given up. Callers give
-# up themselves after two seconds at the least.
+# Silence in seconds after which a stream that may go on elsewhere does so.
+# Callers give up themselves after two seconds at the least.
 _EVENT_SILENCE = 1.2
-# The same for the first event of a stream that may go on elsewhere, in
-# objectives and at least in seconds.
+# The same for the first event, in objectives and at least in seconds.
 _FIRST_SILENCE_OBJECTIVES = 2.5
 _FIRST_SILENCE = 1.0
 # Part of the most tokens that a caller allows which is generated, where it
@@ -211,7 +210,7 @@
             context,
             server,
             last_event=stream.last_id,
-            silence=self._first_silence(context),
+            silence=self._first_silence(context, arrivals=context.arrivals + 1),
             copy_from=source.address if source is not None else None,
         )
         if isinstance(opened, exchange.NotRun):
@@ -227,9 +226,11 @@
             return self._pass_whole(connection, context, opened)
         return self._pass_stream(connection, context, work, opened, stream)
 
-    def _first_silence(self, context: contexts.Context) -> float:
+    def _first_silence(
+        self, context: contexts.Context, *, arrivals: int
+    ) -> float:
         left = context.deadline - time.monotonic()
-        if not context.may_run_again:
+        if not self._tries.may_give_up(context, arrivals=arrivals):
             return left
         patience = context.route.objective * _FIRST_SILENCE_OBJECTIVES
         return min(left, max(patience, _FIRST_SILENCE))
@@ -260,12 +261,11 @@
     ) -> relay.Broken | str:
         reader = relay.EventReader(opened=opened, stream=stream)
         ended = None
-        silence = self._first_silence(context)
+        silence = self._first_silence(context, arrivals=context.arrivals)
         first = True
         try:
             while True:
-                until = min(time.monotonic() + silence, context.deadline)
-                events = reader.read(until)
+                events = self._read_events(context, reader, silence)
                 if not isinstance(events, bytes):
                     ended = events
                     break
@@ -295,6 +295,28 @@
         connection.end_stream()
         return "streamed"
 
+    def _read_events(
+        self,
+        context: contexts.Context,
+        reader: relay.EventReader,
+        silence: float,
+    ) -> bytes | relay.Ended | relay.Broken:
+        """Return what comes next of a stream.
+
+        Giving up a silent server helps only a stream that another one may go
+        on with; any other would be cut though its server may still work.
+        """
+        until = min(time.monotonic() + silence, context.deadline)
+        events = reader.read(until)
+        if (
+            isinstance(events, relay.Broken)
+            and events.silent
+            and until < context.deadline
+            and not self._tries.may_give_up(context, arrivals=context.arrivals)
+        ):
+            return reader.read(context.deadline)
+        return events
+
     def _note_first(self, context: contexts.Context, work: job.Job) -> None:
         self._placing.note_first_token(context.service, work.key)
         if context.first_event_at is None:
--- a/packages/daisypick_router/src/daisypick_router/plain_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_servers.py
@@ -48,12 +48,7 @@
         now: float,
     ) -> backend_server.BackendServer | None:
         """Return a server that was not tried, and count the request."""
-        candidates = self._find_candidates(
-            self._sample(service.name), service, tried, now
-        )
-        if not candidates:
-            ready = self._discovery.directory.find_ready(service.name)
-            candidates = self._find_candidates(ready, service, tried, now)
+        candidates = self._find_untried(service, tried, now)
         if not candidates:
             return None
         server = min(
@@ -65,6 +60,29 @@
         self._running_by_server[server.name] = running + 1
         return server
 
+    def has_untried(
+        self,
+        service: fleet_configuration.Service,
+        tried: set[str],
+        now: float,
+    ) -> bool:
+        """Tell whether a server that was not tried may get the request."""
+        return bool(self._find_untried(service, tried, now))
+
+    def _find_untried(
+        self,
+        service: fleet_configuration.Service,
+        tried: set[str],
+        now: float,
+    ) -> list[backend_server.BackendServer]:
+        candidates = self._find_candidates(
+            self._sample(service.name), service, tried, now
+        )
+        if candidates:
+            return candidates
+        ready = self._discovery.directory.find_ready(service.name)
+        return self._find_candidates(ready, service, tried, now)
+
     def _sample(self, service: str) -> list[backend_server.BackendServer]:
         """Return the servers to compare first."""
         directory = self._discovery.directory
--- a/packages/daisypick_router/src/daisypick_router/plain_way.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_way.py
@@ -76,7 +76,9 @@
         server: backend_server.BackendServer,
     ) -> try_rules.FailedTry | relay.Whole:
         silence = context.deadline - time.monotonic()
-        if context.route.kind == route_table.SAFE:
+        if context.route.kind == route_table.SAFE and self._may_give_up(
+            context
+        ):
             patience = context.route.objective * _SAFE_SILENCE_OBJECTIVES
             silence = min(silence, patience)
         opened = exchange.open_exchange(
@@ -95,6 +97,14 @@
             return opened
         return read_whole(self._pool, opened, context.deadline)
 
+    def _may_give_up(self, context: contexts.Context) -> bool:
+        """Tell whether another server could answer in place of the next."""
+        return self._tries.may_give_up(
+            context, arrivals=context.arrivals + 1
+        ) and self._servers.has_untried(
+            context.service, context.tried, time.monotonic()
+        )
+
 
 def read_whole(
     pool: pools.Pool, opened: exchange.Opened, deadline: float
--- a/packages/daisypick_router/src/daisypick_router/tries.py
+++ b/packages/daisypick_router/src/daisypick_router/tries.py
@@ -44,6 +44,19 @@
         """Count a caller's request towards the budget."""
         self._budget.note_request(service, time.monotonic())
 
+    def may_give_up(self, context: contexts.Context, *, arrivals: int) -> bool:
+        """Tell whether another server could get what a silent one has.
+
+        Args:
+            context: The request.
+            arrivals: Servers that it has reached, the silent one included.
+        """
+        return (
+            context.may_run_again
+            and arrivals < context.route.max_attempts
+            and self._budget.allows(context.service.name, time.monotonic())
+        )
+
     def may_send_again(
         self, context: contexts.Context, tried: FailedTry | relay.Whole
     ) -> bool:
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -282,6 +282,76 @@
     assert servers[1].requests == []
 
 
+def _pause(seconds, *, after):
+    """Return a script that streams five events and pauses after some."""
+
+    def _script(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        begin = int(headers.get("last-event-id", "0")) + 1
+        fakes.send_events(connection, range(begin, after + 1))
+        gevent.sleep(seconds)
+        fakes.send_events(connection, range(max(begin, after + 1), 6))
+        fakes.end_stream(connection)
+
+    return _script
+
+
+@pytest.fixture
+def patient_store(store):
+    """Let every route wait for eight seconds."""
+    manifest = fakes.make_manifest(2)
+    for route in manifest["Routes"]:
+        route["TimeoutMs"] = 8000
+    store.put("config", "main", manifest)
+    return store
+
+
+def test_stream_that_may_not_go_on_is_not_cut_for_a_pause(patient_store):
+    """Guards against ending a sound server's stream for its silence (LOST)."""
+    router = _serve(patient_store, _assist(_pause(1.4, after=2)))
+    assert fakes.call(router, "/ask/1", patience="8000").whole
+
+
+def test_stream_on_its_last_server_is_not_cut_for_a_pause(patient_store):
+    """Guards against giving up the last server that may serve a stream."""
+    scripts = [_break_after_two, _pause(1.4, after=2)]
+
+    def _in_turn(server, connection, first, headers, body):
+        return scripts.pop(0)(server, connection, first, headers, body)
+
+    router = _serve(
+        patient_store, _assist(_in_turn, "e-1"), _assist(_in_turn, "e-2")
+    )
+    assert fakes.call(router, "/visit/1", patience="8000").whole
+
+
+def test_stream_goes_on_elsewhere_when_its_server_falls_silent(patient_store):
+    """Guards against waiting for a server that hangs while others serve."""
+    scripts = [_pause(6.0, after=2), fakes.stream_five]
+
+    def _in_turn(server, connection, first, headers, body):
+        return scripts.pop(0)(server, connection, first, headers, body)
+
+    router = _serve(
+        patient_store, _assist(_in_turn, "e-1"), _assist(_in_turn, "e-2")
+    )
+    began = time.monotonic()
+    assert fakes.call(router, "/visit/1", patience="8000").whole
+    assert time.monotonic() - began < 3.0
+
+
+def test_last_plain_server_is_not_given_up_for_its_silence(patient_store):
+    """Guards against a failure told while the only server works (LOST)."""
+
+    def _answer_late(server, connection, first, headers, body):
+        gevent.sleep(0.9)
+        fakes.answer_ok(server, connection, first, headers, body)
+
+    router = _serve(patient_store, _desk(_answer_late))
+    answer = fakes.call(router, "/look/1", method="GET", patience="8000")
+    assert answer.status == 200
+
+
 def test_caller_that_leaves_ends_the_work(store):
     """A caller closes its connection while a server streams to it.
 
