Find idle connections without looking at all of them (FAIR)

Evidence: "Closed idle connections." 179 times on front-batak-3, 155 within two seconds, in which its intake stood at 1.24 s: each new connection looked for idle ones.

Cause: beyond 0.45 of the descriptors each new connection went through all and sorted them (0.19 to 0.47 ms for 1,845 on this machine), then looked at up to 184 for unread bytes; those that had some stayed and were looked at again. The safeguard cost most when it could close none, on a VM of 0.387 cores.

Change: connections in the order in which they became idle; a new one looks at 16 at the most. "Load." tells how many were closed, in place of a line for each new connection.

Tests: test_new_connection_costs_the_same_among_many, red before with 480 looks for 160; test_idle_connections.

--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -59,7 +59,8 @@
     by ``begin_stream``, ``send_chunk`` and ``end_stream``. It runs in a
     greenlet of its own, which ``begin(greenlet, request)`` starts, at once or
     when there is time. ``on_drop(request, reason)`` is told of each whole
-    request that ends with the connection and was never handled.
+    request that ends with the connection and was never handled,
+    ``on_idle(connection, idle)`` of each request's start and end.
 
     Attributes:
         idle_since: When it last had nothing to do.
@@ -79,10 +80,12 @@
             None
         ),
         on_drop: Callable[[messages.Request, str], None] | None = None,
+        on_idle: Callable[["CallerConnection", bool], None] | None = None,
     ) -> None:
         self._socket = socket
         self._begin = begin or _begin_at_once
-        self._on_drop = on_drop or _ignore_drop
+        self._on_drop = on_drop or _ignore
+        self._on_idle = on_idle or _ignore
         self._unbegun: messages.Request | None = None
         self._handle = handle
         self._limits = limits
@@ -214,6 +217,7 @@
         self.answer_begun = False
         self.answer_ended = False
         self._unbegun = request
+        self._on_idle(self, False)
         self._handler = gevent.Greenlet(self._run_handler, request)
         self._begin(self._handler, request)
 
@@ -227,6 +231,7 @@
             self._handler = None
             self.idle_since = time.monotonic()
             self._idle_timeout = self._limits().idle_timeout
+            self._on_idle(self, True)
 
     def abort(self) -> None:
         """Cut the connection, so that no answer on it looks whole."""
@@ -350,5 +355,5 @@
     handler.start()
 
 
-def _ignore_drop(request: messages.Request, reason: str) -> None:
-    del request, reason
+def _ignore(*facts: object) -> None:
+    del facts
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -26,6 +26,7 @@
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_servers
 from daisypick_router import engine_way
+from daisypick_router import idle_connections
 from daisypick_router import intake
 from daisypick_router import load_watch
 from daisypick_router import log as logs
@@ -165,8 +166,9 @@
             metrics=self.metrics,
             rng=rng,
         )
-        # In the order in which they were opened.
         self._connections: dict[http_server.CallerConnection, None] = {}
+        self._idle = idle_connections.IdleConnections()
+        self._idle_closed = 0
         self._most_connections = int(settings.most_files * _CALLER_SHARE)
         self._listeners: list[gevent_server.StreamServer] = []
         self._settings_watch = settings_watch.SettingsWatch(
@@ -245,36 +247,24 @@
             limits=self._limits,
             begin=self._intake.add,
             on_drop=self.serving.note_dropped,
+            on_idle=self._idle.note,
         )
         self._connections[connection] = None
+        self._idle.note(connection, True)
         if len(self._connections) > self._most_connections:
             self._close_idle()
         try:
             connection.run()
         finally:
             self._connections.pop(connection, None)
+            self._idle.note(connection, False)
 
     def _close_idle(self) -> None:
-        """Close the longest idle connections, a tenth of all.
-
-        Callers that open a connection for each request leave them idle until
-        the idle timeout; at 500 a second that is more than a VM's
-        descriptors, and then nobody could connect any more.
-        """
-        idle = [known for known in self._connections if known.is_idle]
-        idle.sort(key=lambda known: known.idle_since)
-        closed = idle[: self._most_connections // 10]
+        closed = self._idle.close_oldest()
         for connection in closed:
-            connection.close_idle()
-            if connection.closing:
-                self._connections.pop(connection, None)
+            self._connections.pop(connection, None)
+        self._idle_closed += len(closed)
         self.metrics.count("idle_connections_closed_total", len(closed))
-        self.log.write(
-            "connection",
-            "Closed idle connections.",
-            closed=len(closed),
-            connections=len(self._connections),
-        )
 
     def _serve_platform(self, socket, address) -> None:  # noqa: ANN001
         del address
@@ -337,9 +327,11 @@
                     self._intake.find_wait(time.monotonic()), 3
                 ),
                 connections=len(self._connections),
+                idle_closed=self._idle_closed,
                 running=self.serving.running,
                 processor_seconds=round(time.process_time(), 3),
             )
+            self._idle_closed = 0
 
     def take_settings(self, settings: platform_settings.Settings) -> None:
         """Put changed settings in force, without touching a connection.
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -7,6 +7,7 @@
 import gevent
 import pytest
 
+from daisypick_http import server as http_server
 from daisypick_platform import store as stores
 
 
@@ -698,6 +699,34 @@
     assert fakes.read_answer(idle[-1]).served
 
 
+def test_new_connection_costs_the_same_among_many(store, monkeypatch):
+    """Guards against a VM that does nothing but look for idle ones (FAIR)."""
+    looks = []
+    is_idle = http_server.CallerConnection.is_idle.fget
+
+    def _count(connection):
+        looks.append(connection)
+        return is_idle(connection)
+
+    monkeypatch.setattr(
+        http_server.CallerConnection, "is_idle", property(_count)
+    )
+    router = fakes.make_router(store, most_files=100)
+    server = _desk(fakes.answer_ok)
+    store.put("servers", server.name, server.describe())
+    router.start()
+    fakes.wait_for(lambda: router.is_ready)
+    router._intake.add = lambda handler, request: None
+    callers = [fakes.connect(router) for _ in range(90)]
+    for number, caller in enumerate(callers):
+        caller.sendall(fakes.write_request("/look/1", attempt=f"a-{number}"))
+    gevent.sleep(0.1)
+    looks.clear()
+    late = [fakes.connect(router) for _ in range(10)]
+    gevent.sleep(0.1)
+    assert 0 < len(looks) <= 16 * len(late)
+
+
 def test_plain_service_nearby_is_used_until_it_is_busy(store):
     """Two servers of a plain service, one in the router's data centre.
 
