--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -131,8 +131,9 @@
         unhandled = [*self._reader.requests]
         if self._unbegun is not None:
             unhandled.insert(0, self._unbegun)
+        reason = "came after our end" if self.closing else self._end
         for request in unhandled:
-            self._on_drop(request, self._end)
+            self._on_drop(request, reason)
 
     def _read_once(self, reader: request_reader.RequestReader) -> bool:
         """Read and serve what came; return whether to go on."""
--- a/packages/daisypick_http/tests/test_server.py
+++ b/packages/daisypick_http/tests/test_server.py
@@ -23,6 +23,7 @@
 
     def __init__(self):
         self.connections = []
+        self.dropped = []
         self._server = gevent_server.StreamServer(
             ("127.0.0.1", 0), self._serve, backlog=512
         )
@@ -35,6 +36,7 @@
             socket=connected,
             handle=_answer,
             limits=lambda: server.Limits(header_timeout=0.3),
+            on_drop=lambda request, reason: self.dropped.append(reason),
         )
         self.connections.append(connection)
         connection.run()
@@ -65,3 +67,18 @@
     caller = socket.create_connection(_Served().address)
     caller.sendall(b"GET / HTTP/1.1\r\n")
     assert caller.recv(12) == b"HTTP/1.1 408"
+
+
+def test_request_that_crosses_the_end_is_told_of():
+    """Guards against requests that get no answer without a trace (LOST)."""
+    served = _Served()
+    caller = socket.create_connection(served.address)
+    while not served.connections:
+        gevent.sleep(0.005)
+    served.connections[0].close_idle()
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: plots.example\r\n\r\n")
+    assert caller.recv(1) == b""
+    caller.close()
+    while not served.dropped:
+        gevent.sleep(0.005)
+    assert served.dropped == ["came after our end"]
