Forget a connection that ended while its request was handled

A caller that left while its request was handled had its connection put back among the idle ones by the handler's end, after the connection's own end: memory that grows with callers who leave. The reader takes what lies unread by the same function as other connections.

Test: test_connection_that_ended_is_forgotten, red before.

--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -55,10 +55,10 @@
 def receive(connected: socket.socket, timeout: float) -> bytes:
     """Return the next bytes, or none after the peer's end.
 
-    The loop takes a bounded number of events from the kernel in a turn, and
-    runs the timers that are due before it takes the rest. After a hold-up
-    timers thus run for sockets whose bytes came in time, so what lies unread
-    is looked for before a peer counts as silent.
+    The event loop takes a bounded number of events from the kernel in a turn
+    and runs the timers that are due before it takes the rest. A loop that was
+    held up would thus run the timers of sockets whose bytes came in time, so
+    a socket is read once more after its timer has run.
 
     Raises:
         TimeoutError: Nothing came within ``timeout`` seconds.
@@ -146,7 +146,7 @@
         try:
             self._socket.connect(self.address)
         except TimeoutError:
-            # A loop that was held up may run the timer first.
+            # Established in time, as in ``receive``.
             if not is_connected(self._socket):
                 raise
 
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -15,11 +15,10 @@
 
 import gevent
 
+from daisypick_http import connection as connections
 from daisypick_http import messages
 from daisypick_http import request_reader
 
-_RECEIVE_BYTES = 65536
-_LEAST_TIMEOUT_SECONDS = 0.001
 # Longest wait for the caller's end of a connection that we have ended.
 _LINGER_SECONDS = 1.0
 
@@ -90,7 +89,9 @@
         self._handle = handle
         self._limits = limits
         self._handler: gevent.Greenlet | None = None
-        self._end = "closed by the router"
+        # Whether it is served no longer, and why.
+        self._ended = False
+        self._reason = "closed by the router"
         self.idle_since = time.monotonic()
         self._idle_timeout = limits().idle_timeout
         self._reader = request_reader.RequestReader(
@@ -122,8 +123,9 @@
             while not self._aborted and self._read_once(self._reader):
                 pass
         finally:
+            self._ended = True
             if self._handler is not None:
-                self._handler.kill(CallerLeft(self._end), block=False)
+                self._handler.kill(CallerLeft(self._reason), block=False)
             self._socket.close()
             self._drop_unhandled()
 
@@ -131,26 +133,25 @@
         unhandled = [*self._reader.requests]
         if self._unbegun is not None:
             unhandled.insert(0, self._unbegun)
-        reason = "came after our end" if self.closing else self._end
+        reason = "came after our end" if self.closing else self._reason
         for request in unhandled:
             self._on_drop(request, reason)
 
     def _read_once(self, reader: request_reader.RequestReader) -> bool:
         """Read and serve what came; return whether to go on."""
         timeout = self._next_timeout(reader)
-        # What lies unread after a hold-up came in time.
-        if timeout <= 0.0 and (self.closing or not self._has_unread()):
-            return self._end_silence(reader)
-        self._socket.settimeout(max(timeout, _LEAST_TIMEOUT_SECONDS))
+        if timeout <= 0.0 and self.closing:
+            return False
         try:
-            data = self._socket.recv(_RECEIVE_BYTES)
+            data = connections.receive(self._socket, timeout)
         except TimeoutError:
-            return True
+            silent = self._next_timeout(reader) <= 0.0
+            return self._end_silence(reader) if silent else True
         except OSError as error:
-            self._end = str(error)
+            self._reason = str(error)
             return False
         if not data:
-            self._end = "closed by the caller"
+            self._reason = "closed by the caller"
             return False
         limits = self._limits()
         reader.set_limits(
@@ -232,7 +233,8 @@
             self._handler = None
             self.idle_since = time.monotonic()
             self._idle_timeout = self._limits().idle_timeout
-            self._on_idle(self, True)
+            if not self._ended:
+                self._on_idle(self, True)
 
     def abort(self) -> None:
         """Cut the connection, so that no answer on it looks whole."""
--- a/packages/daisypick_router/src/daisypick_router/idle_connections.py
+++ b/packages/daisypick_router/src/daisypick_router/idle_connections.py
@@ -25,6 +25,9 @@
             http_server.CallerConnection, None
         ] = collections.OrderedDict()
 
+    def __len__(self) -> int:
+        return len(self._connections)
+
     def note(
         self, connection: http_server.CallerConnection, idle: bool
     ) -> None:
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -727,6 +727,21 @@
     assert 0 < len(looks) <= 16 * len(late)
 
 
+def test_connection_that_ended_is_forgotten(store):
+    """Guards against memory that grows with callers that leave early."""
+
+    def _hang(server, connection, first, headers, body):
+        gevent.sleep(10.0)
+
+    router = _serve(store, _assist(_hang))
+    with fakes.connect(router) as caller:
+        caller.sendall(fakes.write_request("/ask/1"))
+        fakes.wait_for(lambda: router.serving.running == 1)
+    fakes.wait_for(lambda: not router._connections)
+    gevent.sleep(0.05)
+    assert len(router._idle) == 0
+
+
 def test_plain_service_nearby_is_used_until_it_is_busy(store):
     """Two servers of a plain service, one in the router's data centre.
 
