--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -55,14 +55,14 @@
         self._metrics = metrics
         self._rng = rng
         self.stopping_since: float | None = None
-        self._running: dict[
+        self._context_by_connection: dict[
             http_server.CallerConnection, contexts.Context | None
         ] = {}
 
     @property
     def running(self) -> int:
         """How many requests are handled."""
-        return len(self._running)
+        return len(self._context_by_connection)
 
     def handle(
         self,
@@ -70,7 +70,7 @@
         request: messages.Request,
     ) -> None:
         """Serve one request of a caller."""
-        self._running[connection] = None
+        self._context_by_connection[connection] = None
         reason: str | None = None
         try:
             if self._ends_connections():
@@ -80,7 +80,7 @@
             reason = f"{type(error).__name__}: {error}"
             raise
         finally:
-            context = self._running.pop(connection)
+            context = self._context_by_connection.pop(connection)
             if not connection.answer_ended:
                 self._log_unanswered(
                     connection.exchanges, request, context, reason
@@ -92,7 +92,7 @@
 
     def note_stopped(self) -> None:
         """Log the requests that end with the process."""
-        for connection, context in self._running.items():
+        for connection, context in self._context_by_connection.items():
             if context is not None:
                 self._log_unanswered(
                     connection.exchanges,
@@ -138,7 +138,7 @@
         if failure.is_failure(found):
             self._refuse(connection, None, found, request)
             return found.reason
-        self._running[connection] = found
+        self._context_by_connection[connection] = found
         self._tries.note_request(found.service.name)
         way = self._plain if found.service.engine is None else self._engine
         try:
