--- /dev/null
+++ b/packages/daisypick_router/tests/test_process.py
@@ -0,0 +1,202 @@
+"""Callers' connections and descriptors of one router, against stand-ins."""
+
+import time
+
+import descriptors
+import fakes
+import gevent
+import pytest
+
+from daisypick_http import server as http_server
+
+
+@pytest.fixture
+def store():
+    found = fakes.FakeStore()
+    found.put("config", "main", fakes.make_manifest())
+    yield found
+    found.server.stop()
+
+
+def _serve(store, *servers, most_files=4096):
+    for server in servers:
+        store.put("servers", server.name, server.describe())
+    router = fakes.make_router(store, most_files=most_files)
+    router.start()
+    fakes.wait_for(lambda: router.is_ready)
+    return router
+
+
+def _desk(script, name="d-1"):
+    return fakes.FakeServer(name, "desk", script)
+
+
+def _assist(script, name="e-1"):
+    return fakes.FakeServer(name, "assist", script)
+
+
+def _hang(server, connection, first, headers, body):
+    gevent.sleep(10.0)
+
+
+def _note_unanswered(router):
+    """Return the list that gets the lines of requests without an answer."""
+    lines = []
+    write = router.log.write
+
+    def _write(part, say, **fields):
+        if part == "connection":
+            lines.append(fields)
+        write(part, say, **fields)
+
+    router.log.write = _write
+    return lines
+
+
+def test_request_whose_stream_is_cut_is_logged(store):
+    """Guards against answers that end early without a trace (LOST)."""
+
+    def _break_off(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        return "close"
+
+    router = _serve(store, _assist(_break_off))
+    lines = _note_unanswered(router)
+    assert not fakes.call(router, "/ask/1").whole
+    (line,) = lines
+    assert line["id"] == "a-1"
+    assert line["stage"] == "streaming"
+    assert line["reason"] == "connection ended within the answer"
+    assert line["servers"] == ["e-1"]
+
+
+def test_requests_that_end_with_the_process_are_logged(store):
+    """Guards against requests cut by a stop without a trace (LOST)."""
+    router = _serve(store, _assist(_hang))
+    lines = _note_unanswered(router)
+    with fakes.connect(router) as caller:
+        caller.sendall(fakes.write_request("/ask/1", patience="9000"))
+        fakes.wait_for(lambda: router.serving.running == 1)
+        gevent.sleep(0.05)
+        router.serving.note_stopped()
+        (line,) = lines
+        assert (line["id"], line["stage"]) == ("a-1", "sent")
+        assert line["reason"] == "the process stops"
+
+
+def test_request_that_was_never_begun_is_logged(store):
+    """Guards against requests dropped with their connection, untraced."""
+    router = _serve(store, _desk(fakes.answer_ok))
+    lines = _note_unanswered(router)
+    router._intake.add = lambda handler, request: None
+    with fakes.connect(router) as caller:
+        caller.sendall(fakes.write_request("/look/1"))
+        gevent.sleep(0.05)
+    fakes.wait_for(lambda: lines)
+    (line,) = lines
+    assert (line["id"], line["stage"]) == ("a-1", "unhandled")
+    assert line["reason"] == "closed by the caller"
+
+
+@pytest.mark.parametrize("path", ["/look/1", "/reserve/1", "/ask/1"])
+def test_request_is_refused_when_descriptors_run_out(store, path):
+    """Guards against cut connections for want of a descriptor (LOST)."""
+    desk, engine = _desk(fakes.answer_ok), _assist(fakes.stream_five)
+    router = _serve(store, desk, engine)
+    with fakes.connect(router) as caller:
+        fakes.wait_for(lambda: router._connections)
+        with descriptors.run_out():
+            caller.sendall(fakes.write_request(path))
+            answer = fakes.read_answer(caller)
+            assert answer.status == 503
+            assert float(answer.headers["retry-after"]) > 0.0
+            assert b'"ran": "no"' in answer.body
+        assert desk.requests == engine.requests == []
+        caller.sendall(fakes.write_request(path, attempt="a-2"))
+        assert fakes.read_answer(caller).status == 200
+
+
+def test_idle_connections_do_not_take_all_descriptors(store):
+    """Callers open a connection for each request and leave it idle.
+
+    When they have taken their part of the descriptors, those idle for the
+    longest time are closed; new callers still get in.
+    """
+    router = _serve(store, _desk(fakes.answer_ok), most_files=100)
+    idle = []
+    for number in range(60):
+        connection = fakes.connect(router)
+        connection.sendall(
+            fakes.write_request("/look/1", attempt=f"a-{number}")
+        )
+        assert fakes.read_answer(connection).served
+        idle.append(connection)
+    closed = 0
+    for connection in idle[:10]:
+        with gevent.Timeout(1.0, False):
+            closed += connection.recv(1) == b""
+    assert closed == 10
+    idle[-1].sendall(fakes.write_request("/look/1", attempt="a-99"))
+    assert fakes.read_answer(idle[-1]).served
+
+
+def test_new_connection_costs_the_same_among_many(store, monkeypatch):
+    """Guards against a VM that does nothing but look for idle ones (FAIR)."""
+    looks = []
+    is_idle = http_server.CallerConnection.is_idle.fget
+
+    def _count(connection):
+        looks.append(connection)
+        return is_idle(connection)
+
+    monkeypatch.setattr(
+        http_server.CallerConnection, "is_idle", property(_count)
+    )
+    router = _serve(store, _desk(fakes.answer_ok), most_files=100)
+    router._intake.add = lambda handler, request: None
+    callers = [fakes.connect(router) for _ in range(90)]
+    for number, caller in enumerate(callers):
+        caller.sendall(fakes.write_request("/look/1", attempt=f"a-{number}"))
+    gevent.sleep(0.1)
+    looks.clear()
+    late = [fakes.connect(router) for _ in range(10)]
+    gevent.sleep(0.1)
+    assert 0 < len(looks) <= 16 * len(late)
+
+
+def test_connection_that_ended_is_forgotten(store):
+    """Guards against memory that grows with callers that leave early."""
+    router = _serve(store, _assist(_hang))
+    with fakes.connect(router) as caller:
+        caller.sendall(fakes.write_request("/ask/1"))
+        fakes.wait_for(lambda: router.serving.running == 1)
+    fakes.wait_for(lambda: not router._connections)
+    gevent.sleep(0.05)
+    assert len(router._idle) == 0
+
+
+def test_idle_connection_with_an_unread_request_is_not_closed(store):
+    """Descriptors run short while the router is busy and reads late.
+
+    A caller's next request already lies on its idle connection. Closing that
+    one would leave the caller without an answer; the next one is closed.
+    """
+    router = _serve(store, _desk(fakes.answer_ok), most_files=100)
+    idle = []
+    for number in range(44):
+        connection = fakes.connect(router)
+        connection.sendall(
+            fakes.write_request("/look/1", attempt=f"a-{number}")
+        )
+        assert fakes.read_answer(connection).served
+        idle.append(connection)
+    # No greenlet switch between the request and the look at idle connections,
+    # as on a VM that was busy with something else.
+    plain = idle[0]._sock
+    plain.sendall(fakes.write_request("/look/1", attempt="a-98"))
+    time.sleep(0.05)
+    router._close_idle()
+    assert fakes.read_answer(idle[0]).served
+    with gevent.Timeout(1.0):
+        assert idle[1].recv(1) == b""
