Follow the platform's store when it comes back from an older copy

What callers and operators would see: a router that follows the tree of changes drops every change until the new history has passed its old revision, and believes that it missed none; a revoked key goes on working. A watch from a revision that has been given out again misses what lies before it. A list of the copy takes back a server's draining and a data centre's evacuation.

Cause: revisions were taken to rise for ever; a restored store gives them out again.

Change: an answer's Store-Era is decoded in platform/ (an answer without it is as before; one of an earlier era counts as lost). A position is an era and a revision. Routers write their entries again at once, count each other for 6 s more, and delete no entry by a revision of an earlier era. A "feed" message without an era is understood.

--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -115,6 +115,7 @@
 PLATFORM_BUDGET_SPENT = define(7004, "Budget of platform calls is spent", 503)
 NOT_FOUND = define(7005, "Object does not exist", 404)
 HISTORY_GONE = define(7006, "History of the platform's store is gone", 410)
+STORE_RESTORED = define(7007, "Platform's store came back from a copy", 410)
 
 NOT_A_PEER = define(8001, "Key of the fleet is missing or wrong", 401)
 PEER_UNREACHABLE = define(8002, "Process is unreachable", 503)
--- a/packages/daisypick_core/src/daisypick_core/serving/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/__init__.py
@@ -4,6 +4,7 @@
 * ``route_table``: which route a request takes.
 * ``backend_server``: one start of a backend server.
 * ``directory``: the backend servers that may get work.
+* ``restore_hold``: what outlasts a store's return from an older copy.
 * ``send_window``: how often something happened in a sliding window.
 * ``cold_parts``: how much of a cold server's rate each router has.
 * ``cold_limit``: how much a cold backend server gets.
--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -93,6 +93,10 @@
             self._out_since = None
             self._returned_at = now
 
+    def note_restored(self, now: float) -> None:
+        """The platform came back from a copy; entries may be missing."""
+        self._returned_at = now
+
     def is_settling(self, now: float) -> bool:
         """Tell whether entries may be missing for the platform's own sake."""
         if self._out_since is not None:
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -16,6 +16,7 @@
 from daisypick_core.serving import backend_server
 from daisypick_core.serving import directory as directories
 from daisypick_core.serving import fleet_configuration
+from daisypick_core.serving import restore_hold
 from daisypick_platform import entries
 from daisypick_platform import manifest
 from daisypick_platform import store as stores
@@ -51,6 +52,8 @@
         self._outage = watch.Outage()
         self.configuration: fleet_configuration.FleetConfiguration | None = None
         self.directory = directories.Directory()
+        self._hold = restore_hold.RestoreHold()
+        store.eras.on_rise(self._begin_hold)
         self.has_servers = False
         self._away = False
         self._unreadable: set[str] = set()
@@ -132,7 +135,10 @@
         now = time.monotonic()
         servers = [self._read_server(stored, now) for stored in objects]
         self.directory.replace_all(
-            (server for server in servers if server is not None), now
+            self._hold.filter_servers(
+                (server for server in servers if server is not None), now
+            ),
+            now,
         )
         self.has_servers = True
         self._log.write(
@@ -175,15 +181,22 @@
         self, stored: stores.StoredObject, now: float, *, log: bool
     ) -> None:
         server = None
+        self._hold.release_server(stored.name)
         if not stored.deleted:
             server = self._read_server(stored, now)
         if server is None:
+            self._note_left(stored.name, now)
             self.directory.remove(stored.name, now)
         else:
             self.directory.put(server)
         if log:
             self._log_change(stored.name, server, now)
 
+    def _note_left(self, name: str, now: float) -> None:
+        left = self.directory.server_by_name.get(name)
+        if left is not None:
+            self._hold.note_left(left, now)
+
     def _log_change(
         self, name: str, server: backend_server.BackendServer | None, now: float
     ) -> None:
@@ -200,10 +213,9 @@
         )
 
     def _take_out_list(self, objects: tuple[stores.StoredObject, ...]) -> None:
-        self.directory.set_out(
-            (stored.name for stored in objects if not stored.deleted),
-            time.monotonic(),
-        )
+        out = {stored.name for stored in objects if not stored.deleted}
+        now = time.monotonic()
+        self.directory.set_out(self._hold.filter_out(out, now), now)
         self._on_servers(None)
 
     def _change_out(self, objects: tuple[stores.StoredObject, ...]) -> None:
@@ -212,6 +224,7 @@
         self._on_servers(None)
 
     def _take_out(self, stored: stores.StoredObject) -> None:
+        self._hold.note_out(stored.name, out=not stored.deleted)
         out = set(self.directory.data_centres_out)
         if stored.deleted:
             out.discard(stored.name)
@@ -228,9 +241,41 @@
     def _expire_missing(self) -> None:
         while True:
             gevent.sleep(_EXPIRE_SECONDS)
+            if self._hold.is_over(time.monotonic()):
+                self._end_hold()
             gone = self.directory.expire(time.monotonic())
             if gone:
                 self._log.write(
                     "servers", "Missing entries are gone.", servers=gone
                 )
                 self._on_servers(gone)
+
+    def _begin_hold(self, old: int, new: int) -> None:
+        """Keep what the store acknowledged before it came back from a copy."""
+        now = time.monotonic()
+        self.directory.note_restored(now)
+        servers = self.directory.server_by_name.values()
+        self._hold.begin(servers, out=self.directory.data_centres_out, now=now)
+        self._log.write(
+            "store",
+            "The store came back from an older copy.",
+            old_era=old,
+            era=new,
+            draining=sum(server.draining for server in servers),
+            out=sorted(self.directory.data_centres_out),
+            held_seconds=restore_hold.HOLD_SECONDS,
+        )
+
+    def _end_hold(self) -> None:
+        """Believe the store again in what nobody has written since."""
+        servers, out = self._hold.end()
+        for server in servers:
+            self.directory.put(server)
+        self.directory.set_out(out, time.monotonic())
+        self._log.write(
+            "store",
+            "The store is believed again.",
+            servers=sorted(server.name for server in servers),
+            out=sorted(out),
+        )
+        self._on_servers(None)
--- a/packages/daisypick_router/src/daisypick_router/host_links.py
+++ b/packages/daisypick_router/src/daisypick_router/host_links.py
@@ -13,6 +13,7 @@
 
 from daisypick_core.membership import relay_tree
 from daisypick_core.scheduling import hosts
+from daisypick_platform import position as positions
 from daisypick_router import log as logs
 from daisypick_router import membership as memberships
 from daisypick_router import peer_link
@@ -61,9 +62,9 @@
         self._candidates_by_service: dict[str, list[str]] = {}
         # Routers to hear the store's changes from, the first choice first.
         self._sources: list[str] = []
-        # Revision of its entry when a router said that it stops. Its next
+        # Position of its entry when a router said that it stops. Its next
         # process writes another one.
-        self._left_revision_by_name: dict[str, int] = {}
+        self._left_position_by_name: dict[str, positions.Position] = {}
         self.followed: peer_link.PeerLink | None = None
         # Whether our process stops, and another should host what we host.
         self.leaving = False
@@ -78,7 +79,7 @@
         power_by_router = {
             name: member.power
             for name, member in members.items()
-            if self._left_revision_by_name.get(name) != member.revision
+            if self._left_position_by_name.get(name) != member.position
         }
         power_by_router[self._name] = self._power
         wanted: set[str] = set()
@@ -119,7 +120,7 @@
         """
         member = self._membership.member_by_name.get(link.name)
         if member is not None:
-            self._left_revision_by_name[link.name] = member.revision
+            self._left_position_by_name[link.name] = member.position
             self.update()
 
     def find_link(self, router: str) -> peer_link.PeerLink | None:
--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -16,9 +16,11 @@
 import typing
 
 import gevent
+from gevent import event
 
 from daisypick_core.results import codes
 from daisypick_core.results import failure
+from daisypick_platform import position as positions
 from daisypick_platform import store as stores
 from daisypick_router import log as logs
 
@@ -33,6 +35,9 @@
 # Divisor before the list was read, so that a router which starts while the
 # store is away takes a small part.
 _ASSUMED_ROUTERS = 8
+# How long routers that a restored store has forgotten still count; each writes
+# its entry again when it hears of the store's return.
+_KEPT_SECONDS = 6.0
 
 
 class Member(typing.NamedTuple):
@@ -43,14 +48,14 @@
         address: Where our processes reach it.
         power: Cores that its process may use.
         seen_at: When its entry last changed, on our clock.
-        revision: Revision of its entry.
+        position: When its entry last changed, in the store's history.
     """
 
     name: str
     address: tuple[str, int]
     power: float
     seen_at: float
-    revision: int
+    position: positions.Position
 
 
 class Membership:
@@ -76,6 +81,10 @@
         self._on_change = on_change
         self._listed = False
         self._renewals = 0
+        # Set when our entry may be gone from the store.
+        self._is_due = event.Event()
+        self._kept_until = 0.0
+        store.eras.on_rise(self._restore)
         self.member_by_name: dict[str, Member] = {}
 
     @property
@@ -105,7 +114,7 @@
         """Remove our entry; called when the process stops for good."""
         member = self.member_by_name.get(self._name)
         if member is not None:
-            self._store.delete(KIND, self._name, member.revision)
+            self._store.delete(KIND, self._name, member.position)
 
     def _renew(self) -> None:
         while True:
@@ -118,7 +127,14 @@
                     reason=written.reason,
                 )
                 pause = _RENEW_SECONDS / 10.0
-            gevent.sleep(pause * self._rng.uniform(0.8, 1.2))
+            self._is_due.clear()
+            self._is_due.wait(pause * self._rng.uniform(0.8, 1.2))
+
+    def _restore(self, old: int, new: int) -> None:
+        """Write our entry again; others do, and count until they have."""
+        del old, new
+        self._kept_until = time.monotonic() + _KEPT_SECONDS
+        self._is_due.set()
 
     def _write_entry(self) -> stores.StoredObject | failure.Failure:
         self._renewals += 1
@@ -151,11 +167,13 @@
         before = set(self.member_by_name), self.routers
         self._listed = True
         listed = {stored.name for stored in objects}
-        for name in self.member_by_name.keys() - listed:
-            del self.member_by_name[name]
+        if time.monotonic() >= self._kept_until:
+            for name in self.member_by_name.keys() - listed:
+                del self.member_by_name[name]
         for stored in objects:
             known = self.member_by_name.get(stored.name)
-            if known is None or known.revision != stored.revision:
+            position = self._find_position(stored)
+            if known is None or known.position != position:
                 self._put(stored)
         self._drop_lapsed()
         if (set(self.member_by_name), self.routers) != before:
@@ -182,7 +200,12 @@
             address=address,
             power=power,
             seen_at=time.monotonic(),
-            revision=stored.revision,
+            position=self._find_position(stored),
+        )
+
+    def _find_position(self, stored: stores.StoredObject) -> positions.Position:
+        return positions.Position(
+            era=self._store.eras.newest, revision=stored.revision
         )
 
     def _drop_lapsed(self) -> None:
@@ -192,7 +215,7 @@
             if lapsed and member.name != self._name:
                 del self.member_by_name[member.name]
                 gevent.spawn(
-                    self._store.delete, KIND, member.name, member.revision
+                    self._store.delete, KIND, member.name, member.position
                 )
                 self._log.write(
                     "members", "A router's entry lapsed.", name=member.name
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -163,6 +163,8 @@
         age: Seconds by which it may have been read late on its way.
         origin: Which process watched the store.
         number: Rises from one message of that process to the next.
+        era: Era of the store's revisions; ``None`` from a process that does
+            not tell it.
     """
 
     kind: str
@@ -172,6 +174,7 @@
     age: float
     origin: str
     number: int
+    era: int | None = None
 
 
 @register("start")
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -21,6 +21,7 @@
 from daisypick_http import pool as pools
 from daisypick_http import server as http_server
 from daisypick_platform import calls
+from daisypick_platform import position as positions
 from daisypick_platform import settings as platform_settings
 from daisypick_platform import store as stores
 from daisypick_router import discovery as discoveries
@@ -66,7 +67,8 @@
         self.settings = settings
         self.log = logs.Log(process=settings.name)
         self.metrics = metric_numbers.Metrics()
-        store = stores.StoreClient(address=settings.store_address)
+        eras = positions.Eras()
+        store = stores.StoreClient(address=settings.store_address, eras=eras)
         self.store = store
         self._pool = pools.Pool(connect_timeout=_CONNECT_SECONDS)
         self._cold_parts = cold_parts.ColdParts()
@@ -82,6 +84,7 @@
         self._feed = store_feed.StoreFeed(
             find_lag=self.load.find_lag,
             origin=f"{settings.name}/{rng.getrandbits(64):x}",
+            eras=eras,
         )
         self.discovery = discoveries.Discovery(
             store=store,
@@ -295,6 +298,7 @@
     def _write_metrics(self) -> bytes:
         self.metrics.set_level("routers", self.membership.routers)
         self.metrics.set_level("store_followers", self._feed.followers)
+        self.metrics.set_level("store_era", self.store.eras.newest)
         self.metrics.set_level("connections", len(self._connections))
         self.metrics.set_level("requests_running", self.serving.running)
         self.metrics.set_level("timer_lag_seconds", self.load.overload.lag)
--- a/packages/daisypick_router/src/daisypick_router/store_feed.py
+++ b/packages/daisypick_router/src/daisypick_router/store_feed.py
@@ -7,6 +7,10 @@
 that moment. A router that has no fresh proof asks the store itself, from the
 revision that it has reached, and passes that on; so neither it nor those below
 it are further behind than by the age of a proof, whatever happens above.
+
+A store that came back from an older copy gives its revisions out again. No
+proof of an earlier era counts then, and those below a router hear of the new
+era from it at once.
 """
 
 import collections
@@ -15,6 +19,7 @@
 
 from gevent import event
 
+from daisypick_platform import position as positions
 from daisypick_platform import store as stores
 from daisypick_router import peer_channel
 from daisypick_router import peer_messages
@@ -31,6 +36,8 @@
 _MOST_BYTES = 4096
 # Routers that lately watched the store, whose newest messages are known.
 _MOST_ORIGINS = 64
+# Stands for the kind in a message that tells of a new era alone.
+_NO_KIND = ""
 
 
 class _Kind:
@@ -55,9 +62,17 @@
         is_following: Whether another router passes changes on to us.
     """
 
-    def __init__(self, *, find_lag: Callable[[], float], origin: str) -> None:
+    def __init__(
+        self,
+        *,
+        find_lag: Callable[[], float],
+        origin: str,
+        eras: positions.Eras | None = None,
+    ) -> None:
         self._find_lag = find_lag
         self._origin = origin
+        self._eras = eras or positions.Eras()
+        self._eras.on_rise(self._begin_era)
         self._published = 0
         self._number_by_origin: dict[str, int] = {}
         self.is_following = False
@@ -85,23 +100,28 @@
         """Whether these rely on watches of our own."""
         return self.has_followers() and not self.is_following
 
-    def publish(self, kind: str, since: int, listing: stores.Listing) -> None:
+    def publish(
+        self, kind: str, since: positions.Position, listing: stores.Listing
+    ) -> None:
         """Pass on what a watch from ``since`` answered."""
         if not self._followers:
             return
         self._published += 1
         message = peer_messages.Feed(
             kind=kind,
-            since=since,
-            revision=listing.revision,
+            since=since.revision,
+            revision=listing.position.revision,
             objects=tuple(tuple(stored) for stored in listing.objects),
             age=round(self._find_lag(), 3),
             origin=self._origin,
             number=self._published,
+            era=listing.position.era,
         )
         line = peer_messages.encode(message)
         if len(line) > _MOST_BYTES:
-            message = message._replace(since=listing.revision, objects=())
+            message = message._replace(
+                since=listing.position.revision, objects=()
+            )
             line = peer_messages.encode(message)
         self._send(line)
 
@@ -111,7 +131,7 @@
 
     def take(self, message: peer_messages.Feed) -> None:
         """Take what the router that we follow passes on."""
-        if not self._is_new(message):
+        if not self._is_new(message) or not self._eras.note(message.era):
             return
         known = self._by_kind[message.kind]
         age = message.age + self._find_lag()
@@ -123,6 +143,26 @@
         known.waiting.append(message)
         known.changed.set()
 
+    def _begin_era(self, old: int, new: int) -> None:
+        """Forget proofs of an earlier era, and tell those below us of it."""
+        del old
+        for known in self._by_kind.values():
+            known.waiting.clear()
+            known.proven_at = -_STALE_SECONDS
+            known.changed.set()
+        self._published += 1
+        announced = peer_messages.Feed(
+            kind=_NO_KIND,
+            since=0,
+            revision=0,
+            objects=(),
+            age=0.0,
+            origin=self._origin,
+            number=self._published,
+            era=new,
+        )
+        self._send(peer_messages.encode(announced))
+
     def _is_new(self, message: peer_messages.Feed) -> bool:
         """Tell whether a message did not come before, by any way.
 
@@ -148,33 +188,36 @@
         return self._by_kind[kind].proven_at + _STALE_SECONDS
 
     def wait(
-        self, kind: str, revision: int, seconds: float
+        self, kind: str, since: positions.Position, seconds: float
     ) -> stores.Listing | None:
-        """Wait for changes after a revision; ``None``: ask the store."""
+        """Wait for changes after a position; ``None``: ask the store."""
         known = self._by_kind[kind]
         until = time.monotonic() + seconds
-        while True:
+        while since.era == self._eras.newest:
             while known.waiting:
                 message = known.waiting.popleft()
-                if message.since > revision:
+                if message.since > since.revision:
                     return None
-                if message.revision > revision:
-                    return _read(message, revision)
+                if message.revision > since.revision:
+                    return _read(message, since)
             now = time.monotonic()
             stale_at = self._stale_at(kind)
             if now >= stale_at:
                 return None
             if now >= until:
-                return stores.Listing(objects=(), revision=revision)
+                return stores.Listing(objects=(), position=since)
             known.changed.clear()
             known.changed.wait(min(until, stale_at) - now)
+        return None
 
 
-def _read(message: peer_messages.Feed, revision: int) -> stores.Listing:
+def _read(
+    message: peer_messages.Feed, since: positions.Position
+) -> stores.Listing:
     objects = (stores.StoredObject(*fields) for fields in message.objects)
     return stores.Listing(
         objects=tuple(
-            stored for stored in objects if stored.revision > revision
+            stored for stored in objects if stored.revision > since.revision
         ),
-        revision=message.revision,
+        position=since._replace(revision=message.revision),
     )
--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -63,6 +63,8 @@
         self.down = False
         self.silent = False
         self.page = 500
+        # Told in answers once it is above 0.
+        self.era = 0
         self.server = gevent_server.StreamServer(("127.0.0.1", 0), self._serve)
         self.server.start()
         self.address = ("127.0.0.1", self.server.server_port)
@@ -91,6 +93,17 @@
         self.changed.set()
         self.changed = event.Event()
 
+    def copy(self) -> tuple[int, dict, list]:
+        """Return a copy of the state for ``restore``."""
+        objects = {kind: dict(known) for kind, known in self.objects.items()}
+        return self.revision, objects, list(self.events)
+
+    def restore(self, copied: tuple[int, dict, list]) -> None:
+        """Come back from a copy; watches that wait are cut."""
+        self.revision, self.objects, self.events = copied
+        self.era += 1
+        self._wake()
+
     def refuse(self) -> None:
         """Answer 503 from now on, also to the watches that wait."""
         self.down = True
@@ -107,9 +120,14 @@
                 connection.sendall(write_answer(503, {}, b""))
                 continue
             method, target, _ = request[0].decode().split(" ")
+            era = self.era
             status, body = self._answer(method, target, request[2])
+            if era != self.era:
+                connection.close()
+                return
+            headers = {"Store-Era": str(era)} if era else {}
             connection.sendall(
-                write_answer(status, {}, json.dumps(body).encode())
+                write_answer(status, headers, json.dumps(body).encode())
             )
 
     def _answer(
@@ -150,7 +168,7 @@
         }
 
     def _watch(self, kind: str, words: dict[str, str]) -> tuple[int, object]:
-        since = int(words["Watch"])
+        since, era = int(words["Watch"]), self.era
         until = time.monotonic() + int(words["WaitMs"]) / 1000.0
         while True:
             found = [
@@ -158,6 +176,10 @@
                 for revision, of_kind, stored, deleted in self.events
                 if revision > since and of_kind == kind
             ]
+            if era != self.era:
+                return 503, {}
+            if since > self.revision:
+                return 410, {}
             left = until - time.monotonic()
             if found or left <= 0 or self.down:
                 return 200, {"events": found, "CurrentRev": self.revision}
--- a/packages/daisypick_router/tests/test_store_feed.py
+++ b/packages/daisypick_router/tests/test_store_feed.py
@@ -6,6 +6,7 @@
 
 from daisypick_core.membership import relay_tree
 from daisypick_core.scheduling import hosts
+from daisypick_platform import position as positions
 from daisypick_platform import store as stores
 from daisypick_router import peer_messages
 from daisypick_router import store_feed
@@ -195,11 +196,56 @@
     second.add_follower(back)
     first.take(_make_message())
     assert (len(there.sent), len(back.sent)) == (1, 1)
-    listing = stores.Listing(objects=(), revision=2)
-    first.publish("servers", 1, listing)
+    listing = stores.Listing(
+        objects=(), position=positions.Position(era=0, revision=2)
+    )
+    first.publish("servers", positions.Position(era=0, revision=1), listing)
     assert (len(there.sent), len(back.sent)) == (2, 2)
 
 
+def test_proof_of_a_restored_store_is_none_for_what_was_before():
+    """Guards against changes dropped until old revisions are passed again."""
+    feed = _make_feed()
+    feed.take(_make_message(since=99, revision=100, era=1))
+    here = positions.Position(era=1, revision=100)
+    assert feed.wait("servers", here, 0.0).position == here
+    feed.take(_make_message(since=80, revision=81, era=2, number=2))
+    assert feed.wait("servers", here, 0.0) is None
+    again = positions.Position(era=2, revision=80)
+    assert feed.wait("servers", again, 0.0).position.revision == 81
+
+
+def test_proof_of_an_earlier_era_changes_nothing():
+    """Guards against belief in a store that has come back from a copy since."""
+    feed, below = _make_feed(), _make_feed(origin="r-2/1")
+    feed.add_follower(_Channel(below))
+    feed.take(_make_message(era=2))
+    feed.take(_make_message(origin="late", kind="evacuations", era=1))
+    assert not feed.is_fresh("evacuations")
+    assert not below.is_fresh("evacuations")
+
+
+def test_era_is_told_to_those_below_at_once():
+    """Guards against routers that rely on proofs of a store that is gone."""
+    eras = positions.Eras()
+    feed = store_feed.StoreFeed(find_lag=lambda: 0.0, origin="r-1/1", eras=eras)
+    below = _make_feed(origin="r-2/1")
+    feed.add_follower(_Channel(below))
+    feed.take(_make_message(era=1))
+    assert below.is_fresh("servers")
+    eras.note(2)
+    assert not feed.is_fresh("servers")
+    assert not below.is_fresh("servers")
+
+
+def test_message_without_an_era_is_understood():
+    """Guards against a fleet in which some routers tell no era yet."""
+    line = b'["feed","servers",1,1,[],0.0,"root",1]'
+    feed = _make_feed()
+    feed.take(peer_messages.decode(line))
+    assert feed.is_fresh("servers")
+
+
 def test_age_of_a_proof_grows_on_its_way():
     """A router in the tree reads late what it passes on."""
     below = _make_feed(origin="r-2/1")
