Log which request failed at a server, not only which attempt

Cause: a failed try was logged with its attempt id alone. Change: a digest of method, host, path, organisation and body, computed on the first failure of a request, in the line "Request failed at a backend server.". No decision depends on it.

--- a/packages/daisypick_core/src/daisypick_core/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/__init__.py
@@ -15,5 +15,6 @@
 * ``queues``: queued work by organisation, with deadlines.
 * ``claims``: at-most-once execution of requests that must not be repeated.
 * ``routing``: the router's backlog, server selection and retries.
+* ``quarantine``: requests that crash the servers that run them.
 * ``membership``: which processes are considered live.
 """
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -1,5 +1,6 @@
 """State of one request while it is handled."""
 
+from daisypick_core.quarantine import digest
 from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import route_table
 from daisypick_http import messages
@@ -30,6 +31,7 @@
     """
 
     __slots__ = (
+        "_digest",
         "attempt",
         "caller_headers",
         "deadline",
@@ -73,6 +75,20 @@
         self.may_have_run = False
         self.first_event_at: float | None = None
         self.is_sent = False
+        self._digest: str | None = None
+
+    @property
+    def digest(self) -> str:
+        """Identifies the request also when it comes again."""
+        if self._digest is None:
+            self._digest = digest.find_digest(
+                method=self.request.method,
+                host=self.caller_headers.host,
+                target=self.request.target,
+                organisation=self.organisation,
+                body=self.request.body,
+            )
+        return self._digest
 
     @property
     def stage(self) -> str:
--- a/packages/daisypick_router/src/daisypick_router/retry_policy.py
+++ b/packages/daisypick_router/src/daisypick_router/retry_policy.py
@@ -99,6 +99,7 @@
             "send",
             "Request failed at a backend server.",
             id=context.attempt,
+            digest=context.digest,
             server=server,
             ran="no" if not_run else "unknown",
             reason=result.reason,
