Refuse a request that crashed three servers, at every router

Cause: an attempt was all that a router knew. It treated each repeat as the innocent victim of a server's end, sent it to the next server, and told nobody. Class: state that belongs to the request was kept with the attempt, and state that belongs to the fleet with one process. A record of epoch and level, merged by taking the larger, counts crashes in a row; a whole answer starts it anew. After the second crash a request shares no server with another such one, so that the third tells which it was; after the third it is refused with 503, code 5005. Hosts of an older version ignore the two new messages. Why it works: the level counts crashes that follow each other, wherever the repeats enter, and victims leave it by ending well.

--- a/packages/daisypick_core/src/daisypick_core/quarantine/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/quarantine/__init__.py
@@ -1,4 +1,11 @@
 """Requests that crash the backend servers that run them.
 
+A server that crashes ends all requests that it runs, and any of them may be the
+cause. The cause comes again and crashes another server; the others end well
+when they are repeated. So a request counts as suspected after a crash, is kept
+apart from other suspects after the second one, and is refused after the third.
+
 * ``digest``: identifies a request across attempts and routers.
+* ``crash_record``: what is known of one request, merged between routers.
+* ``crash_ledger``: the records of all suspected requests, in bounded memory.
 """
--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/quarantine/crash_ledger.py
@@ -0,0 +1,149 @@
+"""The records of all requests that may crash servers.
+
+Memory is bounded: a suspect is forgotten some time after its last change, a
+quarantined request after a day, and beyond a number of either the oldest goes.
+
+Examples:
+    >>> ledger = CrashLedger()
+    >>> for now in (0.0, 1.0, 2.0):
+    ...     sent = ledger.find("d-1")
+    ...     _ = ledger.note_crash("d-1", sent, now)
+    >>> ledger.find("d-1").is_quarantined
+    True
+    >>> ledger.find_remaining("d-1", now=2.0)
+    86400.0
+    >>> ledger.note_success("d-1", now=3.0)
+    CrashRecord(epoch=1, level=0)
+
+See Also:
+    daisypick_core.quarantine.crash_record: how records are merged.
+"""
+
+from collections.abc import Iterator
+
+from daisypick_core.quarantine import crash_record
+
+# A caller that repeats a request does so within minutes.
+_SUSPECT_SECONDS = 600.0
+# Each time that a quarantine ends, the request may crash three more servers.
+QUARANTINE_SECONDS = 86_400.0
+# A crash leaves as many suspects as an engine has slots, at most some hundred.
+_MAX_SUSPECTS = 8192
+MAX_QUARANTINED = 1024
+
+
+class _Records:
+    """Records of one kind, the one that changed last at the end."""
+
+    def __init__(self, *, seconds: float, limit: int) -> None:
+        self._seconds = seconds
+        self._limit = limit
+        self.record_by_digest: dict[str, crash_record.CrashRecord] = {}
+        self._changed_at_by_digest: dict[str, float] = {}
+
+    def put(
+        self, digest: str, record: crash_record.CrashRecord, now: float
+    ) -> None:
+        self.discard(digest)
+        self.record_by_digest[digest] = record
+        self._changed_at_by_digest[digest] = now
+        if len(self.record_by_digest) > self._limit:
+            self.discard(next(iter(self.record_by_digest)))
+
+    def discard(self, digest: str) -> None:
+        self.record_by_digest.pop(digest, None)
+        self._changed_at_by_digest.pop(digest, None)
+
+    def find_remaining(self, digest: str, now: float) -> float:
+        changed_at = self._changed_at_by_digest.get(digest)
+        if changed_at is None:
+            return 0.0
+        return max(changed_at + self._seconds - now, 0.0)
+
+    def expire(self, now: float) -> None:
+        for digest, changed_at in list(self._changed_at_by_digest.items()):
+            if now - changed_at < self._seconds:
+                return
+            self.discard(digest)
+
+
+class CrashLedger:
+    """Records by digest."""
+
+    def __init__(self) -> None:
+        self._suspects = _Records(seconds=_SUSPECT_SECONDS, limit=_MAX_SUSPECTS)
+        self._quarantined = _Records(
+            seconds=QUARANTINE_SECONDS, limit=MAX_QUARANTINED
+        )
+
+    def __len__(self) -> int:
+        """Return the number of records."""
+        return len(self._suspects.record_by_digest) + self.quarantined
+
+    @property
+    def quarantined(self) -> int:
+        """Number of quarantined requests."""
+        return len(self._quarantined.record_by_digest)
+
+    def find(self, digest: str) -> crash_record.CrashRecord:
+        """Return the record of a request."""
+        found = self._quarantined.record_by_digest.get(digest)
+        if found is None:
+            found = self._suspects.record_by_digest.get(digest)
+        return found or crash_record.NO_RECORD
+
+    def find_remaining(self, digest: str, now: float) -> float:
+        """Return the seconds until a quarantine ends, zero if there is none."""
+        return self._quarantined.find_remaining(digest, now)
+
+    def find_quarantined(self) -> dict[str, crash_record.CrashRecord]:
+        """Return the records of the quarantined requests."""
+        return dict(self._quarantined.record_by_digest)
+
+    def iterate_newest(
+        self,
+    ) -> Iterator[tuple[str, crash_record.CrashRecord]]:
+        """Yield all records, quarantined first, the newest first."""
+        for records in (self._quarantined, self._suspects):
+            yield from reversed(records.record_by_digest.items())
+
+    def note_crash(
+        self, digest: str, sent: crash_record.CrashRecord, now: float
+    ) -> crash_record.CrashRecord | None:
+        """Record that a server crashed while it had a request.
+
+        Args:
+            digest: The request.
+            sent: Its record when it was sent there.
+            now: The time.
+
+        Returns:
+            Its new record, or ``None`` if nothing changed.
+        """
+        return self.merge(digest, sent.after_crash(), now)
+
+    def note_success(
+        self, digest: str, now: float
+    ) -> crash_record.CrashRecord | None:
+        """Record that a request ended well; return its record if it changed."""
+        found = self.find(digest)
+        if not found.level:
+            return None
+        return self.merge(digest, found.after_success(), now)
+
+    def merge(
+        self, digest: str, record: crash_record.CrashRecord, now: float
+    ) -> crash_record.CrashRecord | None:
+        """Add what another router knows; return the record if it changed."""
+        if record <= self.find(digest):
+            return None
+        self._suspects.discard(digest)
+        self._quarantined.discard(digest)
+        records = self._quarantined if record.is_quarantined else self._suspects
+        records.put(digest, record, now)
+        return record
+
+    def expire(self, now: float) -> None:
+        """Forget records that have not changed for a long time."""
+        self._suspects.expire(now)
+        self._quarantined.expire(now)
--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -96,6 +96,7 @@
     5004, "Answer differs from its part already sent", 502, RAN_UNKNOWN
 )
 ENGINE_UNREACHABLE = define(5003, "Backend server is unreachable", 503)
+QUARANTINED = define(5005, "Request crashed backend servers before", 503)
 
 UNKNOWN_SETTING = define(6001, "Unknown key in configuration", 400)
 BAD_VALUE = define(6002, "Bad value in configuration", 400)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_estimate.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_estimate.py
@@ -104,6 +104,10 @@
         """Return whether a request is at the engine."""
         return key in self._run_by_key
 
+    def has_isolated(self) -> bool:
+        """Return whether an isolated request is at the engine."""
+        return any(run.job.isolated for run in self._run_by_key.values())
+
     def has_slot(self, share: float) -> bool:
         """Return whether a share of the slots has one free."""
         return self.running < max(self.slots * share, 1.0)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/job.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/job.py
@@ -26,6 +26,9 @@
             received.
         avoid: Backend servers that it must not go to.
         data_centre: Data centre of its router.
+        isolated: Whether it must not share a server with another such request.
+            Both may have crashed servers, and the next crash has to tell which
+            of them did.
     """
 
     key: str
@@ -39,6 +42,7 @@
     deadline_at: float
     avoid: frozenset[str] = frozenset()
     data_centre: str = ""
+    isolated: bool = False
 
     @property
     def cost(self) -> float:
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -347,13 +347,19 @@
             backlog_by_server=candidates.backlog_by_server,
             busy=candidates.busy,
             data_centre_by_server=self._fleet.data_centre_by_server,
-            can_handle=lambda server: self.can_handle(work.router, server, now),
+            can_handle=lambda server: (
+                self.can_handle(work.router, server, now)
+                and self._may_join(work, server)
+            ),
             share=self._fleet.share,
             may_wait=work.find_waited_share(now) < _CACHED_WAIT_SHARE,
             now=now,
             copy_token_seconds=self._copy_token_seconds,
         )
 
+    def _may_join(self, work: job.Job, server: str) -> bool:
+        return not work.isolated or not self._fleet.find(server).has_isolated()
+
     def can_handle(self, router: str, server: str, now: float) -> bool:
         """Return whether a server can handle one more of a router, if cold."""
         state = self._fleet.state_by_server.get(server)
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -438,3 +438,16 @@
     long_ago = _job("other-1", organisation="flood", now=-9.0)
     scheduler.note_started_elsewhere(long_ago, "e-0", 0.5)
     assert scheduler.shares.find_usage("flood", 0.5) == begun + 1200.0
+
+
+def test_isolated_requests_share_no_server():
+    """Guards against a crash that may be the fault of two suspects."""
+    scheduler = _make(servers=2)
+    started = []
+    for number in range(3):
+        work = _job(f"k-{number}", isolated=True)
+        started += _servers(scheduler.submit(work, 0.0))
+    assert sorted(started) == ["e-0", "e-1"]
+    assert scheduler.waiting == 1
+    assert len(_servers(scheduler.submit(_job("k-3"), 0.01))) == 1
+    assert len(_servers(scheduler.note_end("k-0", 0.02))) == 1
--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -1,8 +1,9 @@
 """One connection to another process, for sequential exchanges.
 
 Errors are distinguished by what they imply for the request: after
-``NotConnectedError`` nothing was sent, and its subclass ``NoDescriptorsError``
-implies nothing about the peer; after ``ConnectionBrokeError`` and
+``NotConnectedError`` nothing was sent. Its subclass ``NoDescriptorsError``
+implies nothing about the peer, and ``RefusedError`` that its process has ended.
+After ``ConnectionBrokeError`` and
 ``AnswerTimeoutError`` a request that was sent may have run.
 """
 
@@ -26,6 +27,10 @@
     """The connection was not established; nothing was sent."""
 
 
+class RefusedError(NotConnectedError):
+    """The peer's host responded that nothing listens at the address."""
+
+
 class NoDescriptorsError(NotConnectedError):
     """This process has no free file descriptor; the peer was not contacted."""
 
@@ -128,8 +133,9 @@
 
         Raises:
             NoDescriptorsError: This process has no free file descriptor.
-            NotConnectedError: The peer refused or reset the connection, or did
-                not respond within ``connect_timeout`` seconds.
+            RefusedError: The peer refused the connection.
+            NotConnectedError: The peer reset the connection, or did not respond
+                within ``connect_timeout`` seconds.
         """
         self.address = address
         self.idle_since = time.monotonic()
@@ -149,6 +155,9 @@
             if keepalive_timeout is not None:
                 enable_keepalive(self._socket, keepalive_timeout)
             self._connect(connect_timeout)
+        except ConnectionRefusedError as error:
+            self._socket.close()
+            raise RefusedError(f"{address}: {error}") from error
         except OSError as error:
             self._socket.close()
             raise NotConnectedError(f"{address}: {error}") from error
--- a/packages/daisypick_http/src/daisypick_http/pool.py
+++ b/packages/daisypick_http/src/daisypick_http/pool.py
@@ -80,12 +80,31 @@
         oldest.pop(0).close()
         return True
 
+    def is_refused(self, address: tuple[str, int]) -> bool:
+        """Return whether the peer's host refuses connections to an address.
+
+        The connection is opened anew: an idle one may still seem open for a
+        moment after the peer has ended.
+        """
+        try:
+            connection = self._open(address)
+        except connections.RefusedError:
+            return True
+        except connections.NotConnectedError:
+            return False
+        self.opened += 1
+        self._keep(connection)
+        return False
+
     def release(self, connection: connections.Connection) -> None:
         """Keep a connection if it is reusable, else close it."""
         if not connection.is_reusable():
             connection.close()
             return
         connection.update_idle_limit()
+        self._keep(connection)
+
+    def _keep(self, connection: connections.Connection) -> None:
         idle = self._idle_by_address.setdefault(connection.address, [])
         if len(idle) >= _MAX_IDLE_PER_ADDRESS:
             connection.close()
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -1,5 +1,6 @@
 """State of one request while it is handled."""
 
+from daisypick_core.quarantine import crash_record
 from daisypick_core.quarantine import digest
 from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import route_table
@@ -28,12 +29,14 @@
         attempt: Id of the caller's attempt.
         first_event_at: When the first event of a stream was received.
         is_sent: Whether sending to a backend server has started.
+        crashes_when_sent: What was known of its crashes when it was last sent.
     """
 
     __slots__ = (
         "_digest",
         "attempt",
         "caller_headers",
+        "crashes_when_sent",
         "deadline",
         "first_event_at",
         "is_sent",
@@ -75,6 +78,7 @@
         self.may_have_run = False
         self.first_event_at: float | None = None
         self.is_sent = False
+        self.crashes_when_sent = crash_record.NO_RECORD
         self._digest: str | None = None
 
     @property
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/crash_probe.py
@@ -0,0 +1,57 @@
+"""Finds out whether a backend server ended when a connection to it broke.
+
+A connection also breaks for reasons that leave the server running. If the
+process has ended, its host refuses new connections until the next one listens,
+seconds later. A host that does not respond at all has failed as a whole or is
+unreachable, which no request causes.
+"""
+
+import time
+
+import gevent
+from gevent import event
+
+from daisypick_core.serving import backend_server
+from daisypick_http import pool as pools
+
+# How long an ended server is remembered. A router whose loop lags handles the
+# connections that broke together one after the other.
+_REMEMBERED_SECONDS = 10.0
+
+
+class CrashProbe:
+    """Probes servers, one connection for all requests that broke together."""
+
+    def __init__(self, *, pool: pools.Pool) -> None:
+        self._pool = pool
+        self._ended_at: dict[tuple[str, int], float] = {}
+        self._result_by_server: dict[tuple[str, int], event.AsyncResult] = {}
+
+    def has_ended(self, server: backend_server.BackendServer) -> bool:
+        """Return whether a server to which a connection broke has ended."""
+        key = (server.name, server.born)
+        self._forget(time.monotonic())
+        if key in self._ended_at:
+            return True
+        result = self._result_by_server.get(key)
+        if result is None:
+            result = event.AsyncResult()
+            self._result_by_server[key] = result
+            gevent.spawn(self._probe, server, result)
+        return result.get()
+
+    def _probe(
+        self, server: backend_server.BackendServer, result: event.AsyncResult
+    ) -> None:
+        key = (server.name, server.born)
+        ended = self._pool.is_refused(server.address)
+        if ended:
+            self._ended_at[key] = time.monotonic()
+        del self._result_by_server[key]
+        result.set(ended)
+
+    def _forget(self, now: float) -> None:
+        for key, ended_at in list(self._ended_at.items()):
+            if now - ended_at < _REMEMBERED_SECONDS:
+                return
+            del self._ended_at[key]
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -127,13 +127,18 @@
             if server is None or not directory.is_available(server):
                 self._placing.note_end(context.service, work.key)
                 continue
+            quarantined = self._retry_policy.quarantine.refuse(context)
+            if quarantined is not None:
+                # It has crashed its last server while it waited.
+                self._placing.note_end(context.service, work.key)
+                return self._choose_refusal(context, result, quarantined)
             source = directory.server_by_name.get(action.source)
             result = self._try(
                 connection, context, work, server, source, stream
             )
             if isinstance(result, str):
                 return result
-            self._retry_policy.note_failed(context, action.server, result)
+            self._retry_policy.note_failed(context, server, result)
         return retry_policies.choose_failure(context, result)
 
     def _make_failure(
@@ -142,13 +147,23 @@
         result: retry_policies.FailedTry | None,
         refused: actions.Refuse,
     ) -> failure.Failure:
-        if context.may_have_run:
-            return retry_policies.choose_failure(context, result)
-        return failure.Failure(
+        refusal = failure.Failure(
             code=codes.TOO_LATE,
             reason=refused.reason,
             retry_after=refused.retry_after,
         )
+        return self._choose_refusal(context, result, refusal)
+
+    def _choose_refusal(
+        self,
+        context: contexts.Context,
+        result: retry_policies.FailedTry | None,
+        refusal: failure.Failure,
+    ) -> failure.Failure:
+        """Return the refusal, which is true only if the request has not run."""
+        if context.may_have_run:
+            return retry_policies.choose_failure(context, result)
+        return refusal
 
     def _make_job(self, context: contexts.Context) -> job.Job:
         caller_headers = context.caller_headers
@@ -178,6 +193,7 @@
             deadline_at=context.deadline,
             avoid=frozenset(context.tried_servers.union(unavailable)),
             data_centre=self._data_centre,
+            isolated=self._retry_policy.quarantine.is_isolated(context),
         )
 
     def _try(
@@ -216,6 +232,7 @@
         source: backend_server.BackendServer | None,
         stream: event_stream.EventStream,
     ) -> retry_policies.FailedTry | str:
+        self._retry_policy.quarantine.note_sent(context)
         opened = exchange.open_exchange(
             self._pool,
             connection,
@@ -268,6 +285,8 @@
             return relay.Broken(
                 reason=f"server answered {response.head.status} to go on"
             )
+        if response.head.status < 500:
+            self._retry_policy.quarantine.note_answered(context)
         plain_handler.send_response(connection, response)
         return f"answered_{response.head.status}"
 
@@ -306,6 +325,7 @@
                 opened.connection.close()
         if isinstance(ended, relay.Broken):
             return ended
+        self._retry_policy.quarantine.note_answered(context)
         self._pool.release(opened.connection)
         if not connection.response_started:
             connection.begin_stream(
--- a/packages/daisypick_router/src/daisypick_router/host_links.py
+++ b/packages/daisypick_router/src/daisypick_router/host_links.py
@@ -18,6 +18,7 @@
 from daisypick_router import membership as memberships
 from daisypick_router import peer_link
 from daisypick_router import peer_messages
+from daisypick_router import quarantine as quarantines
 from daisypick_router import store_feed
 
 # Number of candidates for each service.
@@ -51,6 +52,7 @@
         cores: float,
         membership: memberships.Membership,
         feed: store_feed.StoreFeed,
+        quarantine: quarantines.Quarantine,
         log: logs.Log,
         rng: random.Random,
         on_connect: Callable[[peer_link.PeerLink], None],
@@ -59,6 +61,8 @@
         self._cores = cores
         self._membership = membership
         self._feed = feed
+        self._quarantine = quarantine
+        quarantine.add_sender(self._send_to_all)
         self._log = log
         self._rng = rng
         self._on_connect = on_connect
@@ -112,10 +116,15 @@
             on_connect=self._handle_connect,
             on_feed=self._feed.receive,
             on_leaving=self._handle_leaving,
+            on_crashes=self._quarantine.receive,
         )
         self._link_by_name[member.name] = link
         link.start()
 
+    def _send_to_all(self, message: peer_messages.CrashReports) -> None:
+        for link in self._link_by_name.values():
+            link.send(message)
+
     def _handle_leaving(self, link: peer_link.PeerLink) -> None:
         """Replace a router that is stopping by the next one in the order.
 
@@ -155,6 +164,9 @@
         if self.feed_source is link:
             self.feed_source = None
             self._feed.is_following = False
+        crashes = self._quarantine.describe()
+        if crashes is not None:
+            link.send(crashes)
         self._choose_feed_source()
         self._on_connect(link)
 
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -13,6 +13,7 @@
 
 from daisypick_core.results import failure
 from daisypick_core.scheduling import actions
+from daisypick_core.scheduling import job
 from daisypick_core.serving import fleet_configuration
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_schedulers
@@ -20,6 +21,7 @@
 from daisypick_router import log as logs
 from daisypick_router import peer_channel
 from daisypick_router import peer_messages
+from daisypick_router import quarantine as quarantines
 from daisypick_router import store_feed
 
 HEARTBEAT_SECONDS = 0.05
@@ -49,6 +51,7 @@
         discovery: discoveries.Discovery,
         engines: engine_schedulers.EngineSchedulers,
         feed: store_feed.StoreFeed,
+        quarantine: quarantines.Quarantine,
         load: load_watch.LoadWatch,
         log: logs.Log,
     ) -> None:
@@ -56,9 +59,13 @@
         self._load = load
         self._engines = engines
         self._feed = feed
+        self._quarantine = quarantine
+        quarantine.add_sender(self._send_to_all)
         self._log = log
         self._router_by_channel: dict[peer_channel.PeerChannel, str] = {}
         self._waiting_by_channel: dict[peer_channel.PeerChannel, set[str]] = {}
+        # Key of the latest ``Isolate`` message of each channel.
+        self._isolated_by_channel: dict[peer_channel.PeerChannel, str] = {}
         self._leaving = False
 
     def start(self) -> None:
@@ -89,6 +96,7 @@
             channel.run()
         finally:
             self._waiting_by_channel.pop(channel, None)
+            self._isolated_by_channel.pop(channel, None)
             self._feed.remove_follower(channel)
             router = self._router_by_channel.pop(channel, None)
             if router is not None:
@@ -144,6 +152,38 @@
         self._router_by_channel[channel] = message.router
         if self._leaving:
             channel.send(peer_messages.Leaving())
+        crashes = self._quarantine.describe()
+        if crashes is not None:
+            channel.send(crashes)
+
+    def _send_to_all(self, message: peer_messages.CrashReports) -> None:
+        line = peer_messages.encode(message)
+        for channel in self._waiting_by_channel:
+            channel.send_line(line)
+
+    @handles(peer_messages.CrashReports)
+    def _handle_crashes(
+        self,
+        channel: peer_channel.PeerChannel,
+        message: peer_messages.CrashReports,
+    ) -> None:
+        del channel
+        self._quarantine.receive(message)
+
+    @handles(peer_messages.Isolate)
+    def _handle_isolate(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Isolate
+    ) -> None:
+        self._isolated_by_channel[channel] = message.key
+
+    def _read_job(
+        self, channel: peer_channel.PeerChannel, wire: peer_messages.WireJob
+    ) -> job.Job:
+        work = peer_messages.read_job(
+            wire, self._router_by_channel.get(channel, ""), time.monotonic()
+        )
+        isolated = self._isolated_by_channel.pop(channel, None) == work.key
+        return work._replace(isolated=isolated)
 
     @handles(peer_messages.Follow)
     def _handle_follow(
@@ -162,11 +202,7 @@
         if service is None:
             channel.send(peer_messages.UnknownService(key=message.work.key))
             return
-        work = peer_messages.read_job(
-            message.work,
-            self._router_by_channel.get(channel, ""),
-            time.monotonic(),
-        )
+        work = self._read_job(channel, message.work)
         waiting = self._waiting_by_channel[channel]
         waiting.add(work.key)
 
@@ -188,11 +224,7 @@
         service = self._find_service(message.service)
         if service is None:
             return
-        work = peer_messages.read_job(
-            message.work,
-            self._router_by_channel.get(channel, ""),
-            time.monotonic(),
-        )
+        work = self._read_job(channel, message.work)
         self._engines.note_earlier_start(
             message.service,
             work,
--- a/packages/daisypick_router/src/daisypick_router/peer_link.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -34,7 +34,8 @@
     ``on_connect(link)`` is called when a connection is established, to report
     running requests to the host; ``on_feed(message)`` is called for each change
     of the store that it forwards; ``on_leaving(link)`` is called when it
-    announces that it stops.
+    announces that it stops; ``on_crashes(message)`` for each of its reports of
+    requests that may crash servers.
     """
 
     def __init__(
@@ -48,6 +49,7 @@
         on_connect: Callable[["PeerLink"], None],
         on_feed: Callable[[peer_messages.Feed], None],
         on_leaving: Callable[["PeerLink"], None],
+        on_crashes: Callable[[peer_messages.CrashReports], None],
     ) -> None:
         self.name = name
         self._address = address
@@ -57,6 +59,7 @@
         self._on_connect = on_connect
         self._on_feed = on_feed
         self._on_leaving = on_leaving
+        self._on_crashes = on_crashes
         self._channel: peer_channel.PeerChannel | None = None
         self._cooldown_until = 0.0
         self.leaving = False
@@ -208,6 +211,9 @@
         if isinstance(message, peer_messages.Feed):
             self._on_feed(message)
             return
+        if isinstance(message, peer_messages.CrashReports):
+            self._on_crashes(message)
+            return
         if isinstance(message, peer_messages.Leaving):
             self.leaving = True
             self._log.write("peer", "A host is stopping.", host=self.name)
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -103,6 +103,28 @@
     reading: tuple[str, ...]
 
 
+@register("isolate")
+class Isolate(typing.NamedTuple):
+    """The request of the next ``Submit`` or ``Running`` message is isolated.
+
+    A separate message, since hosts of an older version can only ignore it as a
+    whole.
+    """
+
+    key: str
+
+
+@register("crashes")
+class CrashReports(typing.NamedTuple):
+    """Changed records of requests that may crash servers.
+
+    Attributes:
+        records: Digest, epoch and level of each.
+    """
+
+    records: tuple[tuple[str, int, int], ...]
+
+
 @register("withdraw")
 class Withdraw(typing.NamedTuple):
     """The caller of a waiting or running request disconnected."""
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -31,6 +31,7 @@
 from daisypick_router import metrics as metric_numbers
 from daisypick_router import peer_link
 from daisypick_router import peer_messages
+from daisypick_router import quarantine as quarantines
 from daisypick_router import store_feed
 
 _REPORT_SECONDS = 1.0
@@ -62,6 +63,7 @@
         hosted: engine_schedulers.EngineSchedulers,
         feed: store_feed.StoreFeed,
         fallback: engine_schedulers.EngineSchedulers,
+        quarantine: quarantines.Quarantine,
         load: load_watch.LoadWatch,
         log: logs.Log,
         metrics: metric_numbers.Metrics,
@@ -74,6 +76,7 @@
             cores=cores,
             membership=membership,
             feed=feed,
+            quarantine=quarantine,
             log=log,
             rng=rng,
             on_connect=self._send_placements,
@@ -302,6 +305,8 @@
     ) -> actions.Action | None:
         result = event.AsyncResult()
         wire = peer_messages.write_job(work, time.monotonic())
+        if work.isolated:
+            link.send(peer_messages.Isolate(key=work.key))
         link.submit(
             peer_messages.Submit(service=service.name, work=wire), result.set
         )
@@ -407,6 +412,8 @@
         self, service: fleet_configuration.Service, work: job.Job, server: str
     ) -> None:
         self._hosted.note_started_elsewhere(service, work, server)
+        if work.isolated:
+            self._notify_hosts(service, peer_messages.Isolate(key=work.key))
         self._notify_hosts(
             service,
             self._write_running(
@@ -440,6 +447,8 @@
         self, link: peer_link.PeerLink, service: str
     ) -> None:
         for placement in self._placements_by_service.get(service, ()):
+            if placement.work.isolated:
+                link.send(peer_messages.Isolate(key=placement.work.key))
             link.send(self._write_running(service, placement))
 
     def _write_running(
--- a/packages/daisypick_router/src/daisypick_router/plain_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_handler.py
@@ -47,8 +47,12 @@
         last_response: relay.WholeResponse | None = None
         result: retry_policies.FailedTry | relay.WholeResponse | None = None
         while result is None or self._retry_policy.may_retry(context, result):
+            isolated = self._retry_policy.quarantine.is_isolated(context)
             server = self._servers.pick(
-                context.service, context.tried_servers, time.monotonic()
+                context.service,
+                context.tried_servers,
+                time.monotonic(),
+                isolated=isolated,
             )
             if server is None:
                 break
@@ -56,17 +60,18 @@
             try:
                 result = self._try(connection, context, server)
             finally:
-                self._servers.note_end(server.name)
+                self._servers.note_end(server.name, isolated=isolated)
             if isinstance(result, relay.WholeResponse):
                 last_response = result
                 if result.head.status < 500:
                     self._retry_policy.outcomes.note_success(server.name)
+                    self._retry_policy.quarantine.note_answered(context)
                     break
                 self._retry_policy.outcomes.note_failure(
                     server.name, time.monotonic()
                 )
             else:
-                self._retry_policy.note_failed(context, server.name, result)
+                self._retry_policy.note_failed(context, server, result)
         if last_response is not None:
             send_response(connection, last_response)
             return f"answered_{last_response.head.status}"
@@ -84,6 +89,7 @@
         ):
             timeout = context.route.objective * _SAFE_TIMEOUT_OBJECTIVES
             head_timeout = min(head_timeout, timeout)
+        self._retry_policy.quarantine.note_sent(context)
         opened = exchange.open_exchange(
             self._pool,
             connection,
--- a/packages/daisypick_router/src/daisypick_router/plain_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_servers.py
@@ -41,15 +41,30 @@
         self._data_centre = data_centre
         self._rng = rng
         self._running_by_server: dict[str, int] = {}
+        # Servers that have a request which must be kept apart from others.
+        self._with_isolated: set[str] = set()
 
     def pick(
         self,
         service: fleet_configuration.Service,
         tried_servers: set[str],
         now: float,
+        *,
+        isolated: bool = False,
     ) -> backend_server.BackendServer | None:
-        """Select a server that was not tried and count the request."""
-        candidates = self._find_untried(service, tried_servers, now)
+        """Select a server that was not tried and count the request.
+
+        Args:
+            service: The service.
+            tried_servers: Names of servers not to select.
+            now: The time.
+            isolated: Whether the request must not share a server with another
+                isolated one of this router.
+        """
+        excluded = tried_servers
+        if isolated:
+            excluded = tried_servers | self._with_isolated
+        candidates = self._find_untried(service, excluded, now)
         if not candidates:
             return None
         server = min(
@@ -57,6 +72,8 @@
             key=lambda candidate: (self._score(candidate), self._rng.random()),
         )
         self._cold.note(server.name, now)
+        if isolated:
+            self._with_isolated.add(server.name)
         running = self._running_by_server.get(server.name, 0)
         self._running_by_server[server.name] = running + 1
         return server
@@ -136,8 +153,10 @@
             return True
         return self._cold.allows(server.name, service.cold_rate, now)
 
-    def note_end(self, server: str) -> None:
+    def note_end(self, server: str, *, isolated: bool = False) -> None:
         """Record that a request ended at a server."""
+        if isolated:
+            self._with_isolated.discard(server)
         running = self._running_by_server.get(server, 0) - 1
         if running > 0:
             self._running_by_server[server] = running
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -24,6 +24,7 @@
 from daisypick_platform import probes
 from daisypick_platform import settings as platform_settings
 from daisypick_platform import store as stores
+from daisypick_router import crash_probe
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_handler
 from daisypick_router import engine_schedulers
@@ -37,6 +38,8 @@
 from daisypick_router import placing as placings
 from daisypick_router import plain_handler
 from daisypick_router import plain_servers
+from daisypick_router import quarantine as quarantines
+from daisypick_router import quarantine_store
 from daisypick_router import retry_policy as retry_policies
 from daisypick_router import serving
 from daisypick_router import settings_watch
@@ -102,10 +105,24 @@
             cores=settings.processor,
             on_change=self._update_members,
         )
+        self.quarantine = quarantines.Quarantine(
+            probe=crash_probe.CrashProbe(pool=self._pool),
+            directory=self.discovery.directory,
+            log=self.log,
+            metrics=self.metrics,
+        )
+        self._quarantine_store = quarantine_store.QuarantineStore(
+            store=store,
+            quarantine=self.quarantine,
+            membership=self.membership,
+            log=self.log,
+            rng=rng,
+        )
         outcomes = outcome_records.Outcomes()
         retry_policy = retry_policies.RetryPolicy(
             outcomes=outcomes,
             budget=self._budget,
+            quarantine=self.quarantine,
             log=self.log,
             metrics=self.metrics,
         )
@@ -128,6 +145,7 @@
             hosted=self.hosted,
             feed=self._feed,
             fallback=self._local_engines,
+            quarantine=self.quarantine,
             load=self.load,
             log=self.log,
             metrics=self.metrics,
@@ -137,6 +155,7 @@
             discovery=self.discovery,
             engines=self.hosted,
             feed=self._feed,
+            quarantine=self.quarantine,
             load=self.load,
             log=self.log,
         )
@@ -199,6 +218,7 @@
         self.log.write("process", "Started.", ip=self.settings.ip)
         self.discovery.start()
         self.membership.start()
+        self._quarantine_store.start()
         self.hosted.start()
         self._local_engines.start()
         self.placing.start()
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/quarantine_store.py
@@ -0,0 +1,173 @@
+"""Keeps quarantined requests in the platform's store.
+
+Routers tell each other of crashes directly; the store is for those that start
+later. Each quarantined request is an object named by its digest. An operator
+who deletes the object releases the request. The list is polled, since a watch
+would cost each router a call every few seconds for a list that hardly changes.
+"""
+
+import random
+import time
+import typing
+
+import gevent
+
+from daisypick_core.quarantine import crash_ledger
+from daisypick_core.quarantine import crash_record
+from daisypick_core.results import codes
+from daisypick_core.results import failure
+from daisypick_platform import position as positions
+from daisypick_platform import store as stores
+from daisypick_router import context as contexts
+from daisypick_router import log as logs
+from daisypick_router import membership as memberships
+from daisypick_router import quarantine as quarantines
+
+KIND = "daisypick-quarantine"
+# Pause between two reads of the list, so that a router that no other one
+# reaches still learns of a quarantine within seconds.
+_POLL_SECONDS = 2.5
+# Pause after a failed call.
+_RETRY_SECONDS = 0.5
+# Routers of the fleet that write an object which the list lacks. Usually only
+# the router that quarantined the request does; it may have ended before.
+_OTHER_WRITERS = 3.0
+
+
+class QuarantineStore:
+    """Reads and writes the objects of quarantined requests."""
+
+    def __init__(
+        self,
+        *,
+        store: stores.StoreClient,
+        quarantine: quarantines.Quarantine,
+        membership: memberships.Membership,
+        log: logs.Log,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._quarantine = quarantine
+        self._membership = membership
+        self._log = log
+        self._rng = rng
+        self._first_listed_at: dict[str, float] = {}
+        self._newest = positions.Position(era=0, revision=0)
+        quarantine.on_own_quarantine(self._handle_own_quarantine)
+        store.eras.on_new_era(self._handle_restore)
+
+    def start(self) -> None:
+        """Start polling the list."""
+        gevent.spawn(self._run)
+
+    def _run(self) -> None:
+        is_first = True
+        while True:
+            found = self._store.list_kind(KIND, stale=not is_first)
+            pause = _POLL_SECONDS
+            if failure.is_failure(found):
+                pause = _RETRY_SECONDS
+            elif found.position >= self._newest:
+                # A list that may be old can be older than the one before, or
+                # than an object that this router has written since.
+                is_first = False
+                self._newest = found.position
+                self._apply_list(found)
+            self._quarantine.expire()
+            gevent.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    def _apply_list(self, found: stores.Listing) -> None:
+        now = time.monotonic()
+        listed = {stored.name for stored in found.objects}
+        for digest in self._first_listed_at.keys() - listed:
+            del self._first_listed_at[digest]
+            self._quarantine.release(digest)
+        for stored in found.objects:
+            self._apply_object(stored, found.position, now)
+        for digest in self._quarantine.ledger.find_quarantined():
+            if digest not in listed and self._is_chosen():
+                self._write(digest, {})
+        self._delete_surplus(found)
+
+    def _delete_surplus(self, found: stores.Listing) -> None:
+        """Delete the oldest objects beyond the number that routers apply."""
+        by_age = sorted(found.objects, key=lambda stored: stored.revision)
+        for stored in by_age[: -crash_ledger.MAX_QUARANTINED]:
+            if self._is_chosen():
+                self._delete(stored, found.position)
+
+    def _apply_object(
+        self,
+        stored: stores.StoredObject,
+        position: positions.Position,
+        now: float,
+    ) -> None:
+        record = _read_record(stored.spec)
+        if record is None:
+            return
+        first_listed_at = self._first_listed_at.setdefault(stored.name, now)
+        is_old = now - first_listed_at > crash_ledger.QUARANTINE_SECONDS
+        known = self._quarantine.ledger.find(stored.name)
+        if is_old or (known > record and not known.is_quarantined):
+            if self._is_chosen():
+                self._delete(stored, position)
+            return
+        self._quarantine.merge([(stored.name, record)])
+
+    def _delete(
+        self, stored: stores.StoredObject, position: positions.Position
+    ) -> None:
+        unchanged_since = position._replace(revision=stored.revision)
+        self._store.delete(KIND, stored.name, unchanged_since)
+
+    def _is_chosen(self) -> bool:
+        """Return whether this router makes a call that any may make."""
+        share = _OTHER_WRITERS / self._membership.routers
+        return self._rng.random() < share
+
+    def _handle_restore(self, old: int, new: int) -> None:
+        """Take no absence from a restored list for a release."""
+        del old, new
+        self._first_listed_at.clear()
+
+    def _handle_own_quarantine(self, context: contexts.Context) -> None:
+        details = {
+            "route": context.route.name,
+            "organisation": context.organisation,
+        }
+        gevent.spawn(self._write, context.digest, details)
+
+    def _write(self, digest: str, details: dict[str, typing.Any]) -> None:
+        record = self._quarantine.ledger.find(digest)
+        spec = {"epoch": record.epoch, "level": record.level, **details}
+        written = self._store.create(KIND, digest, spec)
+        if failure.is_failure(written) and written.code is (
+            codes.PLATFORM_CONFLICT
+        ):
+            # An object of an earlier epoch, or another router's.
+            written = self._store.replace(KIND, digest, spec)
+        if failure.is_failure(written):
+            self._log.write(
+                "quarantine",
+                "Could not store a quarantined request.",
+                digest=digest,
+                reason=written.reason,
+            )
+            return
+        self._newest = max(
+            self._newest,
+            positions.Position(
+                era=self._store.eras.newest, revision=written.revision
+            ),
+        )
+
+
+def _read_record(spec: typing.Any) -> crash_record.CrashRecord | None:
+    """Return the record in an object, or ``None`` if it is not readable."""
+    try:
+        record = crash_record.CrashRecord(
+            epoch=int(spec["epoch"]), level=int(spec["level"])
+        )
+    except (KeyError, TypeError, ValueError):
+        return None
+    return record if record.is_quarantined else None
--- a/packages/daisypick_router/src/daisypick_router/retry_policy.py
+++ b/packages/daisypick_router/src/daisypick_router/retry_policy.py
@@ -10,12 +10,14 @@
 
 from daisypick_core.results import codes
 from daisypick_core.results import failure
+from daisypick_core.serving import backend_server
 from daisypick_core.serving import outcomes as outcome_records
 from daisypick_core.serving import retry_budget
 from daisypick_router import context as contexts
 from daisypick_router import exchange
 from daisypick_router import log as logs
 from daisypick_router import metrics as metric_numbers
+from daisypick_router import quarantine as quarantines
 from daisypick_router import relay
 
 # Seconds after which a caller may retry if no server was available; a server
@@ -33,11 +35,13 @@
         *,
         outcomes: outcome_records.Outcomes,
         budget: retry_budget.RetryBudget,
+        quarantine: quarantines.Quarantine,
         log: logs.Log,
         metrics: metric_numbers.Metrics,
     ) -> None:
         self.outcomes = outcomes
         self._budget = budget
+        self.quarantine = quarantine
         self._log = log
         self._metrics = metrics
 
@@ -72,6 +76,8 @@
                 return time.monotonic() < context.deadline
         elif not context.may_run_again:
             return False
+        if self.quarantine.refuse(context) is not None:
+            return False
         now = time.monotonic()
         if now >= context.deadline:
             return False
@@ -85,7 +91,10 @@
         return allowed
 
     def note_failed(
-        self, context: contexts.Context, server: str, result: FailedTry
+        self,
+        context: contexts.Context,
+        server: backend_server.BackendServer,
+        result: FailedTry,
     ) -> None:
         """Count and log a failed try."""
         not_run = isinstance(result, exchange.NotRun)
@@ -93,18 +102,21 @@
             context.may_have_run = True
         if not (not_run and result.unsent):
             down = not_run and (result.server_down or result.misdirected)
-            self.outcomes.note_failure(server, time.monotonic(), certain=down)
+            self.outcomes.note_failure(
+                server.name, time.monotonic(), certain=down
+            )
         self._metrics.count("failed_tries_total", kind=type(result).__name__)
         self._log.write(
             "send",
             "Request failed at a backend server.",
             id=context.attempt,
             digest=context.digest,
-            server=server,
+            server=server.name,
             ran="no" if not_run else "unknown",
             reason=result.reason,
             arrivals=context.servers_reached,
         )
+        self.quarantine.note_failed(context, server, result)
 
 
 def choose_failure(
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -143,6 +143,10 @@
             return identified.reason
         self._context_by_connection[connection] = identified
         self._retry_policy.note_request(identified.service.name)
+        quarantined = self._retry_policy.quarantine.refuse(identified)
+        if quarantined is not None:
+            self._refuse(connection, identified, quarantined, request)
+            return quarantined.reason
         handler = (
             self._plain if identified.service.engine is None else self._engine
         )
--- a/packages/daisypick_router/tests/test_crashing_requests.py
+++ b/packages/daisypick_router/tests/test_crashing_requests.py
@@ -27,6 +27,7 @@
     Attributes:
         crashes: Number of crashes so far.
         arrivals: Number of requests to crash that reached a server.
+        servers: The servers.
     """
 
     def __init__(self, store, service, count=4):
@@ -34,8 +35,10 @@
         self._numbers = itertools.count(count)
         self.crashes = 0
         self.arrivals = 0
+        self.servers = []
         for number in range(count):
             server = fakes.FakeServer(f"i-{number}", service, self._run)
+            self.servers.append(server)
             store.put("servers", server.name, server.describe())
 
     def _run(self, server, connection, first, headers, body):
@@ -112,3 +115,150 @@
     routers = _start_routers(store)
     _crash_three(fleet, routers, "/visit/crash")
     assert _count_repeats(fleet, routers, "/visit/crash") <= _MAX_REPEATS
+
+
+@pytest.mark.parametrize(
+    ("path", "service"),
+    [
+        ("/ask/crash", "assist"),
+        ("/look/crash", "desk"),
+        ("/reserve/crash", "desk"),
+    ],
+)
+def test_other_kinds_of_requests_are_stopped_too(store, path, service):
+    """Guards against crashes by requests that routers never repeat."""
+    fleet = _Fleet(store, service)
+    routers = _start_routers(store)
+    _crash_three(fleet, routers, path)
+    assert _count_repeats(fleet, routers, path) <= _MAX_REPEATS
+
+
+def test_crashing_request_is_stopped_while_the_store_is_away(store):
+    """Guards against routers that learn of crashes from the store alone."""
+    fleet = _Fleet(store, "assist", count=8)
+    routers = _start_routers(store)
+    store.refuse()
+    for _ in range(2):
+        _call(routers[0], "/ask/crash")
+    _call(routers[1], "/ask/crash")
+    assert _count_repeats(fleet, routers, "/ask/crash") <= _MAX_REPEATS
+
+
+def test_router_that_starts_later_refuses_the_request(store):
+    """Guards against a quarantine that ends when all routers restart."""
+    fleet = _Fleet(store, "assist")
+    _crash_three(fleet, _start_routers(store, ("r-1",)), "/visit/crash")
+    fakes.wait_for(lambda: store.objects.get("daisypick-quarantine"))
+    later = fakes.start_router(store, "r-2")
+    fakes.wait_for(lambda: later.quarantine.ledger.quarantined)
+    before = fleet.arrivals
+    assert _call(later, "/visit/crash").status == 503
+    assert fleet.arrivals == before
+
+
+def test_quarantine_is_written_to_a_restored_store(store):
+    """Guards against a quarantine that a restored store has lost."""
+    fleet = _Fleet(store, "assist")
+    backup = store.copy()
+    (router,) = _start_routers(store, ("r-1",))
+    _crash_three(fleet, [router], "/visit/crash")
+    fakes.wait_for(lambda: store.objects.get("daisypick-quarantine"))
+    store.restore(backup)
+    fakes.wait_for(lambda: store.objects.get("daisypick-quarantine"), 8.0)
+    assert router.quarantine.ledger.quarantined == 1
+
+
+def test_request_runs_again_once_an_operator_deletes_its_object(store):
+    """Guards against a quarantine that nobody can end."""
+    fleet = _Fleet(store, "assist")
+    (router,) = _start_routers(store, ("r-1",))
+    _crash_three(fleet, [router], "/ask/crash")
+    objects = store.objects.setdefault("daisypick-quarantine", {})
+    fakes.wait_for(lambda: objects)
+    (digest,) = objects
+    known = router._quarantine_store._first_listed_at
+    fakes.wait_for(lambda: digest in known, 8.0)
+    store.remove("daisypick-quarantine", digest)
+    fakes.wait_for(lambda: not router.quarantine.ledger.quarantined, 8.0)
+    before = fleet.arrivals
+    _call(router, "/ask/crash")
+    assert fleet.arrivals == before + 1
+
+
+def test_requests_beside_the_crashing_one_are_not_blamed(store):
+    """Guards against refusing requests that only shared servers with it."""
+    fleet = _Fleet(store, "assist", count=5)
+    routers = _start_routers(store)
+    refused = []
+
+    def _repeat(path):
+        for turn in range(30):
+            answer = _call(routers[turn % 2], path)
+            if b"5005" in answer.body:
+                refused.append(path)
+
+    callers = [gevent.spawn(_repeat, f"/visit/{n}") for n in range(12)]
+    gevent.sleep(0.05)
+    _crash_three(fleet, routers, "/visit/crash")
+    assert _count_repeats(fleet, routers, "/visit/crash") <= _MAX_REPEATS
+    gevent.joinall(callers)
+    assert refused == []
+    for number in range(12):
+        assert _call(routers[0], f"/visit/{number}").status == 200
+
+
+def test_broken_connections_of_running_servers_blame_nobody(store):
+    """Guards against a quarantine for answers that are lost on the way."""
+
+    def _lose(server, connection, first, headers, body):
+        return "close"
+
+    servers = [fakes.FakeServer(f"d-{n}", "desk", _lose) for n in range(2)]
+    for server in servers:
+        store.put("servers", server.name, server.describe())
+    (router,) = _start_routers(store, ("r-1",))
+    for _ in range(8):
+        assert _call(router, "/reserve/1").status == 502
+    assert len(router.quarantine.ledger) == 0
+
+
+def test_end_of_a_draining_server_blames_nobody(store):
+    """Guards against blaming long streams for a rolling restart of servers."""
+    fleet = _Fleet(store, "assist", count=1)
+    (router,) = _start_routers(store, ("r-1",))
+    directory = router.discovery.directory
+
+    def _drain_and_stop():
+        server = fleet.servers[0]
+        store.put("servers", server.name, server.describe(State="draining"))
+        fakes.wait_for(lambda: not directory.find_ready("assist"))
+        server.crash()
+
+    caller = gevent.spawn(_call, router, "/ask/1")
+    fakes.wait_for(lambda: fleet.servers[0].requests)
+    _drain_and_stop()
+    caller.join()
+    assert len(router.quarantine.ledger) == 0
+
+
+def test_servers_that_end_together_blame_a_request_once(store):
+    """Guards against a quarantine when a data centre loses its power."""
+
+    def _hang(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        connection.recv(1)
+        return "close"
+
+    servers = [fakes.FakeServer(f"e-{n}", "assist", _hang) for n in range(4)]
+    for server in servers:
+        store.put("servers", server.name, server.describe())
+    (router,) = _start_routers(store, ("r-1",))
+    callers = [gevent.spawn(_call, router, "/ask/1") for _ in range(16)]
+    fakes.wait_for(lambda: sum(len(found.requests) for found in servers) == 16)
+    for server in servers:
+        server.crash()
+    gevent.joinall(callers)
+    levels = [
+        record.level for _, record in router.quarantine.ledger.iterate_newest()
+    ]
+    assert levels == [1]
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -483,6 +483,7 @@
         on_connect=lambda link: None,
         on_feed=lambda message: None,
         on_leaving=lambda link: None,
+        on_crashes=lambda message: None,
     )
     link.start()
     fakes.wait_for(lambda: link.is_connected)
