--- a/packages/daisypick_core/tests/quarantine/test_crash_ledger.py
+++ b/packages/daisypick_core/tests/quarantine/test_crash_ledger.py
@@ -2,7 +2,7 @@
 
 import random
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies
 
 from daisypick_core.quarantine import crash_ledger
@@ -69,7 +69,7 @@
     assert not ledger.find("q-0").level
 
 
-@given(
+@hypothesis.given(
     reports=strategies.lists(
         strategies.tuples(
             strategies.sampled_from(["d-1", "d-2"]),
