Log what servers say of themselves in answers

Change: the adapter decodes "leaves" and the pause of a 503, also of a late answer to an earlier request; one place in the router gets both and logs them. No decision depends on them yet.

--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -27,6 +27,7 @@
 from daisypick_router import plain_handler
 from daisypick_router import relay
 from daisypick_router import retry_policy as retry_policies
+from daisypick_router import server_notices
 
 _EVENT_STREAM = b"text/event-stream"
 # Seconds without an event after which a resumable stream is resumed at another
@@ -51,6 +52,7 @@
         discovery: discoveries.Discovery,
         placing: placings.Placing,
         retry_policy: retry_policies.RetryPolicy,
+        notices: server_notices.ServerNotices,
         metrics: metric_numbers.Metrics,
         router: str,
         data_centre: str,
@@ -59,6 +61,7 @@
         self._discovery = discovery
         self._placing = placing
         self._retry_policy = retry_policy
+        self._notices = notices
         self._metrics = metrics
         self._router = router
         self._data_centre = data_centre
@@ -238,6 +241,7 @@
             connection,
             context,
             server,
+            notices=self._notices,
             last_event=stream.last_id,
             head_timeout=self._find_first_event_timeout(
                 context, servers_reached=context.servers_reached + 1
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -14,6 +14,7 @@
 from daisypick_http import server as http_server
 from daisypick_platform import request_headers
 from daisypick_router import context as contexts
+from daisypick_router import server_notices
 
 _SEND_TIMEOUT_SECONDS = 5.0
 
@@ -61,6 +62,7 @@
     context: contexts.Context,
     server: backend_server.BackendServer,
     *,
+    notices: server_notices.ServerNotices,
     last_event: int | None,
     head_timeout: float,
     copy_from: tuple[str, int] | None = None,
@@ -72,6 +74,7 @@
         caller: Connection of the caller.
         context: The request.
         server: Server to send it to.
+        notices: Gets the headers of each response.
         last_event: Id of the event after which to resume a stream.
         head_timeout: Seconds to wait for the head of the response.
         copy_from: Address of a server that has more of the prompt in its KV
@@ -100,7 +103,13 @@
     finished = False
     try:
         outcome = _send_and_read(
-            connection, context, server, last_event, head_timeout, copy_from
+            connection,
+            context,
+            server,
+            notices,
+            last_event,
+            head_timeout,
+            copy_from,
         )
         finished = isinstance(outcome, OpenExchange) or connection.is_reusable()
     finally:
@@ -115,6 +124,7 @@
     connection: connections.Connection,
     context: contexts.Context,
     server: backend_server.BackendServer,
+    notices: server_notices.ServerNotices,
     last_event: int | None,
     head_timeout: float,
     copy_from: tuple[str, int] | None,
@@ -139,7 +149,7 @@
         connection.send(
             data, method=request.method, timeout=_SEND_TIMEOUT_SECONDS
         )
-        return _read_head(connection, context, head_timeout)
+        return _read_head(connection, context, server, notices, head_timeout)
     except connections.ConnectionBrokeError as error:
         return Unknown(reason=str(error))
     except connections.AnswerTimeoutError as error:
@@ -149,6 +159,8 @@
 def _read_head(
     connection: connections.Connection,
     context: contexts.Context,
+    server: backend_server.BackendServer,
+    notices: server_notices.ServerNotices,
     head_timeout: float,
 ) -> Outcome:
     """Read the head of the response to this request.
@@ -162,7 +174,8 @@
         reader = connection.reader
         if reader.head is None:
             return Unknown(reason=reader.broken or "no head of an answer")
-        server_headers = request_headers.read_server(reader.head.headers)
+        server_headers = request_headers.read_server(reader.head)
+        notices.apply(server, server_headers)
         if (
             server_headers.attempt is not None
             and server_headers.attempt != context.attempt
--- a/packages/daisypick_router/src/daisypick_router/plain_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_handler.py
@@ -17,6 +17,7 @@
 from daisypick_router import plain_servers
 from daisypick_router import relay
 from daisypick_router import retry_policy as retry_policies
+from daisypick_router import server_notices
 
 # Timeout for the head of the response to a safe request, as a multiple of the
 # route's latency target. The request is then retried elsewhere: the server
@@ -33,10 +34,12 @@
         pool: pools.Pool,
         servers: plain_servers.PlainServers,
         retry_policy: retry_policies.RetryPolicy,
+        notices: server_notices.ServerNotices,
     ) -> None:
         self._pool = pool
         self._servers = servers
         self._retry_policy = retry_policy
+        self._notices = notices
 
     def serve(
         self,
@@ -95,6 +98,7 @@
             connection,
             context,
             server,
+            notices=self._notices,
             last_event=None,
             head_timeout=head_timeout,
         )
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -41,6 +41,7 @@
 from daisypick_router import quarantine as quarantines
 from daisypick_router import quarantine_store
 from daisypick_router import retry_policy as retry_policies
+from daisypick_router import server_notices
 from daisypick_router import serving
 from daisypick_router import settings_watch
 from daisypick_router import store_feed
@@ -126,6 +127,7 @@
             log=self.log,
             metrics=self.metrics,
         )
+        notices = server_notices.ServerNotices(log=self.log)
         # Shared, so that a router that becomes the host of a service already
         # knows the engines' reading speeds.
         speed_by_service: dict[str, prefill_speed.ServiceSpeed] = {}
@@ -174,12 +176,14 @@
                     rng=rng,
                 ),
                 retry_policy=retry_policy,
+                notices=notices,
             ),
             engine=engine_handler.EngineHandler(
                 pool=self._pool,
                 discovery=self.discovery,
                 placing=self.placing,
                 retry_policy=retry_policy,
+                notices=notices,
                 metrics=self.metrics,
                 router=settings.name,
                 data_centre=settings.data_centre,
