--- /dev/null
+++ b/packages/daisypick_router/tests/test_server_notices.py
@@ -0,0 +1,103 @@
+"""Servers that leave or ask for a pause in their responses."""
+
+import itertools
+
+import fakes
+import gevent
+import pytest
+
+# Requests that reached a server this long after a notice count as later ones.
+_DRAIN_SECONDS = 2.0
+_PAUSE_SECONDS = 2.0
+_PAUSE_GRACE_SECONDS = 0.5
+_MAX_DURING_PAUSE = 2
+_PATH_BY_SERVICE = {"desk": "/look/1", "assist": "/visit/1"}
+
+
+@pytest.fixture
+def store():
+    found = fakes.FakeStore()
+    found.put("config", "main", fakes.make_manifest())
+    yield found
+    found.server.stop()
+
+
+class _Server(fakes.FakeServer):
+    """A server that may leave, or reject requests and ask for a pause.
+
+    Attributes:
+        leaving: Whether it says so in each response.
+        pause: Seconds of rest that it asks for, zero for none.
+        noticed_at: When it first said either.
+    """
+
+    def __init__(self, name, service):
+        super().__init__(name, service, _run)
+        self.leaving = False
+        self.pause = 0.0
+        self.noticed_at = None
+
+    def count_later_than(self, seconds):
+        """Return the requests that arrived this long after the notice."""
+        due = self.noticed_at + seconds
+        return sum(at > due for at in self.times)
+
+
+def _run(server, connection, first, headers, body):
+    common = {"Daisypick-Attempt-Id": headers["daisypick-attempt-id"]}
+    if server.leaving:
+        common["Server-Leaving"] = "1"
+    if server.noticed_at is None and (server.leaving or server.pause):
+        server.noticed_at = server.times[-1]
+    if server.pause:
+        common["Daisypick-Not-Executed"] = "1"
+        common["Retry-After"] = f"{server.pause:g}"
+        connection.sendall(fakes.write_answer(503, common, b""))
+        return
+    common["Daisypick-Server-Seal"] = f"seal-{server.name}"
+    if server.service == "assist":
+        common["Content-Type"] = "text/event-stream"
+        body = b"id: 1\ndata: piece 1\n\n"
+    connection.sendall(fakes.write_answer(200, common, body or b"body"))
+
+
+_attempts = itertools.count()
+
+
+def _call(router, service):
+    path = _PATH_BY_SERVICE[service]
+    method = "GET" if service == "desk" else "POST"
+    attempt = f"a-{next(_attempts)}"
+    return fakes.call(router, path, attempt=attempt, method=method)
+
+
+def _start(store, service, count=2):
+    servers = [_Server(f"i-{number}", service) for number in range(count)]
+    for server in servers:
+        store.put("servers", server.name, server.describe())
+    return servers, fakes.start_router(store)
+
+
+def _call_for(router, service, seconds):
+    """Make requests for some time; return the responses."""
+    answers = []
+    with gevent.Timeout(seconds, False):
+        while True:
+            answers.append(_call(router, service))
+            gevent.sleep(0.02)
+    return answers
+
+
+@pytest.mark.parametrize("service", ["desk", "assist"])
+def test_server_that_leaves_gets_nothing_while_the_store_is_away(
+    store, service
+):
+    """Guards against sending to a server of which only its answers say so."""
+    (leaving, staying), router = _start(store, service)
+    store.refuse()
+    leaving.leaving = True
+    answers = _call_for(router, service, _DRAIN_SECONDS + 0.5)
+    assert leaving.noticed_at is not None
+    assert leaving.count_later_than(_DRAIN_SECONDS) == 0
+    assert staying.requests
+    assert {answer.status for answer in answers} == {200}
