Keep away from a server that says in answers that it leaves

The header was not read; whether a server leaves came from the store alone, which was away for 13 s. Class: a fact was taken from one source though the party that it is about states it directly. Change: the directory keeps the announcement beside the entry. It holds for that instance whatever its entry says, also if the entry is dropped and listed again; a later instance of the name ends it, and it is forgotten ten minutes after the name is gone. Schedulers of this router drop the server at once, requests of other routers' hosts name it as one to avoid, and a start that was decided before is not sent. The end of such a server counts as planned, not as a crash. Not shared with other routers: each learns it from its answers.

--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -34,6 +34,21 @@
 # The platform documents that a live server is listed again within about two
 # seconds after an outage; the rest is the delay of the watch.
 REREGISTRATION_SECONDS = 2.2
+# How long the announcement of a server that is no longer listed is kept. It may
+# be listed again after an outage of the platform, and still leaves then.
+_LEAVING_SECONDS = 600.0
+
+
+class _Announcement(typing.NamedTuple):
+    """A server's own statement that it leaves.
+
+    Attributes:
+        born: Identifies the server instance.
+        noted_at: When it was last made.
+    """
+
+    born: int
+    noted_at: float
 
 
 class _Ready(typing.NamedTuple):
@@ -58,6 +73,7 @@
         self._outage_since: float | None = None
         self._recovered_at = -REREGISTRATION_SECONDS
         self._missing_since_by_name: dict[str, float] = {}
+        self._leaving_by_name: dict[str, _Announcement] = {}
         self._names_by_service: dict[str, set[str]] = {}
         # Caches that every request reads; a change of the service clears them.
         self._ready_by_service: dict[str, _Ready] = {}
@@ -125,6 +141,9 @@
     def put(self, server: backend_server.BackendServer) -> None:
         """Add or update an entry."""
         self._missing_since_by_name.pop(server.name, None)
+        announcement = self._leaving_by_name.get(server.name)
+        if announcement is not None and announcement.born != server.born:
+            del self._leaving_by_name[server.name]
         before = self.server_by_name.get(server.name)
         if before is not None and before.service != server.service:
             self._drop(server.name)
@@ -144,8 +163,39 @@
         self._missing_since_by_name.pop(name, None)
         self._drop(name)
 
+    def note_leaving(
+        self, server: backend_server.BackendServer, now: float
+    ) -> bool:
+        """Record that a server says that it leaves; return whether it is new.
+
+        That holds for this instance whatever its entry says, since the server
+        may not reach the platform to change it.
+        """
+        is_new = not self.is_leaving(server)
+        self._leaving_by_name[server.name] = _Announcement(
+            born=server.born, noted_at=now
+        )
+        if is_new:
+            self._note_change(server.service)
+        return is_new
+
+    def is_leaving(self, server: backend_server.BackendServer) -> bool:
+        """Return whether a server is listed as draining or says it leaves."""
+        announcement = self._leaving_by_name.get(server.name)
+        return server.draining or (
+            announcement is not None and announcement.born == server.born
+        )
+
+    def _expire_announcements(self, now: float) -> None:
+        for name, announcement in list(self._leaving_by_name.items()):
+            if name in self.server_by_name:
+                continue
+            if now - announcement.noted_at >= _LEAVING_SECONDS:
+                del self._leaving_by_name[name]
+
     def expire(self, now: float) -> list[str]:
         """Drop entries still missing after an outage; return their names."""
+        self._expire_announcements(now)
         if self.may_miss_entries(now):
             return []
         names = list(self._missing_since_by_name)
@@ -211,6 +261,6 @@
     def is_available(self, server: backend_server.BackendServer) -> bool:
         """Return whether a server and its data centre are in service."""
         return (
-            not server.draining
+            not self.is_leaving(server)
             and server.data_centre not in self.data_centres_out
         )
--- a/packages/daisypick_core/tests/serving/test_directory.py
+++ b/packages/daisypick_core/tests/serving/test_directory.py
@@ -87,3 +87,47 @@
     assert directory.find_cold_until(other, 3.0) == 0.0
     updated = reenabled._replace(cold_until=11.0)
     assert directory.find_cold_until(updated, 3.0) == 11.0
+
+
+def test_server_that_says_it_leaves_stays_out_when_listed_as_ready():
+    """Guards against an older entry that overrides the server's own word."""
+    directory = directories.Directory()
+    directory.replace_all([_server("i-1"), _server("i-2")], now=0.0)
+    assert directory.note_leaving(_server("i-1"), now=1.0)
+    assert not directory.note_leaving(_server("i-1"), now=2.0)
+    directory.replace_all([_server("i-1"), _server("i-2")], now=3.0)
+    directory.put(_server("i-1", cold_until=9.0))
+    assert _names(directory) == ["i-2"]
+    assert directory.find_unavailable("s") == ["i-1"]
+
+
+def test_server_that_left_and_starts_again_gets_requests():
+    """Guards against shunning the next instance of the same name."""
+    directory = directories.Directory()
+    directory.put(_server("i-1"))
+    directory.note_leaving(_server("i-1"), now=1.0)
+    directory.put(_server("i-1", born=2))
+    assert _names(directory) == ["i-1"]
+
+
+def test_leaving_server_that_is_listed_again_still_leaves():
+    """Guards against sending to it after an outage of the platform."""
+    directory = directories.Directory()
+    directory.put(_server("i-1"))
+    directory.note_leaving(_server("i-1"), now=1.0)
+    directory.remove("i-1", now=2.0)
+    directory.expire(now=600.0)
+    directory.put(_server("i-1"))
+    assert _names(directory) == []
+
+
+def test_servers_that_left_are_forgotten():
+    """Guards against growth with each server that ever left."""
+    directory = directories.Directory()
+    for number in range(100):
+        server = _server(f"i-{number}")
+        directory.put(server)
+        directory.note_leaving(server, now=float(number))
+        directory.remove(server.name, now=float(number))
+    directory.expire(now=700.0)
+    assert directory._leaving_by_name == {}
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -225,6 +225,15 @@
             born=server.born,
         )
 
+    def note_leaving(self, server: backend_server.BackendServer) -> None:
+        """Record that a server itself says that it leaves."""
+        if not self.directory.note_leaving(server, time.monotonic()):
+            return
+        self._log.write(
+            "servers", "A server says that it leaves.", server=server.name
+        )
+        self._on_servers([server.name])
+
     def _apply_evacuation_list(
         self, objects: tuple[stores.StoredObject, ...]
     ) -> None:
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -127,7 +127,9 @@
             log=self.log,
             metrics=self.metrics,
         )
-        notices = server_notices.ServerNotices(log=self.log)
+        notices = server_notices.ServerNotices(
+            discovery=self.discovery, log=self.log
+        )
         # Shared, so that a router that becomes the host of a service already
         # knows the engines' reading speeds.
         speed_by_service: dict[str, prefill_speed.ServiceSpeed] = {}
--- a/packages/daisypick_router/src/daisypick_router/quarantine.py
+++ b/packages/daisypick_router/src/daisypick_router/quarantine.py
@@ -138,7 +138,11 @@
         some seconds later.
         """
         listed = self._directory.server_by_name.get(server.name)
-        return listed is None or listed.draining or listed.born != server.born
+        return (
+            listed is None
+            or listed.born != server.born
+            or self._directory.is_leaving(listed)
+        )
 
     def note_answered(self, context: contexts.Context) -> None:
         """Record that a server ran a request to its end."""
--- a/packages/daisypick_router/src/daisypick_router/server_notices.py
+++ b/packages/daisypick_router/src/daisypick_router/server_notices.py
@@ -6,13 +6,17 @@
 
 from daisypick_core.serving import backend_server
 from daisypick_platform import request_headers
+from daisypick_router import discovery as discoveries
 from daisypick_router import log as logs
 
 
 class ServerNotices:
     """Receives the headers of all responses of backend servers."""
 
-    def __init__(self, *, log: logs.Log) -> None:
+    def __init__(
+        self, *, discovery: discoveries.Discovery, log: logs.Log
+    ) -> None:
+        self._discovery = discovery
         self._log = log
 
     def apply(
@@ -22,9 +26,7 @@
     ) -> None:
         """Handle the headers of one response."""
         if headers.leaving:
-            self._log.write(
-                "notices", "A server says that it leaves.", server=server.name
-            )
+            self._discovery.note_leaving(server)
         if headers.pause_seconds is not None:
             self._log.write(
                 "notices",
--- a/packages/daisypick_router/tests/test_server_notices.py
+++ b/packages/daisypick_router/tests/test_server_notices.py
@@ -101,3 +101,34 @@
     assert leaving.count_later_than(_DRAIN_SECONDS) == 0
     assert staying.requests
     assert {answer.status for answer in answers} == {200}
+
+
+def test_waiting_request_does_not_start_at_a_server_that_leaves(store):
+    """Guards against a start that the host decided before the notice."""
+    (first, second), router = _start(store, "assist")
+    acquire = router.placing.acquire
+
+    def _acquire(service, work):
+        action = acquire(service, work)
+        server = router.discovery.directory.server_by_name[action.server]
+        if not chosen:
+            chosen.append(action.server)
+            router.discovery.note_leaving(server)
+        return action
+
+    chosen = []
+    router.placing.acquire = _acquire
+    assert _call(router, "assist").status == 200
+    by_name = {first.name: first, second.name: second}
+    assert by_name[chosen[0]].requests == []
+
+
+def test_all_servers_leaving_is_refused_at_once(store):
+    """Guards against holding requests that no server takes any more."""
+    servers, router = _start(store, "assist")
+    for server in servers:
+        server.leaving = True
+    _call_for(router, "assist", 0.3)
+    answer = _call(router, "assist")
+    assert answer.status == 503
+    assert float(answer.headers["retry-after"]) > 0.0
