--- a/packages/daisypick_router/tests/test_server_notices.py
+++ b/packages/daisypick_router/tests/test_server_notices.py
@@ -27,7 +27,8 @@
 
     Attributes:
         leaving: Whether it says so in each response.
-        pause: Seconds of rest that it asks for, zero for none.
+        pause: Seconds for which its next rejection asks for a pause, zero if
+            it rejects nothing. Afterwards it serves what arrives.
         noticed_at: When it first said either.
     """
 
@@ -52,6 +53,7 @@
     if server.pause:
         common["Daisypick-Not-Executed"] = "1"
         common["Retry-After"] = f"{server.pause:g}"
+        server.pause = 0.0
         connection.sendall(fakes.write_answer(503, common, b""))
         return
     common["Daisypick-Server-Seal"] = f"seal-{server.name}"
@@ -67,8 +69,15 @@
 def _call(router, service):
     path = _PATH_BY_SERVICE[service]
     method = "GET" if service == "desk" else "POST"
-    attempt = f"a-{next(_attempts)}"
-    return fakes.call(router, path, attempt=attempt, method=method)
+    number = next(_attempts)
+    # A prompt of its own each time, so that no server is preferred for it.
+    return fakes.call(
+        router,
+        path,
+        attempt=f"a-{number}",
+        method=method,
+        Daisypick_Prompt_Prefix=f"{number:x}:100",
+    )
 
 
 def _start(store, service, count=2):
@@ -132,3 +141,16 @@
     answer = _call(router, "assist")
     assert answer.status == 503
     assert float(answer.headers["retry-after"]) > 0.0
+
+
+@pytest.mark.parametrize("service", ["desk", "assist"])
+def test_server_that_asks_for_a_pause_gets_it(store, service):
+    """Guards against load on a server that has asked for none for a while."""
+    (full, free), router = _start(store, service)
+    full.pause = _PAUSE_SECONDS
+    answers = _call_for(router, service, _PAUSE_SECONDS)
+    later = full.count_later_than(_PAUSE_GRACE_SECONDS)
+    after_pause = full.count_later_than(_PAUSE_SECONDS)
+    assert later - after_pause <= _MAX_DURING_PAUSE
+    assert free.requests
+    assert {answer.status for answer in answers} == {200}
