Give a server the pause that it asks for

A 503 counted as one failure of many; three in a row eject a server, and one good answer ends that. Change: the router keeps the end of the pause for that server instance, and sends it nothing until then: plain services leave it out, requests of model services name it as one to avoid, and a start that was decided before is not sent. The pause is this router's own; other routers' requests may go there, also by a host that was asked to pause itself. If all servers want a pause, requests are refused at once and told when the first one ends.

--- a/packages/daisypick_core/src/daisypick_core/serving/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/__init__.py
@@ -10,5 +10,6 @@
 * ``cold_limit``: rate limit of requests to cold backend servers.
 * ``retry_budget``: limit of retries per service.
 * ``outcomes``: ejects backend servers after repeated failures.
+* ``server_pauses``: servers that asked this router for a pause.
 * ``event_stream``: complete events of a stream, in order, without duplicates.
 """
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -119,6 +119,9 @@
         )
         if refused is not None:
             return self._make_failure(context, None, refused)
+        paused = self._notices.refuse(context)
+        if paused is not None:
+            return paused
         while result is None or self._retry_policy.may_retry(context, result):
             work = self._make_job(context)
             action = self._placing.acquire(context.service, work)
@@ -127,7 +130,7 @@
             directory = self._discovery.directory
             server = directory.server_by_name.get(action.server)
             context.tried_servers.add(action.server)
-            if server is None or not directory.is_available(server):
+            if server is None or not self._may_send(server):
                 self._placing.note_end(context.service, work.key)
                 continue
             quarantined = self._retry_policy.quarantine.refuse(context)
@@ -142,7 +145,14 @@
             if isinstance(result, str):
                 return result
             self._retry_policy.note_failed(context, server, result)
-        return retry_policies.choose_failure(context, result)
+        paused = self._notices.refuse(context)
+        return paused or retry_policies.choose_failure(context, result)
+
+    def _may_send(self, server: backend_server.BackendServer) -> bool:
+        """Return whether a server may get requests of this router."""
+        return self._discovery.directory.is_available(
+            server
+        ) and not self._notices.pauses.is_paused(server, time.monotonic())
 
     def _make_failure(
         self,
@@ -181,6 +191,7 @@
         unavailable = self._discovery.directory.find_unavailable(
             context.service.name
         )
+        paused = self._notices.pauses.find_paused(time.monotonic())
         return job.Job(
             key=f"{context.attempt}/{len(context.tried_servers)}",
             router=self._router,
@@ -194,7 +205,7 @@
             arrived_at=time.monotonic(),
             objective_at=objective_at,
             deadline_at=context.deadline,
-            avoid=frozenset(context.tried_servers.union(unavailable)),
+            avoid=frozenset(context.tried_servers.union(unavailable, paused)),
             data_centre=self._data_centre,
             isolated=self._retry_policy.quarantine.is_isolated(context),
         )
--- a/packages/daisypick_router/src/daisypick_router/plain_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_handler.py
@@ -47,6 +47,9 @@
         context: contexts.Context,
     ) -> failure.Failure | str:
         """Answer a request; return the outcome, or the failure."""
+        paused = self._notices.refuse(context)
+        if paused is not None:
+            return paused
         last_response: relay.WholeResponse | None = None
         result: retry_policies.FailedTry | relay.WholeResponse | None = None
         while result is None or self._retry_policy.may_retry(context, result):
@@ -78,7 +81,8 @@
         if last_response is not None:
             send_response(connection, last_response)
             return f"answered_{last_response.head.status}"
-        return retry_policies.choose_failure(context, result)
+        paused = self._notices.refuse(context)
+        return paused or retry_policies.choose_failure(context, result)
 
     def _try(
         self,
--- a/packages/daisypick_router/src/daisypick_router/plain_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_servers.py
@@ -13,6 +13,7 @@
 from daisypick_core.serving import cold_limit
 from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import outcomes as outcome_records
+from daisypick_core.serving import server_pauses
 from daisypick_router import discovery as discoveries
 
 # Load added to a server in another data centre, as a fraction of its slots.
@@ -32,12 +33,14 @@
         discovery: "discoveries.Discovery",
         outcomes: outcome_records.Outcomes,
         cold: cold_limit.ColdLimit,
+        pauses: server_pauses.ServerPauses,
         data_centre: str,
         rng: random.Random,
     ) -> None:
         self._discovery = discovery
         self._outcomes = outcomes
         self._cold = cold
+        self._pauses = pauses
         self._data_centre = data_centre
         self._rng = rng
         self._running_by_server: dict[str, int] = {}
@@ -122,7 +125,10 @@
     ) -> list[backend_server.BackendServer]:
         """Return those of the servers that can take the request."""
         ready = [
-            server for server in servers if server.name not in tried_servers
+            server
+            for server in servers
+            if server.name not in tried_servers
+            and not self._pauses.is_paused(server, now)
         ]
         healthy = [
             server
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -127,7 +127,7 @@
             log=self.log,
             metrics=self.metrics,
         )
-        notices = server_notices.ServerNotices(
+        self._notices = server_notices.ServerNotices(
             discovery=self.discovery, log=self.log
         )
         # Shared, so that a router that becomes the host of a service already
@@ -174,18 +174,19 @@
                     cold=cold_limit.ColdLimit(
                         router=settings.name, quotas=self._cold_quotas
                     ),
+                    pauses=self._notices.pauses,
                     data_centre=settings.data_centre,
                     rng=rng,
                 ),
                 retry_policy=retry_policy,
-                notices=notices,
+                notices=self._notices,
             ),
             engine=engine_handler.EngineHandler(
                 pool=self._pool,
                 discovery=self.discovery,
                 placing=self.placing,
                 retry_policy=retry_policy,
-                notices=notices,
+                notices=self._notices,
                 metrics=self.metrics,
                 router=settings.name,
                 data_centre=settings.data_centre,
@@ -354,6 +355,7 @@
         while True:
             gevent.sleep(_HOUSEKEEPING_SECONDS)
             self._pool.close_stale()
+            self._notices.pauses.expire(time.monotonic())
             self.log.write(
                 "process",
                 "Load.",
--- a/packages/daisypick_router/tests/test_server_notices.py
+++ b/packages/daisypick_router/tests/test_server_notices.py
@@ -154,3 +154,26 @@
     assert later - after_pause <= _MAX_DURING_PAUSE
     assert free.requests
     assert {answer.status for answer in answers} == {200}
+
+
+def test_pause_of_all_servers_is_refused_at_once(store):
+    """Guards against holding requests until their deadline in a pause."""
+    servers, router = _start(store, "desk")
+    for server in servers:
+        server.pause = _PAUSE_SECONDS
+    while not all(server.times for server in servers):
+        _call(router, "desk")
+    answer = _call(router, "desk")
+    assert answer.status == 503
+    assert 0.0 < float(answer.headers["retry-after"]) <= _PAUSE_SECONDS
+
+
+def test_server_gets_requests_again_after_its_pause(store):
+    """Guards against a pause that never ends."""
+    (server,), router = _start(store, "assist", 1)
+    server.pause = 0.3
+    answer = _call(router, "assist")
+    assert answer.status == 503
+    assert 0.2 < float(answer.headers["retry-after"]) <= 0.3
+    fakes.wait_for(lambda: _call(router, "assist").status == 200)
+    assert server.times[1] >= server.times[0] + 0.3
