--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -160,7 +160,7 @@
         result: retry_policies.FailedTry | None,
         refused: actions.Refuse,
     ) -> failure.Failure:
-        refusal = failure.Failure(
+        refusal = self._notices.refuse(context) or failure.Failure(
             code=codes.TOO_LATE,
             reason=refused.reason,
             retry_after=refused.retry_after,
