Ignore notices of another server that uses the address now

Found in review, no caller has seen it: a 421 comes from whatever server listens at the address, and its header was taken for the word of the server that was asked, which would then get no requests for as long as it lives. Test red before (the directory had no ready server left).

--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -175,7 +175,9 @@
         if reader.head is None:
             return Unknown(reason=reader.broken or "no head of an answer")
         server_headers = request_headers.read_server(reader.head)
-        notices.apply(server, server_headers)
+        if reader.head.status != 421:
+            # That response comes from another server at the same address.
+            notices.apply(server, server_headers)
         if (
             server_headers.attempt is not None
             and server_headers.attempt != context.attempt
--- a/packages/daisypick_router/tests/test_server_notices.py
+++ b/packages/daisypick_router/tests/test_server_notices.py
@@ -177,3 +177,22 @@
     assert 0.2 < float(answer.headers["retry-after"]) <= 0.3
     fakes.wait_for(lambda: _call(router, "assist").status == 200)
     assert server.times[1] >= server.times[0] + 0.3
+
+
+def test_notice_of_another_server_at_the_address_is_ignored(store):
+    """Guards against blaming a server for the one that uses its address now."""
+
+    def _misdirect(server, connection, first, headers, body):
+        common = {
+            "Daisypick-Attempt-Id": headers["daisypick-attempt-id"],
+            "Server-Leaving": "1",
+        }
+        connection.sendall(fakes.write_answer(421, common, b""))
+
+    moved = fakes.FakeServer("i-1", "desk", _misdirect)
+    store.put("servers", moved.name, moved.describe())
+    router = fakes.start_router(store)
+    _call(router, "desk")
+    assert moved.requests
+    (server,) = router.discovery.directory.find_ready("desk")
+    assert not router.discovery.directory.is_leaving(server)
