Tests of the quarantine that need the other routers, and the store

Taking the safeguards out one by one showed two tests green without theirs: the one with the store away passed without any message between routers, since each router had learned alone by then, and the one of a later start passed without the store, since the first router told the second. Both are stricter now.

--- a/packages/daisypick_router/tests/test_crashing_requests.py
+++ b/packages/daisypick_router/tests/test_crashing_requests.py
@@ -85,6 +85,12 @@
     return routers
 
 
+def _find_levels(router):
+    """Return the levels of all requests that a router suspects."""
+    records = router.quarantine.ledger.iterate_newest()
+    return [record.level for _, record in records]
+
+
 def _crash_three(fleet, routers, path):
     """Repeat a request at the routers in turn until three servers ended."""
     turns = itertools.cycle(routers)
@@ -138,17 +144,24 @@
     fleet = _Fleet(store, "assist", count=8)
     routers = _start_routers(store)
     store.refuse()
-    for _ in range(2):
+    for level in (1, 2):
         _call(routers[0], "/ask/crash")
+        fakes.wait_for(lambda known=level: _find_levels(routers[1]) == [known])
     _call(routers[1], "/ask/crash")
-    assert _count_repeats(fleet, routers, "/ask/crash") <= _MAX_REPEATS
+    fakes.wait_for(lambda: routers[0].quarantine.ledger.quarantined)
+    for router in routers:
+        assert _call(router, "/ask/crash").status == 503
+    assert fleet.arrivals == 3
 
 
 def test_router_that_starts_later_refuses_the_request(store):
     """Guards against a quarantine that ends when all routers restart."""
     fleet = _Fleet(store, "assist")
-    _crash_three(fleet, _start_routers(store, ("r-1",)), "/visit/crash")
+    (first,) = _start_routers(store, ("r-1",))
+    _crash_three(fleet, [first], "/visit/crash")
     fakes.wait_for(lambda: store.objects.get("daisypick-quarantine"))
+    # The first router has ended as far as the other one can see.
+    first.quarantine.describe = lambda: None
     later = fakes.start_router(store, "r-2")
     fakes.wait_for(lambda: later.quarantine.ledger.quarantined)
     before = fleet.arrivals
@@ -258,7 +271,4 @@
     for server in servers:
         server.crash()
     gevent.joinall(callers)
-    levels = [
-        record.level for _, record in router.quarantine.ledger.iterate_newest()
-    ]
-    assert levels == [1]
+    assert _find_levels(router) == [1]
