--- a/packages/daisypick_router/tests/test_crashing_requests.py
+++ b/packages/daisypick_router/tests/test_crashing_requests.py
@@ -6,6 +6,9 @@
 import gevent
 import pytest
 
+from daisypick_core.quarantine import crash_record
+from daisypick_core.quarantine import digest
+
 # Time in which the fleet must have learned that a request has crashed its
 # third server, and how often it may reach servers after that.
 _LEARN_SECONDS = 3.0
@@ -171,11 +174,12 @@
 
 def test_quarantine_is_written_to_a_restored_store(store):
     """Guards against a quarantine that a restored store has lost."""
+    store.era = 1
     fleet = _Fleet(store, "assist")
     backup = store.copy()
     (router,) = _start_routers(store, ("r-1",))
     _crash_three(fleet, [router], "/visit/crash")
-    fakes.wait_for(lambda: store.objects.get("daisypick-quarantine"))
+    fakes.wait_for(lambda: router._quarantine_store._first_listed_at, 8.0)
     store.restore(backup)
     fakes.wait_for(lambda: store.objects.get("daisypick-quarantine"), 8.0)
     assert router.quarantine.ledger.quarantined == 1
@@ -272,3 +276,75 @@
         server.crash()
     gevent.joinall(callers)
     assert _find_levels(router) == [1]
+
+
+def _find_digest(path):
+    is_get = path.startswith("/look")
+    return digest.find_digest(
+        method=b"GET" if is_get else b"POST",
+        host=fakes.HOST,
+        target=path.encode(),
+        organisation="farm",
+        body=b"" if is_get else b"body",
+    )
+
+
+def _suspect(router, path, level):
+    record = crash_record.CrashRecord(epoch=0, level=level)
+    router.quarantine.merge([(_find_digest(path), record)])
+
+
+@pytest.mark.parametrize(
+    ("path", "service"), [("/visit/1", "assist"), ("/look/1", "desk")]
+)
+def test_suspect_that_ends_well_is_cleared_at_all_routers(store, path, service):
+    """Guards against crashes that add up over hours for a harmless request."""
+    _Fleet(store, service)
+    routers = _start_routers(store)
+    for router in routers:
+        _suspect(router, path, 2)
+    assert _call(routers[0], path).status == 200
+    fakes.wait_for(lambda: _find_levels(routers[1]) == [0])
+    assert _find_levels(routers[0]) == [0]
+
+
+def test_suspects_of_all_routers_share_no_server(store):
+    """Guards against a crash that may be the fault of two suspects.
+
+    Both requests have the same prompt, so the host would choose one server.
+    """
+    fleet = _Fleet(store, "assist", count=2)
+    routers = _start_routers(store)
+    for router in routers:
+        router.placing.find_host("assist")
+        _suspect(router, "/visit/1", 2)
+        _suspect(router, "/visit/2", 2)
+    fakes.wait_for(
+        lambda: (
+            {router.placing.find_host("assist") for router in routers}
+            in ({"r-1"}, {"r-2"})
+        )
+    )
+    callers = [
+        gevent.spawn(_call, router, f"/visit/{number}")
+        for number, router in enumerate(routers, 1)
+    ]
+    gevent.joinall(callers)
+    assert [len(server.requests) for server in fleet.servers] == [1, 1]
+
+
+def test_request_that_waits_while_it_is_quarantined_is_not_sent(store):
+    """Guards against one more crash by a request that was in the queue."""
+    fleet = _Fleet(store, "assist")
+    (router,) = _start_routers(store, ("r-1",))
+    acquire = router.placing.acquire
+
+    def _acquire(service, work):
+        action = acquire(service, work)
+        _suspect(router, "/ask/1", 3)
+        return action
+
+    router.placing.acquire = _acquire
+    assert _call(router, "/ask/1").status == 503
+    assert not any(server.requests for server in fleet.servers)
+    assert router.hosted.describe("assist")["running"] == 0
