Store no request that was cleared before the write

Found in review: a request that ended well between its third crash and the write was stored with level 0, an object that no router applies or deletes. Test red before.

--- a/packages/daisypick_router/src/daisypick_router/quarantine_store.py
+++ b/packages/daisypick_router/src/daisypick_router/quarantine_store.py
@@ -139,6 +139,8 @@
 
     def _write(self, digest: str, details: dict[str, typing.Any]) -> None:
         record = self._quarantine.ledger.find(digest)
+        if not record.is_quarantined:
+            return
         spec = {"epoch": record.epoch, "level": record.level, **details}
         written = self._store.create(KIND, digest, spec)
         if failure.is_failure(written) and written.code is (
--- a/packages/daisypick_router/tests/test_crashing_requests.py
+++ b/packages/daisypick_router/tests/test_crashing_requests.py
@@ -348,3 +348,12 @@
     assert _call(router, "/ask/1").status == 503
     assert not any(server.requests for server in fleet.servers)
     assert router.hosted.describe("assist")["running"] == 0
+
+
+def test_request_that_is_cleared_meanwhile_is_not_stored(store):
+    """Guards against objects that no router applies or deletes."""
+    (router,) = _start_routers(store, ("r-1",))
+    _suspect(router, "/ask/1", 3)
+    router.quarantine.release(_find_digest("/ask/1"))
+    router._quarantine_store._write(_find_digest("/ask/1"), {})
+    assert not store.objects.get("daisypick-quarantine")
