Keep a server's announcement when a restored list names its earlier instance

Cause, from its log: i-3 had crashed and registered anew (born 2), said that it leaves, and the store was restored from a copy with the entry of the earlier instance (born 1). Another instance of the name ended the announcement, also an earlier one; after that the right entry ended the one noted with the earlier. Pauses had the same fault. Change: only a later instance ends an announcement or a pause, and the latest instance seen is kept with it. Two tests, red before.

--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -142,7 +142,7 @@
         """Add or update an entry."""
         self._missing_since_by_name.pop(server.name, None)
         announcement = self._leaving_by_name.get(server.name)
-        if announcement is not None and announcement.born != server.born:
+        if announcement is not None and announcement.born < server.born:
             del self._leaving_by_name[server.name]
         before = self.server_by_name.get(server.name)
         if before is not None and before.service != server.service:
@@ -172,18 +172,24 @@
         may not reach the platform to change it.
         """
         is_new = not self.is_leaving(server)
+        before = self._leaving_by_name.get(server.name)
+        born = server.born if before is None else max(before.born, server.born)
         self._leaving_by_name[server.name] = _Announcement(
-            born=server.born, noted_at=now
+            born=born, noted_at=now
         )
         if is_new:
             self._note_change(server.service)
         return is_new
 
     def is_leaving(self, server: backend_server.BackendServer) -> bool:
-        """Return whether a server is listed as draining or says it leaves."""
+        """Return whether a server is listed as draining or says it leaves.
+
+        A restored list may hold the entry of an earlier instance of the name,
+        which does not show that the later one has ended.
+        """
         announcement = self._leaving_by_name.get(server.name)
         return server.draining or (
-            announcement is not None and announcement.born == server.born
+            announcement is not None and announcement.born >= server.born
         )
 
     def _expire_announcements(self, now: float) -> None:
--- a/packages/daisypick_core/src/daisypick_core/serving/server_pauses.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/server_pauses.py
@@ -48,9 +48,9 @@
     ) -> None:
         """Record a pause; an earlier one that ends later stays in force."""
         until = max(now + seconds, self._find_end(server))
-        self._pause_by_server[server.name] = _Pause(
-            born=server.born, until=until
-        )
+        before = self._pause_by_server.get(server.name)
+        born = server.born if before is None else max(before.born, server.born)
+        self._pause_by_server[server.name] = _Pause(born=born, until=until)
 
     def is_paused(
         self, server: backend_server.BackendServer, now: float
@@ -77,7 +77,8 @@
 
     def _find_end(self, server: backend_server.BackendServer) -> float:
         pause = self._pause_by_server.get(server.name)
-        if pause is None or pause.born != server.born:
+        # A restored list may hold the entry of an earlier instance.
+        if pause is None or pause.born < server.born:
             return 0.0
         return pause.until
 
--- a/packages/daisypick_core/tests/serving/test_directory.py
+++ b/packages/daisypick_core/tests/serving/test_directory.py
@@ -131,3 +131,17 @@
         directory.remove(server.name, now=float(number))
     directory.expire(now=700.0)
     assert directory._leaving_by_name == {}
+
+
+def test_older_entry_of_a_restored_list_does_not_end_an_announcement():
+    """Guards against an earlier instance's entry that a backup brings back."""
+    directory = directories.Directory()
+    directory.put(_server("i-1", born=2))
+    directory.note_leaving(_server("i-1", born=2), now=1.0)
+    directory.put(_server("i-1", born=1))
+    assert _names(directory) == []
+    directory.note_leaving(_server("i-1", born=1), now=2.0)
+    directory.put(_server("i-1", born=2))
+    assert _names(directory) == []
+    directory.put(_server("i-1", born=3))
+    assert _names(directory) == ["i-1"]
--- a/packages/daisypick_core/tests/serving/test_server_pauses.py
+++ b/packages/daisypick_core/tests/serving/test_server_pauses.py
@@ -48,3 +48,12 @@
         pauses.note(_server(f"i-{number}"), seconds=1.0, now=0.0)
     pauses.expire(now=1.0)
     assert len(pauses) == 0
+
+
+def test_older_entry_of_a_restored_list_does_not_end_a_pause():
+    """Guards against an earlier instance's entry that a backup brings back."""
+    pauses = server_pauses.ServerPauses()
+    pauses.note(_server(born=2), seconds=5.0, now=0.0)
+    assert pauses.is_paused(_server(born=1), now=1.0)
+    pauses.note(_server(born=1), seconds=1.0, now=1.0)
+    assert pauses.is_paused(_server(born=2), now=4.0)
