Keep the notice of a server's instance that is not listed yet

Callers: a server that had announced its leaving, or asked for a pause, got requests again.

Answers do not tell the birth of their instance, entries do, by the time of day. A notice now holds for every instance born before it was heard.

--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -43,11 +43,11 @@
     """A server's own statement that it leaves.
 
     Attributes:
-        born: Identifies the server instance.
-        noted_at: When it was last made.
+        unix_ms: When it was last made, by the time of day.
+        noted_at: When it was last made, by the local clock.
     """
 
-    born: int
+    unix_ms: int
     noted_at: float
 
 
@@ -142,7 +142,7 @@
         """Add or update an entry."""
         self._missing_since_by_name.pop(server.name, None)
         announcement = self._leaving_by_name.get(server.name)
-        if announcement is not None and announcement.born < server.born:
+        if announcement is not None and announcement.unix_ms < server.born:
             del self._leaving_by_name[server.name]
         before = self.server_by_name.get(server.name)
         if before is not None and before.service != server.service:
@@ -164,18 +164,23 @@
         self._drop(name)
 
     def note_leaving(
-        self, server: backend_server.BackendServer, now: float
+        self, server: backend_server.BackendServer, now: float, *, unix_ms: int
     ) -> bool:
         """Record that a server says that it leaves; return whether it is new.
 
         That holds for this instance whatever its entry says, since the server
-        may not reach the platform to change it.
+        may not reach the platform to change it. The instance that says so is
+        the last one of that name that was born by then; while the list is
+        late, it is not the one listed.
+
+        Args:
+            server: The server as it is listed.
+            now: The time of the local clock.
+            unix_ms: The time of day, which instances tell as their birth.
         """
         is_new = not self.is_leaving(server)
-        before = self._leaving_by_name.get(server.name)
-        born = server.born if before is None else max(before.born, server.born)
         self._leaving_by_name[server.name] = _Announcement(
-            born=born, noted_at=now
+            unix_ms=unix_ms, noted_at=now
         )
         if is_new:
             self._note_change(server.service)
@@ -189,7 +194,7 @@
         """
         announcement = self._leaving_by_name.get(server.name)
         return server.draining or (
-            announcement is not None and announcement.born >= server.born
+            announcement is not None and announcement.unix_ms >= server.born
         )
 
     def _expire_announcements(self, now: float) -> None:
--- a/packages/daisypick_core/src/daisypick_core/serving/server_pauses.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/server_pauses.py
@@ -11,9 +11,12 @@
     ...     born=1,
     ... )
     >>> pauses = ServerPauses()
-    >>> pauses.note(server, seconds=3.0, now=1.0)
+    >>> pauses.note(server, seconds=3.0, now=1.0, unix_ms=1000)
     >>> pauses.is_paused(server, now=3.9), pauses.is_paused(server, now=4.0)
     (True, False)
+
+The instance that asks is the last one of its name that was born by then. While
+the list of servers is late, it is not the one listed.
 """
 
 from collections.abc import Iterable
@@ -23,9 +26,14 @@
 
 
 class _Pause(typing.NamedTuple):
-    """A pause of one server instance."""
+    """A pause of one server instance.
+
+    Attributes:
+        unix_ms: When the instance asked for it, by the time of day.
+        until: When it ends, by the local clock.
+    """
 
-    born: int
+    unix_ms: int
     until: float
 
 
@@ -45,12 +53,13 @@
         *,
         seconds: float,
         now: float,
+        unix_ms: int,
     ) -> None:
         """Record a pause; an earlier one that ends later stays in force."""
         until = max(now + seconds, self._find_end(server))
-        before = self._pause_by_server.get(server.name)
-        born = server.born if before is None else max(before.born, server.born)
-        self._pause_by_server[server.name] = _Pause(born=born, until=until)
+        self._pause_by_server[server.name] = _Pause(
+            unix_ms=unix_ms, until=until
+        )
 
     def is_paused(
         self, server: backend_server.BackendServer, now: float
@@ -78,7 +87,7 @@
     def _find_end(self, server: backend_server.BackendServer) -> float:
         pause = self._pause_by_server.get(server.name)
         # A restored list may hold the entry of an earlier instance.
-        if pause is None or pause.born < server.born:
+        if pause is None or pause.unix_ms < server.born:
             return 0.0
         return pause.until
 
--- a/packages/daisypick_core/tests/serving/test_directory.py
+++ b/packages/daisypick_core/tests/serving/test_directory.py
@@ -93,8 +93,8 @@
     """Guards against an older entry that overrides the server's own word."""
     directory = directories.Directory()
     directory.replace_all([_server("i-1"), _server("i-2")], now=0.0)
-    assert directory.note_leaving(_server("i-1"), now=1.0)
-    assert not directory.note_leaving(_server("i-1"), now=2.0)
+    assert directory.note_leaving(_server("i-1"), now=1.0, unix_ms=1)
+    assert not directory.note_leaving(_server("i-1"), now=2.0, unix_ms=1)
     directory.replace_all([_server("i-1"), _server("i-2")], now=3.0)
     directory.put(_server("i-1", cold_until=9.0))
     assert _names(directory) == ["i-2"]
@@ -105,7 +105,7 @@
     """Guards against shunning the next instance of the same name."""
     directory = directories.Directory()
     directory.put(_server("i-1"))
-    directory.note_leaving(_server("i-1"), now=1.0)
+    directory.note_leaving(_server("i-1"), now=1.0, unix_ms=1)
     directory.put(_server("i-1", born=2))
     assert _names(directory) == ["i-1"]
 
@@ -114,7 +114,7 @@
     """Guards against sending to it after an outage of the platform."""
     directory = directories.Directory()
     directory.put(_server("i-1"))
-    directory.note_leaving(_server("i-1"), now=1.0)
+    directory.note_leaving(_server("i-1"), now=1.0, unix_ms=1)
     directory.remove("i-1", now=2.0)
     directory.expire(now=600.0)
     directory.put(_server("i-1"))
@@ -127,7 +127,7 @@
     for number in range(100):
         server = _server(f"i-{number}")
         directory.put(server)
-        directory.note_leaving(server, now=float(number))
+        directory.note_leaving(server, now=float(number), unix_ms=1)
         directory.remove(server.name, now=float(number))
     directory.expire(now=700.0)
     assert directory._leaving_by_name == {}
@@ -137,11 +137,22 @@
     """Guards against an earlier instance's entry that a backup brings back."""
     directory = directories.Directory()
     directory.put(_server("i-1", born=2))
-    directory.note_leaving(_server("i-1", born=2), now=1.0)
+    directory.note_leaving(_server("i-1", born=2), now=1.0, unix_ms=2)
     directory.put(_server("i-1", born=1))
     assert _names(directory) == []
-    directory.note_leaving(_server("i-1", born=1), now=2.0)
+    directory.note_leaving(_server("i-1", born=1), now=2.0, unix_ms=2)
     directory.put(_server("i-1", born=2))
     assert _names(directory) == []
     directory.put(_server("i-1", born=3))
     assert _names(directory) == ["i-1"]
+
+
+def test_announcement_holds_for_an_instance_that_is_listed_after_it():
+    """Guards against dropping what an instance says that is not listed yet."""
+    directory = directories.Directory()
+    directory.put(_server("i-1", born=1000))
+    directory.note_leaving(_server("i-1", born=1000), now=1.0, unix_ms=3000)
+    directory.put(_server("i-1", born=2000))
+    assert _names(directory) == []
+    directory.put(_server("i-1", born=3001))
+    assert _names(directory) == ["i-1"]
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -242,7 +242,10 @@
 
     def note_leaving(self, server: backend_server.BackendServer) -> None:
         """Record that a server itself says that it leaves."""
-        if not self.directory.note_leaving(server, time.monotonic()):
+        is_new = self.directory.note_leaving(
+            server, time.monotonic(), unix_ms=int(time.time() * 1000)
+        )
+        if not is_new:
             return
         self._log.write(
             "servers", "A server says that it leaves.", server=server.name
--- a/packages/daisypick_router/src/daisypick_router/server_notices.py
+++ b/packages/daisypick_router/src/daisypick_router/server_notices.py
@@ -40,7 +40,10 @@
             self._discovery.note_leaving(server)
         if headers.pause_seconds is not None:
             self.pauses.note(
-                server, seconds=headers.pause_seconds, now=time.monotonic()
+                server,
+                seconds=headers.pause_seconds,
+                now=time.monotonic(),
+                unix_ms=int(time.time() * 1000),
             )
             self._log.write(
                 "notices",
