Decide on the roll-out of a service's version

Nothing read an operator's order to move a service to a version, so servers of a bad version got full traffic from their first heartbeat.

--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/rollout/decider.py
@@ -0,0 +1,180 @@
+"""When the traffic of a service moves to a version, and when it is taken back.
+
+One router decides for all. Its plan for an order of so many seconds::
+
+    order      canary        probe      moving               limit
+      |--------------------------|--------|--------------------|
+       a share of the requests    the rest  all new requests;    old servers
+       at some servers            of it at  requests end at      are idle
+                                  few       old servers
+
+A fault that the answers show takes the traffic back in each of these phases.
+The move begins as late as the end of the requests that still run at old servers
+allows, so that what turns bad later has time to show.
+
+Examples:
+    >>> from daisypick_core.rollout import state as states
+    >>> decider = Decider(
+    ...     state=states.RolloutState(
+    ...         service="desk", number=(0, 7), in_force="v1", target="v2",
+    ...         created="7", seconds=12.0, phase=states.Phase.CANARY,
+    ...     ),
+    ...     started_at=100.0,
+    ... )
+    >>> decider.decide(now=112.0, has_capacity=True).name
+    'ROLLED_BACK'
+    >>> decider.reason
+    'the target answered 0 requests before the time limit'
+"""
+
+from collections.abc import Iterable
+import typing
+
+from daisypick_core.rollout import evidence as evidences
+from daisypick_core.rollout import state as states
+from daisypick_core.rollout import verdict
+
+# Time for the probe: some answers of busy servers, reports of all routers.
+_PROBE_SECONDS = 1.5
+# Share of the time limit after which the probe begins at the latest, however
+# long requests run.
+_MAX_CANARY_SHARE = 0.75
+_MIN_CANARY_SHARE = 0.4
+# Time for the last reports and for writing the outcome to the platform's store.
+_MARGIN_SECONDS = 1.0
+# What longer requests than the longest so far may take, as a multiple of it.
+_LONGER_REQUESTS = 1.2
+# Fewest answers of a version that may be approved.
+_MIN_ANSWERS = 20
+# Time after which a router that reports nothing no longer counts: its process
+# has ended, or it is cut off and decides for itself.
+SILENT_SECONDS = 3.0
+
+
+class Report(typing.NamedTuple):
+    """What a router tells of a roll-out, besides its evidence.
+
+    Attributes:
+        router: The router's process.
+        phase: Phase that it applies.
+        running_elsewhere: Its requests at servers of other versions than the
+            target.
+        longest: Longest duration in seconds of a request that has ended there.
+    """
+
+    router: str
+    phase: states.Phase
+    running_elsewhere: int
+    longest: float
+
+
+class Decider:
+    """Decides on one order.
+
+    Args:
+        state: State of the roll-out so far.
+        started_at: When the order was given.
+
+    Attributes:
+        state: State of the roll-out; its phase only grows.
+        reason: Why it was rolled back; empty before.
+        evidence: The answers that were reported.
+    """
+
+    def __init__(
+        self, *, state: states.RolloutState, started_at: float
+    ) -> None:
+        self.state = state
+        self.reason = ""
+        self.evidence = evidences.Evidence()
+        self._started_at = started_at
+        self._report_by_router: dict[str, tuple[float, Report]] = {}
+
+    @property
+    def limit_at(self) -> float:
+        """When the time limit of the order ends."""
+        return self._started_at + self.state.seconds
+
+    def note_report(self, report: Report, now: float) -> None:
+        """Record a router's report."""
+        self._report_by_router[report.router] = (now, report)
+
+    def merge(self, state: states.RolloutState) -> None:
+        """Apply the state that another router told."""
+        if state.number == self.state.number:
+            self.state = states.find_later(self.state, state)
+
+    def decide(self, *, now: float, has_capacity: bool) -> states.Phase:
+        """Return the phase that applies from now on.
+
+        Args:
+            now: The time.
+            has_capacity: Whether the target's servers can carry all requests.
+        """
+        if not self.state.has_ended:
+            phase = self._find_phase(now, has_capacity)
+            if phase > self.state.phase:
+                self.state = self.state._replace(phase=phase)
+        return self.state.phase
+
+    def _find_phase(self, now: float, has_capacity: bool) -> states.Phase:
+        if self.state.target == self.state.in_force:
+            return states.Phase.MOVING
+        fault = verdict.find_fault(self.evidence)
+        if fault is not None:
+            where = f"route {fault.route}" if fault.route else "all routes"
+            self.reason = (
+                f"{fault.sign} of {where}: {fault.found} of {fault.answers}"
+                f" answers, {fault.expected} expected"
+            )
+            return states.Phase.ROLLED_BACK
+        if self.state.phase is states.Phase.MOVING:
+            return states.Phase.MOVING
+        answers = self.evidence.count_target()
+        if now >= self.limit_at - _MARGIN_SECONDS / 2.0:
+            self.reason = (
+                f"the target answered {answers} requests before the time limit"
+                if answers < _MIN_ANSWERS
+                else "the target has too few servers at the time limit"
+            )
+            return states.Phase.ROLLED_BACK
+        move_at = self._find_move_at(now)
+        if now >= move_at and answers >= _MIN_ANSWERS and has_capacity:
+            return states.Phase.MOVING
+        if now >= move_at - _PROBE_SECONDS:
+            return states.Phase.PROBE
+        return states.Phase.CANARY
+
+    def _find_move_at(self, now: float) -> float:
+        seconds = self.state.seconds
+        longest = max(
+            (report.longest for report in self._find_reports(now)), default=0.0
+        )
+        latest = seconds - _MARGIN_SECONDS - longest * _LONGER_REQUESTS
+        canary = min(latest, seconds * _MAX_CANARY_SHARE)
+        return self._started_at + max(canary, seconds * _MIN_CANARY_SHARE)
+
+    def _find_reports(self, now: float) -> Iterable[Report]:
+        for reported_at, report in self._report_by_router.values():
+            if now - reported_at < SILENT_SECONDS:
+                yield report
+
+    def has_moved(self, *, now: float, routers: int) -> bool:
+        """Return whether all traffic has moved to the target.
+
+        Each router that is heard of must apply it and have no request left at
+        another version. They must be the most of the fleet, so that a decider
+        that is cut off from it does not decide for it.
+
+        Args:
+            now: The time.
+            routers: Number of routers of the fleet.
+        """
+        if self.state.phase is not states.Phase.MOVING:
+            return False
+        reports = list(self._find_reports(now))
+        return len(reports) * 2 > routers and all(
+            report.phase is states.Phase.MOVING
+            and report.running_elsewhere == 0
+            for report in reports
+        )
