Roll out versions: canary, move and outcome in the routers

Where the platform's settings name a canary share, a service's servers of each version are a pool with a scheduler of its own. Requests go to the version in force; a share of the first tries tests the target of a running order. Routers report how both versions answer to one of them, which decides, tells all over the connections that exist, and writes the state on the order as it was read, so of two deciders one counts. The version in force is kept as an object for fleets that start anew. Other deployments make no call and keep one scheduler a service.

--- a/packages/daisypick_core/src/daisypick_core/serving/backend_server.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/backend_server.py
@@ -17,6 +17,7 @@
             server.
         born: Start time in Unix milliseconds. The same name with another
             value is a new instance without the state of the previous one.
+        version: Version of its software; empty if it names none.
     """
 
     name: str
@@ -27,3 +28,4 @@
     draining: bool
     cold_until: float
     born: int
+    version: str = ""
--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -253,6 +253,10 @@
             self._ready_by_service[service] = ready
         return ready
 
+    def find_versions(self, service: str) -> list[str]:
+        """Return the version of each available server of a service."""
+        return [server.version for server in self.find_ready(service)]
+
     def find_unavailable(self, service: str) -> list[str]:
         """Return the names of the servers that must not get new requests."""
         names = self._unavailable_by_service.get(service)
--- a/packages/daisypick_core/src/daisypick_core/serving/fleet_configuration.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/fleet_configuration.py
@@ -19,8 +19,11 @@
 from collections.abc import Mapping
 import typing
 
+from daisypick_core.serving import backend_server
 from daisypick_core.serving import route_table
 
+_VERSION_MARK = "@"
+
 
 class Engine(typing.NamedTuple):
     """Capacity of a model engine.
@@ -46,12 +49,33 @@
         cold_rate: Requests per second that a cold server can handle; zero
             for no limit.
         engine: ``None`` for a plain HTTP service.
+        version: Version of the servers that may get a request; ``None`` for
+            all of them.
+
+    Examples:
+        >>> desk = Service("desk", 0.0, 0.0, None)
+        >>> desk.pool, desk._replace(version="v2").pool
+        ('desk', 'desk@v2')
     """
 
     name: str
     cold_seconds: float
     cold_rate: float
     engine: Engine | None
+    version: str | None = None
+
+    @property
+    def pool(self) -> str:
+        """Name of the service and of the version that is selected."""
+        if self.version is None:
+            return self.name
+        return f"{self.name}{_VERSION_MARK}{self.version}"
+
+    def has_server(self, server: backend_server.BackendServer) -> bool:
+        """Return whether a server is one of the selected ones."""
+        return server.service == self.name and (
+            self.version is None or server.version == self.version
+        )
 
 
 class Organisation(typing.NamedTuple):
@@ -95,3 +119,12 @@
     service_by_name: Mapping[str, Service]
     organisation_by_key: Mapping[str, Organisation]
     limits: Limits
+
+    def find_pool(self, name: str) -> Service | None:
+        """Return the service whose ``pool`` has this name."""
+        service = self.service_by_name.get(name)
+        if service is not None:
+            return service
+        name, mark, version = name.rpartition(_VERSION_MARK)
+        service = self.service_by_name.get(name) if mark else None
+        return service and service._replace(version=version)
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -18,6 +18,9 @@
         organisation: Organisation that owns its API key; ``None`` on public
             routes.
         service: Service that the route selected.
+        pool: The service with the version of its servers that the next try
+            may use.
+        tests_version: Whether that version is one under test.
         version: Version of the configuration used for this request.
         deadline: When the timeout of the caller or of the route expires.
         objective_at: When the first byte of the response is due by the
@@ -44,9 +47,11 @@
         "may_have_run",
         "objective_at",
         "organisation",
+        "pool",
         "request",
         "route",
         "sent_at",
+        "tests_version",
         "servers_reached",
         "service",
         "tried_servers",
@@ -68,6 +73,8 @@
         self.route = route
         self.organisation = organisation
         self.service = service
+        self.pool = service
+        self.tests_version = False
         self.version = version
         self.attempt = caller_headers.attempt
         self.objective_at = request.began_at + route.objective
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -238,6 +238,7 @@
             draining=server.draining,
             cold_seconds=round(max(server.cold_until - now, 0.0), 3),
             born=server.born,
+            version=server.version,
         )
 
     def note_leaving(self, server: backend_server.BackendServer) -> None:
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -27,6 +27,7 @@
 from daisypick_router import plain_handler
 from daisypick_router import relay
 from daisypick_router import retry_policy as retry_policies
+from daisypick_router import rollouts as rollout_records
 from daisypick_router import server_notices
 
 _EVENT_STREAM = b"text/event-stream"
@@ -55,6 +56,7 @@
         placing: placings.Placing,
         retry_policy: retry_policies.RetryPolicy,
         notices: server_notices.ServerNotices,
+        rollouts: rollout_records.Rollouts,
         metrics: metric_numbers.Metrics,
         router: str,
         data_centre: str,
@@ -64,6 +66,7 @@
         self._placing = placing
         self._retry_policy = retry_policy
         self._notices = notices
+        self._rollouts = rollouts
         self._metrics = metrics
         self._router = router
         self._data_centre = data_centre
@@ -116,8 +119,9 @@
         result: retry_policies.FailedTry | None = None
         organisation = context.organisation or ""
         self._count_demand(context, organisation)
+        self._rollouts.choose(context)
         refused = self._placing.refuse_locally(
-            context.service, organisation, context.attempt, time.monotonic()
+            context.pool, organisation, context.attempt, time.monotonic()
         )
         if refused is not None:
             return self._make_failure(context, None, refused)
@@ -135,20 +139,27 @@
                 retry_after=retry_policies.RETRY_AFTER,
             )
         while result is None or self._retry_policy.may_retry(context, result):
+            if result is not None:
+                self._rollouts.choose(context)
             work = self._make_job(context)
-            action = self._placing.acquire(context.service, work)
+            action = self._placing.acquire(context.pool, work)
+            if isinstance(action, actions.Refuse) and context.tests_version:
+                self._rollouts.skip_test(context)
+                work = self._make_job(context)
+                action = self._placing.acquire(context.pool, work)
             if isinstance(action, actions.Refuse):
                 return self._make_failure(context, result, action)
             directory = self._discovery.directory
             server = directory.server_by_name.get(action.server)
             context.tried_servers.add(action.server)
             if server is None or not self._may_send(server):
-                self._placing.note_end(context.service, work.key)
+                self._placing.note_end(context.pool, work.key)
+                self._rollouts.choose(context)
                 continue
             quarantined = self._retry_policy.quarantine.refuse(context)
             if quarantined is not None:
                 # It has crashed its last server while it waited.
-                self._placing.note_end(context.service, work.key)
+                self._placing.note_end(context.pool, work.key)
                 return self._choose_refusal(context, result, quarantined)
             source = directory.server_by_name.get(action.source)
             result = self._try(
@@ -217,7 +228,11 @@
             arrived_at=time.monotonic(),
             objective_at=objective_at,
             deadline_at=context.deadline,
-            avoid=frozenset(context.tried_servers.union(unavailable, paused)),
+            avoid=frozenset(
+                context.tried_servers.union(
+                    unavailable, paused, self._rollouts.find_avoided(context)
+                )
+            ),
             data_centre=self._data_centre,
             isolated=self._retry_policy.quarantine.is_isolated(context),
         )
@@ -233,22 +248,54 @@
     ) -> retry_policies.FailedTry | str:
         """Send a request to one server and relay the response."""
         result: retry_policies.FailedTry | str | None = None
+        sent = self._rollouts.note_sent(context, server)
+        reached = context.servers_reached
+        last_event = stream.last_id or 0
         try:
             result = self._exchange(
                 connection, context, work, server, source, stream
             )
         finally:
+            self._rollouts.note_end(
+                sent, reached=context.servers_reached > reached
+            )
             if not _is_server_failure(result):
-                self._placing.note_end(context.service, work.key)
+                self._placing.note_end(context.pool, work.key)
             else:
                 down = (
                     isinstance(result, exchange.NotRun) and result.server_down
                 )
-                self._placing.note_failure(
-                    context.service, work.key, certain=down
-                )
+                self._placing.note_failure(context.pool, work.key, certain=down)
+        events = (stream.last_id or 0) - last_event
+        self._note_answer(context, sent, result, events)
         return result
 
+    def _note_answer(
+        self,
+        context: contexts.Context,
+        sent: rollout_records.Sent,
+        result: retry_policies.FailedTry | str,
+        events: int,
+    ) -> None:
+        """Record how a server answered, for the roll-out of its version."""
+        if isinstance(result, exchange.NotRun):
+            return
+        if not isinstance(result, str):
+            self._rollouts.note_break(sent)
+            return
+        first, pace = None, None
+        if context.first_event_at is not None:
+            first = max(context.first_event_at - sent.at, 0.0)
+            if events > 1:
+                streamed = time.monotonic() - context.first_event_at
+                pace = streamed / (events - 1)
+        self._rollouts.note_answer(
+            sent,
+            failed=result.startswith("answered_5"),
+            first=first,
+            pace=pace,
+        )
+
     def _exchange(
         self,
         connection: http_server.CallerConnection,
@@ -388,7 +435,7 @@
         return events
 
     def _note_first(self, context: contexts.Context, work: job.Job) -> None:
-        self._placing.note_first_token(context.service, work.key)
+        self._placing.note_first_token(context.pool, work.key)
         if context.first_event_at is None:
             context.first_event_at = time.monotonic()
             self._placing.tally.add(work.organisation, begun=work.cost)
--- a/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
@@ -1,8 +1,13 @@
 """Runs the schedulers of model services within one process.
 
+Where versions are rolled out, the servers of each version of a service have a
+scheduler of their own: engines under test are neither spare capacity of the
+others nor a source of their prompts.
+
 Requests wait here as greenlets; the schedulers' actions wake them.
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
@@ -39,11 +44,16 @@
         window_seconds: float,
         rng: random.Random,
         speed_by_service: MutableMapping[str, prefill_speed.ServiceSpeed],
+        by_version: bool = False,
     ) -> None:
         self._discovery = discovery
         self._window_seconds = window_seconds
         self._rng = rng
         self._speed_by_service = speed_by_service
+        self._by_version = by_version
+        self._versions_by_service: dict[str, set[str]] = (
+            collections.defaultdict(set)
+        )
         self._routers: frozenset[str] = frozenset()
         self._share = 1.0
         self._has_waiting = event.Event()
@@ -73,9 +83,7 @@
         configuration = self._discovery.configuration
         if configuration is None:
             return
-        for service in configuration.service_by_name.values():
-            if service.engine is None:
-                continue
+        for service in self._find_pools(configuration):
             scheduler = self.find_scheduler(service)
             scheduler.shares.set_capacity(
                 tokens_per_second=configuration.limits.tokens_per_second
@@ -87,6 +95,24 @@
                 self._update_some_servers(service, scheduler, names)
             self._apply(scheduler.dispatch(time.monotonic()))
 
+    def _find_pools(
+        self, configuration: fleet_configuration.FleetConfiguration
+    ) -> list[fleet_configuration.Service]:
+        """Return the engine services, by version if they are kept apart."""
+        pools = []
+        for service in configuration.service_by_name.values():
+            if service.engine is None:
+                continue
+            if not self._by_version:
+                pools.append(service)
+                continue
+            versions = self._versions_by_service[service.name]
+            versions.update(
+                self._discovery.directory.find_versions(service.name)
+            )
+            pools += [service._replace(version=found) for found in versions]
+        return pools
+
     def _set_all_servers(
         self,
         service: fleet_configuration.Service,
@@ -95,6 +121,7 @@
         scheduler.set_servers(
             self._describe_server(service, server)
             for server in self._discovery.directory.find_ready(service.name)
+            if service.has_server(server)
         )
 
     def _update_some_servers(
@@ -108,7 +135,7 @@
             server = directory.server_by_name.get(name)
             if (
                 server is not None
-                and server.service == service.name
+                and service.has_server(server)
                 and directory.is_available(server)
             ):
                 scheduler.put_server(self._describe_server(service, server))
@@ -134,7 +161,7 @@
         self, service: fleet_configuration.Service
     ) -> schedulers.Scheduler:
         """Return the scheduler of a service, created on first use."""
-        scheduler = self._scheduler_by_service.get(service.name)
+        scheduler = self._scheduler_by_service.get(service.pool)
         if scheduler is None:
             scheduler = schedulers.Scheduler(
                 kv_tokens=service.engine.kv_tokens,
@@ -143,11 +170,11 @@
                 window_seconds=self._window_seconds,
                 rng=self._rng,
                 speed=self._speed_by_service.setdefault(
-                    service.name, prefill_speed.ServiceSpeed()
+                    service.pool, prefill_speed.ServiceSpeed()
                 ),
             )
             scheduler.set_fleet(routers=self._routers, share=self._share)
-            self._scheduler_by_service[service.name] = scheduler
+            self._scheduler_by_service[service.pool] = scheduler
         return scheduler
 
     def acquire(
--- a/packages/daisypick_router/src/daisypick_router/host_links.py
+++ b/packages/daisypick_router/src/daisypick_router/host_links.py
@@ -19,6 +19,7 @@
 from daisypick_router import peer_link
 from daisypick_router import peer_messages
 from daisypick_router import quarantine as quarantines
+from daisypick_router import rollouts as rollout_records
 from daisypick_router import store_feed
 
 # Number of candidates for each service.
@@ -53,6 +54,7 @@
         membership: memberships.Membership,
         feed: store_feed.StoreFeed,
         quarantine: quarantines.Quarantine,
+        rollouts: rollout_records.Rollouts,
         log: logs.Log,
         rng: random.Random,
         on_connect: Callable[[peer_link.PeerLink], None],
@@ -63,6 +65,8 @@
         self._feed = feed
         self._quarantine = quarantine
         quarantine.add_sender(self._send_to_all)
+        self._rollouts = rollouts
+        rollouts.add_sender(self._send_to_all)
         self._log = log
         self._rng = rng
         self._on_connect = on_connect
@@ -117,11 +121,12 @@
             on_feed=self._feed.receive,
             on_leaving=self._handle_leaving,
             on_crashes=self._quarantine.receive,
+            on_rollout=self._rollouts.receive,
         )
         self._link_by_name[member.name] = link
         link.start()
 
-    def _send_to_all(self, message: peer_messages.CrashMessage) -> None:
+    def _send_to_all(self, message: peer_messages.Flooded) -> None:
         for link in self._link_by_name.values():
             link.send(message)
 
@@ -164,8 +169,8 @@
         if self.feed_source is link:
             self.feed_source = None
             self._feed.is_following = False
-        for crashes in self._quarantine.describe():
-            link.send(crashes)
+        for message in self._quarantine.describe() + self._rollouts.describe():
+            link.send(message)
         self._choose_feed_source()
         self._on_connect(link)
 
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -22,6 +22,8 @@
 from daisypick_router import peer_channel
 from daisypick_router import peer_messages
 from daisypick_router import quarantine as quarantines
+from daisypick_router import rollout_host as rollout_hosts
+from daisypick_router import rollouts as rollout_records
 from daisypick_router import store_feed
 
 HEARTBEAT_SECONDS = 0.05
@@ -52,6 +54,8 @@
         engines: engine_schedulers.EngineSchedulers,
         feed: store_feed.StoreFeed,
         quarantine: quarantines.Quarantine,
+        rollouts: rollout_records.Rollouts,
+        rollout_host: rollout_hosts.RolloutHost,
         load: load_watch.LoadWatch,
         log: logs.Log,
     ) -> None:
@@ -61,6 +65,9 @@
         self._feed = feed
         self._quarantine = quarantine
         quarantine.add_sender(self._send_to_all)
+        self._rollouts = rollouts
+        rollouts.add_sender(self._send_to_all)
+        self._rollout_host = rollout_host
         self._log = log
         self._router_by_channel: dict[peer_channel.PeerChannel, str] = {}
         self._waiting_by_channel: dict[peer_channel.PeerChannel, set[str]] = {}
@@ -140,7 +147,7 @@
         configuration = self._discovery.configuration
         if configuration is None:
             return None
-        service = configuration.service_by_name.get(name)
+        service = configuration.find_pool(name)
         if service is None or service.engine is None:
             return None
         return service
@@ -152,10 +159,10 @@
         self._router_by_channel[channel] = message.router
         if self._leaving:
             channel.send(peer_messages.Leaving())
-        for crashes in self._quarantine.describe():
-            channel.send(crashes)
+        for found in self._quarantine.describe() + self._rollouts.describe():
+            channel.send(found)
 
-    def _send_to_all(self, message: peer_messages.CrashMessage) -> None:
+    def _send_to_all(self, message: peer_messages.Flooded) -> None:
         line = peer_messages.encode(message)
         for channel in self._waiting_by_channel:
             channel.send_line(line)
@@ -170,6 +177,25 @@
         del channel
         self._quarantine.receive(message)
 
+    @handles(peer_messages.RolloutNotice)
+    def _handle_rollout(
+        self,
+        channel: peer_channel.PeerChannel,
+        message: peer_messages.RolloutNotice,
+    ) -> None:
+        del channel
+        self._rollouts.receive(message)
+
+    @handles(peer_messages.RolloutReport)
+    def _handle_rollout_report(
+        self,
+        channel: peer_channel.PeerChannel,
+        message: peer_messages.RolloutReport,
+    ) -> None:
+        notice = self._rollout_host.receive(message)
+        if notice is not None:
+            channel.send(notice)
+
     @handles(peer_messages.Isolate)
     def _handle_isolate(
         self, channel: peer_channel.PeerChannel, message: peer_messages.Isolate
--- a/packages/daisypick_router/src/daisypick_router/peer_link.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -35,7 +35,8 @@
     running requests to the host; ``on_feed(message)`` is called for each change
     of the store that it forwards; ``on_leaving(link)`` is called when it
     announces that it stops; ``on_crashes(message)`` for each of its reports of
-    requests that may crash servers.
+    requests that may crash servers; ``on_rollout(message)`` for each state of a
+    roll-out.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         on_feed: Callable[[peer_messages.Feed], None],
         on_leaving: Callable[["PeerLink"], None],
         on_crashes: Callable[[peer_messages.CrashMessage], None],
+        on_rollout: Callable[[peer_messages.RolloutNotice], None],
     ) -> None:
         self.name = name
         self._address = address
@@ -60,6 +62,7 @@
         self._on_feed = on_feed
         self._on_leaving = on_leaving
         self._on_crashes = on_crashes
+        self._on_rollout = on_rollout
         self._channel: peer_channel.PeerChannel | None = None
         self._cooldown_until = 0.0
         self.leaving = False
@@ -214,6 +217,9 @@
         if isinstance(message, peer_messages.CrashMessage):
             self._on_crashes(message)
             return
+        if isinstance(message, peer_messages.RolloutNotice):
+            self._on_rollout(message)
+            return
         if isinstance(message, peer_messages.Leaving):
             self.leaving = True
             self._log.write("peer", "A host is stopping.", host=self.name)
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -143,6 +143,66 @@
 CrashMessage = CrashReports | CrashEnds
 
 
+@register("rollout")
+class RolloutNotice(typing.NamedTuple):
+    """The state of a service's newest roll-out.
+
+    Attributes:
+        service: Its service.
+        era: Era of the store in which the order was first seen.
+        revision: Revision of the store at which it was.
+        in_force: Version that served before.
+        target: Version that the order names.
+        created: Identifies the creation of the order.
+        seconds: Time limit of the roll-out.
+        phase: Number of the phase.
+        age: Seconds since the order was first seen.
+    """
+
+    service: str
+    era: int
+    revision: int
+    in_force: str
+    target: str
+    created: str
+    seconds: float
+    phase: int
+    age: float
+
+
+Flooded = CrashMessage | RolloutNotice
+
+WireTally = tuple[
+    str, str, int, int, tuple[tuple[int, int], ...], tuple[tuple[int, int], ...]
+]
+
+
+@register("rollout-report")
+class RolloutReport(typing.NamedTuple):
+    """What a router's callers got from both versions since its last report.
+
+    Attributes:
+        service: The service of the roll-out.
+        process: Identifies the router's process.
+        era: Era of the roll-out's number.
+        revision: Revision of the roll-out's number.
+        phase: Phase that the router applies.
+        running_elsewhere: Its requests at other versions than the target.
+        longest: Longest duration in seconds of those that have ended.
+        tallies: Route, server, answers, failures, and times by bucket to the
+            first byte and from event to event.
+    """
+
+    service: str
+    process: str
+    era: int
+    revision: int
+    phase: int
+    running_elsewhere: int
+    longest: float
+    tallies: tuple[WireTally, ...]
+
+
 @register("withdraw")
 class Withdraw(typing.NamedTuple):
     """The caller of a waiting or running request disconnected."""
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -32,6 +32,7 @@
 from daisypick_router import peer_link
 from daisypick_router import peer_messages
 from daisypick_router import quarantine as quarantines
+from daisypick_router import rollouts as rollout_records
 from daisypick_router import store_feed
 
 _REPORT_SECONDS = 1.0
@@ -64,6 +65,7 @@
         feed: store_feed.StoreFeed,
         fallback: engine_schedulers.EngineSchedulers,
         quarantine: quarantines.Quarantine,
+        rollouts: rollout_records.Rollouts,
         load: load_watch.LoadWatch,
         log: logs.Log,
         metrics: metric_numbers.Metrics,
@@ -77,6 +79,7 @@
             membership=membership,
             feed=feed,
             quarantine=quarantine,
+            rollouts=rollouts,
             log=log,
             rng=rng,
             on_connect=self._send_placements,
@@ -145,10 +148,16 @@
             organisations=decisions,
         )
 
-    def find_host(self, service: str) -> str | None:
-        """Return the first reachable candidate host, or ``None``."""
+    def find_host(self, service: str, pool: str = "") -> str | None:
+        """Return the first reachable candidate host, or ``None``.
+
+        Args:
+            service: Name of the service.
+            pool: Name of its servers of one version, whose scheduler has the
+                same host; empty for all servers.
+        """
         name = self.links.find_host(service)
-        self._set_host(service, name or "")
+        self._set_host(pool or service, name or "")
         return name
 
     def _set_host(self, service: str, name: str) -> None:
@@ -178,7 +187,7 @@
         )
         if refused is not None:
             return refused
-        pending = self._pending_by_service[service.name]
+        pending = self._pending_by_service[service.pool]
         pending[work.organisation] += 1
         try:
             action = self._decide(service, work)
@@ -187,7 +196,7 @@
             if not pending[work.organisation]:
                 del pending[work.organisation]
         if isinstance(action, actions.Refuse) and action.pause > 0.0:
-            self._pauses_by_service[service.name].set(
+            self._pauses_by_service[service.pool].set(
                 work.organisation, seconds=action.pause, now=time.monotonic()
             )
         return action
@@ -204,10 +213,10 @@
         This applies to organisations whose requests were refused recently.
         It costs a fraction of handling the request, so it is called first.
         """
-        service_pauses = self._pauses_by_service[service.name]
+        service_pauses = self._pauses_by_service[service.pool]
         if not service_pauses.was_paused(organisation, now):
             return None
-        pending = self._pending_by_service[service.name][organisation]
+        pending = self._pending_by_service[service.pool][organisation]
         if service_pauses.is_paused(organisation, now):
             reason = "its organisation was refused just before"
         elif pending >= admission.MAX_WAITING_OVER_SHARE:
@@ -224,7 +233,7 @@
     def _decide(
         self, service: fleet_configuration.Service, work: job.Job
     ) -> actions.Action:
-        host = self.find_host(service.name)
+        host = self.find_host(service.name, service.pool)
         action: actions.Action | None = None
         if host == self._name:
             action = self._hosted.acquire(service, work)
@@ -242,7 +251,7 @@
             if isinstance(action, actions.Start):
                 self._report_start(service, work, action.server)
         elif isinstance(action, actions.Start):
-            if self._host_by_service.get(service.name) != host:
+            if self._host_by_service.get(service.pool) != host:
                 # The host changed while the request was waiting; the new
                 # one does not know of this start.
                 self._report_start(service, work, action.server)
@@ -287,7 +296,7 @@
         """
         self._hosted.note_end(service, work.key)
         self._notify_hosts(
-            service, peer_messages.End(service=service.name, key=work.key)
+            service, peer_messages.End(service=service.pool, key=work.key)
         )
         self._log.write(
             "placing",
@@ -308,14 +317,14 @@
         if work.isolated:
             link.send(peer_messages.Isolate(key=work.key))
         link.submit(
-            peer_messages.Submit(service=service.name, work=wire), result.set
+            peer_messages.Submit(service=service.pool, work=wire), result.set
         )
         try:
             answer = result.get()
         except gevent.GreenletExit:
             link.forget(work.key)
             link.send(
-                peer_messages.Withdraw(service=service.name, key=work.key)
+                peer_messages.Withdraw(service=service.pool, key=work.key)
             )
             raise
         if isinstance(answer, peer_messages.Start):
@@ -332,10 +341,10 @@
     def _record_start(
         self, service: fleet_configuration.Service, work: job.Job, server: str
     ) -> None:
-        placement = self._placements_by_service.get(service.name)
+        placement = self._placements_by_service.get(service.pool)
         if placement is None:
             placement = collections.deque(maxlen=_MAX_RECENT_PLACEMENTS)
-            self._placements_by_service[service.name] = placement
+            self._placements_by_service[service.pool] = placement
         placement.append(_Placement(work=work, server=server))
         self._prefilling.add(work.key)
         if self._load.is_late():
@@ -354,7 +363,7 @@
         self._hosted.note_first_token(service, key, late=late)
         self._notify_hosts(
             service,
-            peer_messages.FirstToken(service=service.name, key=key, late=late),
+            peer_messages.FirstToken(service=service.pool, key=key, late=late),
         )
 
     def note_end(self, service: fleet_configuration.Service, key: str) -> None:
@@ -365,7 +374,7 @@
         self.fallback.note_end(service, key)
         self._hosted.note_end(service, key)
         self._notify_hosts(
-            service, peer_messages.End(service=service.name, key=key)
+            service, peer_messages.End(service=service.pool, key=key)
         )
 
     def note_failure(
@@ -384,26 +393,28 @@
         self._notify_hosts(
             service,
             peer_messages.Failed(
-                service=service.name, key=key, certain=certain
+                service=service.pool, key=key, certain=certain
             ),
         )
 
     def _notify_hosts(
         self, service: fleet_configuration.Service, message: typing.Any
     ) -> None:
-        for name in self._find_informed_hosts(service.name):
+        for name in self._find_informed_hosts(service):
             link = self.links.find_link(name)
             if link is not None:
                 link.send(message)
 
-    def _find_informed_hosts(self, service: str) -> list[str]:
+    def _find_informed_hosts(
+        self, service: fleet_configuration.Service
+    ) -> list[str]:
         """Return the candidate hosts that know this router's requests.
 
         Candidates after the current host were not informed; each receives all
         running requests when it becomes the host.
         """
-        candidates = self.links.find_candidates(service)
-        host = self._host_by_service.get(service)
+        candidates = self.links.find_candidates(service.name)
+        host = self._host_by_service.get(service.pool)
         if host in candidates:
             return candidates[: candidates.index(host) + 1]
         return candidates
@@ -417,7 +428,7 @@
         self._notify_hosts(
             service,
             self._write_running(
-                service.name, _Placement(work=work, server=server)
+                service.pool, _Placement(work=work, server=server)
             ),
         )
 
--- a/packages/daisypick_router/src/daisypick_router/plain_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_handler.py
@@ -17,6 +17,7 @@
 from daisypick_router import plain_servers
 from daisypick_router import relay
 from daisypick_router import retry_policy as retry_policies
+from daisypick_router import rollouts as rollout_records
 from daisypick_router import server_notices
 
 # Timeout for the head of the response to a safe request, as a multiple of the
@@ -35,11 +36,13 @@
         servers: plain_servers.PlainServers,
         retry_policy: retry_policies.RetryPolicy,
         notices: server_notices.ServerNotices,
+        rollouts: rollout_records.Rollouts,
     ) -> None:
         self._pool = pool
         self._servers = servers
         self._retry_policy = retry_policy
         self._notices = notices
+        self._rollouts = rollouts
 
     def serve(
         self,
@@ -54,12 +57,7 @@
         result: retry_policies.FailedTry | relay.WholeResponse | None = None
         while result is None or self._retry_policy.may_retry(context, result):
             isolated = self._retry_policy.quarantine.is_isolated(context)
-            server = self._servers.pick(
-                context.service,
-                context.tried_servers,
-                time.monotonic(),
-                isolated=isolated,
-            )
+            server = self._pick(context, isolated=isolated)
             if server is None:
                 break
             context.tried_servers.add(server.name)
@@ -84,11 +82,55 @@
         paused = self._notices.refuse(context)
         return paused or retry_policies.choose_failure(context, result)
 
+    def _pick(
+        self, context: contexts.Context, *, isolated: bool
+    ) -> backend_server.BackendServer | None:
+        self._rollouts.choose(context)
+        server = self._servers.pick(
+            context.pool,
+            context.tried_servers.union(self._rollouts.find_avoided(context)),
+            time.monotonic(),
+            isolated=isolated,
+        )
+        if server is not None or not context.tests_version:
+            return server
+        self._rollouts.skip_test(context)
+        return self._servers.pick(
+            context.pool,
+            context.tried_servers,
+            time.monotonic(),
+            isolated=isolated,
+        )
+
     def _try(
         self,
         connection: http_server.CallerConnection,
         context: contexts.Context,
         server: backend_server.BackendServer,
+    ) -> retry_policies.FailedTry | relay.WholeResponse:
+        sent = self._rollouts.note_sent(context, server)
+        reached = context.servers_reached
+        try:
+            result = self._exchange(connection, context, server)
+        finally:
+            self._rollouts.note_end(
+                sent, reached=context.servers_reached > reached
+            )
+        if isinstance(result, relay.WholeResponse):
+            self._rollouts.note_answer(
+                sent,
+                failed=result.head.status >= 500,
+                first=time.monotonic() - sent.at,
+            )
+        elif not isinstance(result, exchange.NotRun):
+            self._rollouts.note_break(sent)
+        return result
+
+    def _exchange(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+        server: backend_server.BackendServer,
     ) -> retry_policies.FailedTry | relay.WholeResponse:
         head_timeout = context.deadline - time.monotonic()
         if context.route.kind == route_table.SAFE and self._may_fail_over(
@@ -119,7 +161,7 @@
         return self._retry_policy.may_fail_over(
             context, servers_reached=context.servers_reached + 1
         ) and self._servers.has_untried(
-            context.service, context.tried_servers, time.monotonic()
+            context.pool, context.tried_servers, time.monotonic()
         )
 
 
--- a/packages/daisypick_router/src/daisypick_router/plain_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_servers.py
@@ -128,6 +128,7 @@
             server
             for server in servers
             if server.name not in tried_servers
+            and service.has_server(server)
             and not self._pauses.is_paused(server, now)
         ]
         healthy = [
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -36,12 +36,15 @@
 from daisypick_router import membership as memberships
 from daisypick_router import metrics as metric_numbers
 from daisypick_router import peer_host
+from daisypick_router import peer_messages
 from daisypick_router import placing as placings
 from daisypick_router import plain_handler
 from daisypick_router import plain_servers
 from daisypick_router import quarantine as quarantines
 from daisypick_router import quarantine_store
 from daisypick_router import retry_policy as retry_policies
+from daisypick_router import rollout_host as rollout_hosts
+from daisypick_router import rollouts as rollout_records
 from daisypick_router import server_notices
 from daisypick_router import serving
 from daisypick_router import settings_watch
@@ -111,8 +114,16 @@
             cores=settings.processor,
             on_change=self._update_members,
         )
+        probe = crash_probe.CrashProbe(pool=self._pool)
+        self.rollouts = rollout_records.Rollouts(
+            share=settings.bounds.canary_share,
+            process=f"{settings.name}/{rng.getrandbits(64):x}",
+            directory=self.discovery.directory,
+            probe=probe,
+            log=self.log,
+        )
         self.quarantine = quarantines.Quarantine(
-            probe=crash_probe.CrashProbe(pool=self._pool),
+            probe=probe,
             directory=self.discovery.directory,
             log=self.log,
             metrics=self.metrics,
@@ -144,6 +155,7 @@
                 window_seconds=settings.bounds.quota_window_seconds,
                 rng=rng,
                 speed_by_service=speed_by_service,
+                by_version=self.rollouts.is_active,
             )
             for _ in range(2)
         )
@@ -155,16 +167,27 @@
             feed=self._feed,
             fallback=self._local_engines,
             quarantine=self.quarantine,
+            rollouts=self.rollouts,
             load=self.load,
             log=self.log,
             metrics=self.metrics,
             rng=rng,
         )
+        self._rollout_host = rollout_hosts.RolloutHost(
+            store=store,
+            discovery=self.discovery,
+            rollouts=self.rollouts,
+            membership=self.membership,
+            is_host=self._is_rollout_host,
+            log=self.log,
+        )
         self.peer_host = peer_host.PeerHost(
             discovery=self.discovery,
             engines=self.hosted,
             feed=self._feed,
             quarantine=self.quarantine,
+            rollouts=self.rollouts,
+            rollout_host=self._rollout_host,
             load=self.load,
             log=self.log,
         )
@@ -185,6 +208,7 @@
                 ),
                 retry_policy=retry_policy,
                 notices=self._notices,
+                rollouts=self.rollouts,
             ),
             engine=engine_handler.EngineHandler(
                 pool=self._pool,
@@ -192,6 +216,7 @@
                 placing=self.placing,
                 retry_policy=retry_policy,
                 notices=self._notices,
+                rollouts=self.rollouts,
                 metrics=self.metrics,
                 router=settings.name,
                 data_centre=settings.data_centre,
@@ -239,6 +264,11 @@
         self._local_engines.start()
         self.placing.start()
         self.peer_host.start()
+        self._rollout_host.start()
+        self.rollouts.start(
+            count_routers=lambda: self.membership.routers,
+            deliver=self._deliver_rollout_report,
+        )
         self.load.start()
         self._intake.start()
         self._settings_watch.start()
@@ -360,6 +390,23 @@
         self._local_engines.set_fleet(routers=names, share=1.0 / routers)
         self.placing.links.update()
 
+    def _find_rollout_host(self) -> str | None:
+        return self.placing.links.find_host(rollout_hosts.ORDER_KEY)
+
+    def _is_rollout_host(self) -> bool:
+        return self._find_rollout_host() == self.settings.name
+
+    def _deliver_rollout_report(
+        self, report: peer_messages.RolloutReport
+    ) -> None:
+        host = self._find_rollout_host()
+        if host == self.settings.name:
+            self._rollout_host.receive(report)
+            return
+        link = self.placing.links.find_link(host) if host else None
+        if link is not None:
+            link.send(report)
+
     def _run_housekeeping(self) -> None:
         while True:
             gevent.sleep(_HOUSEKEEPING_SECONDS)
--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -65,6 +65,8 @@
         # Kinds whose lists are answered only once they are taken out again.
         self.held_kinds: set[str] = set()
         self.page = 500
+        # Name and status of each accepted write of a status.
+        self.status_writes: list[tuple[str, dict]] = []
         # Sent as a response header if it is above 0.
         self.era = 0
         self.server = gevent_server.StreamServer(("127.0.0.1", 0), self._serve)
@@ -72,13 +74,20 @@
         self.address = ("127.0.0.1", self.server.server_port)
 
     def put(self, kind: str, name: str, spec: object) -> None:
-        """Create or replace an object."""
+        """Create or replace an object; its status stays."""
+        self._put(kind, name, Spec=spec)
+
+    def put_status(self, kind: str, name: str, status: object) -> None:
+        """Replace the status of an object."""
+        self._put(kind, name, Status=status)
+
+    def _put(self, kind: str, name: str, **content: object) -> None:
         self.revision += 1
-        stored = {
-            "Meta": {"Name": name, "Revision": self.revision},
-            "Spec": spec,
-        }
-        self.objects.setdefault(kind, {})[name] = stored
+        before = self.objects.setdefault(kind, {}).get(name)
+        created = before["Meta"]["Created"] if before else self.revision
+        meta = {"Name": name, "Revision": self.revision, "Created": created}
+        stored = {**(before or {}), "Meta": meta, **content}
+        self.objects[kind][name] = stored
         self._note(kind, stored, False)
 
     def remove(self, kind: str, name: str) -> None:
@@ -144,6 +153,8 @@
             return self._watch(kind, parameters)
         if method == "GET":
             return self._list(kind, parameters)
+        if method == "PUT" and name.endswith("/status"):
+            return self._answer_status(kind, name, json.loads(body))
         if method == "PUT":
             if name not in self.objects.get(kind, {}):
                 return 404, {}
@@ -159,6 +170,20 @@
             self.remove(kind, name)
         return 200, {}
 
+    def _answer_status(
+        self, kind: str, name: str, body: dict
+    ) -> tuple[int, object]:
+        name = name.removesuffix("/status")
+        stored = self.objects.get(kind, {}).get(name)
+        if stored is None:
+            return 404, {}
+        revision = body["Meta"].get("Revision", stored["Meta"]["Revision"])
+        if revision != stored["Meta"]["Revision"]:
+            return 409, stored
+        self.status_writes.append((name, body["Status"]))
+        self.put_status(kind, name, body["Status"])
+        return 200, self.objects[kind][name]
+
     def _list(
         self, kind: str, parameters: dict[str, str]
     ) -> tuple[int, object]:
@@ -428,6 +453,7 @@
     *,
     most_files: int = 4096,
     processor: float = 1.0,
+    canary_share: float = 0.0,
 ) -> process.RouterProcess:
     """Return a router on free ports that has not been started."""
     settings = platform_settings.Settings(
@@ -441,14 +467,16 @@
         store_address=store.address,
         most_files=most_files,
         processor=processor,
-        bounds=BOUNDS,
+        bounds=BOUNDS._replace(canary_share=canary_share),
     )
     return process.RouterProcess(settings=settings, rng=random.Random(1))
 
 
-def start_router(store: FakeStore, name: str = "r-1") -> process.RouterProcess:
+def start_router(
+    store: FakeStore, name: str = "r-1", **options: float
+) -> process.RouterProcess:
     """Return a router that is ready."""
-    router = make_router(store, name)
+    router = make_router(store, name, **options)
     router.start()
     wait_for(lambda: router.is_ready)
     return router
