--- a/packages/daisypick_core/src/daisypick_core/rollout/decider.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/decider.py
@@ -36,12 +36,15 @@
 
 # Time for the probe: some answers of busy servers, reports of all routers.
 _PROBE_SECONDS = 1.5
-# Share of the time limit after which the probe begins at the latest, however
-# long requests run.
-_MAX_CANARY_SHARE = 0.75
+# Share of the time limit before which no move begins, however long requests
+# run.
 _MIN_CANARY_SHARE = 0.4
-# Time for the last reports and for writing the outcome to the platform's store.
-_MARGIN_SECONDS = 1.0
+# Time that the move takes besides the requests that still run: a report of each
+# router after it has heard of the move, and a write to the platform's store.
+_MARGIN_SECONDS = 2.0
+# What is left of the time limit when a version that could not be tested is
+# rolled back.
+_LAST_SECONDS = 0.5
 # What longer requests than the longest so far may take, as a multiple of it.
 _LONGER_REQUESTS = 1.2
 # Fewest answers of a version that may be approved.
@@ -78,7 +81,6 @@
     Attributes:
         state: State of the roll-out; its phase only grows.
         reason: Why it was rolled back; empty before.
-        evidence: The answers that were reported.
     """
 
     def __init__(
@@ -86,7 +88,11 @@
     ) -> None:
         self.state = state
         self.reason = ""
-        self.evidence = evidences.Evidence()
+        # All answers, and those reported in the present phase. What shows only
+        # on the servers of the probe or under full load would be hidden by the
+        # answers before.
+        self._evidence = evidences.Evidence()
+        self._recent = evidences.Evidence()
         self._started_at = started_at
         self._report_by_router: dict[str, tuple[float, Report]] = {}
 
@@ -99,9 +105,21 @@
         """Record a router's report."""
         self._report_by_router[report.router] = (now, report)
 
+    def add_tally(
+        self,
+        route: str,
+        server: str,
+        tally: evidences.Tally,
+        *,
+        is_target: bool,
+    ) -> None:
+        """Add answers that a router reported."""
+        for evidence in (self._evidence, self._recent):
+            evidence.merge(route, server, tally, is_target=is_target)
+
     def merge(self, state: states.RolloutState) -> None:
         """Apply the state that another router told."""
-        if state.number == self.state.number:
+        if self.state.is_of_same_order(state):
             self.state = states.find_later(self.state, state)
 
     def decide(self, *, now: float, has_capacity: bool) -> states.Phase:
@@ -114,13 +132,16 @@
         if not self.state.has_ended:
             phase = self._find_phase(now, has_capacity)
             if phase > self.state.phase:
+                self._recent = evidences.Evidence()
                 self.state = self.state._replace(phase=phase)
         return self.state.phase
 
     def _find_phase(self, now: float, has_capacity: bool) -> states.Phase:
         if self.state.target == self.state.in_force:
             return states.Phase.MOVING
-        fault = verdict.find_fault(self.evidence)
+        fault = verdict.find_fault(
+            reference=self._evidence, target=self._evidence
+        ) or verdict.find_fault(reference=self._evidence, target=self._recent)
         if fault is not None:
             where = f"route {fault.route}" if fault.route else "all routes"
             self.reason = (
@@ -130,8 +151,8 @@
             return states.Phase.ROLLED_BACK
         if self.state.phase is states.Phase.MOVING:
             return states.Phase.MOVING
-        answers = self.evidence.count_target()
-        if now >= self.limit_at - _MARGIN_SECONDS / 2.0:
+        answers = self._evidence.count_target()
+        if now >= self.limit_at - _LAST_SECONDS:
             self.reason = (
                 f"the target answered {answers} requests before the time limit"
                 if answers < _MIN_ANSWERS
@@ -151,8 +172,7 @@
             (report.longest for report in self._find_reports(now)), default=0.0
         )
         latest = seconds - _MARGIN_SECONDS - longest * _LONGER_REQUESTS
-        canary = min(latest, seconds * _MAX_CANARY_SHARE)
-        return self._started_at + max(canary, seconds * _MIN_CANARY_SHARE)
+        return self._started_at + max(latest, seconds * _MIN_CANARY_SHARE)
 
     def _find_reports(self, now: float) -> Iterable[Report]:
         for reported_at, report in self._report_by_router.values():
--- a/packages/daisypick_core/src/daisypick_core/rollout/evidence.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/evidence.py
@@ -2,15 +2,16 @@
 
 Routers count the answers that they get and send the counts to the router that
 decides. Times are counted in buckets, each a quarter longer than the one
-before.
+before. Of the version in force a bounded number of servers is counted, the same
+at all routers, so that a large service does not cost more reports.
 
 Examples:
     >>> evidence = Evidence()
     >>> evidence.add(
-    ...     Answer(route="look", server="i-1", failed=False, first=0.05)
+    ...     Answer("look", "i-1", is_target=True, failed=False, first=0.05)
     ... )
-    >>> evidence.add(Answer(route="look", server="i-1", failed=True))
-    >>> tally = evidence.tally_by_key["look", "i-1"]
+    >>> evidence.add(Answer("look", "i-1", is_target=True, failed=True))
+    >>> tally = evidence.find_tallies("look", is_target=True)["i-1"]
     >>> tally.answers, tally.failures, tally.first.total
     (2, 1, 1)
 """
@@ -18,14 +19,16 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Mapping
+import hashlib
 import math
 import typing
 
 _BUCKET_RATIO = 1.25
 _SHORTEST_SECONDS = 0.0005
-# Stands for all servers of the version in force, whose answers need not be told
-# apart by server.
-ALL_SERVERS = ""
+# Number of servers of the version in force whose answers are counted. Half of
+# them may stand out by faults of their own.
+_REFERENCE_SERVERS = 32
 
 
 class Answer(typing.NamedTuple):
@@ -33,7 +36,8 @@
 
     Attributes:
         route: Name of its route.
-        server: Name of the server, or ``ALL_SERVERS``.
+        server: Name of the server.
+        is_target: Whether the server is of the version to be approved.
         failed: Whether the server failed to answer it.
         first: Seconds to the answer, or to the first event of a stream; None
             if there was none or a cold start explains it.
@@ -42,6 +46,7 @@
 
     route: str
     server: str
+    is_target: bool
     failed: bool
     first: float | None = None
     pace: float | None = None
@@ -84,7 +89,11 @@
 
     def count_above(self, bucket: int) -> int:
         """Return the number of times in later buckets."""
-        return sum(count for found, count in self.iterate() if found > bucket)
+        return sum(
+            count
+            for found, count in self._count_by_bucket.items()
+            if found > bucket
+        )
 
     def iterate(self) -> Iterator[tuple[int, int]]:
         """Yield buckets with their counts, the shortest time first."""
@@ -132,46 +141,59 @@
 
 
 class Evidence:
-    """Tallies by route and server.
-
-    Attributes:
-        tally_by_key: The tallies by the name of the route and of the server.
-    """
+    """Tallies by route, version and server."""
 
     def __init__(self) -> None:
-        self.tally_by_key: dict[tuple[str, str], Tally] = {}
+        self._tally_by_server: dict[tuple[str, bool], dict[str, Tally]] = (
+            collections.defaultdict(dict)
+        )
 
     def add(self, answer: Answer) -> None:
         """Count an answer."""
-        self._find(answer.route, answer.server).add(answer)
+        group = self._tally_by_server[answer.route, answer.is_target]
+        group.setdefault(answer.server, Tally()).add(answer)
 
-    def merge(self, route: str, server: str, tally: Tally) -> None:
+    def merge(
+        self, route: str, server: str, tally: Tally, *, is_target: bool
+    ) -> None:
         """Add a tally of a router."""
-        self._find(route, server).merge(tally)
+        group = self._tally_by_server[route, is_target]
+        group.setdefault(server, Tally()).merge(tally)
 
-    def _find(self, route: str, server: str) -> Tally:
-        return self.tally_by_key.setdefault((route, server), Tally())
+    def iterate(self) -> Iterator[tuple[str, bool, str, Tally]]:
+        """Yield route, whether it is the target, server and tally."""
+        for (route, is_target), group in self._tally_by_server.items():
+            for server, tally in group.items():
+                yield route, is_target, server, tally
 
     def find_routes(self) -> list[str]:
         """Return the names of all routes with an answer."""
-        return sorted({route for route, _ in self.tally_by_key})
+        return sorted({route for route, _ in self._tally_by_server})
 
-    def find_reference(self, route: str) -> Tally:
-        """Return the tally of a route at the version in force."""
-        return self.tally_by_key.get((route, ALL_SERVERS), Tally())
-
-    def find_target(self, route: str) -> dict[str, Tally]:
-        """Return the tallies of a route at the target, by server."""
-        return {
-            server: tally
-            for (found, server), tally in self.tally_by_key.items()
-            if found == route and server != ALL_SERVERS
-        }
+    def find_tallies(
+        self, route: str, *, is_target: bool
+    ) -> Mapping[str, Tally]:
+        """Return the tallies of a route at one of the versions, by server."""
+        return self._tally_by_server.get((route, is_target), {})
 
     def count_target(self) -> int:
         """Return the number of answers of the target."""
         return sum(
             tally.answers
-            for (_, server), tally in self.tally_by_key.items()
-            if server != ALL_SERVERS
+            for _, is_target, _, tally in self.iterate()
+            if is_target
         )
+
+
+def choose_reference_servers(names: Iterable[str]) -> frozenset[str]:
+    """Return the servers of the version in force that are counted.
+
+    Examples:
+        >>> len(choose_reference_servers(f"i-{n}" for n in range(100)))
+        32
+    """
+    return frozenset(sorted(names, key=_hash)[:_REFERENCE_SERVERS])
+
+
+def _hash(name: str) -> bytes:
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
--- a/packages/daisypick_core/src/daisypick_core/rollout/exposure.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/exposure.py
@@ -7,8 +7,8 @@
 that is not used in the first phase is saved; it may be spent at once later, on
 few servers, which then are as busy as they will be after the move.
 
-Requests of each route are counted apart, so that a fault of a route with little
-traffic is seen too.
+Requests of each route are counted apart, and a route with little traffic gets a
+larger share of its own, so that a fault of that route is seen too.
 
 Examples:
     >>> exposure = Exposure(share=0.5)
@@ -30,6 +30,8 @@
 # Part of the share that is saved for the probe. The rest allows for requests
 # that are counted here and get lost on their way to a server.
 _SAVED_PART = 0.35
+# Part of the share before the probe that goes to all routes by turns.
+_EVEN_PART = 0.4
 # Requests that a route may have in hand. More would let a route that was idle
 # send many of them in a row.
 _MAX_CREDIT = 1.0
@@ -46,13 +48,26 @@
         self._share = share
         self._credit_by_route: dict[str, float] = collections.defaultdict(float)
         self._saved = 0.0
+        self._turns = 0
 
     def note_sent(self, route: str) -> None:
         """Count a request that is sent to any server of the service."""
-        credit = self._credit_by_route[route] + self._share * _CANARY_PART
-        self._credit_by_route[route] = min(credit, _MAX_CREDIT)
+        canary = self._share * _CANARY_PART
+        self._add(route, canary * (1.0 - _EVEN_PART))
+        routes = list(self._credit_by_route)
+        self._turns += 1
+        self._add(routes[self._turns % len(routes)], canary * _EVEN_PART)
         self._saved += self._share * _SAVED_PART
 
+    def _add(self, route: str, credit: float) -> None:
+        credit += self._credit_by_route[route]
+        self._credit_by_route[route] = min(credit, _MAX_CREDIT)
+
+    def note_lost(self, route: str) -> None:
+        """Undo ``note_sent`` for a request that reached no server."""
+        self._credit_by_route[route] -= self._share * _CANARY_PART
+        self._saved -= self._share * _SAVED_PART
+
     def take(self, route: str, *, is_probe: bool) -> bool:
         """Return whether a request may test the version, and count it."""
         if self._credit_by_route[route] >= 1.0:
--- a/packages/daisypick_core/src/daisypick_core/rollout/state.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/state.py
@@ -67,6 +67,13 @@
             return self.target
         return self.in_force
 
+    def is_of_same_order(self, other: "RolloutState") -> bool:
+        """Return whether another state is of the same order."""
+        return bool(self.created) and (
+            (self.target, self.created, self.seconds)
+            == (other.target, other.created, other.seconds)
+        )
+
     @property
     def is_testing(self) -> bool:
         """Whether a share of the requests goes to the target."""
@@ -79,9 +86,14 @@
 
 
 def find_later(known: RolloutState | None, other: RolloutState) -> RolloutState:
-    """Return the state that supersedes the other one."""
+    """Return the state that supersedes the other one.
+
+    Routers that cannot reach each other may number the same order differently.
+    """
     if known is None:
         return other
+    if known.is_of_same_order(other):
+        return other if other.phase > known.phase else known
     if (other.number, other.phase) > (known.number, known.phase):
         return other
     return known
--- a/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
@@ -2,11 +2,10 @@
 
 Sound servers fail too: some requests have errors of their own, and servers
 crash, hang and turn slow. So the target is compared with the version in force
-on the same routes at the same time, and servers that stand out among those of
-the target are left out, up to half of them, since a fault of the version shows
-on most.
+on the same routes at the same time. Of both, servers that stand out are left
+out, up to half of them, since a fault of the version shows on most.
 
-Three signs are tested for each route and for all routes together:
+These signs are tested for each route and for all routes together:
 
 * failures;
 * slow answers: those that take over twice the time which nine in ten answers
@@ -15,30 +14,33 @@
   version in force. New servers have nothing cached and thus exceed it more
   often; a version that is several times slower exceeds it nearly always.
 
-Times count to the first event and from event to event.
+Times count to the first byte and from event to event.
 
 Examples:
     >>> from daisypick_core.rollout import evidence as evidences
     >>> evidence = evidences.Evidence()
     >>> for number in range(100):
-    ...     evidence.add(evidences.Answer("look", "", failed=False))
+    ...     answer = evidences.Answer("look", "i-0", False, failed=False)
+    ...     evidence.add(answer)
     >>> for number in range(12):
     ...     server = f"i-{number % 4}"
-    ...     evidence.add(evidences.Answer("look", server, failed=True))
-    >>> find_fault(evidence)
-    Fault(sign='failures', route='look', found=6, expected=0.17, answers=6)
+    ...     evidence.add(evidences.Answer("look", server, True, failed=True))
+    >>> find_fault(reference=evidence, target=evidence)
+    Fault(sign='failures', route='look', found=12, expected=0.35, answers=12)
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Mapping
 import math
+import statistics
 import typing
 
 from daisypick_core.rollout import evidence as evidences
 
 # Largest probability at which a sign may appear on a sound version. Some seven
-# strata and three signs are tested twice a second for some ten seconds on data
-# that grow, so a sound version is rejected in about one roll-out of 500.
+# strata and six signs are tested some forty times on data that grow, so a sound
+# version is rejected in about one roll-out of 500.
 _MAX_CHANCE = 2e-5
 # Fewest signs that count, so that two mishaps reject nothing.
 _MIN_FOUND = 4
@@ -52,9 +54,11 @@
 _SLOW_BUCKETS = 3
 # Fewest times of the version in force that a comparison is based on.
 _MIN_REFERENCE = 25
-# A server stands out with so many signs, and by so much in their share.
-_MIN_OUTLIER_FOUND = 3
-_MIN_OUTLIER_SHARE = 0.2
+# A server stands out with so many signs, if that many are so improbable at the
+# share which the median server has. Of twenty that are alike, one does in one
+# case of five.
+_MIN_OUTLIER_FOUND = 2
+_MAX_OUTLIER_CHANCE = 0.01
 _MAX_OUTLIERS = 0.5
 
 
@@ -85,7 +89,8 @@
     expected: float
 
 
-_Sign = Callable[[evidences.Evidence, str], list[_Sample]]
+_Tallies = Mapping[str, evidences.Tally]
+_Sign = Callable[[_Tallies, _Tallies], list[_Sample]]
 _sign_by_name: dict[str, _Sign] = {}
 
 
@@ -97,95 +102,142 @@
     return _add
 
 
-def find_fault(evidence: evidences.Evidence) -> Fault | None:
-    """Return the first fault that the evidence shows, or ``None``."""
-    routes = evidence.find_routes()
+def find_fault(
+    *, reference: evidences.Evidence, target: evidences.Evidence
+) -> Fault | None:
+    """Return the first fault that the answers of a target show, or ``None``.
+
+    Args:
+        reference: Evidence with the answers of the version in force.
+        target: Evidence with the answers of the target.
+    """
+    sound = _find_sound_servers(reference)
+    tallies_by_route = {
+        route: (
+            {
+                server: tally
+                for server, tally in reference.find_tallies(
+                    route, is_target=False
+                ).items()
+                if server in sound
+            },
+            target.find_tallies(route, is_target=True),
+        )
+        for route in target.find_routes()
+    }
     for name, sign in _sign_by_name.items():
-        samples_by_route = {route: sign(evidence, route) for route in routes}
-        for route, samples in samples_by_route.items():
-            fault = _test(name, route, samples)
+        samples_by_route = {
+            route: sign(*tallies) for route, tallies in tallies_by_route.items()
+        }
+        everything = _sum_by_server(samples_by_route.values())
+        rest = {sample.server for sample in _drop_outliers(everything)}
+        for route, samples in (*samples_by_route.items(), ("", everything)):
+            fault = _test(
+                name,
+                route,
+                [sample for sample in samples if sample.server in rest],
+            )
             if fault is not None:
                 return fault
-        everything = _sum_by_server(samples_by_route.values())
-        fault = _test(name, "", everything)
-        if fault is not None:
-            return fault
     return None
 
 
 @_register("failures")
-def _find_failures(evidence: evidences.Evidence, route: str) -> list[_Sample]:
-    reference = evidence.find_reference(route)
-    share = _find_upper_share(reference.failures, reference.answers)
+def _find_failures(reference: _Tallies, target: _Tallies) -> list[_Sample]:
+    share = _find_upper_share(reference) + _FAILURE_TOLERANCE
     return [
         _Sample(
             server=server,
             answers=tally.answers,
             found=tally.failures,
-            expected=tally.answers * (share + _FAILURE_TOLERANCE),
+            expected=tally.answers * min(share, 1.0),
         )
-        for server, tally in evidence.find_target(route).items()
+        for server, tally in target.items()
     ]
 
 
-@_register("slow answers")
-def _find_slow_answers(
-    evidence: evidences.Evidence, route: str
-) -> list[_Sample]:
-    return [
-        *_compare_times(
-            evidence, route, "first", 0.9, _SLOW_BUCKETS, _SLOW_TOLERANCE
-        ),
-        *_compare_times(
-            evidence, route, "pace", 0.9, _SLOW_BUCKETS, _SLOW_TOLERANCE
-        ),
-    ]
+@_register("late first bytes")
+def _find_late_starts(reference: _Tallies, target: _Tallies) -> list[_Sample]:
+    return _compare(reference, target, _get_first, 0.9, _SLOW_BUCKETS)
+
+
+@_register("long pauses")
+def _find_long_pauses(reference: _Tallies, target: _Tallies) -> list[_Sample]:
+    return _compare(reference, target, _get_pace, 0.9, _SLOW_BUCKETS)
 
 
 @_register("later first bytes")
-def _find_later_starts(
-    evidence: evidences.Evidence, route: str
-) -> list[_Sample]:
-    return _compare_times(evidence, route, "first", 0.8, 0, _SHIFTED_SHARE)
+def _find_later_starts(reference: _Tallies, target: _Tallies) -> list[_Sample]:
+    return _compare(reference, target, _get_first, 0.8, 0)
 
 
 @_register("longer pauses")
-def _find_longer_pauses(
-    evidence: evidences.Evidence, route: str
-) -> list[_Sample]:
-    return _compare_times(evidence, route, "pace", 0.8, 0, _SHIFTED_SHARE)
+def _find_longer_pauses(reference: _Tallies, target: _Tallies) -> list[_Sample]:
+    return _compare(reference, target, _get_pace, 0.8, 0)
+
 
+def _get_first(tally: evidences.Tally) -> evidences.Histogram:
+    return tally.first
 
-def _compare_times(
-    evidence: evidences.Evidence,
-    route: str,
-    measure: str,
+
+def _get_pace(tally: evidences.Tally) -> evidences.Histogram:
+    return tally.pace
+
+
+def _compare(
+    reference: _Tallies,
+    target: _Tallies,
+    get_times: Callable[[evidences.Tally], evidences.Histogram],
     quantile: float,
     buckets: int,
-    expected_share: float,
 ) -> list[_Sample]:
     """Count the times of the target beyond a quantile of the other version."""
-    reference = getattr(evidence.find_reference(route), measure)
-    if reference.total < _MIN_REFERENCE:
+    known = evidences.Histogram()
+    for tally in reference.values():
+        known.merge(get_times(tally))
+    if known.total < _MIN_REFERENCE:
         return []
-    limit = reference.find_quantile(quantile) + buckets
+    limit = known.find_quantile(quantile) + buckets
+    share = known.count_above(limit) / known.total + _SLOW_TOLERANCE
+    if not buckets:
+        share = max(share, _SHIFTED_SHARE)
     samples = []
-    for server, tally in evidence.find_target(route).items():
-        times = getattr(tally, measure)
+    for server, tally in target.items():
+        times = get_times(tally)
         samples.append(
             _Sample(
                 server=server,
                 answers=times.total,
                 found=times.count_above(limit),
-                expected=times.total * expected_share,
+                expected=times.total * share,
             )
         )
     return samples
 
 
-def _find_upper_share(found: int, answers: int) -> float:
-    """Return a share that the true one hardly exceeds."""
-    share = (found + 0.5) / (answers + 1.0)
+def _find_sound_servers(reference: evidences.Evidence) -> set[str]:
+    """Return the servers of the version in force that do not stand out."""
+    samples = [
+        _Sample(
+            server=server,
+            answers=tally.answers,
+            found=tally.failures,
+            expected=0.0,
+        )
+        for route in reference.find_routes()
+        for server, tally in reference.find_tallies(
+            route, is_target=False
+        ).items()
+    ]
+    rest = _drop_outliers(_sum_by_server([samples]))
+    return {sample.server for sample in rest}
+
+
+def _find_upper_share(reference: _Tallies) -> float:
+    """Return a share of failures that the true one hardly exceeds."""
+    answers = sum(tally.answers for tally in reference.values())
+    failures = sum(tally.failures for tally in reference.values())
+    share = (failures + 0.5) / (answers + 1.0)
     return share + 2.0 * math.sqrt(share * (1.0 - share) / (answers + 1.0))
 
 
@@ -206,55 +258,77 @@
 
 
 def _test(name: str, route: str, samples: list[_Sample]) -> Fault | None:
-    rest = _drop_outliers(_sum_by_server([samples]))
-    found = sum(sample.found for sample in rest)
-    expected = sum(sample.expected for sample in rest)
+    found = sum(sample.found for sample in samples)
+    expected = sum(sample.expected for sample in samples)
+    answers = sum(sample.answers for sample in samples)
     if found < _MIN_FOUND or found <= expected:
         return None
-    if find_chance(found, expected) > _MAX_CHANCE:
+    if find_chance(found, answers, expected / answers) > _MAX_CHANCE:
         return None
     return Fault(
         sign=name,
         route=route,
         found=found,
         expected=round(expected, 2),
-        answers=sum(sample.answers for sample in rest),
+        answers=answers,
     )
 
 
 def _drop_outliers(samples: list[_Sample]) -> list[_Sample]:
     """Return the samples without the servers that stand out."""
     answering = [sample for sample in samples if sample.answers]
-    most = int(len(answering) * _MAX_OUTLIERS)
-    by_excess = sorted(
-        answering,
-        key=lambda sample: sample.found - sample.expected,
-        reverse=True,
+    if not answering:
+        return []
+    median = statistics.median(
+        sample.found / sample.answers for sample in answering
     )
-    outliers = [
-        sample
-        for sample in by_excess[:most]
+    chance_by_server = {
+        sample.server: find_chance(
+            sample.found,
+            sample.answers,
+            max(median, sample.expected / sample.answers),
+        )
+        for sample in answering
         if sample.found >= _MIN_OUTLIER_FOUND
-        and sample.found - sample.expected
-        >= _MIN_OUTLIER_SHARE * sample.answers
-    ]
-    return by_excess[len(outliers) :]
+    }
+    outliers = sorted(
+        (chance, server)
+        for server, chance in chance_by_server.items()
+        if chance < _MAX_OUTLIER_CHANCE
+    )
+    most = int(len(answering) * _MAX_OUTLIERS)
+    dropped = {server for _, server in outliers[:most]}
+    return [sample for sample in answering if sample.server not in dropped]
 
 
-def find_chance(found: int, expected: float) -> float:
-    """Return the probability of so many rare events or more.
+def find_chance(found: int, answers: int, share: float) -> float:
+    """Return the probability of so many of the answers or more.
+
+    Answers of several routes with different shares are less spread than those
+    with the mean of the shares, so their probability is at most this.
 
     Examples:
-        >>> round(find_chance(1, 1.0), 4)
-        0.6321
-        >>> find_chance(0, 1.0)
-        1.0
+        >>> round(find_chance(2, 2, 0.5), 4)
+        0.25
+        >>> round(find_chance(1, 2, 0.5), 4)
+        0.75
     """
-    expected = max(expected, 1e-9)
-    below = sum(
-        math.exp(
-            number * math.log(expected) - expected - math.lgamma(number + 1)
-        )
-        for number in range(found)
+    if share >= 1.0:
+        return 1.0
+    share = max(share, 1e-9)
+    odds = share / (1.0 - share)
+    term = (
+        math.lgamma(answers + 1)
+        - math.lgamma(found + 1)
+        - math.lgamma(answers - found + 1)
+        + found * math.log(share)
+        + (answers - found) * math.log1p(-share)
     )
-    return max(1.0 - below, 0.0)
+    probability = math.exp(term)
+    total = 0.0
+    for number in range(found, answers + 1):
+        total += probability
+        probability *= (answers - number) / (number + 1) * odds
+        if probability < total * 1e-9:
+            break
+    return total
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -41,6 +41,9 @@
 # Expected output as a fraction of the caller's maximum number of output tokens,
 # used if the caller sends no estimate.
 _EXPECTED_OUTPUT_SHARE = 0.5
+# Share of the latency target within which a server of a version under test has
+# to start a request.
+_TEST_WAIT_SHARE = 0.5
 # Maximum delay of a request that arrives before the first list of servers.
 _MAX_LIST_WAIT_SECONDS = 1.0
 
@@ -209,6 +212,12 @@
         objective_at = max(
             context.objective_at, time.monotonic() + context.route.objective
         )
+        if context.tests_version:
+            # It can still start in time at the version in force.
+            objective_at = min(
+                objective_at,
+                time.monotonic() + context.route.objective * _TEST_WAIT_SHARE,
+            )
         # Only this router may know of these servers: the scheduler host may be
         # cut off from the platform's list.
         unavailable = self._discovery.directory.find_unavailable(
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -173,7 +173,13 @@
 Flooded = CrashMessage | RolloutNotice
 
 WireTally = tuple[
-    str, str, int, int, tuple[tuple[int, int], ...], tuple[tuple[int, int], ...]
+    str,
+    bool,
+    str,
+    int,
+    int,
+    tuple[tuple[int, int], ...],
+    tuple[tuple[int, int], ...],
 ]
 
 
@@ -184,19 +190,19 @@
     Attributes:
         service: The service of the roll-out.
         process: Identifies the router's process.
-        era: Era of the roll-out's number.
-        revision: Revision of the roll-out's number.
+        target: Version that the order names.
+        created: Identifies the creation of the order.
         phase: Phase that the router applies.
         running_elsewhere: Its requests at other versions than the target.
         longest: Longest duration in seconds of those that have ended.
-        tallies: Route, server, answers, failures, and times by bucket to the
-            first byte and from event to event.
+        tallies: Route, whether it is the target's, server, answers, failures,
+            and times by bucket to the first byte and from event to event.
     """
 
     service: str
     process: str
-    era: int
-    revision: int
+    target: str
+    created: str
     phase: int
     running_elsewhere: int
     longest: float
--- a/packages/daisypick_router/src/daisypick_router/rollout_host.py
+++ b/packages/daisypick_router/src/daisypick_router/rollout_host.py
@@ -36,9 +36,15 @@
 # routers that all restart after the order was deleted.
 APPROVALS_KIND = "daisypick-versions"
 
+# Time in which the other routers connect to a new host and tell it the states
+# that they know.
+_SETTLE_SECONDS = 0.6
 _WATCH_SECONDS = 2.0
 _RETRY_SECONDS = 0.3
 _DECIDE_SECONDS = 0.2
+# Pause after a decision as a multiple of the time that it took: with thousands
+# of servers the evidence takes a tenth of a second to compare.
+_DECIDE_PAUSES = 4.0
 # Share of the slots in force that the target's servers must have.
 _MIN_CAPACITY_SHARE = 0.8
 
@@ -84,8 +90,10 @@
     ) -> peer_messages.RolloutNotice | None:
         """Take a router's report; return the state to tell it."""
         decider = self._decider_by_service.get(report.service)
-        number = (report.era, report.revision)
-        if decider is not None and decider.state.number == number:
+        if decider is not None and (
+            (report.target, report.created)
+            == (decider.state.target, decider.state.created)
+        ):
             decider.note_report(
                 deciders.Report(
                     router=report.process,
@@ -95,17 +103,8 @@
                 ),
                 time.monotonic(),
             )
-            for route, server, answers, failures, first, pace in report.tallies:
-                decider.evidence.merge(
-                    route,
-                    server,
-                    evidences.Tally(
-                        answers=answers,
-                        failures=failures,
-                        first=first,
-                        pace=pace,
-                    ),
-                )
+            for tally in report.tallies:
+                _add_tally(decider, tally)
         if not self._is_host():
             return None
         return self._rollouts.find_notice(report.service)
@@ -114,12 +113,17 @@
 
     def _follow(self) -> None:
         position = None
+        host_since = None
         while True:
             if not self._is_host() or not self._discovery.has_server_list:
-                position = None
+                position, host_since = None, None
                 self._object_by_service.clear()
                 gevent.sleep(_RETRY_SECONDS)
                 continue
+            host_since = host_since or time.monotonic()
+            if time.monotonic() - host_since < _SETTLE_SECONDS:
+                gevent.sleep(_RETRY_SECONDS)
+                continue
             if position is None:
                 found = self._list()
             else:
@@ -188,9 +192,13 @@
         state = self._rollouts.state_by_service.get(order.service)
         outcome = rollout_orders.decode_outcome(stored, order)
         if state is None or not _is_of_order(state, order):
+            number = (era, stored.revision)
+            if state is not None and state.number >= number:
+                # An approval that was written while the order waited.
+                number = (state.number[0], state.number[1] + 1)
             state = states.RolloutState(
                 service=order.service,
-                number=(era, stored.revision),
+                number=number,
                 in_force=self._rollouts.find_in_force(order.service),
                 target=order.target,
                 created=order.created,
@@ -243,14 +251,18 @@
     # Decisions.
 
     def _run_decisions(self) -> None:
+        pause = _DECIDE_SECONDS
         while True:
-            gevent.sleep(_DECIDE_SECONDS)
+            gevent.sleep(pause)
             if not self._is_host():
                 self._decider_by_service.clear()
                 self._final.clear()
                 continue
+            begun_at = time.monotonic()
             for service, stored in list(self._object_by_service.items()):
                 self._decide(service, stored)
+            seconds = time.monotonic() - begun_at
+            pause = min(max(_DECIDE_SECONDS, seconds * _DECIDE_PAUSES), 1.0)
             self._keep_approvals()
 
     def _decide(self, service: str, stored: stores.StoredObject) -> None:
@@ -264,7 +276,7 @@
 
     def _find_decider(self, state: states.RolloutState) -> deciders.Decider:
         decider = self._decider_by_service.get(state.service)
-        if decider is None or decider.state.number != state.number:
+        if decider is None or not decider.state.is_of_same_order(state):
             age = self._rollouts.find_age(state.service)
             decider = deciders.Decider(
                 state=state, started_at=time.monotonic() - age
@@ -292,10 +304,17 @@
         )
 
     def _has_capacity(self, state: states.RolloutState) -> bool:
-        ready = self._discovery.directory.find_ready(state.service)
+        directory = self._discovery.directory
+        configuration = self._discovery.configuration
+        service = configuration and configuration.service_by_name.get(
+            state.service
+        )
+        cold_seconds = service.cold_seconds if service else 0.0
+        now = time.monotonic()
         slots = {state.in_force: 0, state.target: 0}
-        for server in ready:
-            if server.version in slots:
+        for server in directory.find_ready(state.service):
+            is_warm = directory.find_cold_until(server, cold_seconds) <= now
+            if server.version in slots and is_warm:
                 slots[server.version] += server.slots
         needed = slots[state.in_force] * _MIN_CAPACITY_SHARE
         return slots[state.target] >= max(needed, 1.0)
@@ -376,6 +395,20 @@
             self._merge_approval(service, version, number)
 
 
+def _add_tally(
+    decider: deciders.Decider, tally: peer_messages.WireTally
+) -> None:
+    route, is_target, server, answers, failures, first, pace = tally
+    decider.add_tally(
+        route,
+        server,
+        evidences.Tally(
+            answers=answers, failures=failures, first=first, pace=pace
+        ),
+        is_target=is_target,
+    )
+
+
 def _is_of_order(state: states.RolloutState, order: orders.Order) -> bool:
     return (state.target, state.created, state.seconds) == (
         order.target,
--- a/packages/daisypick_router/src/daisypick_router/rollouts.py
+++ b/packages/daisypick_router/src/daisypick_router/rollouts.py
@@ -29,7 +29,7 @@
 
 # Interval of the reports, by which a fault is found later. In a large fleet
 # the one that decides gets this many reports per second.
-_MIN_REPORT_SECONDS = 0.4
+_MIN_REPORT_SECONDS = 0.25
 _MAX_REPORT_SECONDS = 1.5
 _REPORTS_PER_SECOND = 450.0
 # Age of the newest state from the one that decides up to which a version is
@@ -37,7 +37,7 @@
 _MAX_NOTICE_AGE_SECONDS = 2.0
 # Servers that share the load of the probe, and the largest number of servers
 # of a version from which they are chosen: a request names those to avoid.
-_PROBED_SERVERS = 4
+_PROBED_SERVERS = 6
 _MAX_CHOSEN_FROM = 64
 
 _Sender = Callable[[peer_messages.RolloutNotice], None]
@@ -118,6 +118,16 @@
         self.state_by_service: dict[str, states.RolloutState] = {}
         self._progress_by_service: dict[str, _Progress] = {}
         self._in_force_by_service: dict[str, _InForce] = {}
+        # Servers of the version in force that are compared with the target's,
+        # for a list of servers and a state.
+        self._reference_by_service: dict[
+            str,
+            tuple[
+                list[backend_server.BackendServer],
+                states.RolloutState,
+                frozenset[str],
+            ],
+        ] = {}
         self._running: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
@@ -240,6 +250,9 @@
         now = time.monotonic()
         service = context.service
         self._running[service.name, server.version] += 1
+        progress = self._progress_by_service.get(service.name)
+        if progress is not None:
+            progress.exposure.note_sent(context.route.name)
         cold_until = self._directory.find_cold_until(
             server, service.cold_seconds
         )
@@ -260,8 +273,8 @@
         progress = self._progress_by_service.get(sent.service)
         if progress is None:
             return
-        if reached:
-            progress.exposure.note_sent(sent.route)
+        if not reached:
+            progress.exposure.note_lost(sent.route)
         if sent.server.version != self.state_by_service[sent.service].target:
             progress.longest = max(progress.longest, time.monotonic() - sent.at)
 
@@ -278,21 +291,35 @@
         if progress is None or sent.at < progress.started_at:
             return
         state = self.state_by_service[sent.service]
-        server = evidences.ALL_SERVERS
-        if sent.server.version == state.target:
-            server = sent.server.name
-        elif sent.server.version != state.in_force:
+        is_target = sent.server.version == state.target
+        if not is_target and sent.server.name not in (
+            self._find_reference_servers(state)
+        ):
             return
         progress.evidence.add(
             evidences.Answer(
                 route=sent.route,
-                server=server,
+                server=sent.server.name,
+                is_target=is_target,
                 failed=failed,
                 first=first if sent.is_warm else None,
                 pace=pace if sent.is_warm else None,
             )
         )
 
+    def _find_reference_servers(
+        self, state: states.RolloutState
+    ) -> frozenset[str]:
+        ready = self._directory.find_ready(state.service)
+        known = self._reference_by_service.get(state.service)
+        if known is not None and known[0] is ready and known[1] is state:
+            return known[2]
+        servers = evidences.choose_reference_servers(
+            server.name for server in ready if server.version == state.in_force
+        )
+        self._reference_by_service[state.service] = (ready, state, servers)
+        return servers
+
     def note_break(self, sent: Sent) -> None:
         """Count a request whose answer broke off or never came.
 
@@ -426,21 +453,22 @@
         return peer_messages.RolloutReport(
             service=state.service,
             process=self.process,
-            era=state.number[0],
-            revision=state.number[1],
+            target=state.target,
+            created=state.created,
             phase=int(state.phase),
             running_elsewhere=running,
             longest=round(progress.longest, 3),
             tallies=tuple(
                 (
                     route,
+                    is_target,
                     server,
                     tally.answers,
                     tally.failures,
                     tuple(tally.first.iterate()),
                     tuple(tally.pace.iterate()),
                 )
-                for (route, server), tally in evidence.tally_by_key.items()
+                for route, is_target, server, tally in evidence.iterate()
             ),
         )
 
