--- a/packages/daisypick_cli/tests/test_logs.py
+++ b/packages/daisypick_cli/tests/test_logs.py
@@ -57,3 +57,71 @@
     code, _, error = _run(f"fairness {tmp_path / 'none.log'}")
     assert code != exit_codes.OK
     assert "none.log" in error
+
+
+def _log_phase(at, process, phase):
+    return json.dumps(
+        {
+            "at": at,
+            "process": process,
+            "say": "A roll-out has reached a phase.",
+            "service": "desk",
+            "target": "v2",
+            "phase": phase,
+        }
+    )
+
+
+def test_rollout_shows_steps_and_the_last_answers(tmp_path):
+    row = {
+        "route": "look",
+        "version": "target",
+        "answers": 40,
+        "failures": 12,
+        "first_ms": 85.0,
+        "pace_ms": 0.0,
+    }
+    answers = {
+        "at": 7.0,
+        "say": "Answers of both versions.",
+        "service": "desk",
+        "target": "v2",
+        "rows": [row],
+    }
+    rejected = {
+        "at": 7.1,
+        "say": "A version is rolled back.",
+        "service": "desk",
+        "target": "v2",
+        "reason": "failures of route look: 12 of 40 answers, 1.2 expected",
+    }
+    first, second = tmp_path / "r-1.log", tmp_path / "r-2.log"
+    first.write_text(
+        "\n".join(
+            [
+                _log_phase(5.0, "r-1", "CANARY"),
+                json.dumps(answers),
+                json.dumps(rejected),
+                _log_phase(7.2, "r-1", "ROLLED_BACK"),
+                "not a log line of a router",
+                '{"at": 7.3, "say": "A version is rolled back.", "serv',
+            ]
+        )
+    )
+    second.write_text(_log_phase(5.1, "r-2", "CANARY"))
+    code, output, _ = _run(f"rollout {first} {second}")
+    assert code == exit_codes.OK
+    assert output.splitlines() == [
+        "5.000  desk to v2: canary (2 routers)",
+        "7.100  desk to v2: rejected: failures of route look: 12 of 40 answers,"
+        " 1.2 expected (1 routers)",
+        "7.200  desk to v2: rolled back (1 routers)",
+        "desk to v2, look, target: 40 answers, 12 failures, first byte 85 ms,"
+        " pause 0 ms",
+    ]
+
+
+def test_rollout_reports_a_missing_log(tmp_path):
+    code, _, error = _run(f"rollout {tmp_path / 'none.log'}")
+    assert code != exit_codes.OK
+    assert "none.log" in error
--- a/packages/daisypick_core/src/daisypick_core/rollout/decider.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/decider.py
@@ -117,6 +117,10 @@
         for evidence in (self._evidence, self._recent):
             evidence.merge(route, server, tally, is_target=is_target)
 
+    def describe_answers(self) -> list[dict[str, object]]:
+        """Return the answers of both versions by route, for logs."""
+        return self._evidence.describe()
+
     def merge(self, state: states.RolloutState) -> None:
         """Apply the state that another router told."""
         if self.state.is_of_same_order(state):
--- a/packages/daisypick_core/src/daisypick_core/rollout/evidence.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/evidence.py
@@ -52,6 +52,16 @@
     pace: float | None = None
 
 
+def find_seconds(bucket: int) -> float:
+    """Return the shortest time of a bucket.
+
+    Examples:
+        >>> round(find_seconds(find_bucket(0.1)), 3)
+        0.085
+    """
+    return _SHORTEST_SECONDS * _BUCKET_RATIO**bucket
+
+
 def find_bucket(seconds: float) -> int:
     """Return the number of the bucket of a time."""
     ratio = max(seconds, _SHORTEST_SECONDS) / _SHORTEST_SECONDS
@@ -87,6 +97,10 @@
                 return bucket
         return 0
 
+    def find_median(self) -> float:
+        """Return the median in seconds, zero without any time."""
+        return find_seconds(self.find_quantile(0.5)) if self.total else 0.0
+
     def count_above(self, bucket: int) -> int:
         """Return the number of times in later buckets."""
         return sum(
@@ -176,6 +190,27 @@
         """Return the tallies of a route at one of the versions, by server."""
         return self._tally_by_server.get((route, is_target), {})
 
+    def describe(self) -> list[dict[str, object]]:
+        """Return a row for each route and version, for logs."""
+        rows = []
+        for route in self.find_routes():
+            for is_target in (False, True):
+                total = Tally()
+                tallies = self.find_tallies(route, is_target=is_target)
+                for tally in tallies.values():
+                    total.merge(tally)
+                rows.append(
+                    {
+                        "route": route,
+                        "version": "target" if is_target else "in force",
+                        "answers": total.answers,
+                        "failures": total.failures,
+                        "first_ms": round(total.first.find_median() * 1e3, 1),
+                        "pace_ms": round(total.pace.find_median() * 1e3, 1),
+                    }
+                )
+        return rows
+
     def count_target(self) -> int:
         """Return the number of answers of the target."""
         return sum(
--- a/packages/daisypick_router/src/daisypick_router/rollout_host.py
+++ b/packages/daisypick_router/src/daisypick_router/rollout_host.py
@@ -188,10 +188,17 @@
         if failure.is_failure(order):
             self._log_invalid(stored, order)
             return
-        self._object_by_service[order.service] = stored
         state = self._rollouts.state_by_service.get(order.service)
         outcome = rollout_orders.decode_outcome(stored, order)
-        if state is None or not _is_of_order(state, order):
+        is_of_order = state is not None and _is_of_order(state, order)
+        ended = self._rollouts.find_outcome(order)
+        if ended is not None and not is_of_order:
+            # A restored store has brought an earlier order back.
+            self._object_by_service.pop(order.service, None)
+            self._write_ended(stored, order, ended)
+            return
+        self._object_by_service[order.service] = stored
+        if not is_of_order:
             number = (era, stored.revision)
             if state is not None and state.number >= number:
                 # An approval that was written while the order waited.
@@ -211,6 +218,23 @@
             state = states.find_later(state, state._replace(phase=outcome))
         self._rollouts.merge(state, age=self._rollouts.find_age(order.service))
 
+    def _write_ended(
+        self,
+        stored: stores.StoredObject,
+        order: orders.Order,
+        phase: states.Phase,
+    ) -> None:
+        """Write the outcome of an order that ended before the present one."""
+        if rollout_orders.decode_outcome(stored, order) is phase:
+            return
+        written = self._store.replace_status(
+            rollout_orders.KIND,
+            stored,
+            rollout_orders.encode_outcome(order, phase),
+        )
+        if failure.is_failure(written):
+            self._log_unwritten(order.service, written)
+
     def _check_service(
         self, order: orders.Order
     ) -> orders.Order | failure.Failure:
@@ -291,6 +315,14 @@
         phase = decider.decide(
             now=time.monotonic(), has_capacity=self._has_capacity(state)
         )
+        if phase is not state.phase:
+            self._log.write(
+                "rollout",
+                "Answers of both versions.",
+                service=state.service,
+                target=state.target,
+                rows=decider.describe_answers(),
+            )
         if phase is states.Phase.ROLLED_BACK:
             self._log.write(
                 "rollout",
@@ -337,18 +369,21 @@
             rollout_orders.KIND, stored, rollout_orders.encode_status(state)
         )
         if failure.is_failure(written):
-            self._log.write(
-                "rollout",
-                "Could not write the state of a roll-out.",
-                service=service,
-                reason=written.reason,
-            )
+            self._log_unwritten(service, written)
             if written.code is codes.PLATFORM_CONFLICT:
                 self._read_again(service)
             return
         self._object_by_service[service] = written
         self._rollouts.merge(state, age=self._rollouts.find_age(service))
 
+    def _log_unwritten(self, service: str, reason: failure.Failure) -> None:
+        self._log.write(
+            "rollout",
+            "Could not write the state of a roll-out.",
+            service=service,
+            reason=reason.reason,
+        )
+
     def _read_again(self, service: str) -> None:
         """Apply what another host or the operator has written."""
         found = self._store.list_kind(rollout_orders.KIND)
--- a/packages/daisypick_router/src/daisypick_router/rollouts.py
+++ b/packages/daisypick_router/src/daisypick_router/rollouts.py
@@ -18,6 +18,7 @@
 
 from daisypick_core.rollout import evidence as evidences
 from daisypick_core.rollout import exposure as exposures
+from daisypick_core.rollout import order as orders
 from daisypick_core.rollout import state as states
 from daisypick_core.rollout import versions
 from daisypick_core.serving import backend_server
@@ -40,6 +41,10 @@
 _PROBED_SERVERS = 6
 _MAX_CHOSEN_FROM = 64
 
+# Ended orders that are remembered. A store that is restored from a backup may
+# bring one of them back without its outcome.
+_MAX_ENDED = 64
+
 _Sender = Callable[[peer_messages.RolloutNotice], None]
 
 
@@ -131,6 +136,7 @@
         self._running: collections.Counter[tuple[str, str]] = (
             collections.Counter()
         )
+        self._outcome_by_order: dict[orders.Order, states.Phase] = {}
         self._senders: list[_Sender] = []
         self._deliver: Callable[[peer_messages.RolloutReport], None] = _drop
 
@@ -356,6 +362,8 @@
                 self._note_heard(state.service)
             return
         self.state_by_service[state.service] = state
+        if state.has_ended:
+            self._remember(state)
         if state.phase is states.Phase.SUCCEEDED:
             self._progress_by_service.pop(state.service, None)
         elif known is None or known.number != state.number:
@@ -376,6 +384,22 @@
         for sender in self._senders:
             sender(self._write_notice(state))
 
+    def _remember(self, state: states.RolloutState) -> None:
+        order = orders.Order(
+            service=state.service,
+            target=state.target,
+            seconds=state.seconds,
+            created=state.created,
+        )
+        self._outcome_by_order.pop(order, None)
+        self._outcome_by_order[order] = state.phase
+        if len(self._outcome_by_order) > _MAX_ENDED:
+            del self._outcome_by_order[next(iter(self._outcome_by_order))]
+
+    def find_outcome(self, order: orders.Order) -> states.Phase | None:
+        """Return how an order has ended, if it is known to have."""
+        return self._outcome_by_order.get(order)
+
     def _note_heard(self, service: str) -> None:
         progress = self._progress_by_service.get(service)
         if progress is not None:
--- a/packages/daisypick_router/tests/test_rollouts.py
+++ b/packages/daisypick_router/tests/test_rollouts.py
@@ -345,3 +345,20 @@
     for number in range(10):
         fakes.call(late, "/reserve/1", attempt=f"late-{number}")
     assert _count(old) == begin
+
+
+def test_order_that_a_restored_store_brings_back_is_not_repeated(store, load):
+    """Guards against a bad version that is tested again after a restore."""
+    _start_servers(store, "v1")
+    routers = _start_routers(store)
+    load(routers)
+    new = _start_servers(store, "v2", failing=1.0)
+    gevent.sleep(0.5)
+    _order(store)
+    fakes.wait_for(lambda: _find_state(store) == "running")
+    backup = store.copy()
+    _wait_for_state(store, "rolled_back")
+    store.restore(backup)
+    restored_at = time.monotonic()
+    fakes.wait_for(lambda: _find_state(store) == "rolled_back", 6.0)
+    assert _count(new, restored_at + 0.5) == 0
