Compare times of the same moment, and drop state of old versions

Answers of both versions were compared over the whole test, and after the move with those before.

Times are compared within slices of a second or more, and the counts added; after the move only answers six times as late as nine in ten before count.

Schedulers, placements and pauses of a version without servers are dropped.

--- a/packages/daisypick_core/src/daisypick_core/rollout/decider.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/decider.py
@@ -36,6 +36,8 @@
 
 # Time for the probe: some answers of busy servers, reports of all routers.
 _PROBE_SECONDS = 1.5
+# Duration of a slice of time whose answers are compared with each other.
+_SLICE_SECONDS = 1.0
 # Share of the time limit before which no move begins, however long requests
 # run.
 _MIN_CANARY_SHARE = 0.4
@@ -88,11 +90,14 @@
     ) -> None:
         self.state = state
         self.reason = ""
-        # All answers, and those reported in the present phase. What shows only
-        # on the servers of the probe or under full load would be hidden by the
-        # answers before.
+        # All answers, and those reported in each phase. What shows only on the
+        # servers of the probe or under full load would be hidden by the answers
+        # before.
         self._evidence = evidences.Evidence()
         self._recent = evidences.Evidence()
+        # Those of the phase in slices of time, and when the last one began.
+        self._slices = [evidences.Evidence()]
+        self._slice_began_at = started_at
         self._started_at = started_at
         self._report_by_router: dict[str, tuple[float, Report]] = {}
 
@@ -114,7 +119,7 @@
         is_target: bool,
     ) -> None:
         """Add answers that a router reported."""
-        for evidence in (self._evidence, self._recent):
+        for evidence in (self._evidence, self._recent, self._slices[-1]):
             evidence.merge(route, server, tally, is_target=is_target)
 
     def describe_answers(self) -> list[dict[str, object]]:
@@ -137,15 +142,21 @@
             phase = self._find_phase(now, has_capacity)
             if phase > self.state.phase:
                 self._recent = evidences.Evidence()
+                self._slices = [evidences.Evidence()]
+                self._slice_began_at = now
+            elif now - self._slice_began_at >= _SLICE_SECONDS and (
+                verdict.is_comparable(self._slices[-1])
+            ):
+                self._slices.append(evidences.Evidence())
+                self._slice_began_at = now
+            if phase > self.state.phase:
                 self.state = self.state._replace(phase=phase)
         return self.state.phase
 
     def _find_phase(self, now: float, has_capacity: bool) -> states.Phase:
         if self.state.target == self.state.in_force:
             return states.Phase.MOVING
-        fault = verdict.find_fault(
-            reference=self._evidence, target=self._evidence
-        ) or verdict.find_fault(reference=self._evidence, target=self._recent)
+        fault = self._find_fault()
         if fault is not None:
             where = f"route {fault.route}" if fault.route else "all routes"
             self.reason = (
@@ -170,6 +181,19 @@
             return states.Phase.PROBE
         return states.Phase.CANARY
 
+    def _find_fault(self) -> verdict.Fault | None:
+        everything, recent = self._evidence, self._recent
+        fault = verdict.find_failures(
+            reference=everything, target=everything
+        ) or verdict.find_failures(reference=everything, target=recent)
+        if fault is not None:
+            return fault
+        if self.state.phase is states.Phase.MOVING:
+            return verdict.find_later_slowness(
+                reference=everything, target=recent
+            )
+        return verdict.find_slowness(self._slices)
+
     def _find_move_at(self, now: float) -> float:
         seconds = self.state.seconds
         longest = max(
--- a/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
@@ -14,7 +14,9 @@
   version in force. New servers have nothing cached and thus exceed it more
   often; a version that is several times slower exceeds it nearly always.
 
-Times count to the first byte and from event to event.
+Times count to the first byte and from event to event. They depend on the load
+of the moment, so they are compared with those of the same time; where all
+traffic has moved there are none, and only answers that are much later count.
 
 Examples:
     >>> from daisypick_core.rollout import evidence as evidences
@@ -25,7 +27,7 @@
     >>> for number in range(12):
     ...     server = f"i-{number % 4}"
     ...     evidence.add(evidences.Answer("look", server, True, failed=True))
-    >>> find_fault(reference=evidence, target=evidence)
+    >>> find_failures(reference=evidence, target=evidence)
     Fault(sign='failures', route='look', found=12, expected=0.35, answers=12)
 """
 
@@ -52,6 +54,8 @@
 _SHIFTED_SHARE = 0.45
 # A bucket is a quarter longer than the one before, so three are twice as long.
 _SLOW_BUCKETS = 3
+# The same for times of another time: six times as long.
+_LATER_SLOW_BUCKETS = 8
 # Fewest times of the version in force that a comparison is based on.
 _MIN_REFERENCE = 25
 # A server stands out with so many signs, if that many are so improbable at the
@@ -91,43 +95,67 @@
 
 _Tallies = Mapping[str, evidences.Tally]
 _Sign = Callable[[_Tallies, _Tallies], list[_Sample]]
-_sign_by_name: dict[str, _Sign] = {}
 
 
-def _register(name: str) -> Callable[[_Sign], _Sign]:
-    def _add(sign: _Sign) -> _Sign:
-        _sign_by_name[name] = sign
-        return sign
+def find_failures(
+    *, reference: evidences.Evidence, target: evidences.Evidence
+) -> Fault | None:
+    """Return a fault if too many answers of a target are failures.
+
+    Args:
+        reference: Evidence with the answers of the version in force.
+        target: Evidence with the answers of the target.
+    """
+    return _find_fault({"failures": _count_failures}, [(reference, target)])
 
-    return _add
 
+def find_slowness(slices: Iterable[evidences.Evidence]) -> Fault | None:
+    """Return a fault if too many answers of a target are slow.
 
-def find_fault(
+    Args:
+        slices: Answers of both versions, of one short time each. The times of
+            each are compared among themselves, and the counts are added.
+    """
+    return _find_fault(_SLOW_SIGNS, [(found, found) for found in slices])
+
+
+def find_later_slowness(
     *, reference: evidences.Evidence, target: evidences.Evidence
 ) -> Fault | None:
-    """Return the first fault that the answers of a target show, or ``None``.
+    """Return a fault if too many answers are much slower than earlier ones.
 
     Args:
-        reference: Evidence with the answers of the version in force.
-        target: Evidence with the answers of the target.
+        reference: Evidence with earlier answers of the version in force.
+        target: Evidence with later answers of the target.
     """
-    sound = _find_sound_servers(reference)
-    tallies_by_route = {
-        route: (
-            {
-                server: tally
-                for server, tally in reference.find_tallies(
-                    route, is_target=False
-                ).items()
-                if server in sound
-            },
-            target.find_tallies(route, is_target=True),
+    return _find_fault(_LATER_SLOW_SIGNS, [(reference, target)])
+
+
+def is_comparable(evidence: evidences.Evidence) -> bool:
+    """Return whether the times of all routes can be compared."""
+    return all(
+        sum(
+            tally.first.total
+            for tally in evidence.find_tallies(route, is_target=False).values()
         )
-        for route in target.find_routes()
-    }
-    for name, sign in _sign_by_name.items():
+        >= _MIN_REFERENCE
+        for route in evidence.find_routes()
+    )
+
+
+def _find_fault(
+    signs: Mapping[str, _Sign],
+    pairs: list[tuple[evidences.Evidence, evidences.Evidence]],
+) -> Fault | None:
+    """Return the first fault, of pairs of evidence that are added."""
+    tallies = [_find_tallies(*pair) for pair in pairs]
+    routes = sorted({route for found in tallies for route in found})
+    for name, sign in signs.items():
         samples_by_route = {
-            route: sign(*tallies) for route, tallies in tallies_by_route.items()
+            route: _sum_by_server(
+                sign(*found[route]) for found in tallies if route in found
+            )
+            for route in routes
         }
         everything = _sum_by_server(samples_by_route.values())
         rest = {sample.server for sample in _drop_outliers(everything)}
@@ -142,8 +170,27 @@
     return None
 
 
-@_register("failures")
-def _find_failures(reference: _Tallies, target: _Tallies) -> list[_Sample]:
+def _find_tallies(
+    reference: evidences.Evidence, target: evidences.Evidence
+) -> dict[str, tuple[_Tallies, _Tallies]]:
+    """Return the tallies of both versions by route."""
+    sound = _find_sound_servers(reference)
+    return {
+        route: (
+            {
+                server: tally
+                for server, tally in reference.find_tallies(
+                    route, is_target=False
+                ).items()
+                if server in sound
+            },
+            target.find_tallies(route, is_target=True),
+        )
+        for route in target.find_routes()
+    }
+
+
+def _count_failures(reference: _Tallies, target: _Tallies) -> list[_Sample]:
     share = _find_upper_share(reference) + _FAILURE_TOLERANCE
     return [
         _Sample(
@@ -156,26 +203,6 @@
     ]
 
 
-@_register("late first bytes")
-def _find_late_starts(reference: _Tallies, target: _Tallies) -> list[_Sample]:
-    return _compare(reference, target, _get_first, 0.9, _SLOW_BUCKETS)
-
-
-@_register("long pauses")
-def _find_long_pauses(reference: _Tallies, target: _Tallies) -> list[_Sample]:
-    return _compare(reference, target, _get_pace, 0.9, _SLOW_BUCKETS)
-
-
-@_register("later first bytes")
-def _find_later_starts(reference: _Tallies, target: _Tallies) -> list[_Sample]:
-    return _compare(reference, target, _get_first, 0.8, 0)
-
-
-@_register("longer pauses")
-def _find_longer_pauses(reference: _Tallies, target: _Tallies) -> list[_Sample]:
-    return _compare(reference, target, _get_pace, 0.8, 0)
-
-
 def _get_first(tally: evidences.Tally) -> evidences.Histogram:
     return tally.first
 
@@ -215,6 +242,29 @@
     return samples
 
 
+def _make_sign(
+    get_times: Callable[[evidences.Tally], evidences.Histogram],
+    quantile: float,
+    buckets: int,
+) -> _Sign:
+    def _sign(reference: _Tallies, target: _Tallies) -> list[_Sample]:
+        return _compare(reference, target, get_times, quantile, buckets)
+
+    return _sign
+
+
+_SLOW_SIGNS = {
+    "late first bytes": _make_sign(_get_first, 0.9, _SLOW_BUCKETS),
+    "long pauses": _make_sign(_get_pace, 0.9, _SLOW_BUCKETS),
+    "later first bytes": _make_sign(_get_first, 0.8, 0),
+    "longer pauses": _make_sign(_get_pace, 0.8, 0),
+}
+_LATER_SLOW_SIGNS = {
+    "late first bytes": _make_sign(_get_first, 0.9, _LATER_SLOW_BUCKETS),
+    "long pauses": _make_sign(_get_pace, 0.9, _LATER_SLOW_BUCKETS),
+}
+
+
 def _find_sound_servers(reference: evidences.Evidence) -> set[str]:
     """Return the servers of the version in force that do not stand out."""
     samples = [
--- a/packages/daisypick_lab/src/daisypick_lab/rollout_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/rollout_model.py
@@ -43,6 +43,7 @@
 _COLD_SECONDS = 3.0
 # Time to the first byte of a server without any cached prefix, as a multiple.
 _UNCACHED = 1.3
+_SLOW_FACTOR = 2.5
 
 
 class Fleet(typing.NamedTuple):
@@ -160,6 +161,8 @@
         self.grey: dict[str, float] = {}
         self.grey_steps = (0, 0)
         self.lost_share = 0.0
+        # Steps in which all servers of both versions are slower.
+        self.slow_steps = (0, 0)
         self._state = states.RolloutState(
             service="s",
             number=(0, 1),
@@ -251,6 +254,9 @@
         _, errors, seconds = _ROUTES[route]
         is_warm = not is_target or step * _STEP_SECONDS >= _COLD_SECONDS
         seconds *= self.rng.lognormvariate(0.0, _TIME_SPREAD)
+        first, last = self.slow_steps
+        if first <= step < last:
+            seconds *= _SLOW_FACTOR
         pace = 0.06 * self.rng.lognormvariate(0.0, _TIME_SPREAD / 2.0)
         first, last = self.grey_steps
         failed = self.rng.random() < errors
@@ -360,6 +366,12 @@
     play.rate_factor = lambda step: 1.7 if begin <= step < begin + 30 else 1.0
 
 
+@_register("slow moment")
+def _slow_all_servers(play: Play) -> None:
+    begin = play.rng.randrange(100)
+    play.slow_steps = (begin, begin + 30)
+
+
 @_register("cut routers")
 def _cut_routers(play: Play) -> None:
     begin = play.rng.randrange(60)
--- a/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
@@ -58,6 +58,7 @@
         self._share = 1.0
         self._has_waiting = event.Event()
         self._scheduler_by_service: dict[str, schedulers.Scheduler] = {}
+        self._pool_by_name: dict[str, fleet_configuration.Service] = {}
         self._callback_by_key: dict[str, Callable[[actions.Action], None]] = {}
 
     def start(self) -> None:
@@ -175,6 +176,7 @@
             )
             scheduler.set_fleet(routers=self._routers, share=self._share)
             self._scheduler_by_service[service.pool] = scheduler
+            self._pool_by_name[service.pool] = service
         return scheduler
 
     def acquire(
@@ -301,6 +303,26 @@
             scheduler.note_failure(key, time.monotonic(), certain=certain)
         )
 
+    def has_scheduler(self, service: str) -> bool:
+        """Return whether there is a scheduler of a service and version."""
+        return service in self._scheduler_by_service
+
+    def _drop_old_versions(self) -> None:
+        """Drop the schedulers of versions that have no server any more."""
+        servers = self._discovery.directory.server_by_name.values()
+        for name, pool in list(self._pool_by_name.items()):
+            scheduler = self._scheduler_by_service[name]
+            if (
+                pool.version is None
+                or scheduler.waiting
+                or any(pool.has_server(server) for server in servers)
+            ):
+                continue
+            self._versions_by_service[pool.name].discard(pool.version)
+            del self._pool_by_name[name]
+            del self._scheduler_by_service[name]
+            self._speed_by_service.pop(name, None)
+
     def describe(self, service: str) -> dict[str, object] | None:
         """Return the state of a service's scheduler, or ``None``."""
         scheduler = self._scheduler_by_service.get(service)
@@ -335,6 +357,7 @@
             gevent.sleep(_EXPIRE_SECONDS)
             for scheduler in self._scheduler_by_service.values():
                 self._apply(scheduler.expire(time.monotonic()))
+            self._drop_old_versions()
 
     def _tick(self) -> None:
         while True:
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -116,6 +116,9 @@
         """Log the schedulers' state and the service that callers received."""
         while True:
             gevent.sleep(_REPORT_SECONDS)
+            for service in list(self._host_by_service):
+                if not self._hosted.has_scheduler(service):
+                    self._forget(service)
             for service, host in self._host_by_service.items():
                 # Drain the tallies of all schedulers: those that are not
                 # logged would otherwise grow with every organisation that
@@ -134,6 +137,12 @@
                 ),
             )
 
+    def _forget(self, service: str) -> None:
+        """Forget a version of a service that has no server any more."""
+        self._host_by_service.pop(service, None)
+        self._placements_by_service.pop(service, None)
+        self._pauses_by_service.pop(service, None)
+
     def _report_service(self, service: str, decisions: list[dict]) -> None:
         self._log.write(
             "placing",
--- a/packages/daisypick_router/src/daisypick_router/rollout_host.py
+++ b/packages/daisypick_router/src/daisypick_router/rollout_host.py
@@ -251,6 +251,9 @@
         self, stored: stores.StoredObject, reason: failure.Failure
     ) -> None:
         if (stored.name, stored.revision) not in self._invalid:
+            self._invalid = {
+                known for known in self._invalid if known[0] != stored.name
+            }
             self._invalid.add((stored.name, stored.revision))
             self._log.write(
                 "rollout", "Left an invalid order alone.", reason=reason.reason
