Decide on roll-outs beside calls to the store, and move at the limit

A test of a good version failed once on a busy machine, on the code before. It moves now; a unit test fails without the change.

A call to a store that is silent takes 1.5 s, one after the other for all services with an order, and no decision was made meanwhile. Calls run beside the decisions.

--- a/packages/daisypick_core/src/daisypick_core/rollout/decider.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/decider.py
@@ -167,6 +167,10 @@
         if self.state.phase is states.Phase.MOVING:
             return states.Phase.MOVING
         answers = self._evidence.count_target()
+        move_at = self._find_move_at(now)
+        # Also at the limit: a decider that was late rejects no good version.
+        if now >= move_at and answers >= _MIN_ANSWERS and has_capacity:
+            return states.Phase.MOVING
         if now >= self.limit_at - _LAST_SECONDS:
             self.reason = (
                 f"the target answered {answers} requests before the time limit"
@@ -174,9 +178,6 @@
                 else "the target has too few servers at the time limit"
             )
             return states.Phase.ROLLED_BACK
-        move_at = self._find_move_at(now)
-        if now >= move_at and answers >= _MIN_ANSWERS and has_capacity:
-            return states.Phase.MOVING
         if now >= move_at - _PROBE_SECONDS:
             return states.Phase.PROBE
         return states.Phase.CANARY
--- a/packages/daisypick_core/tests/rollout/test_decider.py
+++ b/packages/daisypick_core/tests/rollout/test_decider.py
@@ -109,3 +109,10 @@
     for router in ("r-2", "r-3"):
         _report(decider, router, 9.0)
     assert decider.has_moved(now=9.1, routers=3)
+
+
+def test_late_decider_does_not_reject_a_good_version():
+    """Guards against a process that was held until the time limit."""
+    decider = _make()
+    _add_answers(decider)
+    assert _decide(decider, 11.9) is states.Phase.MOVING
--- a/packages/daisypick_router/src/daisypick_router/rollout_host.py
+++ b/packages/daisypick_router/src/daisypick_router/rollout_host.py
@@ -41,6 +41,7 @@
 _SETTLE_SECONDS = 0.6
 _WATCH_SECONDS = 2.0
 _RETRY_SECONDS = 0.3
+_APPROVAL_SECONDS = 0.3
 _DECIDE_SECONDS = 0.2
 # Pause after a decision as a multiple of the time that it took: with thousands
 # of servers the evidence takes a tenth of a second to compare.
@@ -74,8 +75,10 @@
         self._log = log
         self._decider_by_service: dict[str, deciders.Decider] = {}
         self._object_by_service: dict[str, stores.StoredObject] = {}
-        # Services of which an approval was tried to be written.
+        # Services whose success was tried to be written, and those with a call
+        # to the store. A store that is silent must not delay decisions.
         self._final: set[str] = set()
+        self._writing: set[str] = set()
         self._approval_by_service: dict[str, str] = {}
         self._invalid: set[tuple[str, int]] = set()
 
@@ -84,6 +87,7 @@
         if self._rollouts.is_active:
             gevent.spawn(self._follow)
             gevent.spawn(self._run_decisions)
+            gevent.spawn(self._run_approvals)
 
     def receive(
         self, report: peer_messages.RolloutReport
@@ -290,7 +294,12 @@
                 self._decide(service, stored)
             seconds = time.monotonic() - begun_at
             pause = min(max(_DECIDE_SECONDS, seconds * _DECIDE_PAUSES), 1.0)
-            self._keep_approvals()
+
+    def _run_approvals(self) -> None:
+        while True:
+            gevent.sleep(_APPROVAL_SECONDS)
+            if self._is_host():
+                self._keep_approvals()
 
     def _decide(self, service: str, stored: stores.StoredObject) -> None:
         state = self._rollouts.state_by_service.get(service)
@@ -299,7 +308,9 @@
         decider = self._find_decider(state)
         if not state.has_ended and service not in self._final:
             self._advance(decider, state)
-        self._write_outcome(service, decider)
+        if service not in self._writing:
+            self._writing.add(service)
+            gevent.spawn(self._write_outcome, service, decider)
 
     def _find_decider(self, state: states.RolloutState) -> deciders.Decider:
         decider = self._decider_by_service.get(state.service)
@@ -355,6 +366,12 @@
         return slots[state.target] >= max(needed, 1.0)
 
     def _write_outcome(self, service: str, decider: deciders.Decider) -> None:
+        try:
+            self._write_state(service, decider)
+        finally:
+            self._writing.discard(service)
+
+    def _write_state(self, service: str, decider: deciders.Decider) -> None:
         """Write the state of a roll-out, if the store lacks it."""
         stored = self._object_by_service.get(service)
         state = decider.state
