Give an order after a rolled back one its own time

The age of a new order was that of the one before, unless that had succeeded: the order was past its limit at once, and a good version was rolled back. Found by reading; the test is red before (age 3.2 s after 0.5 s). A state with a phase that this version does not know is an invalid message now instead of an exception in the connection's loop.

--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -20,6 +20,7 @@
 
 from daisypick_core.results import codes
 from daisypick_core.results import failure
+from daisypick_core.rollout import state as states
 from daisypick_core.scheduling import job
 
 type_by_kind: dict[str, type] = {}
@@ -155,7 +156,7 @@
         target: Version that the order names.
         created: Identifies the creation of the order.
         seconds: Time limit of the roll-out.
-        phase: Number of the phase.
+        phase: The phase.
         age: Seconds since the order was first seen.
     """
 
@@ -166,7 +167,7 @@
     target: str
     created: str
     seconds: float
-    phase: int
+    phase: states.Phase
     age: float
 
 
@@ -203,7 +204,7 @@
     process: str
     target: str
     created: str
-    phase: int
+    phase: states.Phase
     running_elsewhere: int
     longest: float
     tallies: tuple[WireTally, ...]
--- a/packages/daisypick_router/src/daisypick_router/rollout_host.py
+++ b/packages/daisypick_router/src/daisypick_router/rollout_host.py
@@ -101,7 +101,7 @@
             decider.note_report(
                 deciders.Report(
                     router=report.process,
-                    phase=states.Phase(report.phase),
+                    phase=report.phase,
                     running_elsewhere=report.running_elsewhere,
                     longest=report.longest,
                 ),
@@ -202,6 +202,7 @@
             self._write_ended(stored, order, ended)
             return
         self._object_by_service[order.service] = stored
+        age = self._rollouts.find_age(order.service) if is_of_order else 0.0
         if not is_of_order:
             number = (era, stored.revision)
             if state is not None and state.number >= number:
@@ -220,7 +221,7 @@
             self._final.discard(order.service)
         if outcome is not None:
             state = states.find_later(state, state._replace(phase=outcome))
-        self._rollouts.merge(state, age=self._rollouts.find_age(order.service))
+        self._rollouts.merge(state, age=age)
 
     def _write_ended(
         self,
--- a/packages/daisypick_router/src/daisypick_router/rollouts.py
+++ b/packages/daisypick_router/src/daisypick_router/rollouts.py
@@ -415,7 +415,7 @@
                 target=message.target,
                 created=message.created,
                 seconds=message.seconds,
-                phase=states.Phase(message.phase),
+                phase=message.phase,
             ),
             age=message.age,
         )
@@ -450,7 +450,7 @@
             target=state.target,
             created=state.created,
             seconds=state.seconds,
-            phase=int(state.phase),
+            phase=state.phase,
             age=round(self.find_age(state.service), 3),
         )
 
@@ -479,7 +479,7 @@
             process=self.process,
             target=state.target,
             created=state.created,
-            phase=int(state.phase),
+            phase=state.phase,
             running_elsewhere=running,
             longest=round(progress.longest, 3),
             tallies=tuple(
--- a/packages/daisypick_router/tests/test_rollouts.py
+++ b/packages/daisypick_router/tests/test_rollouts.py
@@ -8,6 +8,9 @@
 import gevent
 import pytest
 
+from daisypick_core.results import failure
+from daisypick_router import peer_messages
+
 _SHARE = 0.3
 # Time limits of orders; good versions need the longer one on a busy machine.
 _SECONDS = 6.0
@@ -410,3 +413,28 @@
     gevent.sleep(4.0)
     assert _count(new, turned_at) >= 4
     assert _count(new, turned_at + 3.0) == 0
+
+
+def test_order_after_one_that_was_rolled_back_has_its_own_time(store, load):
+    """Guards against an order whose time limit counts from the one before."""
+    _start_servers(store, "v1")
+    routers = _start_routers(store)
+    load(routers)
+    _order(store, target="v9", seconds=1.5)
+    _wait_for_state(store, "rolled_back")
+    gevent.sleep(1.5)
+    _start_servers(store, "v2")
+    _order(store, target="v2", seconds=_LONG_SECONDS)
+    fakes.wait_for(lambda: _find_state(store) == "running")
+    gevent.sleep(0.5)
+    assert routers[0].rollouts.find_age("desk") < 1.5
+    _wait_for_state(store, "succeeded")
+
+
+def test_unknown_phase_of_another_router_is_an_invalid_message():
+    """Guards against a router of a later version that ends connections."""
+    line = b'["rollout","desk",0,7,"v1","v2","7",12.0,9,0.5]'
+    found = peer_messages.decode(line)
+    assert failure.is_failure(found)
+    known = peer_messages.decode(line.replace(b"9,", b"3,"))
+    assert peer_messages.encode(known).rstrip() == line.replace(b"9,", b"3,")
