Choose the version again for a request that waited for a server

A request of a model service that was chosen for the old version and waited for a server could start there after all routers had reported to be idle there, and was cut as the old servers stopped; one that waited to test a version could start after that was rolled back. The choice is checked as the server is given. A request that may test a version whose requests of that organisation are refused for a moment goes to the version in force instead.

--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -123,9 +123,10 @@
         organisation = context.organisation or ""
         self._count_demand(context, organisation)
         self._rollouts.choose(context)
-        refused = self._placing.refuse_locally(
-            context.pool, organisation, context.attempt, time.monotonic()
-        )
+        refused = self._refuse_locally(context, organisation)
+        if refused is not None and context.tests_version:
+            self._rollouts.skip_test(context)
+            refused = self._refuse_locally(context, organisation)
         if refused is not None:
             return self._make_failure(context, None, refused)
         paused = self._notices.refuse(context)
@@ -155,7 +156,11 @@
             directory = self._discovery.directory
             server = directory.server_by_name.get(action.server)
             context.tried_servers.add(action.server)
-            if server is None or not self._may_send(server):
+            if (
+                server is None
+                or not self._may_send(server)
+                or self._rollouts.is_outdated(context)
+            ):
                 self._placing.note_end(context.pool, work.key)
                 self._rollouts.choose(context)
                 continue
@@ -174,6 +179,13 @@
         paused = self._notices.refuse(context)
         return paused or retry_policies.choose_failure(context, result)
 
+    def _refuse_locally(
+        self, context: contexts.Context, organisation: str
+    ) -> actions.Refuse | None:
+        return self._placing.refuse_locally(
+            context.pool, organisation, context.attempt, time.monotonic()
+        )
+
     def _may_send(self, server: backend_server.BackendServer) -> bool:
         """Return whether a server may get requests of this router."""
         return self._discovery.directory.is_available(
--- a/packages/daisypick_router/src/daisypick_router/rollouts.py
+++ b/packages/daisypick_router/src/daisypick_router/rollouts.py
@@ -218,6 +218,20 @@
             if server.version == state.target
         ]
 
+    def is_outdated(self, context: contexts.Context) -> bool:
+        """Return whether the version that was chosen gets nothing any more.
+
+        A request that waited for a server must not reach one that stops as
+        soon as all others have moved.
+        """
+        if not self.is_active:
+            return False
+        if not context.tests_version:
+            version = self.find_in_force(context.service.name)
+            return context.pool.version != version
+        state = self.state_by_service[context.service.name]
+        return not state.is_testing or context.pool.version != state.target
+
     def skip_test(self, context: contexts.Context) -> None:
         """Let a request go to the version in force: no other can take it."""
         progress = self._progress_by_service.get(context.service.name)
--- a/packages/daisypick_router/tests/test_rollouts.py
+++ b/packages/daisypick_router/tests/test_rollouts.py
@@ -9,6 +9,7 @@
 import pytest
 
 from daisypick_core.results import failure
+from daisypick_core.rollout import state as states
 from daisypick_router import peer_messages
 
 _SHARE = 0.3
@@ -438,3 +439,32 @@
     assert failure.is_failure(found)
     known = peer_messages.decode(line.replace(b"9,", b"3,"))
     assert peer_messages.encode(known).rstrip() == line.replace(b"9,", b"3,")
+
+
+def test_request_that_waited_goes_to_the_version_that_is_in_force_now(store):
+    """Guards against starting at an old server that stops after the move."""
+    for version in ("v1", "v2"):
+        server = fakes.FakeServer(f"i-{version}", "assist", fakes.stream_five)
+        store.put("servers", server.name, server.describe(Version=version))
+    (router,) = _start_routers(store, 1)
+    fakes.wait_for(lambda: "assist" in router.rollouts.state_by_service)
+    acquire = router.placing.acquire
+    chosen = []
+
+    def _acquire(service, work):
+        action = acquire(service, work)
+        chosen.append(action.server)
+        state = router.rollouts.state_by_service["assist"]
+        router.rollouts.merge(
+            state._replace(
+                number=(0, 10**6), target="v2", phase=states.Phase.MOVING
+            ),
+            age=0.0,
+        )
+        return action
+
+    router.placing.acquire = _acquire
+    answer = fakes.call(router, "/visit/1")
+    assert answer.status == 200
+    assert chosen == ["i-v1", "i-v2"]
+    assert answer.headers["daisypick-server-seal"] == "seal-i-v2"
