Forward the fields of stored objects that followers know

Callers on large fleets: none failed, but every router called the store for each change. Stored objects had got a status and a creation for roll-outs, and the feed sent all fields where followers read four: 'Expected array of length 4, got 6', 60 times in the log of one router of 22.

The test is red before. No test had sent a change of the store through the encoded messages with these fields.

--- a/packages/daisypick_router/src/daisypick_router/store_feed.py
+++ b/packages/daisypick_router/src/daisypick_router/store_feed.py
@@ -114,7 +114,10 @@
             kind=kind,
             since=since.revision,
             revision=listing.position.revision,
-            objects=tuple(tuple(stored) for stored in listing.objects),
+            objects=tuple(
+                (stored.name, stored.revision, stored.spec, stored.deleted)
+                for stored in listing.objects
+            ),
             age=round(self._find_lag(), 3),
             origin=self._origin,
             number=self._published,
--- a/packages/daisypick_router/tests/test_store_feed.py
+++ b/packages/daisypick_router/tests/test_store_feed.py
@@ -336,3 +336,35 @@
     store.put("servers", "e-1", server.describe(Slots=3))
     for router in chain[2:]:
         fakes.wait_for(lambda peer=router: _sees(peer, "e-1", slots=3), 1.9)
+
+
+class _Follower:
+    """Receives the lines of the feed."""
+
+    def __init__(self):
+        self.messages = []
+
+    def send_line(self, line):
+        self.messages.append(peer_messages.decode(line.rstrip()))
+
+    def send(self, message):
+        self.messages.append(message)
+
+
+def test_forwarded_changes_are_read_by_the_followers():
+    """Guards against followers that reject changes and call the store."""
+    feed = store_feed.StoreFeed(
+        find_lag=lambda: 0.0, origin="r-1", eras=positions.EraTracker()
+    )
+    follower = _Follower()
+    feed.add_follower(follower)
+    stored = stores.StoredObject(
+        name="desk", revision=8, spec={"a": 1}, status={"b": 2}, created="7"
+    )
+    feed.publish(
+        "rollouts",
+        positions.Position(era=0, revision=7),
+        stores.Listing((stored,), positions.Position(era=0, revision=8)),
+    )
+    (message,) = follower.messages[-1:]
+    assert message.objects == (("desk", 8, {"a": 1}, False),)
