--- a/packages/daisypick_core/src/daisypick_core/scheduling/job.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/job.py
@@ -29,6 +29,10 @@
         isolated: Whether it must not share a server with another such request.
             Both may have crashed servers, and the next crash has to tell which
             of them did.
+        expected_events: Events of the answer, as predicted at the median; zero
+            if unknown.
+        high_events: Events that nine in ten such answers do not exceed; zero if
+            unknown.
     """
 
     key: str
@@ -43,6 +47,8 @@
     avoid: frozenset[str] = frozenset()
     data_centre: str = ""
     isolated: bool = False
+    expected_events: float = 0.0
+    high_events: float = 0.0
 
     @property
     def cost(self) -> float:
