Silent streams: move only once another server accepts

Cause: a resumable stream without an event for 1.2 s was closed before a place at another server was known. If no engine accepted the request, the caller's connection was cut although its engine was sound, for example prefilling a long prompt. The same held for a head or first event that was late.

Change: the silent server is read on in steps of 20 ms while the next place is acquired (`takeover.Takeover`). The next server must be reachable and the retry be allowed before the old connection is closed; only then does it get the request, so the two never run together. Without a place the stream is read on and a place is asked for again after the same time, until the deadline. A place that is not needed any more is given back.

Ruled out: closing first and reopening the old server's stream on refusal; the engine would have cancelled it.

--- a/packages/daisypick_http/src/daisypick_http/pool.py
+++ b/packages/daisypick_http/src/daisypick_http/pool.py
@@ -96,6 +96,20 @@
         self._keep(connection)
         return False
 
+    def is_reachable(self, address: tuple[str, int]) -> bool:
+        """Return whether there is a connection that the next request can use.
+
+        A new connection is opened and kept if there is no idle one.
+        """
+        try:
+            connection = self.take(address)
+        except connections.NotConnectedError:
+            return False
+        idle_since = connection.idle_since
+        self._keep(connection)
+        connection.idle_since = idle_since
+        return True
+
     def release(self, connection: connections.Connection) -> None:
         """Keep a connection if it is reusable, else close it."""
         if not connection.is_reusable():
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -7,6 +7,7 @@
 connection is aborted, so that the caller cannot take the stream for complete.
 """
 
+import copy
 import time
 
 from daisypick_core.results import codes
@@ -29,10 +30,12 @@
 from daisypick_router import retry_policy as retry_policies
 from daisypick_router import rollouts as rollout_records
 from daisypick_router import server_notices
+from daisypick_router import takeover as takeovers
 
 _EVENT_STREAM = b"text/event-stream"
-# Seconds without an event after which a resumable stream is resumed at another
-# server. Callers themselves time out after two seconds at the earliest.
+# Least seconds without an event after which a place at another server is
+# acquired for a resumable stream. Callers themselves time out after two seconds
+# at the earliest.
 _EVENT_TIMEOUT_SECONDS = 1.2
 # Timeout for the first event: a multiple of the route's latency target, and a
 # minimum in seconds.
@@ -119,7 +122,6 @@
         stream = event_stream.EventStream(
             last_id=context.caller_headers.last_event
         )
-        result: retry_policies.FailedTry | None = None
         organisation = context.organisation or ""
         self._count_demand(context, organisation)
         self._rollouts.choose(context)
@@ -142,43 +144,129 @@
                 reason="no list of servers was read yet",
                 retry_after=retry_policies.RETRY_AFTER,
             )
-        while result is None or self._retry_policy.may_retry(context, result):
-            if result is not None:
-                self._rollouts.choose(context)
-            work = self._make_job(context)
-            action = self._placing.acquire(context.pool, work)
-            if isinstance(action, actions.Refuse) and context.tests_version:
-                self._rollouts.skip_test(context)
-                work = self._make_job(context)
-                action = self._placing.acquire(context.pool, work)
-            if isinstance(action, actions.Refuse):
-                return self._make_failure(context, result, action)
-            directory = self._discovery.directory
-            server = directory.server_by_name.get(action.server)
-            context.tried_servers.add(action.server)
-            if (
-                server is None
-                or not self._may_send(server)
-                or self._rollouts.is_outdated(context)
-            ):
-                self._placing.note_end(context.pool, work.key)
-                self._rollouts.choose(context)
-                continue
+        takeover = self._make_takeover(context)
+        try:
+            return self._run_tries(connection, context, stream, takeover)
+        finally:
+            takeover.cancel()
+
+    def _run_tries(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+        stream: event_stream.EventStream,
+        takeover: takeovers.Takeover,
+    ) -> failure.Failure | str:
+        result: retry_policies.FailedTry | None = None
+        place: takeovers.Place | None = None
+        while (
+            result is None
+            or place is not None
+            or self._retry_policy.may_retry(context, result)
+        ):
+            if place is None:
+                if result is not None:
+                    self._rollouts.choose(context)
+                found = self._acquire(context)
+                if isinstance(found, actions.Refuse):
+                    return self._make_failure(context, result, found)
+                if found is None:
+                    self._rollouts.choose(context)
+                    continue
+                place = found
             quarantined = self._retry_policy.quarantine.refuse(context)
             if quarantined is not None:
                 # It has crashed its last server while it waited.
-                self._placing.note_end(context.pool, work.key)
+                self._release(place)
                 return self._choose_refusal(context, result, quarantined)
-            source = directory.server_by_name.get(action.source)
-            result = self._try(
-                connection, context, work, server, source, stream
-            )
+            result = self._try(connection, context, place, stream, takeover)
             if isinstance(result, str):
                 return result
-            self._retry_policy.note_failed(context, server, result)
+            self._retry_policy.note_failed(context, place.server, result)
+            place = takeover.take()
+            if place is not None:
+                context.pool = place.service
+                context.tests_version = False
+                context.tried_servers.add(place.server.name)
         paused = self._notices.refuse(context)
         return paused or retry_policies.choose_failure(context, result)
 
+    def _acquire(
+        self, context: contexts.Context
+    ) -> takeovers.Place | actions.Refuse | None:
+        """Wait for a place.
+
+        Returns:
+            The place, or the refusal; ``None`` if the server that was chosen
+            may not get the request any more.
+        """
+        work = self._make_job(context)
+        action = self._placing.acquire(context.pool, work)
+        if isinstance(action, actions.Refuse) and context.tests_version:
+            self._rollouts.skip_test(context)
+            work = self._make_job(context)
+            action = self._placing.acquire(context.pool, work)
+        if isinstance(action, actions.Refuse):
+            return action
+        directory = self._discovery.directory
+        server = directory.server_by_name.get(action.server)
+        context.tried_servers.add(action.server)
+        if (
+            server is None
+            or not self._may_send(server)
+            or self._rollouts.is_outdated(context)
+        ):
+            self._placing.note_end(context.pool, work.key)
+            return None
+        return takeovers.Place(
+            work=work,
+            service=context.pool,
+            server=server,
+            source=directory.server_by_name.get(action.source),
+        )
+
+    def _release(self, place: takeovers.Place) -> None:
+        self._placing.note_end(place.service, place.work.key)
+
+    def _make_takeover(self, context: contexts.Context) -> takeovers.Takeover:
+        return takeovers.Takeover(
+            deadline=context.deadline,
+            may_move=lambda servers_reached: self._retry_policy.may_fail_over(
+                context, servers_reached=servers_reached
+            ),
+            acquire=lambda: self._acquire_next(context),
+            confirm=lambda: self._retry_policy.may_retry(
+                context, relay.Broken(reason="silent", timed_out=True)
+            ),
+            release=self._release,
+        )
+
+    def _acquire_next(
+        self, context: contexts.Context
+    ) -> takeovers.Place | None:
+        """Wait for a place at another server while the current one is silent.
+
+        The server has to accept a connection: it may have ended unnoticed, and
+        the silent one is lost for the request once it was moved.
+        """
+        # The version that the running try uses stays in the request's context.
+        following = copy.copy(context)
+        following.tried_servers = set(context.tried_servers)
+        self._rollouts.choose(following)
+        place = self._acquire(following)
+        if not isinstance(place, takeovers.Place):
+            return None
+        reachable = False
+        try:
+            reachable = self._pool.is_reachable(place.server.address)
+        finally:
+            if not reachable:
+                self._release(place)
+        if not reachable:
+            context.tried_servers.add(place.server.name)
+            return None
+        return place
+
     def _refuse_locally(
         self, context: contexts.Context, organisation: str
     ) -> actions.Refuse | None:
@@ -262,31 +350,32 @@
         self,
         connection: http_server.CallerConnection,
         context: contexts.Context,
-        work: job.Job,
-        server: backend_server.BackendServer,
-        source: backend_server.BackendServer | None,
+        place: takeovers.Place,
         stream: event_stream.EventStream,
+        takeover: takeovers.Takeover,
     ) -> retry_policies.FailedTry | str:
         """Send a request to one server and relay the response."""
         result: retry_policies.FailedTry | str | None = None
-        sent = self._rollouts.note_sent(context, server)
+        sent = self._rollouts.note_sent(context, place.server)
         reached = context.servers_reached
         last_event = stream.last_id or 0
         try:
             result = self._exchange(
-                connection, context, work, server, source, stream
+                connection, context, place, stream, takeover
             )
         finally:
             self._rollouts.note_end(
                 sent, reached=context.servers_reached > reached
             )
             if not _is_server_failure(result):
-                self._placing.note_end(context.pool, work.key)
+                self._release(place)
             else:
                 down = (
                     isinstance(result, exchange.NotRun) and result.server_down
                 )
-                self._placing.note_failure(context.pool, work.key, certain=down)
+                self._placing.note_failure(
+                    place.service, place.work.key, certain=down
+                )
         events = (stream.last_id or 0) - last_event
         self._note_answer(context, sent, result, events)
         return result
@@ -321,22 +410,25 @@
         self,
         connection: http_server.CallerConnection,
         context: contexts.Context,
-        work: job.Job,
-        server: backend_server.BackendServer,
-        source: backend_server.BackendServer | None,
+        place: takeovers.Place,
         stream: event_stream.EventStream,
+        takeover: takeovers.Takeover,
     ) -> retry_policies.FailedTry | str:
         self._retry_policy.quarantine.note_sent(context)
+        source = place.source
+        head_timeout = _find_first_event_timeout(context)
+        takeover.watch(
+            head_timeout, servers_reached=context.servers_reached + 1
+        )
         opened = exchange.open_exchange(
             self._pool,
             connection,
             context,
-            server,
+            place.server,
             notices=self._notices,
             last_event=stream.last_id,
-            head_timeout=self._find_first_event_timeout(
-                context, servers_reached=context.servers_reached + 1
-            ),
+            head_timeout=head_timeout,
+            on_silent=takeover.extend,
             copy_from=source.address if source is not None else None,
         )
         if isinstance(opened, exchange.NotRun):
@@ -352,18 +444,9 @@
             _EVENT_STREAM
         ):
             return self._relay_whole(connection, context, opened)
-        return self._relay_stream(connection, context, work, opened, stream)
-
-    def _find_first_event_timeout(
-        self, context: contexts.Context, *, servers_reached: int
-    ) -> float:
-        left = context.deadline - time.monotonic()
-        if not self._retry_policy.may_fail_over(
-            context, servers_reached=servers_reached
-        ):
-            return left
-        timeout = context.route.objective * _FIRST_EVENT_TIMEOUT_OBJECTIVES
-        return min(left, max(timeout, _MIN_FIRST_EVENT_TIMEOUT_SECONDS))
+        return self._relay_stream(
+            connection, context, place, opened, stream, takeover
+        )
 
     def _relay_whole(
         self,
@@ -389,26 +472,28 @@
         self,
         connection: http_server.CallerConnection,
         context: contexts.Context,
-        work: job.Job,
+        place: takeovers.Place,
         opened: exchange.OpenExchange,
         stream: event_stream.EventStream,
+        takeover: takeovers.Takeover,
     ) -> relay.Broken | str:
         reader = relay.EventReader(opened=opened, stream=stream)
         ended = None
-        event_timeout = self._find_first_event_timeout(
-            context, servers_reached=context.servers_reached
-        )
+        event_timeout = _find_first_event_timeout(context)
         first = True
         try:
             while True:
-                events = self._read_events(context, reader, event_timeout)
+                until = takeover.watch(
+                    event_timeout, servers_reached=context.servers_reached
+                )
+                events = _read_events(reader, takeover, until)
                 if not isinstance(events, bytes):
                     ended = events
                     break
                 if first:
                     first = False
                     event_timeout = _EVENT_TIMEOUT_SECONDS
-                    self._note_first(context, work)
+                    self._note_first(context, place)
                 if not connection.response_started:
                     connection.begin_stream(
                         status=opened.head.status,
@@ -430,33 +515,11 @@
         connection.end_stream()
         return "streamed"
 
-    def _read_events(
-        self,
-        context: contexts.Context,
-        reader: relay.EventReader,
-        event_timeout: float,
-    ) -> bytes | relay.StreamEnded | relay.Broken:
-        """Return the next events of a stream, its end, or why it failed.
-
-        The timeout applies only to a stream that can be resumed at another
-        server. Any other would be aborted though its server may still be
-        working, so it is read until the deadline.
-        """
-        until = min(time.monotonic() + event_timeout, context.deadline)
-        events = reader.read(until)
-        if (
-            isinstance(events, relay.Broken)
-            and events.timed_out
-            and until < context.deadline
-            and not self._retry_policy.may_fail_over(
-                context, servers_reached=context.servers_reached
-            )
-        ):
-            return reader.read(context.deadline)
-        return events
-
-    def _note_first(self, context: contexts.Context, work: job.Job) -> None:
-        self._placing.note_first_token(context.pool, work.key)
+    def _note_first(
+        self, context: contexts.Context, place: takeovers.Place
+    ) -> None:
+        work = place.work
+        self._placing.note_first_token(place.service, work.key)
         if context.first_event_at is None:
             context.first_event_at = time.monotonic()
             self._placing.tally.add(work.organisation, begun=work.cost)
@@ -467,6 +530,29 @@
         )
 
 
+def _read_events(
+    reader: relay.EventReader, takeover: takeovers.Takeover, until: float
+) -> bytes | relay.StreamEnded | relay.Broken:
+    """Return the next events of a stream, its end, or why it failed.
+
+    A silent stream fails only at the deadline or once another server accepts
+    the request.
+    """
+    while True:
+        events = reader.read(until)
+        if not isinstance(events, relay.Broken) or not events.timed_out:
+            return events
+        extended = takeover.extend()
+        if extended is None:
+            return events
+        until = extended
+
+
+def _find_first_event_timeout(context: contexts.Context) -> float:
+    timeout = context.route.objective * _FIRST_EVENT_TIMEOUT_OBJECTIVES
+    return max(timeout, _MIN_FIRST_EVENT_TIMEOUT_SECONDS)
+
+
 def _find_output_tokens(caller_headers: request_headers.CallerHeaders) -> int:
     """Return the expected number of output tokens of a request."""
     expected = caller_headers.expected_tokens
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -4,6 +4,7 @@
 (``NotRun``), or it may have run (``Unknown``).
 """
 
+from collections.abc import Callable
 import time
 import typing
 
@@ -65,6 +66,7 @@
     notices: server_notices.ServerNotices,
     last_event: int | None,
     head_timeout: float,
+    on_silent: Callable[[], float | None] | None = None,
     copy_from: tuple[str, int] | None = None,
 ) -> Outcome:
     """Send a request and read the head of its response.
@@ -77,6 +79,8 @@
         notices: Gets the headers of each response.
         last_event: Id of the event after which to resume a stream.
         head_timeout: Seconds to wait for the head of the response.
+        on_silent: Called when there is no head then; returns until when to
+            wait on, or ``None`` to give up.
         copy_from: Address of a server that has more of the prompt in its KV
             cache.
 
@@ -109,6 +113,7 @@
             notices,
             last_event,
             head_timeout,
+            on_silent,
             copy_from,
         )
         finished = isinstance(outcome, OpenExchange) or connection.is_reusable()
@@ -127,6 +132,7 @@
     notices: server_notices.ServerNotices,
     last_event: int | None,
     head_timeout: float,
+    on_silent: Callable[[], float | None] | None,
     copy_from: tuple[str, int] | None,
 ) -> Outcome:
     request = context.request
@@ -149,7 +155,9 @@
         connection.send(
             data, method=request.method, timeout=_SEND_TIMEOUT_SECONDS
         )
-        return _read_head(connection, context, server, notices, head_timeout)
+        return _read_head(
+            connection, context, server, notices, head_timeout, on_silent
+        )
     except connections.ConnectionBrokeError as error:
         return Unknown(reason=str(error))
     except connections.AnswerTimeoutError as error:
@@ -162,6 +170,7 @@
     server: backend_server.BackendServer,
     notices: server_notices.ServerNotices,
     head_timeout: float,
+    on_silent: Callable[[], float | None] | None,
 ) -> Outcome:
     """Read the head of the response to this request.
 
@@ -170,7 +179,9 @@
     """
     head_due_at = time.monotonic() + head_timeout
     while True:
-        _read_until_head(connection, min(head_due_at, context.deadline))
+        _read_until_head(
+            connection, min(head_due_at, context.deadline), on_silent
+        )
         reader = connection.reader
         if reader.head is None:
             return Unknown(reason=reader.broken or "no head of an answer")
@@ -188,10 +199,20 @@
         return _classify_response(connection, server_headers, context.deadline)
 
 
-def _read_until_head(connection: connections.Connection, until: float) -> None:
+def _read_until_head(
+    connection: connections.Connection,
+    until: float,
+    on_silent: Callable[[], float | None] | None,
+) -> None:
     reader = connection.reader
     while reader.head is None and reader.broken is None:
-        connection.read(until - time.monotonic())
+        try:
+            connection.read(until - time.monotonic())
+        except connections.AnswerTimeoutError:
+            extended = on_silent() if on_silent is not None else None
+            if extended is None:
+                raise
+            until = extended
 
 
 def _read_to_end(connection: connections.Connection, until: float) -> None:
