Learn the time from event to event, and how long engines may prefill

Cause: the scheduler predicts the first token and nothing after it.

Change: the regression of the time to first token moves to learned_line, which also fits the time from event to event by running requests (decode_speed).

--- a/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
@@ -22,6 +22,11 @@
 * ``pauses``: organisations whose requests a router refuses for a moment.
 * ``cold_limits``: rate limits of routers at servers that may be cold.
 * ``prefill_speed``: prediction of the time to first token.
+* ``decode_speed``: prediction of the time from event to event.
+* ``learned_line``: a line that follows observations, used by both.
+* ``decode_load``: progress of an engine's answers, and what prefill they allow.
+* ``prefill_credit``: how much prefill an engine may start beside its decoding.
+* ``completion``: which engines can complete an answer in time.
 * ``admission``: which requests may wait, and for how long.
 * ``fleet_report``: estimated state of engines, for logs.
 * ``actions``: what a scheduler returns to its driver.
--- a/packages/daisypick_core/src/daisypick_core/scheduling/prefill_speed.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/prefill_speed.py
@@ -21,9 +21,10 @@
     2.0
 """
 
-# Prior of the line, in seconds and in seconds per token. It weighs as much as
-# one observation at each of two sizes, so a handful of first tokens outweigh
-# it.
+from daisypick_core.scheduling import decode_speed
+from daisypick_core.scheduling import learned_line
+
+# Prior of the line, in seconds and in seconds per token.
 _INITIAL_BASE_SECONDS = 0.03
 _INITIAL_TOKEN_SECONDS = 1.0 / 50_000.0
 _PRIOR_TOKENS = 5000.0
@@ -34,23 +35,19 @@
 # Bounds of an engine's factor, so that false or missing observations neither
 # exclude an engine nor attract all requests to it.
 _MIN_FACTOR, _MAX_FACTOR = 0.3, 20.0
-_MIN_SECONDS = 0.001
-# Largest ratio, either way, between an observed and a predicted time; larger
-# ones are clamped. Some first tokens wait for a slot in a full batch or for
-# memory, which is unrelated to prefill: without the bound a few of these
-# outliers flatten the line until a token seems to take no time.
-_MAX_ERROR_RATIO = 2.0
 
 
 class ServiceSpeed:
     """The latency line of a service: a base, and seconds per token.
 
-    A weighted least squares fit with exponential decay. Errors grow with the
-    time itself, so an observation is weighted by the inverse of its time.
-
     Args:
         base: Initial seconds to a first token without any prefill.
         token_seconds: Initial seconds per token.
+
+    Attributes:
+        decode: The line of the time from event to event.
+        relative_error: Mean relative error of predictions, with exponential
+            decay.
     """
 
     def __init__(
@@ -59,36 +56,32 @@
         base: float = _INITIAL_BASE_SECONDS,
         token_seconds: float = _INITIAL_TOKEN_SECONDS,
     ) -> None:
-        self.base = base
-        self.token_seconds = token_seconds
-        # Mean relative error of predictions, with exponential decay.
+        self._line = learned_line.LearnedLine(
+            base=base,
+            slope=token_seconds,
+            prior_x=_PRIOR_TOKENS,
+            decay=_SERVICE_DECAY,
+        )
+        self.decode = decode_speed.ServiceDecodeSpeed()
         self.relative_error = 0.25
-        self._weight = 0.0
-        self._tokens = 0.0
-        self._seconds = 0.0
-        self._tokens_squared = 0.0
-        self._tokens_seconds = 0.0
-        self._add(0.0, base)
-        self._add(_PRIOR_TOKENS, self.predict(_PRIOR_TOKENS))
+
+    @property
+    def base(self) -> float:
+        """Seconds to a first token without any prefill."""
+        return self._line.base
+
+    @property
+    def token_seconds(self) -> float:
+        """Seconds of prefill per token."""
+        return self._line.slope
 
     def predict(self, tokens: float) -> float:
         """Return the seconds to first token with ``tokens`` to prefill."""
-        return self.base + tokens * self.token_seconds
+        return self._line.predict(tokens)
 
     def learn(self, tokens: float, seconds: float) -> None:
         """Learn from an observed first token."""
-        expected = self.predict(tokens)
-        seconds = min(
-            max(seconds, expected / _MAX_ERROR_RATIO),
-            expected * _MAX_ERROR_RATIO,
-        )
-        self._weight *= _SERVICE_DECAY
-        self._tokens *= _SERVICE_DECAY
-        self._seconds *= _SERVICE_DECAY
-        self._tokens_squared *= _SERVICE_DECAY
-        self._tokens_seconds *= _SERVICE_DECAY
-        self._add(tokens, seconds)
-        self._fit()
+        self._line.learn(tokens, seconds)
 
     def note_error(self, relative: float) -> None:
         """Record the relative error of a prediction."""
@@ -97,37 +90,19 @@
             error - self.relative_error
         )
 
-    def _add(self, tokens: float, seconds: float) -> None:
-        weight = 1.0 / max(self.predict(tokens), _MIN_SECONDS)
-        self._weight += weight
-        self._tokens += weight * tokens
-        self._seconds += weight * seconds
-        self._tokens_squared += weight * tokens * tokens
-        self._tokens_seconds += weight * tokens * seconds
-
-    def _fit(self) -> None:
-        mean_tokens = self._tokens / self._weight
-        mean_seconds = self._seconds / self._weight
-        variance = self._tokens_squared / self._weight - mean_tokens**2
-        covariance = self._tokens_seconds / self._weight
-        covariance -= mean_tokens * mean_seconds
-        if variance <= 1.0:
-            return
-        slope = max(covariance / variance, 0.0)
-        base = mean_seconds - slope * mean_tokens
-        if base < _MIN_SECONDS:
-            base = _MIN_SECONDS
-            slope = (mean_seconds - base) / max(mean_tokens, 1.0)
-        if slope > 0.0:
-            self.base, self.token_seconds = base, slope
-
 
 class EngineSpeed:
-    """Slowdown of one engine against the line of its service."""
+    """Slowdown of one engine against the line of its service.
+
+    Attributes:
+        factor: The slowdown.
+        decode: The same for the time from event to event.
+    """
 
     def __init__(self, *, service: ServiceSpeed) -> None:
         self._service = service
         self.factor = 1.0
+        self.decode = decode_speed.EngineDecodeSpeed(service=service.decode)
 
     @property
     def token_seconds(self) -> float:
@@ -160,8 +135,8 @@
         self._service.note_error(seconds / (expected * self.factor) - 1.0)
         ratio = seconds / expected
         ratio = min(
-            max(ratio, self.factor / _MAX_ERROR_RATIO),
-            self.factor * _MAX_ERROR_RATIO,
+            max(ratio, self.factor / learned_line.MAX_ERROR_RATIO),
+            self.factor * learned_line.MAX_ERROR_RATIO,
         )
         factor = self.factor + (1.0 - _ENGINE_DECAY) * (ratio - self.factor)
         self.factor = min(max(factor, _MIN_FACTOR), _MAX_FACTOR)
