Start only what can end in time, and leave engines time for their answers

Cause: engines are given prompts as long as first tokens are in time.

Change: an engine's estimate follows the progress of its answers (decode_load) by two sums over time. completion decides where a request may start: where its predicted end is in time, where the running answer with the least headroom leaves time for the prompt (prefill_credit), and where the prefill does not go on for longer than callers accept as a pause. A start costs what it takes of the engine's time for prefill, so long answers gather where others are. An answer that no engine can end in time is refused at once. Requests of unknown length are scheduled as before; routers do not announce lengths yet.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_estimate.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_estimate.py
@@ -8,8 +8,11 @@
 """
 
 import itertools
+import math
 
+from daisypick_core.scheduling import decode_load
 from daisypick_core.scheduling import job
+from daisypick_core.scheduling import prefill_credit
 from daisypick_core.scheduling import prefill_speed
 from daisypick_core.scheduling import prefix_cache
 
@@ -70,6 +73,11 @@
     that its prefill ended a base time earlier, and so how far the next
     prefill has come. While the first token of the oldest prompt is overdue
     the backlog does not shrink, so an engine that has stopped gets no more.
+
+    Attributes:
+        cache: Its prefix cache.
+        decode: Progress of its answers.
+        prefill_credit: Prefill that it may start beside its decoding.
     """
 
     def __init__(
@@ -83,6 +91,13 @@
         self.kv_tokens = kv_tokens
         self.speed = speed
         self.cache = prefix_cache.PrefixCache(capacity=kv_tokens)
+        self.decode = decode_load.DecodeLoad(speed=speed.decode)
+        self.prefill_credit = prefill_credit.PrefillCredit()
+        # Seconds of prefill that were started so far; those since the last
+        # break, and when the last prompt of them was prefilled.
+        self._prefill_started = 0.0
+        self._stretch = 0.0
+        self._stretch_until = -math.inf
         self._run_by_key: dict[str, _Run] = {}
         # Requests without a first token in the order of their start, and the
         # sum of their prefill tokens. The sum is kept up to date because a
@@ -124,6 +139,64 @@
         """Return the seconds of prefill that are ahead of a new request."""
         return self.prefill_backlog(now) * self.speed.token_seconds
 
+    def prefilled_seconds(self, now: float) -> float:
+        """Return the seconds of prefill that the engine has done so far."""
+        return self._prefill_started - self.prefill_wait(now)
+
+    def prefill_stretch(self, now: float) -> float:
+        """Return the seconds of prefill, done or ahead, since the last break.
+
+        A break is long enough for running answers to advance by an event.
+        """
+        until = now
+        if not self._prefilling_by_key:
+            until = min(now, self._stretch_until)
+        if now - until >= self.decode.speed.predict(self.running):
+            return 0.0
+        return self._stretch
+
+    def update_headroom(self, now: float) -> decode_load.Headroom:
+        """Return the prefill that the running answers leave room for.
+
+        What has accrued of it is added to ``prefill_credit``.
+        """
+        backlog = self.prefill_wait(now)
+        room = self.decode.find_headroom(
+            now,
+            running=self.running,
+            prefilled=self._prefill_started - backlog,
+            backlog=backlog,
+        )
+        self.prefill_credit.update(now, headroom=room.share)
+        return room
+
+    def note_pace(
+        self,
+        key: str,
+        *,
+        events: int,
+        seconds: float,
+        longest: float,
+        now: float,
+    ) -> None:
+        """Learn from the events of an answer that has just ended.
+
+        Args:
+            key: The request.
+            events: Its events after the first.
+            seconds: Time from the first to the last of them.
+            longest: The longest time between two of them.
+            now: The time.
+        """
+        self.decode.note_running(self.running, now)
+        self.decode.note_pace(
+            key,
+            events=events,
+            seconds=seconds,
+            longest=longest,
+            prefilled=self.prefilled_seconds(now),
+        )
+
     def has_memory(self, work: job.Job, share: float = 1.0) -> bool:
         """Return whether a request's tokens fit beside the running ones."""
         wanted = self.cache.count_unpinned(work.parts) + work.output_tokens
@@ -160,6 +233,18 @@
             first_at=now + self.speed.predict((ahead or 0.0) + own_tokens),
             was_idle=not self._prefilling_by_key,
         )
+        self.decode.note_running(self.running, now)
+        self.decode.begin(
+            work.key,
+            deadline_at=work.deadline_at,
+            events=work.expected_events,
+            max_pause=work.max_pause,
+        )
+        self.update_headroom(now)
+        prefill_seconds = own_tokens * self.speed.token_seconds
+        self._stretch = self.prefill_stretch(now) + prefill_seconds
+        self._prefill_started += prefill_seconds
+        self.prefill_credit.spend(prefill_seconds)
         self._run_by_key[work.key] = run
         self._prefilling_by_key[work.key] = run
         self._prefill_tokens += own_tokens
@@ -212,12 +297,15 @@
     def _record_prefilled(self, key: str, now: float) -> _Run:
         run = self._end_prefill(key, now)
         self.cache.mark_prefilled(run.job.parts)
+        self.decode.note_running(self.running, now)
+        self.decode.note_first(key, now, prefilled=self.prefilled_seconds(now))
         return run
 
     def _end_prefill(self, key: str, now: float) -> _Run | None:
         run = self._prefilling_by_key.pop(key, None)
         if run is not None:
             self._prefill_tokens -= run.own_tokens
+            self._stretch_until = now
             self._backlog = min(
                 self.prefill_backlog(now), float(self._prefill_tokens)
             )
@@ -226,10 +314,15 @@
 
     def end(self, key: str, now: float) -> None:
         """Record that a request ended, whether it succeeded or failed."""
-        run = self._run_by_key.pop(key, None)
+        run = self._run_by_key.get(key)
         if run is None:
             return
+        self.decode.note_running(self.running, now)
+        del self._run_by_key[key]
+        self.decode.end(key)
         was_prefilling = self._end_prefill(key, now) is not None
+        if was_prefilling:
+            self._prefill_started -= run.own_tokens * self.speed.token_seconds
         self.cache.output_tokens -= run.job.output_tokens
         self.cache.end(run.job.parts)
         if was_prefilling:
--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_fleet.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_fleet.py
@@ -258,6 +258,23 @@
         if estimate is not None:
             estimate.note_first_token(key, now, learn=learn, late=late)
 
+    def note_pace(
+        self,
+        server: str,
+        key: str,
+        *,
+        events: int,
+        seconds: float,
+        longest: float,
+        now: float,
+    ) -> None:
+        """Learn from an answer that has just ended; see ``EngineEstimate``."""
+        estimate = self._estimate_by_server.get(server)
+        if estimate is not None:
+            estimate.note_pace(
+                key, events=events, seconds=seconds, longest=longest, now=now
+            )
+
     def find_running(self, router: str) -> list[tuple[str, str]]:
         """Return server and key of a router's requests."""
         return [
--- a/packages/daisypick_core/src/daisypick_core/scheduling/job.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/job.py
@@ -33,6 +33,8 @@
             if unknown.
         high_events: Events that nine in ten such answers do not exceed; zero if
             unknown.
+        max_pause: Longest time between two events for which the answer is in
+            time, in seconds; zero if unknown.
     """
 
     key: str
@@ -49,6 +51,7 @@
     isolated: bool = False
     expected_events: float = 0.0
     high_events: float = 0.0
+    max_pause: float = 0.0
 
     @property
     def cost(self) -> float:
--- a/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
@@ -15,6 +15,7 @@
 from collections.abc import Mapping
 import typing
 
+from daisypick_core.scheduling import completion
 from daisypick_core.scheduling import engine_estimate
 from daisypick_core.scheduling import job
 
@@ -137,12 +138,23 @@
         ):
             max_busy_cached = max(max_busy_cached, cached)
             continue
+        completion_cost = completion.find_cost(
+            work,
+            engine,
+            prefill=to_prefill * engine.speed.token_seconds,
+            backlog=ahead / share * engine.speed.token_seconds,
+            now=now,
+        )
+        if completion_cost is None:
+            max_busy_cached = max(max_busy_cached, cached)
+            continue
         recomputed = max(prefix.max_cached - cached - copied, 0)
         cost = (
             (ahead + to_prefill + recomputed * _RECOMPUTE_WEIGHT)
             * engine.speed.token_seconds
             + copied * copy_token_seconds * _COPY_WEIGHT
             + engine.running * _BATCH_SLOT_SECONDS
+            + completion_cost
         )
         if data_centre_by_server[server] != work.data_centre:
             cost += _REMOTE_SECONDS
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -24,6 +24,7 @@
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import admission
 from daisypick_core.scheduling import cold_limits
+from daisypick_core.scheduling import completion
 from daisypick_core.scheduling import engine_candidates
 from daisypick_core.scheduling import engine_fleet
 from daisypick_core.scheduling import fair_share
@@ -81,6 +82,7 @@
     ) -> None:
         self._copy_token_seconds = copy_token_seconds
         self._rng = rng
+        self._speed = speed
         self.shares = fair_share.FairShare(window_seconds=window_seconds)
         self._counted_keys = recent_keys.RecentKeys(seconds=window_seconds)
         self.tally = organisation_tally.OrganisationTally()
@@ -130,6 +132,9 @@
             return [self._refuse(work, "all backend servers were tried")]
         self.shares.add_demand(work.organisation, work.cost, now)
         self.tally.add(work.organisation, submitted=1, asked=work.cost)
+        if completion.is_impossible(work, self._speed.decode, now):
+            self.tally.add(work.organisation, impossible=1)
+            return [self._refuse(work, "its answer cannot end in time")]
         displaced = self._displace_infeasible(work, now)
         if self._admission.exceeds_queue_limit(work, now):
             self.tally.add(work.organisation, refused_beyond=1)
@@ -182,6 +187,34 @@
         self._fleet.note_first_token(server, key, now, learn=learn, late=late)
         return self.dispatch(now)
 
+    def note_pace(
+        self,
+        key: str,
+        events: int,
+        seconds: float,
+        longest: float,
+        now: float,
+    ) -> None:
+        """Learn from the events of an answer; call before ``note_end``.
+
+        Args:
+            key: The request.
+            events: Its events after the first.
+            seconds: Time from the first to the last of them.
+            longest: The longest time between two of them.
+            now: The time.
+        """
+        server = self._server_by_key.get(key)
+        if server is not None and events > 0:
+            self._fleet.note_pace(
+                server,
+                key,
+                events=events,
+                seconds=seconds,
+                longest=longest,
+                now=now,
+            )
+
     def note_end(self, key: str, now: float) -> list[actions.Action]:
         """Record that a request ended at its server."""
         server = self._server_by_key.pop(key, None)
--- a/packages/daisypick_core/src/daisypick_core/serving/route_table.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/route_table.py
@@ -40,6 +40,8 @@
         max_attempts: Maximum number of backend servers tried per request.
         public: Whether requests need no API key.
         resumable: Whether another server may resume a broken stream.
+        max_pause: Longest time between two events of a stream that is in time,
+            in seconds; zero if none is declared.
     """
 
     name: str
@@ -52,6 +54,7 @@
     max_attempts: int
     public: bool
     resumable: bool
+    max_pause: float = 0.0
 
     @property
     def may_run_again(self) -> bool:
