Predicted lengths and paces of answers reach the scheduler

Cause: the host schedules without the length of an answer and without how fast events come, so it cannot predict an end; and 1.2 s of silence says little while all engines are slow.

Change: `Answers` learns lengths by route and the times within streams by service. A job gets `expected_events` and `high_events`; a resumed stream what is left. `Expect` precedes `Submit` and `Running`, `Pace` precedes `End` and `Failed`; older hosts ignore both. `Scheduler.note_pace` is empty so far. A pace is not reported if the loop was late at the first or last event, or the caller did not read. The limit of silence is 1.5 times the third longest recent silence of the service, for the first event 2.5 times the predicted prefill; 1.2 s and 2.5 latency targets stay the least. "End." logs the predicted and the actual end; four metrics count the errors by route.

Ruled out: the longest recent silence, which one server that hung and recovered would set for all.

With a key of 15 characters `Expect` has 41 bytes and `Pace` 47.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -182,6 +182,18 @@
         self._fleet.note_first_token(server, key, now, learn=learn, late=late)
         return self.dispatch(now)
 
+    def note_pace(
+        self, key: str, events: float, seconds: float, now: float
+    ) -> None:
+        """Record how fast the events of a request came, before its end.
+
+        Args:
+            key: The request.
+            events: Events after the first one.
+            seconds: From the first event to the last.
+            now: The time.
+        """
+
     def note_end(self, key: str, now: float) -> list[actions.Action]:
         """Record that a request ended at its server."""
         server = self._server_by_key.pop(key, None)
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -15,11 +15,12 @@
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import job
 from daisypick_core.serving import backend_server
-from daisypick_core.serving import event_stream
 from daisypick_http import messages
 from daisypick_http import pool as pools
 from daisypick_http import server as http_server
 from daisypick_platform import request_headers
+from daisypick_router import answer_progress
+from daisypick_router import answers as answer_records
 from daisypick_router import context as contexts
 from daisypick_router import discovery as discoveries
 from daisypick_router import exchange
@@ -33,14 +34,8 @@
 from daisypick_router import takeover as takeovers
 
 _EVENT_STREAM = b"text/event-stream"
-# Least seconds without an event after which a place at another server is
-# acquired for a resumable stream. Callers themselves time out after two seconds
-# at the earliest.
-_EVENT_TIMEOUT_SECONDS = 1.2
-# Timeout for the first event: a multiple of the route's latency target, and a
-# minimum in seconds.
-_FIRST_EVENT_TIMEOUT_OBJECTIVES = 2.5
-_MIN_FIRST_EVENT_TIMEOUT_SECONDS = 1.0
+# Outcome of a request whose stream was relayed to its end.
+_STREAMED = "streamed"
 # Expected output as a fraction of the caller's maximum number of output tokens,
 # used if the caller sends no estimate.
 _EXPECTED_OUTPUT_SHARE = 0.5
@@ -63,6 +58,7 @@
         retry_policy: retry_policies.RetryPolicy,
         notices: server_notices.ServerNotices,
         rollouts: rollout_records.Rollouts,
+        answers: answer_records.Answers,
         metrics: metric_numbers.Metrics,
         router: str,
         data_centre: str,
@@ -73,6 +69,7 @@
         self._retry_policy = retry_policy
         self._notices = notices
         self._rollouts = rollouts
+        self._answers = answers
         self._metrics = metrics
         self._router = router
         self._data_centre = data_centre
@@ -119,8 +116,8 @@
         connection: http_server.CallerConnection,
         context: contexts.Context,
     ) -> failure.Failure | str:
-        stream = event_stream.EventStream(
-            last_id=context.caller_headers.last_event
+        progress = answer_progress.AnswerProgress(
+            last_event=context.caller_headers.last_event
         )
         organisation = context.organisation or ""
         self._count_demand(context, organisation)
@@ -144,17 +141,22 @@
                 reason="no list of servers was read yet",
                 retry_after=retry_policies.RETRY_AFTER,
             )
-        takeover = self._make_takeover(context)
+        takeover = self._make_takeover(context, progress)
+        outcome = None
         try:
-            return self._run_tries(connection, context, stream, takeover)
+            outcome = self._run_tries(connection, context, progress, takeover)
+            return outcome
         finally:
             takeover.cancel()
+            self._answers.learn_length(
+                context, progress, complete=outcome == _STREAMED
+            )
 
     def _run_tries(
         self,
         connection: http_server.CallerConnection,
         context: contexts.Context,
-        stream: event_stream.EventStream,
+        progress: answer_progress.AnswerProgress,
         takeover: takeovers.Takeover,
     ) -> failure.Failure | str:
         result: retry_policies.FailedTry | None = None
@@ -167,7 +169,7 @@
             if place is None:
                 if result is not None:
                     self._rollouts.choose(context)
-                found = self._acquire(context)
+                found = self._acquire(context, progress)
                 if isinstance(found, actions.Refuse):
                     return self._make_failure(context, result, found)
                 if found is None:
@@ -179,7 +181,7 @@
                 # It has crashed its last server while it waited.
                 self._release(place)
                 return self._choose_refusal(context, result, quarantined)
-            result = self._try(connection, context, place, stream, takeover)
+            result = self._try(connection, context, place, progress, takeover)
             if isinstance(result, str):
                 return result
             self._retry_policy.note_failed(context, place.server, result)
@@ -188,11 +190,14 @@
                 context.pool = place.service
                 context.tests_version = False
                 context.tried_servers.add(place.server.name)
+                self._count_silent(context, "moved")
         paused = self._notices.refuse(context)
         return paused or retry_policies.choose_failure(context, result)
 
     def _acquire(
-        self, context: contexts.Context
+        self,
+        context: contexts.Context,
+        progress: answer_progress.AnswerProgress,
     ) -> takeovers.Place | actions.Refuse | None:
         """Wait for a place.
 
@@ -200,11 +205,11 @@
             The place, or the refusal; ``None`` if the server that was chosen
             may not get the request any more.
         """
-        work = self._make_job(context)
+        work = self._make_job(context, progress.passed)
         action = self._placing.acquire(context.pool, work)
         if isinstance(action, actions.Refuse) and context.tests_version:
             self._rollouts.skip_test(context)
-            work = self._make_job(context)
+            work = self._make_job(context, progress.passed)
             action = self._placing.acquire(context.pool, work)
         if isinstance(action, actions.Refuse):
             return action
@@ -223,18 +228,26 @@
             service=context.pool,
             server=server,
             source=directory.server_by_name.get(action.source),
+            prefill_seconds=self._placing.predict_prefill(
+                context.pool,
+                action.ahead + max(work.prompt_tokens - action.cached, 0),
+            ),
         )
 
     def _release(self, place: takeovers.Place) -> None:
         self._placing.note_end(place.service, place.work.key)
 
-    def _make_takeover(self, context: contexts.Context) -> takeovers.Takeover:
+    def _make_takeover(
+        self,
+        context: contexts.Context,
+        progress: answer_progress.AnswerProgress,
+    ) -> takeovers.Takeover:
         return takeovers.Takeover(
             deadline=context.deadline,
             may_move=lambda servers_reached: self._retry_policy.may_fail_over(
                 context, servers_reached=servers_reached
             ),
-            acquire=lambda: self._acquire_next(context),
+            acquire=lambda: self._acquire_next(context, progress),
             confirm=lambda: self._retry_policy.may_retry(
                 context, relay.Broken(reason="silent", timed_out=True)
             ),
@@ -242,7 +255,9 @@
         )
 
     def _acquire_next(
-        self, context: contexts.Context
+        self,
+        context: contexts.Context,
+        progress: answer_progress.AnswerProgress,
     ) -> takeovers.Place | None:
         """Wait for a place at another server while the current one is silent.
 
@@ -253,8 +268,9 @@
         following = copy.copy(context)
         following.tried_servers = set(context.tried_servers)
         self._rollouts.choose(following)
-        place = self._acquire(following)
+        place = self._acquire(following, progress)
         if not isinstance(place, takeovers.Place):
+            self._count_silent(context, "no_place")
             return None
         reachable = False
         try:
@@ -264,9 +280,15 @@
                 self._release(place)
         if not reachable:
             context.tried_servers.add(place.server.name)
+            self._count_silent(context, "no_connection")
             return None
         return place
 
+    def _count_silent(self, context: contexts.Context, outcome: str) -> None:
+        self._metrics.count(
+            "silent_tries_total", service=context.service.name, outcome=outcome
+        )
+
     def _refuse_locally(
         self, context: contexts.Context, organisation: str
     ) -> actions.Refuse | None:
@@ -304,7 +326,7 @@
             return retry_policies.choose_failure(context, result)
         return refusal
 
-    def _make_job(self, context: contexts.Context) -> job.Job:
+    def _make_job(self, context: contexts.Context, passed: int) -> job.Job:
         caller_headers = context.caller_headers
         # A request that was read late or is retried has used up part of its
         # latency target. With only the remainder it would be refused, and an
@@ -324,6 +346,7 @@
             context.service.name
         )
         paused = self._notices.pauses.find_paused(time.monotonic())
+        length = self._answers.predict_length(context, passed)
         return job.Job(
             key=f"{context.attempt}/{len(context.tried_servers)}",
             router=self._router,
@@ -344,6 +367,8 @@
             ),
             data_centre=self._data_centre,
             isolated=self._retry_policy.quarantine.is_isolated(context),
+            expected_events=length.expected,
+            high_events=length.high,
         )
 
     def _try(
@@ -351,22 +376,23 @@
         connection: http_server.CallerConnection,
         context: contexts.Context,
         place: takeovers.Place,
-        stream: event_stream.EventStream,
+        progress: answer_progress.AnswerProgress,
         takeover: takeovers.Takeover,
     ) -> retry_policies.FailedTry | str:
         """Send a request to one server and relay the response."""
         result: retry_policies.FailedTry | str | None = None
         sent = self._rollouts.note_sent(context, place.server)
         reached = context.servers_reached
-        last_event = stream.last_id or 0
+        progress.begin_try(place.work)
         try:
             result = self._exchange(
-                connection, context, place, stream, takeover
+                connection, context, place, progress, takeover
             )
         finally:
             self._rollouts.note_end(
                 sent, reached=context.servers_reached > reached
             )
+            self._note_try_end(context, place, progress, result)
             if not _is_server_failure(result):
                 self._release(place)
             else:
@@ -376,10 +402,28 @@
                 self._placing.note_failure(
                     place.service, place.work.key, certain=down
                 )
-        events = (stream.last_id or 0) - last_event
-        self._note_answer(context, sent, result, events)
+        self._note_answer(context, sent, result, progress.events)
         return result
 
+    def _note_try_end(
+        self,
+        context: contexts.Context,
+        place: takeovers.Place,
+        progress: answer_progress.AnswerProgress,
+        result: retry_policies.FailedTry | str | None,
+    ) -> None:
+        self._answers.note_try_end(
+            context, progress, place.server.name, complete=result == _STREAMED
+        )
+        pace = progress.pace
+        if pace is not None:
+            self._placing.note_pace(
+                place.service,
+                place.work.key,
+                events=pace.events,
+                seconds=pace.seconds,
+            )
+
     def _note_answer(
         self,
         context: contexts.Context,
@@ -411,12 +455,14 @@
         connection: http_server.CallerConnection,
         context: contexts.Context,
         place: takeovers.Place,
-        stream: event_stream.EventStream,
+        progress: answer_progress.AnswerProgress,
         takeover: takeovers.Takeover,
     ) -> retry_policies.FailedTry | str:
         self._retry_policy.quarantine.note_sent(context)
         source = place.source
-        head_timeout = _find_first_event_timeout(context)
+        head_timeout = self._answers.find_first_event_timeout(
+            context, place.prefill_seconds
+        )
         takeover.watch(
             head_timeout, servers_reached=context.servers_reached + 1
         )
@@ -426,7 +472,7 @@
             context,
             place.server,
             notices=self._notices,
-            last_event=stream.last_id,
+            last_event=progress.stream.last_id,
             head_timeout=head_timeout,
             on_silent=takeover.extend,
             copy_from=source.address if source is not None else None,
@@ -443,9 +489,10 @@
         if opened.head.status != 200 or not (content_type or b"").startswith(
             _EVENT_STREAM
         ):
+            takeover.cancel()
             return self._relay_whole(connection, context, opened)
         return self._relay_stream(
-            connection, context, place, opened, stream, takeover
+            connection, context, place, opened, progress, takeover
         )
 
     def _relay_whole(
@@ -474,12 +521,14 @@
         context: contexts.Context,
         place: takeovers.Place,
         opened: exchange.OpenExchange,
-        stream: event_stream.EventStream,
+        progress: answer_progress.AnswerProgress,
         takeover: takeovers.Takeover,
     ) -> relay.Broken | str:
-        reader = relay.EventReader(opened=opened, stream=stream)
+        reader = relay.EventReader(opened=opened, stream=progress.stream)
         ended = None
-        event_timeout = _find_first_event_timeout(context)
+        event_timeout = self._answers.find_first_event_timeout(
+            context, place.prefill_seconds
+        )
         first = True
         try:
             while True:
@@ -490,16 +539,19 @@
                 if not isinstance(events, bytes):
                     ended = events
                     break
+                self._answers.note_events(context, progress, events)
+                event_timeout = self._answers.find_silence_timeout(context)
                 if first:
                     first = False
-                    event_timeout = _EVENT_TIMEOUT_SECONDS
                     self._note_first(context, place)
+                read_at = time.monotonic()
                 if not connection.response_started:
                     connection.begin_stream(
                         status=opened.head.status,
                         headers=messages.drop_hop_by_hop(opened.head.headers),
                     )
                 connection.send_chunk(events)
+                progress.note_sent(time.monotonic() - read_at)
         finally:
             if not isinstance(ended, relay.StreamEnded):
                 opened.connection.close()
@@ -513,7 +565,7 @@
                 headers=messages.drop_hop_by_hop(opened.head.headers),
             )
         connection.end_stream()
-        return "streamed"
+        return _STREAMED
 
     def _note_first(
         self, context: contexts.Context, place: takeovers.Place
@@ -541,6 +593,7 @@
     while True:
         events = reader.read(until)
         if not isinstance(events, relay.Broken) or not events.timed_out:
+            takeover.cancel()
             return events
         extended = takeover.extend()
         if extended is None:
@@ -548,11 +601,6 @@
         until = extended
 
 
-def _find_first_event_timeout(context: contexts.Context) -> float:
-    timeout = context.route.objective * _FIRST_EVENT_TIMEOUT_OBJECTIVES
-    return max(timeout, _MIN_FIRST_EVENT_TIMEOUT_SECONDS)
-
-
 def _find_output_tokens(caller_headers: request_headers.CallerHeaders) -> int:
     """Return the expected number of output tokens of a request."""
     expected = caller_headers.expected_tokens
--- a/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
@@ -272,6 +272,13 @@
                 )
             )
 
+    def predict_prefill(
+        self, service: fleet_configuration.Service, tokens: int
+    ) -> float:
+        """Return the seconds to a first token with ``tokens`` to prefill."""
+        speed = self._speed_by_service.get(service.pool)
+        return 0.0 if speed is None else speed.predict(tokens)
+
     def note_first_token(
         self,
         service: fleet_configuration.Service,
@@ -285,6 +292,25 @@
             scheduler.note_first_token(key, time.monotonic(), late=late)
         )
 
+    def note_pace(
+        self,
+        service: fleet_configuration.Service,
+        key: str,
+        *,
+        events: int,
+        seconds: float,
+    ) -> None:
+        """Record how fast the events of a request came, before its end.
+
+        Args:
+            service: Its service.
+            key: The request.
+            events: Events after the first one.
+            seconds: From the first event to the last.
+        """
+        scheduler = self.find_scheduler(service)
+        scheduler.note_pace(key, events, seconds, time.monotonic())
+
     def note_end(self, service: fleet_configuration.Service, key: str) -> None:
         """Record that a request ended at its server."""
         scheduler = self.find_scheduler(service)
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -73,6 +73,10 @@
         self._waiting_by_channel: dict[peer_channel.PeerChannel, set[str]] = {}
         # Key of the latest ``Isolate`` message of each channel.
         self._isolated_by_channel: dict[peer_channel.PeerChannel, str] = {}
+        # The latest ``Expect`` message of each channel.
+        self._expected_by_channel: dict[
+            peer_channel.PeerChannel, peer_messages.Expect
+        ] = {}
         self._leaving = False
 
     def start(self) -> None:
@@ -104,6 +108,7 @@
         finally:
             self._waiting_by_channel.pop(channel, None)
             self._isolated_by_channel.pop(channel, None)
+            self._expected_by_channel.pop(channel, None)
             self._feed.remove_follower(channel)
             router = self._router_by_channel.pop(channel, None)
             if router is not None:
@@ -202,6 +207,12 @@
     ) -> None:
         self._isolated_by_channel[channel] = message.key
 
+    @handles(peer_messages.Expect)
+    def _handle_expect(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Expect
+    ) -> None:
+        self._expected_by_channel[channel] = message
+
     def _read_job(
         self, channel: peer_channel.PeerChannel, wire: peer_messages.WireJob
     ) -> job.Job:
@@ -209,6 +220,11 @@
             wire, self._router_by_channel.get(channel, ""), time.monotonic()
         )
         isolated = self._isolated_by_channel.pop(channel, None) == work.key
+        expected = self._expected_by_channel.pop(channel, None)
+        if expected is not None and expected.key == work.key:
+            work = work._replace(
+                expected_events=expected.expected, high_events=expected.high
+            )
         return work._replace(isolated=isolated)
 
     @handles(peer_messages.Follow)
@@ -297,6 +313,20 @@
                 service, message.key, late=message.late or self._load.is_late()
             )
 
+    @handles(peer_messages.Pace)
+    def _handle_pace(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Pace
+    ) -> None:
+        del channel
+        service = self._find_service(message.service)
+        if service is not None:
+            self._engines.note_pace(
+                service,
+                message.key,
+                events=message.events,
+                seconds=message.seconds,
+            )
+
     @handles(peer_messages.End)
     def _handle_end(
         self, channel: peer_channel.PeerChannel, message: peer_messages.End
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -115,6 +115,24 @@
     key: str
 
 
+@register("expect")
+class Expect(typing.NamedTuple):
+    """Predicted length of the request of the next ``Submit`` or ``Running``.
+
+    A separate message, since hosts of an older version can only ignore it as a
+    whole.
+
+    Attributes:
+        key: The request.
+        expected: Events of the answer, at the median.
+        high: Events that nine in ten such answers do not exceed.
+    """
+
+    key: str
+    expected: float
+    high: float
+
+
 @register("crashes")
 class CrashReports(typing.NamedTuple):
     """Changed records of requests that may crash servers.
@@ -235,6 +253,23 @@
     late: bool = False
 
 
+@register("pace")
+class Pace(typing.NamedTuple):
+    """How fast a request's events came; sent before its ``End``.
+
+    Attributes:
+        service: Its service.
+        key: The request.
+        events: Events after the first one.
+        seconds: From the first event to the last.
+    """
+
+    service: str
+    key: str
+    events: int
+    seconds: float
+
+
 @register("end")
 class End(typing.NamedTuple):
     """A request ended at its server."""
@@ -360,6 +395,22 @@
     )
 
 
+def write_notes(work: job.Job) -> list[Isolate | Expect]:
+    """Return the messages that precede a job's ``Submit`` or ``Running``."""
+    notes: list[Isolate | Expect] = []
+    if work.isolated:
+        notes.append(Isolate(key=work.key))
+    if work.expected_events:
+        notes.append(
+            Expect(
+                key=work.key,
+                expected=round(work.expected_events, 1),
+                high=round(work.high_events, 1),
+            )
+        )
+    return notes
+
+
 def read_job(wire: WireJob, router: str, now: float) -> job.Job:
     """Return the job that a router sent in wire form."""
     return job.Job(
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -323,8 +323,8 @@
     ) -> actions.Action | None:
         result = event.AsyncResult()
         wire = peer_messages.write_job(work, time.monotonic())
-        if work.isolated:
-            link.send(peer_messages.Isolate(key=work.key))
+        for note in peer_messages.write_notes(work):
+            link.send(note)
         link.submit(
             peer_messages.Submit(service=service.pool, work=wire), result.set
         )
@@ -360,6 +360,12 @@
             self._started_during_lag.add(work.key)
         self._running.add(work.key)
 
+    def predict_prefill(
+        self, service: fleet_configuration.Service, tokens: int
+    ) -> float:
+        """Return the seconds to a first token with ``tokens`` to prefill."""
+        return self.fallback.predict_prefill(service, tokens)
+
     def note_first_token(
         self, service: fleet_configuration.Service, key: str
     ) -> None:
@@ -375,6 +381,34 @@
             peer_messages.FirstToken(service=service.pool, key=key, late=late),
         )
 
+    def note_pace(
+        self,
+        service: fleet_configuration.Service,
+        key: str,
+        *,
+        events: int,
+        seconds: float,
+    ) -> None:
+        """Record how fast the events of a request came, before its end.
+
+        Args:
+            service: Its service.
+            key: The request.
+            events: Events after the first one.
+            seconds: From the first event to the last.
+        """
+        self.fallback.note_pace(service, key, events=events, seconds=seconds)
+        self._hosted.note_pace(service, key, events=events, seconds=seconds)
+        self._notify_hosts(
+            service,
+            peer_messages.Pace(
+                service=service.pool,
+                key=key,
+                events=events,
+                seconds=round(seconds, 4),
+            ),
+        )
+
     def note_end(self, service: fleet_configuration.Service, key: str) -> None:
         """Record that a request ended or that its caller disconnected."""
         self._prefilling.discard(key)
@@ -432,8 +466,8 @@
         self, service: fleet_configuration.Service, work: job.Job, server: str
     ) -> None:
         self._hosted.note_started_elsewhere(service, work, server)
-        if work.isolated:
-            self._notify_hosts(service, peer_messages.Isolate(key=work.key))
+        for note in peer_messages.write_notes(work):
+            self._notify_hosts(service, note)
         self._notify_hosts(
             service,
             self._write_running(
@@ -467,8 +501,8 @@
         self, link: peer_link.PeerLink, service: str
     ) -> None:
         for placement in self._placements_by_service.get(service, ()):
-            if placement.work.isolated:
-                link.send(peer_messages.Isolate(key=placement.work.key))
+            for note in peer_messages.write_notes(placement.work):
+                link.send(note)
             link.send(self._write_running(service, placement))
 
     def _write_running(
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -25,6 +25,7 @@
 from daisypick_platform import probes
 from daisypick_platform import settings as platform_settings
 from daisypick_platform import store as stores
+from daisypick_router import answers as answer_records
 from daisypick_router import crash_probe
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_handler
@@ -217,6 +218,9 @@
                 retry_policy=retry_policy,
                 notices=self._notices,
                 rollouts=self.rollouts,
+                answers=answer_records.Answers(
+                    load=self.load, log=self.log, metrics=self.metrics
+                ),
                 metrics=self.metrics,
                 router=settings.name,
                 data_centre=settings.data_centre,
--- a/packages/daisypick_router/src/daisypick_router/takeover.py
+++ b/packages/daisypick_router/src/daisypick_router/takeover.py
@@ -29,12 +29,15 @@
         service: Its service with the version of the server.
         server: The server.
         source: Server that has more of the prompt in its KV cache.
+        prefill_seconds: Seconds predicted for its prefill and that of requests
+            ahead of it.
     """
 
     work: job.Job
     service: fleet_configuration.Service
     server: backend_server.BackendServer
     source: backend_server.BackendServer | None
+    prefill_seconds: float
 
 
 class Takeover:
--- a/packages/daisypick_router/tests/test_silent_streams.py
+++ b/packages/daisypick_router/tests/test_silent_streams.py
@@ -122,6 +122,40 @@
     )
 
 
+def test_silence_as_long_as_recent_ones_does_not_move_a_stream(store):
+    """Guards against repeating prefill while all engines are slow.
+
+    Three streams have survived 1.5 s of silence just before. The next one is
+    silent for as long, and another engine is free.
+    """
+
+    def _pause(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1, 2])
+        gevent.sleep(1.5)
+        fakes.send_events(connection, [3, 4, 5])
+        fakes.end_stream(connection)
+
+    first = fakes.FakeServer("e-1", "assist", _pause)
+    router = _serve(store, first)
+    calls = [
+        gevent.spawn(
+            fakes.call, router, "/ask/1", attempt=f"a-{turn}", patience="8000"
+        )
+        for turn in range(4)
+    ]
+    gevent.joinall(calls)
+    assert all(one.value.whole for one in calls)
+    second = fakes.FakeServer("e-2", "assist", _pause)
+    with fakes.connect(router) as caller:
+        caller.sendall(fakes.write_request("/visit/1", patience="8000"))
+        fakes.wait_for(lambda: len(first.requests) == 5)
+        store.put("servers", "e-2", second.describe())
+        answer = fakes.read_answer(caller)
+    assert (answer.whole, answer.body) == (True, _WHOLE)
+    assert second.requests == []
+
+
 def test_silent_stream_and_its_successor_never_run_together(store):
     """Guards against a request that runs at two engines at once (TWICE).
 
