Answer lengths: an answer that its caller resumes counts once

Cause: a request that comes with the id of the last event was learned as cut before. Counted again at its end, long answers looked more frequent.

Change: the weight that the cut had added to longer answers is taken from them before the answer is added. A refused attempt teaches nothing.

The test fails with the correction taken out.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/answer_lengths.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/answer_lengths.py
@@ -9,7 +9,8 @@
 that was cut off is only known to be longer than what was received; its weight
 is spread over the longer answers in proportion to theirs (the estimator of
 Kaplan and Meier). Counted as lengths, the answers that end at their deadlines
-would make long answers look short.
+would make long answers look short. An answer that its caller resumes was
+learned as cut before: that weight is taken from the longer answers again.
 
 Examples:
     >>> lengths = AnswerLengths()
@@ -75,6 +76,7 @@
         maximum: int,
         events: int,
         is_cut: bool = False,
+        resumed_after: int = 0,
     ) -> None:
         """Learn from an answer.
 
@@ -82,17 +84,20 @@
             route: Name of its route.
             hint: Tokens that its caller estimated, zero if none were.
             maximum: Maximum tokens, zero if none were given.
-            events: Events of the answer.
+            events: Events of the answer, with those before it was resumed.
             is_cut: Whether it would have gone on.
+            resumed_after: Events that its caller had from an attempt before.
         """
         basis = hint or maximum
-        if not basis or not events:
+        if not basis or events <= resumed_after:
             return
         key = (route, bool(hint))
         histogram = self._histograms.pop(key, None) or _Histogram()
         self._histograms[key] = histogram
         if len(self._histograms) > _MAX_HISTOGRAMS:
             self._histograms.popitem(last=False)
+        if resumed_after:
+            histogram.drop_above(_find_position(resumed_after / basis))
         histogram.add(_find_position(events / basis), is_cut=is_cut)
 
     def predict(
@@ -143,6 +148,15 @@
                 self._weights[number] *= factor
         self.answers += 1
 
+    def drop_above(self, position: float) -> None:
+        """Take the weight of one answer that was cut from the longer ones."""
+        begin = min(int(position), _BUCKETS - 1) + 1
+        longer = sum(self._weights[begin:])
+        if longer > self._weight:
+            factor = 1.0 - self._weight / longer
+            for number in range(begin, _BUCKETS):
+                self._weights[number] *= factor
+
     def find_quantiles(
         self, shares: tuple[float, ...], *, above: float
     ) -> list[float]:
--- a/packages/daisypick_core/tests/scheduling/test_answer_lengths.py
+++ b/packages/daisypick_core/tests/scheduling/test_answer_lengths.py
@@ -67,6 +67,38 @@
     _check_shares(lengths, rng)
 
 
+def test_answers_that_callers_resume_count_once():
+    """Guards against long answers that look more frequent than they are.
+
+    Each answer of more than 150 events is cut there and resumed by its caller.
+    The mean of 20 histograms has a fifth of the deviation of one.
+    """
+    shares = []
+    for seed in range(20):
+        rng = random.Random(seed)
+        lengths = answer_lengths.AnswerLengths()
+        for _ in range(600):
+            hint = rng.randrange(60, 900)
+            events = _draw(rng, hint)
+            lengths.learn(
+                "visit",
+                hint=hint,
+                maximum=0,
+                events=min(events, 150),
+                is_cut=events > 150,
+            )
+            lengths.learn(
+                "visit",
+                hint=hint,
+                maximum=0,
+                events=events,
+                resumed_after=150,
+            )
+        median = lengths.predict("visit", hint=600, maximum=0).expected
+        shares.append(sum(_draw(rng, 600) <= median for _ in range(2000)))
+    assert abs(sum(shares) / (2000 * 20) - 0.5) < 0.04
+
+
 def test_change_of_the_lengths_shows_after_some_hundred_answers():
     rng = random.Random(3)
     lengths = answer_lengths.AnswerLengths()
--- a/packages/daisypick_router/src/daisypick_router/answers.py
+++ b/packages/daisypick_router/src/daisypick_router/answers.py
@@ -183,6 +183,7 @@
             maximum=context.caller_headers.output_tokens,
             events=progress.passed,
             is_cut=not complete,
+            resumed_after=context.caller_headers.last_event or 0,
         )
 
 
--- a/packages/daisypick_router/tests/test_answers.py
+++ b/packages/daisypick_router/tests/test_answers.py
@@ -105,9 +105,12 @@
     assert end == peer_messages.End(service="assist", key=pace.key)
     assert 0 < pace.events < _EVENTS
     assert 0.0 < pace.seconds < 1.5
+    _call_some(router, count=1, name="c")
     text = router.metrics.write()
     assert 'answer_events_ratio_count{route="visit"} ' in text
     assert 'answers_predicted_total{length="within",route="visit"} ' in text
+    assert 'answer_seconds_error_count{route="visit"} ' in text
+    assert 'answer_ends_predicted_total{end="' in text
 
 
 def test_host_of_an_older_version_ignores_lengths_and_paces(store, monkeypatch):
