--- a/packages/daisypick_router/tests/test_silent_streams.py
+++ b/packages/daisypick_router/tests/test_silent_streams.py
@@ -12,13 +12,18 @@
 _PAUSE_SECONDS = 2.0
 
 
+def _make_manifest(version, *, target_ms):
+    manifest = fakes.make_manifest(version)
+    for route in manifest["Routes"]:
+        route["TimeoutMs"] = 8000
+        route["LatencyTargetMs"] = target_ms
+    return manifest
+
+
 @pytest.fixture
 def store():
     found = fakes.FakeStore()
-    manifest = fakes.make_manifest()
-    for route in manifest["Routes"]:
-        route["TimeoutMs"] = 8000
-    found.put("config", "main", manifest)
+    found.put("config", "main", _make_manifest(1, target_ms=200))
     yield found
     found.server.stop()
 
@@ -122,6 +127,42 @@
     )
 
 
+def test_caller_that_leaves_ends_the_wait_for_another_server(store):
+    """Guards against a place that stays taken for a caller that has left.
+
+    Its stream is silent, and its next place was asked for at a full engine.
+    """
+    held = gevent.event.Event()
+
+    def _hold(server, connection, first, headers, body):
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        held.wait(8.0)
+        return "close"
+
+    full = fakes.FakeServer("e-1", "assist", _hold)
+    silent = fakes.FakeServer("e-2", "assist", _hold)
+    store.put("servers", "e-1", full.describe(Slots=1))
+    # The request would wait this long.
+    store.put("config", "main", _make_manifest(2, target_ms=3000))
+    router = fakes.start_router(store)
+    scheduler = router.hosted._scheduler_by_service["assist"]
+    with fakes.connect(router) as other, fakes.connect(router) as caller:
+        other.sendall(fakes.write_request("/ask/1", patience="8000"))
+        fakes.wait_for(lambda: full.requests)
+        store.put("servers", "e-2", silent.describe())
+        caller.sendall(
+            fakes.write_request("/visit/1", attempt="a-2", patience="8000")
+        )
+        fakes.wait_for(lambda: scheduler.waiting == 1)
+        caller.close()
+        fakes.wait_for(lambda: scheduler.waiting == 0, 1.0)
+        fakes.wait_for(lambda: router.serving.running == 1)
+        rows = router.hosted.describe("assist")["engines"]
+        assert sorted(row["running"] for row in rows) == [0, 1]
+        held.set()
+
+
 def test_silence_as_long_as_recent_ones_does_not_move_a_stream(store):
     """Guards against repeating prefill while all engines are slow.
 
