Tell the scheduler's host which pauses answers have, and which they may have

Cause: a third to a half of the answers of engines with slow moments have a pause that their route calls too long. The host can limit prefill by it only if it knows the limit and what came of it.

test_answers: checks the new fields besides the old ones.

--- a/packages/daisypick_router/src/daisypick_router/answer_progress.py
+++ b/packages/daisypick_router/src/daisypick_router/answer_progress.py
@@ -16,10 +16,17 @@
 
 
 class Pace(typing.NamedTuple):
-    """The events of one try after the first one, and the seconds they took."""
+    """How fast the events of one try came.
+
+    Attributes:
+        events: Events after the first one.
+        seconds: From the first event to the last.
+        longest: The longest time between two of them.
+    """
 
     events: int
     seconds: float
+    longest: float
 
 
 class AnswerProgress:
@@ -54,6 +61,7 @@
         self._last_was_late = False
         self._caller_was_slow = False
         self._silent_since: float | None = None
+        self._longest = 0.0
 
     def begin_try(self, work: job.Job) -> None:
         """Start to count the events of a try."""
@@ -86,6 +94,7 @@
             self._first_was_late = late
         elif self._silent_since is not None and not late:
             silence = now - self._silent_since
+            self._longest = max(self._longest, silence)
         self.last_at = now
         self._last_was_late = late
         self._silent_since = None if late else now
@@ -118,4 +127,4 @@
         seconds = self.last_at - self.first_at
         if events <= 0 or seconds <= 0.0:
             return None
-        return Pace(events=events, seconds=seconds)
+        return Pace(events=events, seconds=seconds, longest=self._longest)
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -369,6 +369,7 @@
             isolated=self._retry_policy.quarantine.is_isolated(context),
             expected_events=length.expected,
             high_events=length.high,
+            max_pause=context.route.max_pause,
         )
 
     def _try(
@@ -417,12 +418,7 @@
         )
         pace = progress.pace
         if pace is not None:
-            self._placing.note_pace(
-                place.service,
-                place.work.key,
-                events=pace.events,
-                seconds=pace.seconds,
-            )
+            self._placing.note_pace(place.service, place.work.key, pace)
 
     def _note_answer(
         self,
--- a/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
@@ -26,6 +26,7 @@
 from daisypick_core.scheduling import server_state
 from daisypick_core.serving import backend_server
 from daisypick_core.serving import fleet_configuration
+from daisypick_router import answer_progress
 from daisypick_router import discovery as discoveries
 
 # Interval in seconds at which waiting requests are re-evaluated; a fifteenth of
@@ -296,20 +297,13 @@
         self,
         service: fleet_configuration.Service,
         key: str,
-        *,
-        events: int,
-        seconds: float,
+        pace: answer_progress.Pace,
     ) -> None:
-        """Record how fast the events of a request came, before its end.
-
-        Args:
-            service: Its service.
-            key: The request.
-            events: Events after the first one.
-            seconds: From the first event to the last.
-        """
+        """Record how fast the events of a request came, before its end."""
         scheduler = self.find_scheduler(service)
-        scheduler.note_pace(key, events, seconds, time.monotonic())
+        scheduler.note_pace(
+            key, pace.events, pace.seconds, pace.longest, time.monotonic()
+        )
 
     def note_end(self, service: fleet_configuration.Service, key: str) -> None:
         """Record that a request ended at its server."""
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -15,6 +15,7 @@
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import job
 from daisypick_core.serving import fleet_configuration
+from daisypick_router import answer_progress
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_schedulers
 from daisypick_router import load_watch
@@ -223,7 +224,9 @@
         expected = self._expected_by_channel.pop(channel, None)
         if expected is not None and expected.key == work.key:
             work = work._replace(
-                expected_events=expected.expected, high_events=expected.high
+                expected_events=expected.expected,
+                high_events=expected.high,
+                max_pause=expected.max_pause,
             )
         return work._replace(isolated=isolated)
 
@@ -323,8 +326,11 @@
             self._engines.note_pace(
                 service,
                 message.key,
-                events=message.events,
-                seconds=message.seconds,
+                answer_progress.Pace(
+                    events=message.events,
+                    seconds=message.seconds,
+                    longest=message.longest,
+                ),
             )
 
     @handles(peer_messages.End)
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -117,7 +117,7 @@
 
 @register("expect")
 class Expect(typing.NamedTuple):
-    """Predicted length of the request of the next ``Submit`` or ``Running``.
+    """What the answer of the next ``Submit`` or ``Running`` is expected to be.
 
     A separate message, since hosts of an older version can only ignore it as a
     whole.
@@ -126,11 +126,14 @@
         key: The request.
         expected: Events of the answer, at the median.
         high: Events that nine in ten such answers do not exceed.
+        max_pause: Seconds between two events for which it is in time; zero if
+            none are declared.
     """
 
     key: str
     expected: float
     high: float
+    max_pause: float
 
 
 @register("crashes")
@@ -262,12 +265,14 @@
         key: The request.
         events: Events after the first one.
         seconds: From the first event to the last.
+        longest: The longest time between two of them.
     """
 
     service: str
     key: str
     events: int
     seconds: float
+    longest: float
 
 
 @register("end")
@@ -406,6 +411,7 @@
                 key=work.key,
                 expected=round(work.expected_events, 1),
                 high=round(work.high_events, 1),
+                max_pause=work.max_pause,
             )
         )
     return notes
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -23,6 +23,7 @@
 from daisypick_core.scheduling import pauses
 from daisypick_core.scheduling import scheduler as schedulers
 from daisypick_core.serving import fleet_configuration
+from daisypick_router import answer_progress
 from daisypick_router import engine_schedulers
 from daisypick_router import host_links
 from daisypick_router import load_watch
@@ -385,27 +386,19 @@
         self,
         service: fleet_configuration.Service,
         key: str,
-        *,
-        events: int,
-        seconds: float,
+        pace: answer_progress.Pace,
     ) -> None:
-        """Record how fast the events of a request came, before its end.
-
-        Args:
-            service: Its service.
-            key: The request.
-            events: Events after the first one.
-            seconds: From the first event to the last.
-        """
-        self.fallback.note_pace(service, key, events=events, seconds=seconds)
-        self._hosted.note_pace(service, key, events=events, seconds=seconds)
+        """Record how fast the events of a request came, before its end."""
+        self.fallback.note_pace(service, key, pace)
+        self._hosted.note_pace(service, key, pace)
         self._notify_hosts(
             service,
             peer_messages.Pace(
                 service=service.pool,
                 key=key,
-                events=events,
-                seconds=round(seconds, 4),
+                events=pace.events,
+                seconds=round(pace.seconds, 4),
+                longest=round(pace.longest, 4),
             ),
         )
 
--- a/packages/daisypick_router/tests/test_answers.py
+++ b/packages/daisypick_router/tests/test_answers.py
@@ -142,7 +142,9 @@
     )
     known = []
     host.hosted.note_earlier_start = lambda service, work, server, **kwargs: (
-        known.append((work.key, work.expected_events, work.high_events))
+        known.append(
+            (work.key, work.expected_events, work.high_events, work.max_pause)
+        )
     )
     service = router.discovery.configuration.service_by_name["assist"]
     now = time.monotonic()
@@ -150,7 +152,7 @@
         key="a-1/0", router=router.settings.name, organisation="farm",
         parts=(), prompt_tokens=10, output_tokens=10, arrived_at=now,
         objective_at=now + 1.0, deadline_at=now + 5.0,
-        expected_events=40.0, high_events=90.0,
+        expected_events=40.0, high_events=90.0, max_pause=0.4,
     )  # fmt: skip
     router.placing._report_start(service, work, "e-1")
     router.placing._report_start(
@@ -159,7 +161,7 @@
         "e-1",
     )
     fakes.wait_for(lambda: len(known) == 2)
-    assert known == [("a-1/0", 40.0, 90.0), ("a-2/0", 0.0, 0.0)]
+    assert known == [("a-1/0", 40.0, 90.0, 0.4), ("a-2/0", 0.0, 0.0, 0.0)]
 
 
 def test_resumed_stream_is_expected_to_be_what_is_left(store):
@@ -223,6 +225,7 @@
         count = changes.get("count", 10)
         assert progress.pace.events == count - 1
         assert progress.pace.seconds == pytest.approx(0.05 * (count - 1))
+        assert progress.pace.longest == pytest.approx(0.05)
         assert silences[1:] == pytest.approx([0.05] * (count - 1))
     if "send_seconds" in changes:
         assert not any(silences)
