Reuse connections to servers as long as their idle timeout allows

A connection that was taken but not used was closed if it was new; if it was not, its idle time was counted anew, although the server's goes on. Change: of N announced seconds N - 1.5 are used (one for rounding up, half a second of margin), at least half as before. The timeout of a server that announces none is learned: the longest idle connection stays open, unused, for up to 16 s, and half of the time for which it was seen open is used. A closing by the server reduces that. Idle time counts from the last received bytes.

--- a/packages/daisypick_http/src/daisypick_http/__init__.py
+++ b/packages/daisypick_http/src/daisypick_http/__init__.py
@@ -10,4 +10,5 @@
 * ``server``: one caller's connection.
 * ``connection``: one connection to a backend server.
 * ``pool``: persistent connections by address.
+* ``idle_limits``: for how long an idle connection may be reused.
 """
--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -106,10 +106,12 @@
 
     Attributes:
         address: IP address and port of the peer.
-        idle_since: Monotonic time of the last release to the pool, or of
+        idle_since: Monotonic time at which bytes were last received, or of
             the opening.
         idle_limit: Seconds for which the peer keeps an idle connection, or
             ``None`` if the peer does not announce it.
+        open_until: Seconds of the current idle time after which the connection
+            was last seen open.
         exchanges: Number of requests sent.
         reader: Parser of the current response.
     """
@@ -140,6 +142,7 @@
         self.address = address
         self.idle_since = time.monotonic()
         self.idle_limit: float | None = None
+        self.open_until = 0.0
         self.exchanges = 0
         self.reader: response_reader.ResponseReader | None = None
         self._socket = open_socket()
@@ -180,6 +183,7 @@
                 read.
         """
         self.exchanges += 1
+        self.open_until = 0.0
         self.reader = response_reader.ResponseReader(method=method)
         try:
             self._socket.settimeout(timeout)
@@ -201,6 +205,7 @@
         except OSError as error:
             raise ConnectionBrokeError(f"receive: {error}") from error
         if data:
+            self.idle_since = time.monotonic()
             self.reader.feed(data)
         else:
             self.reader.feed_end()
@@ -208,15 +213,13 @@
     def is_reusable(self) -> bool:
         """Return whether another request may be sent on the connection.
 
-        The response must be complete and the peer must keep the connection.
+        The response must be complete and the peer must keep the connection. A
+        connection that has not been used yet is reusable.
         """
         reader = self.reader
-        return (
-            reader is not None
-            and reader.complete
-            and reader.keep_alive
-            and not reader.surplus
-        )
+        if reader is None:
+            return True
+        return reader.complete and reader.keep_alive and not reader.surplus
 
     def is_open_and_idle(self) -> bool:
         """Return whether an idle connection is open and has nothing to read.
@@ -236,6 +239,8 @@
 
     def update_idle_limit(self) -> None:
         """Set ``idle_limit`` from the peer's ``Keep-Alive`` header."""
+        if self.reader is None:
+            return
         headers = self.reader.head.headers
         value = messages.find_header(headers, b"keep-alive")
         if value is None:
--- a/packages/daisypick_http/src/daisypick_http/pool.py
+++ b/packages/daisypick_http/src/daisypick_http/pool.py
@@ -3,19 +3,14 @@
 Reusing a connection saves the handshake, but the peer may close it at the
 moment at which a request is sent on it, and it is then unknown whether that
 request ran. A connection is therefore reused only well within the peer's idle
-timeout, and only if nothing was received on it meanwhile.
+timeout (``idle_limits``), and only if nothing was received on it meanwhile.
 """
 
 import time
 
 from daisypick_http import connection as connections
+from daisypick_http import idle_limits
 
-# Assumed idle timeout, in seconds, of a peer that announces none: the shortest
-# one in use among HTTP servers.
-_DEFAULT_IDLE_LIMIT = 2.0
-# Fraction of the peer's idle timeout after which a connection is not reused.
-# The rest covers the peer's rounding to whole seconds and the network latency.
-_IDLE_FRACTION = 0.5
 _MAX_IDLE_PER_ADDRESS = 64
 
 
@@ -35,6 +30,7 @@
         self._idle_by_address: dict[
             tuple[str, int], list[connections.Connection]
         ] = {}
+        self._idle_limits = idle_limits.IdleLimits()
         self.opened = 0
         self.reused = 0
 
@@ -49,12 +45,14 @@
         """
         now = time.monotonic()
         idle = self._idle_by_address.get(address, [])
-        while idle:
+        # The last one was used most recently. Older ones are left to
+        # ``close_stale``, which learns from them.
+        while idle and self._is_fresh(idle[-1], now):
             kept = idle.pop()
-            if self._is_fresh(kept, now) and kept.is_open_and_idle():
+            if kept.is_open_and_idle():
                 self.reused += 1
                 return kept
-            kept.close()
+            self._close_ended(kept, now)
         try:
             connection = self._open(address)
         except connections.NoDescriptorsError:
@@ -109,7 +107,6 @@
         if len(idle) >= _MAX_IDLE_PER_ADDRESS:
             connection.close()
             return
-        connection.idle_since = time.monotonic()
         idle.append(connection)
 
     def drop(self, address: tuple[str, int]) -> None:
@@ -118,20 +115,55 @@
             connection.close()
 
     def close_stale(self) -> None:
-        """Close the connections that have been idle for too long."""
+        """Close the connections that have been idle for too long.
+
+        The longest idle one to a peer that announces no idle timeout stays open
+        for some time, unused, to learn that timeout. To be called about once a
+        second.
+        """
         now = time.monotonic()
         for address, idle in list(self._idle_by_address.items()):
-            fresh = [kept for kept in idle if self._is_fresh(kept, now)]
-            for kept in idle:
-                if kept not in fresh:
-                    kept.close()
-            if fresh:
-                self._idle_by_address[address] = fresh
+            kept = []
+            for connection in idle:
+                if self._is_fresh(connection, now) or (
+                    not kept and self._observe(connection, now)
+                ):
+                    kept.append(connection)
+                else:
+                    connection.close()
+            if kept:
+                self._idle_by_address[address] = kept
             else:
                 del self._idle_by_address[address]
 
+    def _observe(self, kept: connections.Connection, now: float) -> bool:
+        """Learn from an unused connection; return whether to go on."""
+        if kept.idle_limit is not None:
+            return False
+        if not kept.is_open_and_idle():
+            self._close_ended(kept, now)
+            return False
+        idle_seconds = now - kept.idle_since
+        kept.open_until = idle_seconds
+        self._idle_limits.note_open(
+            kept.address, idle_seconds=idle_seconds, now=now
+        )
+        return idle_seconds < idle_limits.LEARNING_SECONDS
+
+    def _close_ended(self, kept: connections.Connection, now: float) -> None:
+        """Close a connection that the peer has closed, and learn from it."""
+        if kept.idle_limit is None:
+            self._idle_limits.note_closed(
+                kept.address,
+                idle_seconds=now - kept.idle_since,
+                open_until=kept.open_until,
+                now=now,
+            )
+        kept.close()
+
     def _is_fresh(self, kept: connections.Connection, now: float) -> bool:
-        limit = kept.idle_limit
-        if limit is None:
-            limit = _DEFAULT_IDLE_LIMIT
-        return now - kept.idle_since < limit * _IDLE_FRACTION
+        if kept.idle_limit is None:
+            limit = self._idle_limits.find(kept.address)
+        else:
+            limit = idle_limits.find_announced_limit(kept.idle_limit)
+        return now - kept.idle_since < limit
