Choose retry delays from the rates of starts

Cause: a refused caller was given a random 0.4 to 1.4 s. Its return takes the room of requests that can still meet their latency target, and is refused again. Change: RetryDelays of the scheduler gives the time until there is room for returns: waiting requests and promised returns, over the rate of starts less the rate of first tries (arrivals less returns that are due), of the organisation if it is over its share, else of the service. Without room the delay is twice the time for which the overload has lasted. It is between 0.05 s and a third of the caller's time left; 0.4 to 1.4 s, evenly spread, without a server and until starts have been seen for a second. A router that refuses without asking uses the delay that the host gave last for the organisation.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -13,7 +13,8 @@
 
 *Refusal* is described in ``admission``: a request that has not started by the
 latest time at which its own prefill still fits into the objective is refused
-with a retry delay, since a later start would miss it and delay others.
+with a retry delay, since a later start would miss it and delay others. The
+delay is described in ``retry_delay``.
 """
 
 from collections.abc import Iterable
@@ -33,6 +34,7 @@
 from daisypick_core.scheduling import placement
 from daisypick_core.scheduling import prefill_speed
 from daisypick_core.scheduling import recent_keys
+from daisypick_core.scheduling import retry_delay
 from daisypick_core.scheduling import server_state
 from daisypick_core.scheduling import wait_queue
 
@@ -50,9 +52,6 @@
 # Seconds for which routers need not submit requests of an organisation that has
 # reached its queue limit: two or three of its requests start in this time.
 _PAUSE_SECONDS = 0.04
-# Range in seconds of the random retry delay, so that callers refused together
-# do not retry together.
-RETRY_AFTER = (0.4, 1.4)
 
 
 class Scheduler:
@@ -64,7 +63,7 @@
             cache from another one; zero if it cannot.
         cold_rate: Requests per second that a cold engine can handle.
         window_seconds: Window over which capacity is shared fairly.
-        rng: Randomness for retry delays and for sampling engines.
+        rng: Randomness for sampling engines.
         speed: Latency model of the service's engines, shared by the
             schedulers of a process.
     """
@@ -95,6 +94,7 @@
             speed=speed,
             rng=rng,
         )
+        self._retry_delays = retry_delay.RetryDelays()
         self._dispatched_at = -math.inf
 
     def set_fleet(self, *, routers: Iterable[str], share: float) -> None:
@@ -124,19 +124,20 @@
 
     def submit(self, work: job.Job, now: float) -> list[actions.Action]:
         """Accept a request; it starts, waits or is refused."""
+        self._retry_delays.note_arrival(work.organisation, now)
         if not self._fleet:
-            return [self._refuse(work, "no backend server takes work")]
+            return [self._refuse(work, now, "no backend server takes work")]
         if not self._may_ever_start(work):
-            return [self._refuse(work, "all backend servers were tried")]
+            return [self._refuse(work, now, "all backend servers were tried")]
         self.shares.add_demand(work.organisation, work.cost, now)
         self.tally.add(work.organisation, submitted=1, asked=work.cost)
         displaced = self._displace_infeasible(work, now)
         if self._admission.exceeds_queue_limit(work, now):
             self.tally.add(work.organisation, refused_beyond=1)
             reason = self._admission.describe_share(work.organisation, now)
-            return [self._refuse(work, reason, pause=_PAUSE_SECONDS)]
+            return [self._refuse(work, now, reason, pause=_PAUSE_SECONDS)]
         if self._admission.is_full():
-            return [self._refuse(work, "too many requests wait")]
+            return [self._refuse(work, now, "too many requests wait")]
         if not self._waiting:
             self._dispatched_at = -math.inf
         self._admission.add(work)
@@ -149,7 +150,7 @@
         if late is None:
             return []
         self.tally.add(work.organisation, displaced=1)
-        return [self._refuse(late, "no engine can begin it in time")]
+        return [self._refuse(late, now, "no engine can begin it in time")]
 
     def _may_ever_start(self, work: job.Job) -> bool:
         return any(
@@ -232,7 +233,9 @@
         for work in self._waiting.find_expired(now):
             self._waiting.remove(work)
             self.tally.add(work.organisation, waited_out=1)
-            refused.append(self._refuse(work, "no engine has room in time"))
+            refused.append(
+                self._refuse(work, now, "no engine has room in time")
+            )
         self._dispatched_at = -math.inf
         return refused + self.dispatch(now)
 
@@ -385,6 +388,7 @@
         )
         self._record_start(work, server, now, ahead=ahead, saved=chosen.saved)
         self.tally.add(work.organisation, started=1, begun=work.cost)
+        self._retry_delays.note_start(work.organisation, now)
         candidates.note_start(server)
         return actions.Start(
             key=work.key,
@@ -424,11 +428,32 @@
         return is_new and now - work.arrived_at < self._counted_keys.seconds
 
     def _refuse(
-        self, work: job.Job, reason: str, *, pause: float = 0.0
+        self, work: job.Job, now: float, reason: str, *, pause: float = 0.0
     ) -> actions.Refuse:
+        scope = self._find_refusal_scope(work, now)
+        waiting = (
+            self._waiting.count(work.organisation)
+            if scope is retry_delay.Scope.ORGANISATION
+            else len(self._waiting)
+        )
         return actions.Refuse(
             key=work.key,
-            retry_after=self._rng.uniform(*RETRY_AFTER),
+            retry_after=self._retry_delays.choose(
+                work.organisation,
+                scope=scope,
+                waiting=waiting,
+                seconds_left=work.deadline_at - now,
+                now=now,
+            ),
             reason=reason,
             pause=pause,
         )
+
+    def _find_refusal_scope(
+        self, work: job.Job, now: float
+    ) -> retry_delay.Scope:
+        if not self._may_ever_start(work):
+            return retry_delay.Scope.NO_SERVER
+        if self.shares.is_within(work.organisation, work.cost, now):
+            return retry_delay.Scope.SERVICE
+        return retry_delay.Scope.ORGANISATION
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -183,7 +183,11 @@
         self, context: contexts.Context, organisation: str
     ) -> actions.Refuse | None:
         return self._placing.refuse_locally(
-            context.pool, organisation, context.attempt, time.monotonic()
+            context.pool,
+            organisation,
+            context.attempt,
+            time.monotonic(),
+            deadline_at=context.deadline,
         )
 
     def _may_send(self, server: backend_server.BackendServer) -> bool:
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -21,7 +21,7 @@
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import organisation_tally
 from daisypick_core.scheduling import pauses
-from daisypick_core.scheduling import scheduler as schedulers
+from daisypick_core.scheduling import retry_delay
 from daisypick_core.serving import fleet_configuration
 from daisypick_router import engine_schedulers
 from daisypick_router import host_links
@@ -88,7 +88,6 @@
         self._load = load
         self._log = log
         self._metrics = metrics
-        self._rng = rng
         # Demand and service of this router's callers, by organisation.
         self.tally = organisation_tally.OrganisationTally()
         self._host_by_service: dict[str, str] = {}
@@ -102,6 +101,9 @@
         self._pauses_by_service: dict[str, pauses.Pauses] = (
             collections.defaultdict(pauses.Pauses)
         )
+        self._delays_by_service: dict[str, retry_delay.GivenDelays] = (
+            collections.defaultdict(retry_delay.GivenDelays)
+        )
         # Requests of each organisation that wait for a placement decision.
         self._pending_by_service: dict[str, collections.Counter[str]] = (
             collections.defaultdict(collections.Counter)
@@ -142,6 +144,7 @@
         self._host_by_service.pop(service, None)
         self._placements_by_service.pop(service, None)
         self._pauses_by_service.pop(service, None)
+        self._delays_by_service.pop(service, None)
 
     def _report_service(self, service: str, decisions: list[dict]) -> None:
         self._log.write(
@@ -192,7 +195,11 @@
     ) -> actions.Action:
         """Wait until a request may start or is refused."""
         refused = self.refuse_locally(
-            service, work.organisation, work.key, work.arrived_at
+            service,
+            work.organisation,
+            work.key,
+            work.arrived_at,
+            deadline_at=work.deadline_at,
         )
         if refused is not None:
             return refused
@@ -204,6 +211,10 @@
             pending[work.organisation] -= 1
             if not pending[work.organisation]:
                 del pending[work.organisation]
+        if isinstance(action, actions.Refuse):
+            self._delays_by_service[service.pool].note(
+                work.organisation, action.retry_after
+            )
         if isinstance(action, actions.Refuse) and action.pause > 0.0:
             self._pauses_by_service[service.pool].set(
                 work.organisation, seconds=action.pause, now=time.monotonic()
@@ -216,6 +227,8 @@
         organisation: str,
         key: str,
         now: float,
+        *,
+        deadline_at: float,
     ) -> actions.Refuse | None:
         """Refuse a request without asking the host, if the host would too.
 
@@ -235,7 +248,9 @@
         self._metrics.count("refused_unasked_total", service=service.name)
         return actions.Refuse(
             key=key,
-            retry_after=self._rng.uniform(*schedulers.RETRY_AFTER),
+            retry_after=self._delays_by_service[service.pool].choose(
+                organisation, seconds_left=deadline_at - now
+            ),
             reason=reason,
         )
 
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -325,7 +325,8 @@
     assert placing.acquire(service, work).reason == "flood"
     refused = placing.acquire(service, work._replace(key="k-2"))
     assert isinstance(refused, actions.Refuse)
-    assert refused.retry_after >= 0.4
+    # The delay that the host gave last, or a little more.
+    assert 0.5 <= refused.retry_after <= 0.55
     other = work._replace(key="k-3", organisation="other")
     placing.acquire(service, other)
     later = work._replace(key="k-4", arrived_at=work.arrived_at + 0.3)
