Number the scheduler's refusals and count them by reason

Cause: why a request was refused was told by the text of single log lines only, which are dropped under overload. Change: refusal_reasons.Reason numbers the eight reasons. A refusal that was replaced by a server's pause is not counted. test_scheduler: four tests check the reason as well; two are new. Seen failing first: no; the names did not exist before. With the counting line taken away the test of the router fails (the counter is missing).

--- a/packages/daisypick_core/src/daisypick_core/scheduling/actions.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/actions.py
@@ -31,7 +31,7 @@
     Attributes:
         key: The request.
         retry_after: Seconds after which the caller should retry.
-        reason: Why it is refused.
+        reason: Why it is refused, see ``refusal_reasons``.
         pause: Seconds in which further requests of the organisation would be
             refused too, so that routers need not submit them.
     """
--- a/packages/daisypick_core/src/daisypick_core/scheduling/admission.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/admission.py
@@ -103,10 +103,10 @@
         return infeasible
 
     def describe_share(self, organisation: str, now: float) -> str:
-        """Return the reason for which an organisation's request is refused."""
+        """Return the usage, share and queue of an organisation, for logs."""
         usage = self._shares.find_usage(organisation, now)
         return (
-            f"beyond its organisation's share: {usage:.0f} tokens begun of"
+            f"{usage:.0f} tokens begun of"
             f" {self._shares.find_level(now):.0f},"
             f" {self._waiting.count(organisation)} wait"
         )
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -34,6 +34,7 @@
 from daisypick_core.scheduling import placement
 from daisypick_core.scheduling import prefill_speed
 from daisypick_core.scheduling import recent_keys
+from daisypick_core.scheduling import refusal_reasons
 from daisypick_core.scheduling import retry_delay
 from daisypick_core.scheduling import server_state
 from daisypick_core.scheduling import wait_queue
@@ -126,18 +127,27 @@
         """Accept a request; it starts, waits or is refused."""
         self._retry_delays.note_arrival(work.organisation, now)
         if not self._fleet:
-            return [self._refuse(work, now, "no backend server takes work")]
+            return [self._refuse(work, now, refusal_reasons.Reason.NO_SERVER)]
         if not self._may_ever_start(work):
-            return [self._refuse(work, now, "all backend servers were tried")]
+            return [self._refuse(work, now, refusal_reasons.Reason.ALL_TRIED)]
         self.shares.add_demand(work.organisation, work.cost, now)
         self.tally.add(work.organisation, submitted=1, asked=work.cost)
         displaced = self._displace_infeasible(work, now)
         if self._admission.exceeds_queue_limit(work, now):
             self.tally.add(work.organisation, refused_beyond=1)
-            reason = self._admission.describe_share(work.organisation, now)
-            return [self._refuse(work, now, reason, pause=_PAUSE_SECONDS)]
+            return [
+                self._refuse(
+                    work,
+                    now,
+                    refusal_reasons.Reason.OVER_SHARE,
+                    details=self._admission.describe_share(
+                        work.organisation, now
+                    ),
+                    pause=_PAUSE_SECONDS,
+                )
+            ]
         if self._admission.is_full():
-            return [self._refuse(work, now, "too many requests wait")]
+            return [self._refuse(work, now, refusal_reasons.Reason.QUEUE_FULL)]
         if not self._waiting:
             self._dispatched_at = -math.inf
         self._admission.add(work)
@@ -150,7 +160,7 @@
         if late is None:
             return []
         self.tally.add(work.organisation, displaced=1)
-        return [self._refuse(late, now, "no engine can begin it in time")]
+        return [self._refuse(late, now, refusal_reasons.Reason.DISPLACED)]
 
     def _may_ever_start(self, work: job.Job) -> bool:
         return any(
@@ -234,7 +244,7 @@
             self._waiting.remove(work)
             self.tally.add(work.organisation, waited_out=1)
             refused.append(
-                self._refuse(work, now, "no engine has room in time")
+                self._refuse(work, now, refusal_reasons.Reason.WAITED_OUT)
             )
         self._dispatched_at = -math.inf
         return refused + self.dispatch(now)
@@ -428,7 +438,13 @@
         return is_new and now - work.arrived_at < self._counted_keys.seconds
 
     def _refuse(
-        self, work: job.Job, now: float, reason: str, *, pause: float = 0.0
+        self,
+        work: job.Job,
+        now: float,
+        reason: refusal_reasons.Reason,
+        *,
+        details: str = "",
+        pause: float = 0.0,
     ) -> actions.Refuse:
         scope = self._find_refusal_scope(work, now)
         waiting = (
@@ -445,7 +461,7 @@
                 seconds_left=work.deadline_at - now,
                 now=now,
             ),
-            reason=reason,
+            reason=f"{reason.text}: {details}" if details else reason.text,
             pause=pause,
         )
 
--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -6,9 +6,12 @@
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import prefill_speed
 from daisypick_core.scheduling import prefix_cache
+from daisypick_core.scheduling import refusal_reasons
 from daisypick_core.scheduling import scheduler as schedulers
 from daisypick_core.scheduling import server_state
 
+_Reason = refusal_reasons.Reason
+
 
 def _make(servers=2, *, slots=8, kv_tokens=100_000, cold_rate=20.0, share=1.0):
     scheduler = schedulers.Scheduler(
@@ -57,6 +60,14 @@
     ]
 
 
+def _reasons(decided):
+    return [
+        refusal_reasons.find(action.reason)
+        for action in decided
+        if isinstance(action, actions.Refuse)
+    ]
+
+
 def _keys(decided):
     return [
         action.key for action in decided if isinstance(action, actions.Start)
@@ -126,6 +137,7 @@
     assert isinstance(refused, actions.Refuse)
     assert refused.retry_after > 0.0
     assert refused.pause > 0.0
+    assert _reasons([refused]) == [_Reason.OVER_SHARE]
     decided = scheduler.submit(_job("farm-0"), 0.2) + scheduler.tick(0.21)
     assert _keys(decided) == ["farm-0"]
     assert _keys(scheduler.tick(0.22)) == []
@@ -187,6 +199,7 @@
     (refused,) = scheduler.tick(0.31)
     assert refused.key == "b"
     assert refused.retry_after > 0.0
+    assert _reasons([refused]) == [_Reason.WAITED_OUT]
 
 
 def test_request_is_refused_as_soon_as_its_prefill_misses_the_objective():
@@ -221,8 +234,9 @@
     _submit_overload(scheduler, 40, now=0.0)
     waiting = scheduler.waiting
     fresh = _job("fresh", organisation="flood", now=0.15, objective_at=1.0)
-    refused = _refused(scheduler.submit(fresh, 0.15))
-    assert refused == ["flood-0"]
+    decided = scheduler.submit(fresh, 0.15)
+    assert _refused(decided) == ["flood-0"]
+    assert _reasons(decided) == [_Reason.DISPLACED]
     assert scheduler.waiting == waiting
 
 
@@ -309,6 +323,21 @@
 def test_request_is_refused_at_once_without_servers():
     (refused,) = _make(servers=0).submit(_job("a"), 0.0)
     assert isinstance(refused, actions.Refuse)
+    assert _reasons([refused]) == [_Reason.NO_SERVER]
+
+
+def test_request_is_refused_at_once_if_it_was_tried_everywhere():
+    avoid = frozenset({"e-0", "e-1"})
+    decided = _make(servers=2).submit(_job("a", avoid=avoid), 0.0)
+    assert _reasons(decided) == [_Reason.ALL_TRIED]
+
+
+def test_request_is_refused_at_once_if_too_many_wait():
+    scheduler = _make(servers=1, slots=1)
+    for n in range(401):
+        assert not _refused(scheduler.submit(_job(f"a-{n}"), 0.0))
+    decided = scheduler.submit(_job("b"), 0.0)
+    assert _reasons(decided) == [_Reason.QUEUE_FULL]
 
 
 def test_withdrawn_request_never_starts():
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -2,6 +2,7 @@
 
 from daisypick_core.quarantine import crash_record
 from daisypick_core.quarantine import digest
+from daisypick_core.scheduling import refusal_reasons
 from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import route_table
 from daisypick_http import messages
@@ -32,6 +33,7 @@
         attempt: Id of the caller's attempt.
         first_event_at: When the first event of a stream was received.
         is_sent: Whether sending to a backend server has started.
+        refusal_reason: Why the scheduler refused it, if it did.
         sent_at: When it was last sent to a backend server.
         crashes_when_sent: What was known of its crashes then.
     """
@@ -48,6 +50,7 @@
         "objective_at",
         "organisation",
         "pool",
+        "refusal_reason",
         "request",
         "route",
         "sent_at",
@@ -84,6 +87,7 @@
         self.deadline = request.began_at + timeout
         self.tried_servers: set[str] = set()
         self.servers_reached = 0
+        self.refusal_reason: refusal_reasons.Reason | None = None
         self.may_have_run = False
         self.first_event_at: float | None = None
         self.is_sent = False
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -13,6 +13,7 @@
 from daisypick_core.results import failure
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import job
+from daisypick_core.scheduling import refusal_reasons
 from daisypick_core.serving import backend_server
 from daisypick_core.serving import event_stream
 from daisypick_http import messages
@@ -202,13 +203,27 @@
         result: retry_policies.FailedTry | None,
         refused: actions.Refuse,
     ) -> failure.Failure:
-        refusal = self._notices.refuse(context) or failure.Failure(
-            code=codes.TOO_LATE,
-            reason=refused.reason,
-            retry_after=refused.retry_after,
-        )
+        refusal = self._notices.refuse(context)
+        if refusal is None:
+            self._count_refusal(context, refused)
+            refusal = failure.Failure(
+                code=codes.TOO_LATE,
+                reason=refused.reason,
+                retry_after=refused.retry_after,
+            )
         return self._choose_refusal(context, result, refusal)
 
+    def _count_refusal(
+        self, context: contexts.Context, refused: actions.Refuse
+    ) -> None:
+        reason = refusal_reasons.find(refused.reason)
+        context.refusal_reason = reason
+        self._metrics.count(
+            "refusals_by_reason_total",
+            service=context.service.name,
+            reason=str(reason.number),
+        )
+
     def _choose_refusal(
         self,
         context: contexts.Context,
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -21,6 +21,7 @@
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import organisation_tally
 from daisypick_core.scheduling import pauses
+from daisypick_core.scheduling import refusal_reasons
 from daisypick_core.scheduling import retry_delay
 from daisypick_core.serving import fleet_configuration
 from daisypick_router import engine_schedulers
@@ -240,9 +241,9 @@
             return None
         pending = self._pending_by_service[service.pool][organisation]
         if service_pauses.is_paused(organisation, now):
-            reason = "its organisation was refused just before"
+            reason = refusal_reasons.Reason.PAUSED
         elif pending >= admission.MAX_WAITING_OVER_SHARE:
-            reason = "as many of its organisation ask as may wait"
+            reason = refusal_reasons.Reason.TOO_MANY_ASK
         else:
             return None
         self._metrics.count("refused_unasked_total", service=service.name)
@@ -251,7 +252,7 @@
             retry_after=self._delays_by_service[service.pool].choose(
                 organisation, seconds_left=deadline_at - now
             ),
-            reason=reason,
+            reason=reason.text,
         )
 
     def _decide(
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -225,6 +225,7 @@
             code=refusal.code.number,
             status=refusal.code.status,
             reason=refusal.reason,
+            reason_number=_find_reason_number(context),
             retry_after=refusal.retry_after,
             cut=connection.response_started,
             route=context.route.name if context else None,
@@ -242,6 +243,13 @@
         )
 
 
+def _find_reason_number(context: contexts.Context | None) -> int | None:
+    """Return the number of the scheduler's reason, if it refused a request."""
+    if context is None or context.refusal_reason is None:
+        return None
+    return context.refusal_reason.number
+
+
 def _write_headers(refusal: failure.Failure) -> list[tuple[bytes, bytes]]:
     headers = [(b"Content-Type", b"application/problem+json")]
     if refusal.retry_after is not None:
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -250,6 +250,20 @@
     assert row["asked"] == 2 * row["begun"] == 2 * row["largest"]
 
 
+def test_refusals_are_counted_by_service_and_reason(store):
+    """Guards against refusals whose reason only single log lines tell."""
+    router = _serve(store, _make_engine(fakes.stream_five))
+    lines = []
+    router.log.write = lambda part, text, **fields: lines.append(fields)
+    paused = router.placing._pauses_by_service["assist"]
+    paused.set("farm", seconds=5.0, now=time.monotonic())
+    assert fakes.call(router, "/ask/1", attempt="a-1").status == 503
+    counted = 'refusals_by_reason_total{reason="7",service="assist"} 1'
+    assert counted in router.metrics.write()
+    (refused,) = [line for line in lines if line.get("id") == "a-1"]
+    assert refused["reason_number"] == 7
+
+
 def test_broken_stream_is_resumed_at_another_server(store):
     """A server crashes in the middle of the third event.
 
