Put returns that are past their target behind first tries

Cause: a refused request that returns gets a new latency target, so it competed on equal terms with first tries of its organisation, although it can only be late for its caller, and made these late too. Change: the scheduler recognises a return by organisation, prompt and deadline (its caller states the time it has left), without a change of messages. Where a first try of the same organisation can meet its target, a return that is past that of its own first try goes behind it, until its third refusal; from then on it is ordered as before. The order among organisations is unchanged: least usage first. A refusal by a router that did not ask the host is not recognised.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
@@ -23,6 +23,7 @@
 * ``cold_limits``: rate limits of routers at servers that may be cold.
 * ``prefill_speed``: prediction of the time to first token.
 * ``admission``: which requests may wait, and for how long.
+* ``recent_refusals``: recognises requests that return after a refusal.
 * ``refusal_reasons``: the numbered reasons of refusals.
 * ``retry_delay``: after how long a refused caller should return.
 * ``fleet_report``: estimated state of engines, for logs.
--- a/packages/daisypick_core/src/daisypick_core/scheduling/admission.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/admission.py
@@ -12,12 +12,17 @@
 from daisypick_core.scheduling import fair_share
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import prefill_speed
+from daisypick_core.scheduling import recent_refusals
 from daisypick_core.scheduling import wait_queue
 
 # Bounds of the share of its objective that a request may wait. Within them it
 # waits as long as the remaining time suffices for its own prefill.
 MIN_WAIT_SHARE = 0.3
 MAX_WAIT_SHARE = 0.6
+# Number of refusals of a request after which it is no longer put behind first
+# tries. Without a limit, 4 in 100 fewer are served at all in the overload of
+# the tests; with 5, 2 in 100 fewer.
+_MAX_DEFERRED = 3
 # Upper bound of all waiting requests; more than start within an objective.
 _MAX_WAITING = 400
 # Upper bound for one organisation that is over its share. The largest ones
@@ -48,7 +53,9 @@
         """Return whether the queue has reached its upper bound."""
         return len(self._waiting) >= _MAX_WAITING
 
-    def add(self, work: job.Job) -> None:
+    def add(
+        self, work: job.Job, refused: recent_refusals.Refused | None = None
+    ) -> None:
         """Queue a request for as long as it may wait.
 
         One whose prefill takes nearly the whole objective still waits a
@@ -64,6 +71,7 @@
             expires_at=work.arrived_at
             + min(wait, objective_seconds * MAX_WAIT_SHARE),
             feasible_until=work.objective_at - seconds,
+            on_target_until=_find_target(work, refused) - seconds,
         )
 
     def _predict_first_token_seconds(self, work: job.Job) -> float:
@@ -110,3 +118,12 @@
             f" {self._shares.find_level(now):.0f},"
             f" {self._waiting.count(organisation)} wait"
         )
+
+
+def _find_target(
+    work: job.Job, refused: recent_refusals.Refused | None
+) -> float:
+    """Return when the first event is due by the order of waiting requests."""
+    if refused is None or refused.count >= _MAX_DEFERRED:
+        return work.objective_at
+    return refused.objective_at
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -10,6 +10,8 @@
 *Order.* The organisation with the least usage in the window goes first; within
 it the request whose objective ends first. Requests over a share wait for spare
 capacity, which is thus divided evenly among the organisations that want it.
+A request that returns after one or two refusals and is past the objective of
+its first try goes behind first tries of its organisation that can meet theirs.
 
 *Refusal* is described in ``admission``: a request that has not started by the
 latest time at which its own prefill still fits into the objective is refused
@@ -34,6 +36,7 @@
 from daisypick_core.scheduling import placement
 from daisypick_core.scheduling import prefill_speed
 from daisypick_core.scheduling import recent_keys
+from daisypick_core.scheduling import recent_refusals
 from daisypick_core.scheduling import refusal_reasons
 from daisypick_core.scheduling import retry_delay
 from daisypick_core.scheduling import server_state
@@ -96,6 +99,7 @@
             rng=rng,
         )
         self._retry_delays = retry_delay.RetryDelays()
+        self._recent_refusals = recent_refusals.RecentRefusals()
         self._dispatched_at = -math.inf
 
     def set_fleet(self, *, routers: Iterable[str], share: float) -> None:
@@ -150,7 +154,7 @@
             return [self._refuse(work, now, refusal_reasons.Reason.QUEUE_FULL)]
         if not self._waiting:
             self._dispatched_at = -math.inf
-        self._admission.add(work)
+        self._admission.add(work, self._recent_refusals.find(work))
         return displaced + self.dispatch(now)
 
     def _displace_infeasible(
@@ -446,6 +450,7 @@
         details: str = "",
         pause: float = 0.0,
     ) -> actions.Refuse:
+        self._recent_refusals.note(work, now)
         scope = self._find_refusal_scope(work, now)
         waiting = (
             self._waiting.count(work.organisation)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/wait_queue.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/wait_queue.py
@@ -15,6 +15,7 @@
     def __init__(self) -> None:
         self._expires_by_key: dict[str, float] = {}
         self._feasible_until_by_key: dict[str, float] = {}
+        self._on_target_until_by_key: dict[str, float] = {}
         self._queue_by_organisation: dict[str, list[job.Job]] = {}
         self._count = 0
 
@@ -23,7 +24,12 @@
         return self._count
 
     def add(
-        self, work: job.Job, *, expires_at: float, feasible_until: float
+        self,
+        work: job.Job,
+        *,
+        expires_at: float,
+        feasible_until: float,
+        on_target_until: float,
     ) -> None:
         """Add a request.
 
@@ -32,9 +38,12 @@
             expires_at: When it stops waiting and is refused.
             feasible_until: Latest start at an idle engine that still meets
                 its objective.
+            on_target_until: The same, for the objective of the caller's first
+                try.
         """
         self._expires_by_key[work.key] = expires_at
         self._feasible_until_by_key[work.key] = feasible_until
+        self._on_target_until_by_key[work.key] = on_target_until
         queue = self._queue_by_organisation.setdefault(work.organisation, [])
         queue.append(work)
         queue.sort(key=lambda waiting: waiting.objective_at)
@@ -46,6 +55,7 @@
         queue.remove(work)
         del self._expires_by_key[work.key]
         del self._feasible_until_by_key[work.key]
+        del self._on_target_until_by_key[work.key]
         self._count -= 1
         if not queue:
             del self._queue_by_organisation[work.organisation]
@@ -72,7 +82,8 @@
         """Return the first requests of an organisation.
 
         Requests that meet their objective if they start at ``start_at`` go
-        before others. Those that have waited longest are the first that no
+        before others, and of these the ones that meet that of their caller's
+        first try. Those that have waited longest are the first that no
         engine can start in time; if only they were examined, they would block
         all requests behind them.
         """
@@ -82,7 +93,12 @@
             for work in queue
             if self._feasible_until_by_key[work.key] >= start_at
         ]
-        return (feasible or queue)[:count]
+        on_target = [
+            work
+            for work in feasible
+            if self._on_target_until_by_key[work.key] >= start_at
+        ]
+        return (on_target or feasible or queue)[:count]
 
     def find_infeasible(
         self, organisation: str, start_at: float
--- a/packages/daisypick_core/tests/scheduling/scarce_load.py
+++ b/packages/daisypick_core/tests/scheduling/scarce_load.py
@@ -51,6 +51,7 @@
 
 
 class _Request(typing.NamedTuple):
+    name: str
     organisation: str
     began_at: float
     prompt: int
@@ -90,7 +91,9 @@
                 factor = 11.0 if floods else 0.2
             now += rng.expovariate(_RATE * factor)
             prompt = int(_PROMPT * rng.choice((0.4, 0.8, 1.0, 1.8)))
-            requests.append(_Request(f"o-{number}", now, prompt))
+            requests.append(
+                _Request(f"p-{len(requests)}", f"o-{number}", now, prompt)
+            )
     return requests
 
 
@@ -151,7 +154,7 @@
             key=key,
             router="r-1",
             organisation=request.organisation,
-            parts=(job.Part(name=key, tokens=request.prompt),),
+            parts=(job.Part(name=request.name, tokens=request.prompt),),
             prompt_tokens=request.prompt,
             output_tokens=_OUTPUT,
             arrived_at=now,
--- a/packages/daisypick_core/tests/scheduling/test_refusal_reasons.py
+++ b/packages/daisypick_core/tests/scheduling/test_refusal_reasons.py
@@ -15,7 +15,11 @@
         refusal_reasons.find(refused.reason)
         for refused, _ in simulation.refusals
     }
-    assert reasons == {_Reason.DISPLACED, _Reason.WAITED_OUT}
+    assert reasons == {
+        _Reason.OVER_SHARE,
+        _Reason.DISPLACED,
+        _Reason.WAITED_OUT,
+    }
 
 
 def test_reasons_are_told_apart_by_number_and_text():
