--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -98,6 +98,7 @@
             origin=f"{settings.name}/{rng.getrandbits(64):x}",
             eras=eras,
         )
+        store.on_call(self._count_store_call)
         self.discovery = discoveries.Discovery(
             store=store,
             log=self.log,
@@ -366,6 +367,11 @@
         else:
             connection.send_whole(status=404, headers=(), body=b"")
 
+    def _count_store_call(self, kind: str, reason: str) -> None:
+        self.metrics.count(
+            "store_calls_total", kind=kind, role=self._feed.role, reason=reason
+        )
+
     def _write_metrics(self) -> bytes:
         self.metrics.set_gauge("routers", self.membership.routers)
         self.metrics.set_gauge("store_followers", self._feed.followers)
--- a/packages/daisypick_router/src/daisypick_router/store_feed.py
+++ b/packages/daisypick_router/src/daisypick_router/store_feed.py
@@ -99,6 +99,13 @@
         """Whether any router receives changes from this one."""
         return bool(self._followers)
 
+    @property
+    def role(self) -> str:
+        """Role of this router in the feed, as a label of metrics."""
+        if self.is_following:
+            return "follower"
+        return "source" if self._followers else "alone"
+
     def must_watch(self) -> bool:
         """Whether followers depend on this router's own watches."""
         return self.has_followers() and not self.is_following
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -250,6 +250,23 @@
     assert row["asked"] == 2 * row["begun"] == 2 * row["largest"]
 
 
+def test_calls_to_the_store_are_counted_by_kind_role_and_reason(store):
+    """Guards against calls of which nobody can tell what they are for."""
+    router = _serve(store, _make_engine(fakes.stream_five))
+    lines = router.metrics.write().splitlines()
+    counted = dict(
+        line.rsplit(" ", 1) for line in lines if "store_calls_total" in line
+    )
+    for kind, reason in (
+        ("config", "start"),
+        ("servers", "start"),
+        ("daisypick-routers", "replace"),
+    ):
+        labels = f'kind="{kind}",reason="{reason}",role="alone"'
+        assert counted[f"daisypick_store_calls_total{{{labels}}}"] == "1"
+    assert sum(map(int, counted.values())) == router.store.calls
+
+
 def test_refusals_are_counted_by_service_and_reason(store):
     """Guards against refusals whose reason only single log lines tell."""
     router = _serve(store, _make_engine(fakes.stream_five))
