Read the list of quarantined requests rarely while it is empty

Routers tell each other of quarantines, also when they connect; the list is needed by those that no other router reaches, at the start, and for a release by an operator. Change: a router that has read the list, hears of nothing quarantined and is connected to others (followers, or a recent confirmation of the feed) reads it every 15 s. A quarantine that it is told of is followed by a read within 2.5 s, so a release takes effect as before.

--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -135,6 +135,7 @@
             membership=self.membership,
             log=self.log,
             rng=rng,
+            is_connected=self._feed.is_connected,
         )
         outcomes = outcome_records.Outcomes()
         retry_policy = retry_policies.RetryPolicy(
--- a/packages/daisypick_router/src/daisypick_router/quarantine_store.py
+++ b/packages/daisypick_router/src/daisypick_router/quarantine_store.py
@@ -4,8 +4,11 @@
 later. Each quarantined request is an object named by its digest. An operator
 who deletes the object releases the request. The list is polled, since a watch
 would cost each router a call every few seconds for a list that hardly changes.
+A router that other routers reach polls it rarely while nothing is quarantined.
 """
 
+from collections.abc import Callable
+import math
 import random
 import time
 import typing
@@ -27,6 +30,9 @@
 # Pause between two reads of the list, so that a router that no other one
 # reaches still learns of a quarantine within seconds.
 _POLL_SECONDS = 2.5
+# Pause while nothing is quarantined and other routers tell of quarantines. Then
+# the list is only needed for what all routers that tell have missed.
+_QUIET_POLL_SECONDS = 15.0
 # Pause after a failed call.
 _RETRY_SECONDS = 0.5
 # Routers of the fleet that write an object which the list lacks. Usually only
@@ -45,12 +51,26 @@
         membership: memberships.Membership,
         log: logs.Log,
         rng: random.Random,
+        is_connected: Callable[[], bool],
     ) -> None:
+        """Create it; ``start`` begins to poll.
+
+        Args:
+            store: The platform's store.
+            quarantine: The requests that are refused.
+            membership: The routers of the fleet.
+            log: Log of the process.
+            rng: Randomness of the pauses.
+            is_connected: Returns whether other routers reach this one.
+        """
         self._store = store
         self._quarantine = quarantine
         self._membership = membership
         self._log = log
         self._rng = rng
+        self._is_connected = is_connected
+        self._has_list = False
+        self._listed_at = -math.inf
         self._first_listed_at: dict[str, float] = {}
         self._newest = positions.Position(era=0, revision=0)
         quarantine.on_own_quarantine(self._handle_own_quarantine)
@@ -61,21 +81,41 @@
         gevent.spawn(self._run)
 
     def _run(self) -> None:
-        is_first = True
         while True:
-            found = self._store.list_kind(KIND, stale=not is_first)
             pause = _POLL_SECONDS
-            if failure.is_failure(found):
+            if self.is_due(time.monotonic()) and not self.read():
                 pause = _RETRY_SECONDS
-            elif found.position >= self._newest:
-                # A list that may be old can be older than the one before, or
-                # than an object that this router has written since.
-                is_first = False
-                self._newest = found.position
-                self._apply_list(found)
             self._quarantine.expire()
             gevent.sleep(pause * self._rng.uniform(0.8, 1.2))
 
+    def is_due(self, now: float) -> bool:
+        """Return whether the list should be read, asked once a pause.
+
+        A quarantine that another router tells of is followed by a read within a
+        pause, so that its object is known before it may be deleted.
+        """
+        return (
+            not self._has_list
+            or bool(self._first_listed_at)
+            or self._quarantine.ledger.quarantined > 0
+            or not self._is_connected()
+            or now - self._listed_at >= _QUIET_POLL_SECONDS
+        )
+
+    def read(self) -> bool:
+        """Read the list and apply it; return whether the store responded."""
+        found = self._store.list_kind(KIND, stale=self._has_list)
+        if failure.is_failure(found):
+            return False
+        # A list that may be old can be older than the one before, or than an
+        # object that this router has written since.
+        if found.position >= self._newest:
+            self._has_list = True
+            self._listed_at = time.monotonic()
+            self._newest = found.position
+            self._apply_list(found)
+        return True
+
     def _apply_list(self, found: stores.Listing) -> None:
         now = time.monotonic()
         listed = {stored.name for stored in found.objects}
--- a/packages/daisypick_router/src/daisypick_router/store_feed.py
+++ b/packages/daisypick_router/src/daisypick_router/store_feed.py
@@ -199,6 +199,12 @@
         """Whether a recent confirmation shows that no change was missed."""
         return self._stale_at(kind) > time.monotonic()
 
+    def is_connected(self) -> bool:
+        """Whether other routers follow this one, or it recently heard them."""
+        return self.has_followers() or any(
+            self.is_fresh(kind) for kind in self._by_kind
+        )
+
     def _stale_at(self, kind: str) -> float:
         return self._by_kind[kind].confirmed_at + _MAX_CONFIRMATION_AGE_SECONDS
 
