Create a router's entry at the start instead of replacing it first

Change: the first write is a creation, and a replacement where the entry exists, as after a crash. Seen failing first: test_router_that_starts_writes_its_entry_by_one_call. test_serving: the count of calls expects a creation.

--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -203,6 +203,14 @@
             "renewals": self._renewals,
             "process": self._process,
         }
+        if self._written_at is None:
+            # A router that stops deletes its entry, so there is usually none.
+            written = self._store.create(KIND, self._name, spec)
+            exists = failure.is_failure(written) and (
+                written.code is codes.PLATFORM_CONFLICT
+            )
+            if not exists:
+                return written
         written = self._store.replace(KIND, self._name, spec)
         is_missing = (
             failure.is_failure(written) and written.code is codes.NOT_FOUND
--- a/packages/daisypick_router/tests/test_member_entry.py
+++ b/packages/daisypick_router/tests/test_member_entry.py
@@ -187,3 +187,19 @@
     router.membership.start()
     fakes.wait_for(lambda: router.membership.names)
     assert store.creations == 0
+
+
+def test_router_that_starts_writes_its_entry_by_one_call(store):
+    """Guards against a call of each start that can only fail."""
+    router = fakes.start_router(store, "r-1")
+    fakes.wait_for(lambda: "r-1" in store.objects["daisypick-routers"])
+    written = [
+        line
+        for line in router.metrics.write().splitlines()
+        if 'kind="daisypick-routers",reason="create"' in line
+        or 'kind="daisypick-routers",reason="replace"' in line
+    ]
+    assert written == [
+        "daisypick_store_calls_total"
+        '{kind="daisypick-routers",reason="create",role="alone"} 1'
+    ]
--- a/packages/daisypick_router/tests/test_serving.py
+++ b/packages/daisypick_router/tests/test_serving.py
@@ -260,7 +260,7 @@
     for kind, reason in (
         ("config", "start"),
         ("servers", "start"),
-        ("daisypick-routers", "replace"),
+        ("daisypick-routers", "create"),
     ):
         labels = f'kind="{kind}",reason="{reason}",role="alone"'
         assert counted[f"daisypick_store_calls_total{{{labels}}}"] == "1"
