--- a/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/__init__.py
@@ -28,6 +28,9 @@
 * ``prefill_credit``: how much prefill an engine may start beside its decoding.
 * ``completion``: which engines can complete an answer in time.
 * ``admission``: which requests may wait, and for how long.
+* ``recent_refusals``: recognises requests that return after a refusal.
+* ``refusal_reasons``: the numbered reasons of refusals.
+* ``retry_delay``: after how long a refused caller should return.
 * ``fleet_report``: estimated state of engines, for logs.
 * ``actions``: what a scheduler returns to its driver.
 * ``scheduler``: the decisions.
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -21,7 +21,8 @@
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import organisation_tally
 from daisypick_core.scheduling import pauses
-from daisypick_core.scheduling import scheduler as schedulers
+from daisypick_core.scheduling import refusal_reasons
+from daisypick_core.scheduling import retry_delay
 from daisypick_core.serving import fleet_configuration
 from daisypick_router import answer_progress
 from daisypick_router import engine_schedulers
@@ -89,7 +90,6 @@
         self._load = load
         self._log = log
         self._metrics = metrics
-        self._rng = rng
         # Demand and service of this router's callers, by organisation.
         self.tally = organisation_tally.OrganisationTally()
         self._host_by_service: dict[str, str] = {}
@@ -103,6 +103,9 @@
         self._pauses_by_service: dict[str, pauses.Pauses] = (
             collections.defaultdict(pauses.Pauses)
         )
+        self._delays_by_service: dict[str, retry_delay.GivenDelays] = (
+            collections.defaultdict(retry_delay.GivenDelays)
+        )
         # Requests of each organisation that wait for a placement decision.
         self._pending_by_service: dict[str, collections.Counter[str]] = (
             collections.defaultdict(collections.Counter)
@@ -143,6 +146,7 @@
         self._host_by_service.pop(service, None)
         self._placements_by_service.pop(service, None)
         self._pauses_by_service.pop(service, None)
+        self._delays_by_service.pop(service, None)
 
     def _report_service(self, service: str, decisions: list[dict]) -> None:
         self._log.write(
@@ -193,7 +197,11 @@
     ) -> actions.Action:
         """Wait until a request may start or is refused."""
         refused = self.refuse_locally(
-            service, work.organisation, work.key, work.arrived_at
+            service,
+            work.organisation,
+            work.key,
+            work.arrived_at,
+            deadline_at=work.deadline_at,
         )
         if refused is not None:
             return refused
@@ -205,6 +213,10 @@
             pending[work.organisation] -= 1
             if not pending[work.organisation]:
                 del pending[work.organisation]
+        if isinstance(action, actions.Refuse):
+            self._delays_by_service[service.pool].note(
+                work.organisation, action.retry_after
+            )
         if isinstance(action, actions.Refuse) and action.pause > 0.0:
             self._pauses_by_service[service.pool].set(
                 work.organisation, seconds=action.pause, now=time.monotonic()
@@ -217,6 +229,8 @@
         organisation: str,
         key: str,
         now: float,
+        *,
+        deadline_at: float,
     ) -> actions.Refuse | None:
         """Refuse a request without asking the host, if the host would too.
 
@@ -228,16 +242,18 @@
             return None
         pending = self._pending_by_service[service.pool][organisation]
         if service_pauses.is_paused(organisation, now):
-            reason = "its organisation was refused just before"
+            reason = refusal_reasons.Reason.PAUSED
         elif pending >= admission.MAX_WAITING_OVER_SHARE:
-            reason = "as many of its organisation ask as may wait"
+            reason = refusal_reasons.Reason.TOO_MANY_ASK
         else:
             return None
         self._metrics.count("refused_unasked_total", service=service.name)
         return actions.Refuse(
             key=key,
-            retry_after=self._rng.uniform(*schedulers.RETRY_AFTER),
-            reason=reason,
+            retry_after=self._delays_by_service[service.pool].choose(
+                organisation, seconds_left=deadline_at - now
+            ),
+            reason=reason.text,
         )
 
     def _decide(
