Refusal of an answer that cannot end in time has a number of its own

Merging the numbered reasons left one refusal of the scheduler with its text only, which ended the scheduler with a TypeError; the test of that refusal failed. After the change: 206 tests of scheduling, pool, placing and the play pass.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/refusal_reasons.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/refusal_reasons.py
@@ -32,6 +32,7 @@
     WAITED_OUT = (6, "no engine has room in time")
     PAUSED = (7, "its organisation was refused just before")
     TOO_MANY_ASK = (8, "as many of its organisation ask as may wait")
+    CANNOT_END = (9, "its answer cannot end in time")
 
     def __init__(self, number: int, text: str) -> None:
         self.number = number
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -140,7 +140,7 @@
         self.tally.add(work.organisation, submitted=1, asked=work.cost)
         if completion.is_impossible(work, self._speed.decode, now):
             self.tally.add(work.organisation, impossible=1)
-            return [self._refuse(work, "its answer cannot end in time")]
+            return [self._refuse(work, now, refusal_reasons.Reason.CANNOT_END)]
         displaced = self._displace_infeasible(work, now)
         if self._admission.exceeds_queue_limit(work, now):
             self.tally.add(work.organisation, refused_beyond=1)
