Copy KV cache although that takes as long as its prefill

Cause: a prompt part was copied only where the copy takes at most half of its prefill's time. That looks at the first token; what overload makes scarce is the engine's own time, while links are idle.

Change: the limit is 1.5 times the prefill; a copy that takes as long saves no time to the first token, but the engine's.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
@@ -42,10 +42,12 @@
 
 # Fewest tokens that are copied: a copy takes a message between engines.
 _MIN_COPIED_TOKENS = 50
-# Largest share of the prefill time that a copy may take, and the weight of its
-# time as a cost: copies queue behind each other on an engine's link, and tokens
-# cached at two engines evict something else from the KV cache of one.
-_MAX_COPY_SHARE = 0.5
+# Longest time of a copy as a multiple of the prefill that it replaces, and the
+# weight of its time as a cost. A copy takes time of a link, which is idle for
+# the most part, a prefill that of the engine, which is what overload makes
+# scarce. But copies queue behind each other on a link, and tokens cached at two
+# engines evict something else from the KV cache of one.
+_MAX_COPY_SHARE = 1.5
 _COPY_WEIGHT = 6.0
 
 
@@ -219,8 +221,12 @@
 def _find_saved_share(
     engine: engine_estimate.EngineEstimate, copy_token_seconds: float
 ) -> float:
-    """Return the share of the prefill time that copying saves."""
-    return 1.0 - copy_token_seconds / engine.speed.token_seconds
+    """Return the share of the prefill time that copying saves.
+
+    None if the copy takes as long as the prefill: the first token comes no
+    sooner, although the engine has more time for others.
+    """
+    return max(1.0 - copy_token_seconds / engine.speed.token_seconds, 0.0)
 
 
 def _is_in_time(
--- a/packages/daisypick_core/tests/scheduling/test_placement.py
+++ b/packages/daisypick_core/tests/scheduling/test_placement.py
@@ -169,6 +169,18 @@
     assert (chosen.server, chosen.source, chosen.copied) == ("e-0", "", 0)
 
 
+def test_prompt_is_copied_if_that_takes_as_long_as_its_prefill():
+    """Guards against prefill by an engine while its link is idle."""
+    engines = _engines("e-0", "e-1")
+    _prefill(engines["e-1"], TALK)
+    work = _job("x", TALK, prompt=5000)
+    chosen = _choose(
+        work, engines, busy=["e-1"], may_wait=False, copy_seconds=1e-5
+    )
+    assert (chosen.source, chosen.copied) == ("e-1", 5000)
+    assert chosen.saved == 0.0
+
+
 def test_nothing_is_copied_over_a_link_slower_than_prefill():
     engines = _engines("e-0", "e-1")
     _prefill(engines["e-1"], TALK)
