Learn the time from event to event only where all running requests are known

Cause: a router's own scheduler, used while there is no host, gets the paces of its own answers too. It knows its own requests only, so it took an engine's batch for a few requests, and it shares the learned line with the hosted scheduler.

Change: a scheduler with a part of the engines' capacity learns no pace.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -212,6 +212,9 @@
     ) -> None:
         """Learn from the events of an answer; call before ``note_end``.
 
+        A scheduler that decides for one router learns nothing from it: it does
+        not know what else runs at an engine.
+
         Args:
             key: The request.
             events: Its events after the first.
@@ -220,7 +223,7 @@
             now: The time.
         """
         server = self._server_by_key.get(key)
-        if server is not None and events > 0:
+        if server is not None and events > 0 and self._fleet.share >= 1.0:
             self._fleet.note_pace(
                 server,
                 key,
--- a/packages/daisypick_core/tests/scheduling/test_completion.py
+++ b/packages/daisypick_core/tests/scheduling/test_completion.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import completion
 from daisypick_core.scheduling import engine_estimate
@@ -115,7 +117,9 @@
     assert isinstance(started, actions.Start)
 
 
-def test_pace_of_an_answer_reaches_the_line_of_its_service():
+@pytest.mark.parametrize(("share", "is_known"), [(1.0, True), (0.1, False)])
+def test_pace_is_learned_where_all_running_requests_are_known(share, is_known):
+    """Guards against a line learned by a router that knows only its own."""
     speed = prefill_speed.ServiceSpeed(base=0.01, token_seconds=1e-5)
     scheduler = schedulers.Scheduler(
         kv_tokens=100_000,
@@ -127,11 +131,13 @@
     scheduler.set_servers(
         [server_state.ServerState("e-1", slots=8, cold_until=0.0, born=1)]
     )
+    scheduler.set_fleet(routers=["r-1"], share=share)
     for number in range(20):
         now = float(number)
         scheduler.submit(_job(str(number), events=10.0, now=now), now)
         scheduler.note_first_token(str(number), now + 0.02)
         scheduler.note_pace(str(number), 9, 0.45, 0.06, now + 0.5)
         scheduler.note_end(str(number), now + 0.5)
-    assert speed.decode.is_known
-    assert 0.03 < speed.decode.predict(1.0) < 0.07
+    assert speed.decode.is_known == is_known
+    if is_known:
+        assert 0.03 < speed.decode.predict(1.0) < 0.07
