--- a/packages/daisypick_router/src/daisypick_router/quarantine_store.py
+++ b/packages/daisypick_router/src/daisypick_router/quarantine_store.py
@@ -32,7 +32,7 @@
 _POLL_SECONDS = 2.5
 # Pause while nothing is quarantined and other routers tell of quarantines. Then
 # the list is only needed for what all routers that tell have missed.
-_QUIET_POLL_SECONDS = 15.0
+_QUIET_POLL_SECONDS = 30.0
 # Pause after a failed call.
 _RETRY_SECONDS = 0.5
 # Routers of the fleet that write an object which the list lacks. Usually only
--- a/packages/daisypick_router/tests/test_quarantine_store.py
+++ b/packages/daisypick_router/tests/test_quarantine_store.py
@@ -40,7 +40,7 @@
 
 
 @pytest.mark.parametrize(
-    ("is_connected", "most_reads"), [(True, 4), (False, 20)]
+    ("is_connected", "most_reads"), [(True, 2), (False, 20)]
 )
 def test_empty_list_is_read_rarely_by_a_connected_router(
     store, monkeypatch, is_connected, most_reads
