--- /dev/null
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -0,0 +1,283 @@
+"""Bytes that a router holds for requests, and the limits that follow.
+
+Each holder is one caller's connection. Its bytes are counted by kind, by
+organisation and by backend server; setting a count costs the same whatever
+the number of holders. The limits are shares of the memory of the process: the
+rest is for the interpreter, the fleet's state, and the copies and allocator
+overhead that the counts do not contain.
+
+Examples:
+    >>> held = HeldBytes(memory_bytes=1_000_000)
+    >>> slow = held.open(now=0.0)
+    >>> held.assign(slow, organisation="farm")
+    >>> held.set(slow, RESPONSE, 450_000, now=1.0)
+    >>> held.is_above_soft, held.is_above_hard
+    (True, True)
+    >>> held.choose_end() is slow
+    True
+"""
+
+import collections
+
+# Kinds of held bytes.
+REQUEST = "request"
+RESPONSE = "response"
+STREAM = "stream"
+KINDS = (REQUEST, RESPONSE, STREAM)
+
+# Shares of the memory of the process that held bytes may take. A router of the
+# largest fleet needs some 60 MB for itself, and the smallest VM has 200 MB.
+_SOFT_SHARE = 0.25
+_HARD_SHARE = 0.4
+# Share of the soft limit that the bytes of one organisation may take before
+# only its callers get less.
+_ORGANISATION_SHARE = 0.5
+# A caller may have this part of the free bytes in flight. All callers together
+# thus approach the soft limit without reaching it.
+_CALLER_PART = 8
+_MIN_CALLER_BYTES = 32_768
+_MAX_CALLER_BYTES = 4_194_304
+# Bodies up to this size are accepted above the soft limit too.
+_SMALL_BODY_BYTES = 16_384
+# Bodies that may be arriving at once, in total and from one organisation. They
+# are bounded by count too, since a body that does not arrive holds a descriptor
+# but few bytes.
+_MAX_ARRIVING = 512
+_MAX_ARRIVING_BY_ORGANISATION = 128
+
+
+class Holder:
+    """The bytes that are held for one caller's connection.
+
+    Attributes:
+        organisation: Who owns the request; empty while unknown.
+        server: Backend server that has the request, or ``None``.
+        protected: Whether the request must not be cut at its server.
+        ended: Whether the holder was chosen to be ended.
+        opened_at: When the holder was opened.
+        progressed_at: When bytes were last taken from it.
+    """
+
+    __slots__ = (
+        "arriving",
+        "bytes_by_kind",
+        "ended",
+        "opened_at",
+        "organisation",
+        "progressed_at",
+        "protected",
+        "server",
+    )
+
+    def __init__(self, *, now: float) -> None:
+        self.organisation = ""
+        self.server: str | None = None
+        self.protected = False
+        self.ended = False
+        self.arriving: str | None = None
+        self.opened_at = now
+        self.progressed_at = now
+        self.bytes_by_kind: dict[str, int] = {}
+
+    @property
+    def bytes(self) -> int:
+        """Bytes of all kinds."""
+        return sum(self.bytes_by_kind.values())
+
+
+class HeldBytes:
+    """The ledger of a router.
+
+    Attributes:
+        total: Bytes that are held now.
+        peak: The highest total so far.
+        soft_limit: Bytes above which large bodies and whole responses are
+            refused.
+        hard_limit: Bytes above which holders are ended.
+        bytes_by_kind: Bytes by kind.
+        bytes_by_server: Bytes of requests by the server that has them.
+    """
+
+    def __init__(self, *, memory_bytes: int) -> None:
+        """Create an empty ledger.
+
+        Args:
+            memory_bytes: Memory of the process; zero for no limits.
+        """
+        self.total = 0
+        self.peak = 0
+        self.bytes_by_kind = dict.fromkeys(KINDS, 0)
+        self.bytes_by_server: dict[str, int] = {}
+        # Holders with bytes, by organisation, in the order of their last
+        # progress.
+        self._holders: dict[str, collections.OrderedDict[Holder, None]] = {}
+        self._bytes_by_organisation: dict[str, int] = {}
+        self._arriving_by_organisation: collections.Counter[str] = (
+            collections.Counter()
+        )
+        self._arriving = 0
+        self.set_memory(memory_bytes)
+
+    def set_memory(self, memory_bytes: int) -> None:
+        """Derive the limits from the memory of the process."""
+        memory = float(memory_bytes) if memory_bytes else float("inf")
+        self.soft_limit = memory * _SOFT_SHARE
+        self.hard_limit = memory * _HARD_SHARE
+
+    @property
+    def is_above_soft(self) -> bool:
+        """Whether large bodies and whole responses are to be refused."""
+        return self.total > self.soft_limit
+
+    @property
+    def is_above_hard(self) -> bool:
+        """Whether holders are to be ended."""
+        return self.total > self.hard_limit
+
+    def open(self, now: float) -> Holder:
+        """Return a holder without bytes."""
+        return Holder(now=now)
+
+    def find_organisation_bytes(self, organisation: str) -> int:
+        """Return the bytes that are held for an organisation."""
+        return self._bytes_by_organisation.get(organisation, 0)
+
+    def set(self, holder: Holder, kind: str, amount: int, now: float) -> None:
+        """Set the bytes of a kind; fewer than before are progress."""
+        change = amount - holder.bytes_by_kind.get(kind, 0)
+        if not change:
+            return
+        self._count(holder, -1)
+        if amount:
+            holder.bytes_by_kind[kind] = amount
+        else:
+            holder.bytes_by_kind.pop(kind, None)
+        self.bytes_by_kind[kind] += change
+        self.total += change
+        self.peak = max(self.peak, self.total)
+        self._count(holder, 1)
+        # A body that arrives is progress of its caller, too.
+        if change < 0 or kind == REQUEST:
+            self._note_progress(holder, now)
+
+    def _count(self, holder: Holder, sign: int) -> None:
+        """Add or remove a holder's bytes at its organisation and server."""
+        amount = holder.bytes
+        if not amount:
+            return
+        organisation = holder.organisation
+        _add(self._bytes_by_organisation, organisation, sign * amount)
+        if sign > 0:
+            holders = self._holders.setdefault(
+                organisation, collections.OrderedDict()
+            )
+            holders.setdefault(holder, None)
+        elif not self._bytes_by_organisation.get(organisation):
+            del self._holders[organisation]
+        request = holder.bytes_by_kind.get(REQUEST, 0)
+        if holder.server is not None and request:
+            _add(self.bytes_by_server, holder.server, sign * request)
+
+    def _note_progress(self, holder: Holder, now: float) -> None:
+        holder.progressed_at = now
+        holders = self._holders.get(holder.organisation)
+        if holders is None:
+            return
+        if not holder.bytes_by_kind:
+            holders.pop(holder, None)
+        elif holder in holders:
+            holders.move_to_end(holder)
+
+    def assign(
+        self,
+        holder: Holder,
+        *,
+        organisation: str | None = None,
+        server: str | None = None,
+    ) -> None:
+        """Set whose request it is, and the server that has it."""
+        self._count(holder, -1)
+        if organisation is not None and organisation != holder.organisation:
+            holders = self._holders.get(holder.organisation)
+            if holders is not None:
+                holders.pop(holder, None)
+            holder.organisation = organisation
+        holder.server = server
+        self._count(holder, 1)
+
+    def close(self, holder: Holder, now: float) -> None:
+        """Remove all bytes of a holder."""
+        self.end_arrival(holder)
+        for kind in list(holder.bytes_by_kind):
+            self.set(holder, kind, 0, now)
+
+    def begin_arrival(self, holder: Holder, size: int) -> str | None:
+        """Count a body that begins to arrive.
+
+        Returns:
+            Why the body is refused, or ``None``.
+        """
+        if size > _SMALL_BODY_BYTES and self.total + size > self.soft_limit:
+            return "memory of the router is in use"
+        organisation = holder.organisation
+        arriving = self._arriving_by_organisation[organisation]
+        if arriving >= _MAX_ARRIVING_BY_ORGANISATION:
+            return "too many bodies of the organisation are arriving"
+        if self._arriving >= _MAX_ARRIVING:
+            return "too many bodies are arriving"
+        holder.arriving = organisation
+        self._arriving += 1
+        self._arriving_by_organisation[organisation] += 1
+        return None
+
+    def end_arrival(self, holder: Holder) -> None:
+        """Record that a body is complete or will not be."""
+        organisation = holder.arriving
+        if organisation is None:
+            return
+        holder.arriving = None
+        self._arriving -= 1
+        self._arriving_by_organisation[organisation] -= 1
+        if not self._arriving_by_organisation[organisation]:
+            del self._arriving_by_organisation[organisation]
+
+    def find_caller_limit(self, holder: Holder) -> float:
+        """Return the bytes that may be in flight to a holder's caller."""
+        free = min(
+            self.soft_limit - self.total,
+            self.soft_limit * _ORGANISATION_SHARE
+            - self.find_organisation_bytes(holder.organisation),
+        )
+        return min(
+            max(free / _CALLER_PART, _MIN_CALLER_BYTES), _MAX_CALLER_BYTES
+        )
+
+    def choose_end(self) -> Holder | None:
+        """Return the next holder to end, or ``None`` below the hard limit.
+
+        It is the one without progress for the longest time, of the
+        organisation that holds most. Holders of requests that must not be cut
+        at their servers come last. The result is marked as ended.
+        """
+        if not self.is_above_hard:
+            return None
+        organisations = sorted(
+            self._bytes_by_organisation,
+            key=self._bytes_by_organisation.__getitem__,
+            reverse=True,
+        )
+        for protected in (False, True):
+            for organisation in organisations:
+                for holder in self._holders[organisation]:
+                    if holder.protected == protected and not holder.ended:
+                        holder.ended = True
+                        return holder
+        return None
+
+
+def _add(counts: dict[str, int], key: str, amount: int) -> None:
+    total = counts.get(key, 0) + amount
+    if total:
+        counts[key] = total
+    else:
+        counts.pop(key, None)
--- /dev/null
+++ b/packages/daisypick_core/tests/serving/test_held_bytes.py
@@ -0,0 +1,118 @@
+"""The ledger of held bytes, and limits by server."""
+
+import random
+
+from daisypick_core.serving import held_bytes
+from daisypick_core.serving import server_capacity
+
+_MEGABYTE = 1_000_000
+
+
+def _hold(held, organisation, amount, now, *, protected=False):
+    holder = held.open(now)
+    held.assign(holder, organisation=organisation)
+    holder.protected = protected
+    held.set(holder, held_bytes.RESPONSE, amount, now)
+    return holder
+
+
+def test_slowest_of_the_largest_organisation_is_ended_first():
+    """Guards against one organisation's slow callers ending those of others."""
+    held = held_bytes.HeldBytes(memory_bytes=100 * _MEGABYTE)
+    other = _hold(held, "quiet", 10 * _MEGABYTE, 0.0)
+    slow = _hold(held, "slow", 15 * _MEGABYTE, 1.0)
+    moving = _hold(held, "slow", 17 * _MEGABYTE, 1.0)
+    held.set(moving, held_bytes.RESPONSE, 16 * _MEGABYTE, 5.0)
+    unsafe = _hold(held, "slow", 1 * _MEGABYTE, 0.0, protected=True)
+    ended = []
+    while (holder := held.choose_end()) is not None:
+        ended.append(holder)
+    assert ended == [slow, moving, other, unsafe]
+
+
+def test_counts_match_a_recount_after_any_order_of_events():
+    """Guards against a leak of the ledger, which would end in refusals."""
+    rng = random.Random(1)
+    held = held_bytes.HeldBytes(memory_bytes=0)
+    holders = [held.open(0.0) for _ in range(20)]
+    for step in range(4000):
+        holder = rng.choice(holders)
+        action = rng.random()
+        if action < 0.6:
+            kind = rng.choice(held_bytes.KINDS)
+            held.set(holder, kind, rng.choice([0, 1, 700, 9000]), step)
+        elif action < 0.8:
+            held.assign(
+                holder,
+                organisation=rng.choice("abc"),
+                server=rng.choice(["s", "t", None]),
+            )
+        else:
+            held.close(holder, step)
+        assert held.total == sum(holder.bytes for holder in holders)
+        assert sum(held.bytes_by_kind.values()) == held.total
+        for name in "abc":
+            assert held.find_organisation_bytes(name) == sum(
+                holder.bytes
+                for holder in holders
+                if holder.organisation == name
+            )
+        for server in "st":
+            assert held.bytes_by_server.get(server, 0) == sum(
+                holder.bytes_by_kind.get(held_bytes.REQUEST, 0)
+                for holder in holders
+                if holder.server == server
+            )
+    for holder in holders:
+        held.close(holder, 4000)
+    assert held.total == 0
+    assert held._holders == {}
+
+
+def test_slow_callers_alone_stay_below_the_soft_limit():
+    """Guards against refusals that slow callers of one router cause others."""
+    held = held_bytes.HeldBytes(memory_bytes=200 * _MEGABYTE)
+    holders = [_hold(held, f"o{n % 9}", 0, 0.0) for n in range(200)]
+    for _ in range(300):
+        for holder in holders:
+            now = holder.bytes
+            if now < held.find_caller_limit(holder):
+                held.set(holder, held_bytes.RESPONSE, now + 16384, 0.0)
+    assert not held.is_above_soft
+
+
+def _simulate(capacity, *, memory, seconds):
+    """Send bodies of 1 MB to a server; return crashes in each second."""
+    crashes = []
+    in_flight = 0
+    for now in range(seconds):
+        crashes.append(0)
+        for _ in range(40):
+            if not capacity.allows("d-1", _MEGABYTE):
+                break
+            capacity.note_sent("d-1", _MEGABYTE)
+            in_flight += 1
+            if in_flight * _MEGABYTE > memory:
+                assert capacity.note_crash("d-1", now)
+                crashes[-1] += 1
+                break
+        for _ in range(in_flight):
+            capacity.note_end("d-1", _MEGABYTE, answered=not crashes[-1])
+        in_flight = 0
+    return crashes
+
+
+def test_server_at_half_of_its_memory_crashes_seldom():
+    """Guards against a server that is overrun again after each restart."""
+    crashes = _simulate(
+        server_capacity.ServerCapacity(), memory=12 * _MEGABYTE, seconds=100
+    )
+    assert crashes[0] == 1
+    assert sum(crashes) <= 6
+
+
+def test_crash_of_a_server_with_one_request_counts_for_the_request():
+    """Guards against a request that crashes servers and is never refused."""
+    capacity = server_capacity.ServerCapacity()
+    capacity.note_sent("d-1", 4 * _MEGABYTE)
+    assert not capacity.note_crash("d-1", 1.0)
