Router counts held bytes, streams large responses, bounds progress

Cause: a whole response is read to its end before any byte is forwarded, and a send to a caller that does not read blocks its server's stream for 10 s. Change: HeldRequests applies the ledger to callers' connections; with pressure among the invariants bytes wait in CallerWriter while the server is read, and callers and servers are bounded by progress. A crash of a server with much in flight limits the bytes sent there and is not counted against its requests.

--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -13,9 +13,11 @@
 from gevent import socket
 
 from daisypick_http import messages
+from daisypick_http import progress as progress_module
 from daisypick_http import response_reader
 
 _RECEIVE_BYTES = 65536
+_COPY_BYTES = 16384
 _MIN_TIMEOUT_SECONDS = 0.001
 # The kernel closes a connection with unacknowledged bytes after this time, so
 # an unreachable peer does not hold it for the system's default of a quarter of
@@ -142,6 +144,7 @@
         self.idle_limit: float | None = None
         self.exchanges = 0
         self.reader: response_reader.ResponseReader | None = None
+        self._is_sent = True
         self._socket = open_socket()
         try:
             self._socket.setsockopt(
@@ -172,20 +175,67 @@
             if not is_connected(self._socket):
                 raise
 
-    def send(self, data: bytes, *, method: bytes, timeout: float) -> None:
+    def send(
+        self,
+        data: bytes,
+        *,
+        method: bytes,
+        timeout: float,
+        body: bytes = b"",
+        bound: progress_module.ProgressBound | None = None,
+    ) -> None:
         """Send a request and prepare to read its response.
 
+        Args:
+            data: The request, or its head.
+            method: Its method.
+            timeout: Seconds within which all of it is to be sent.
+            body: The rest of it. Small ones are copied into one packet with
+                the head; large ones are not copied.
+            bound: Progress that is asked of the peer besides.
+
         Raises:
             ConnectionBrokeError: The peer closed the connection or does not
                 read.
         """
         self.exchanges += 1
         self.reader = response_reader.ResponseReader(method=method)
+        parts = [data + body] if len(body) <= _COPY_BYTES else [data, body]
+        self._is_sent = False
         try:
-            self._socket.settimeout(timeout)
-            self._socket.sendall(data)
+            if bound is not None:
+                self._send_paced(parts, timeout, bound)
+            else:
+                for part in parts:
+                    self._socket.settimeout(timeout)
+                    self._socket.sendall(part)
         except OSError as error:
             raise ConnectionBrokeError(f"send: {error}") from error
+        self._is_sent = True
+
+    def _send_paced(
+        self,
+        parts: list[bytes],
+        timeout: float,
+        bound: progress_module.ProgressBound,
+    ) -> None:
+        now = time.monotonic()
+        until = now + timeout
+        progress = progress_module.Progress(bound, now)
+        for part in parts:
+            rest = memoryview(part)
+            while rest:
+                wait = min(progress.due_at, until) - time.monotonic()
+                self._socket.settimeout(max(wait, _MIN_TIMEOUT_SECONDS))
+                try:
+                    sent = self._socket.send(rest[:_RECEIVE_BYTES])
+                except TimeoutError:
+                    sent = 0
+                rest = rest[sent:]
+                progress.note(sent)
+                now = time.monotonic()
+                if rest and (now >= until or progress.is_late(now)):
+                    raise TimeoutError("peer reads too slowly")
 
     def read(self, timeout: float) -> None:
         """Read available bytes into ``reader``.
@@ -213,6 +263,7 @@
         reader = self.reader
         return (
             reader is not None
+            and self._is_sent
             and reader.complete
             and reader.keep_alive
             and not reader.surplus
--- /dev/null
+++ b/packages/daisypick_http/src/daisypick_http/hold.py
@@ -0,0 +1,80 @@
+"""What a caller's connection reports of the bytes that it holds.
+
+The default counts nothing and limits nothing.
+"""
+
+import typing
+
+from daisypick_http import messages
+from daisypick_http import progress
+
+
+class Refusal(typing.NamedTuple):
+    """Why a caller's bytes are rejected.
+
+    Attributes:
+        status: HTTP status.
+        reason: For the log, and for the caller if there is no ``body``.
+        headers: Further headers of the response.
+        body: Body of the response.
+    """
+
+    status: int
+    reason: str
+    headers: messages.Headers = ()
+    body: bytes = b""
+
+
+class Pace(typing.NamedTuple):
+    """The progress that is asked of a caller.
+
+    Attributes:
+        body: Progress of a request's body.
+        response: Progress with which a response is to be read.
+    """
+
+    body: progress.ProgressBound
+    response: progress.ProgressBound
+
+
+class Hold:
+    """Counts the bytes of one connection.
+
+    Attributes:
+        is_ended: Whether the caller's connection was ended by a bound.
+    """
+
+    is_ended = False
+
+    def note_head(self, *, incomplete: bool) -> None:
+        """Record whether the head of a request is incomplete."""
+
+    def begin_body(
+        self, headers: messages.Headers, size: int
+    ) -> Refusal | None:
+        """Count a body that begins to arrive, or refuse it."""
+
+    def end_body(self) -> None:
+        """Record that a body is complete or was refused."""
+
+    def set_request(self, amount: int) -> None:
+        """Set the bytes of requests."""
+
+    def set_response(self, amount: int) -> None:
+        """Set the bytes that wait for the caller."""
+
+    def set_buffered(self, amount: int) -> None:
+        """Set the bytes of a response that are not sent to the caller yet."""
+
+    def set_stream(self, *, is_stream: bool) -> None:
+        """Record whether the response is a stream."""
+
+    def find_limit(self) -> float:
+        """Return the number of bytes that may wait for the caller."""
+        return float("inf")
+
+    def note_slow(self) -> None:
+        """Record that the caller misses the bound on progress."""
+
+    def close(self) -> None:
+        """Drop what is counted."""
--- a/packages/daisypick_http/src/daisypick_http/messages.py
+++ b/packages/daisypick_http/src/daisypick_http/messages.py
@@ -117,10 +117,24 @@
     body: bytes,
 ) -> bytes:
     """Return the bytes of a request, framed by ``Content-Length``."""
+    head = write_request_head(
+        method=method, target=target, headers=headers, length=len(body)
+    )
+    return head + body
+
+
+def write_request_head(
+    *,
+    method: bytes,
+    target: bytes,
+    headers: Iterable[tuple[bytes, bytes]],
+    length: int,
+) -> bytes:
+    """Return the bytes of a request's head, with the length of its body."""
     lines = _write_lines(b"%b %b HTTP/1.1" % (method, target), headers)
-    if body or method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    if length or method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: %d" % length)
+    return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def write_head(*, status: int, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
--- a/packages/daisypick_http/src/daisypick_http/request_reader.py
+++ b/packages/daisypick_http/src/daisypick_http/request_reader.py
@@ -5,18 +5,14 @@
 with two framings; the target and the headers are kept as received.
 """
 
-import typing
+from collections.abc import Callable
 
 import httptools
 
+from daisypick_http import hold
 from daisypick_http import messages
 
-
-class Refusal(typing.NamedTuple):
-    """Why a caller's bytes are rejected: an HTTP status and a reason."""
-
-    status: int
-    reason: str
+Refusal = hold.Refusal
 
 
 class RequestReader:
@@ -29,9 +25,28 @@
         expects_continue: Whether the caller waits for an interim response with
             status 100 before it sends the body.
         in_head: Whether the head of a request is incomplete.
+        in_body: Whether its head is complete and its body is not.
     """
 
-    def __init__(self, *, header_bytes: int, body_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        header_bytes: int,
+        body_bytes: int,
+        begin_body: Callable[[messages.Headers, int], Refusal | None] = (
+            lambda headers, size: None
+        ),
+    ) -> None:
+        """Create a reader.
+
+        Args:
+            header_bytes: Maximum size of a head.
+            body_bytes: Maximum size of a body.
+            begin_body: Called with the headers of a request that has a body,
+                and the size of the body or the most that it may have; returns
+                why the body is refused, or ``None``.
+        """
+        self._begin_body = begin_body
         self._header_bytes = header_bytes
         self._body_bytes = body_bytes
         self._parser = httptools.HttpRequestParser(self)
@@ -49,6 +64,16 @@
         self._body: list[bytes] = []
         self._body_size = 0
         self.in_head = False
+        self.in_body = False
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of requests that are incomplete or were not taken yet."""
+        return (
+            self._head_size
+            + self._body_size
+            + sum(len(request.body) for request in self.requests)
+        )
 
     def set_limits(self, *, header_bytes: int, body_bytes: int) -> None:
         """Set the limits of a newer configuration."""
@@ -95,6 +120,7 @@
     def on_headers_complete(self) -> None:
         """Validate the head."""
         self.in_head = False
+        self.in_body = True
         size = len(self._target) + sum(
             len(name) + len(value) + 4 for name, value in self._headers
         )
@@ -109,12 +135,19 @@
             self._reject(400, f"{hosts} Host headers")
         expected = messages.find_header(headers, b"expect")
         self.expects_continue = (expected or b"").lower() == b"100-continue"
+        chunked = messages.find_header(headers, b"transfer-encoding")
+        if self.refusal is None and (length not in (None, b"0") or chunked):
+            size = self._body_bytes if chunked else int(length)
+            self.refusal = self._begin_body(headers, size)
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
+        if self.refusal is not None:
+            return
         self._body_size += len(body)
         if self._body_size > self._body_bytes:
             self._reject(413, f"body exceeds {self._body_bytes} bytes")
+            self._body.clear()
             return
         self._body.append(body)
 
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -15,8 +15,11 @@
 
 import gevent
 
+from daisypick_http import caller_writer
 from daisypick_http import connection as connections
+from daisypick_http import hold as holds
 from daisypick_http import messages
+from daisypick_http import progress as progress_module
 from daisypick_http import request_reader
 
 # Maximum wait for the caller to close a connection after this side was closed.
@@ -67,6 +70,9 @@
         exchanges: Number of requests started on the connection.
         response_started: Whether the head of the current response was sent.
         response_completed: Whether the current response was sent completely.
+        end_reason: Why the connection has ended.
+        is_too_slow: Whether it was ended since the caller reads too slowly.
+        hold: Counts the bytes that are held for the connection.
     """
 
     def __init__(
@@ -80,7 +86,26 @@
         ),
         on_drop: Callable[[messages.Request, str], None] | None = None,
         on_idle: Callable[["CallerConnection", bool], None] | None = None,
+        hold: holds.Hold | None = None,
+        pace: holds.Pace | None = None,
     ) -> None:
+        """Create the server side of a connection.
+
+        With a ``pace``, bytes that the caller does not read wait here while
+        the handler goes on, up to the limit of ``hold``, and bodies and
+        responses are bounded by their progress instead of a time for the whole.
+        """
+        self.hold = hold or holds.Hold()
+        self._pace = pace
+        self._body_progress: progress_module.Progress | None = None
+        self._writer = pace and caller_writer.CallerWriter(
+            connected=socket,
+            bound=pace.response,
+            on_waiting=self.hold.set_response,
+            on_slow=self._end_slow,
+        )
+        self._request_bytes = 0
+        self._keeps_handler = False
         self._socket = socket
         self._begin = begin or _start_immediately
         self._on_drop = on_drop or _do_nothing
@@ -91,11 +116,14 @@
         self._handler: gevent.Greenlet | None = None
         # Whether ``run`` has finished, and why.
         self._has_finished = False
-        self._end_reason = "closed by the router"
+        self.end_reason = "closed by the router"
+        self.is_too_slow = False
         self.idle_since = time.monotonic()
         self._idle_timeout = limits().idle_timeout
         self._reader = request_reader.RequestReader(
-            header_bytes=limits().header_bytes, body_bytes=limits().body_bytes
+            header_bytes=limits().header_bytes,
+            body_bytes=limits().body_bytes,
+            begin_body=self.hold.begin_body,
         )
         self.closing = False
         self._aborted = False
@@ -124,12 +152,15 @@
                 pass
         finally:
             self._has_finished = True
-            if self._handler is not None:
+            if self._handler is not None and not self._keeps_handler:
                 self._handler.kill(
-                    CallerDisconnected(self._end_reason), block=False
+                    CallerDisconnected(self.end_reason), block=False
                 )
             self._socket.close()
             self._report_unhandled()
+            # A handler that was killed before it started does not end itself.
+            if self._handler is None or self._pending_request is not None:
+                self.hold.close()
 
     def _report_unhandled(self) -> None:
         unhandled = [*self._reader.requests]
@@ -138,7 +169,7 @@
         reason = (
             "arrived after our side was closed"
             if self.closing
-            else self._end_reason
+            else self.end_reason
         )
         for request in unhandled:
             self._on_drop(request, reason)
@@ -154,16 +185,19 @@
             expired = self._next_timeout(reader) <= 0.0
             return self._handle_timeout(reader) if expired else True
         except OSError as error:
-            self._end_reason = str(error)
+            self._note_end(str(error))
             return False
         if not data:
-            self._end_reason = "closed by the caller"
+            self._note_end("closed by the caller")
             return False
         limits = self._limits()
         reader.set_limits(
             header_bytes=limits.header_bytes, body_bytes=limits.body_bytes
         )
+        if self.closing and reader.refusal is not None:
+            return True
         reader.feed(data, time.monotonic())
+        self._note_received(reader, len(data))
         if self.closing and self._handler is None:
             return True
         if reader.expects_continue and not reader.refusal:
@@ -171,6 +205,29 @@
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return self._serve_requests(reader)
 
+    def _note_end(self, reason: str) -> None:
+        if not self._aborted:
+            self.end_reason = reason
+
+    def _note_received(
+        self, reader: request_reader.RequestReader, amount: int
+    ) -> None:
+        """Count received bytes, and the progress of a body."""
+        self.hold.note_head(incomplete=reader.in_head)
+        self._count_request()
+        if not reader.in_body or reader.refusal is not None:
+            self._body_progress = None
+            self.hold.end_body()
+        elif self._pace is not None:
+            if self._body_progress is None:
+                self._body_progress = progress_module.Progress(
+                    self._pace.body, time.monotonic()
+                )
+            self._body_progress.note(amount)
+
+    def _count_request(self) -> None:
+        self.hold.set_request(self._request_bytes + self._reader.held_bytes)
+
     def _serve_requests(self, reader: request_reader.RequestReader) -> bool:
         while reader.requests and not self._aborted:
             if self._handler is not None:
@@ -188,7 +245,9 @@
         """Respond to bytes that are not an acceptable request, and close."""
         self._keep_alive = False
         self.send_whole(
-            status=refusal.status, headers=(), body=refusal.reason.encode()
+            status=refusal.status,
+            headers=refusal.headers,
+            body=refusal.body or refusal.reason.encode(),
         )
 
     def _next_timeout(self, reader: request_reader.RequestReader) -> float:
@@ -197,6 +256,8 @@
             return self._limits().idle_timeout
         if self.closing:
             return self.idle_since + _LINGER_SECONDS - now
+        if self._body_progress is not None:
+            return self._body_progress.due_at - now
         if reader.began_at is not None:
             return reader.began_at + self._limits().header_timeout - now
         self._idle_timeout = max(
@@ -207,12 +268,20 @@
     def _handle_timeout(self, reader: request_reader.RequestReader) -> bool:
         if self.closing:
             return False
+        if self._body_progress is not None and not self._body_progress.is_late(
+            time.monotonic()
+        ):
+            return True
         if reader.began_at is not None:
+            self._body_progress = None
+            self.hold.end_body()
             self.reject(
                 request_reader.Refusal(
                     status=408, reason="request came too slowly"
                 )
             )
+            # What still arrives of it is not kept.
+            reader.refusal = request_reader.Refusal(status=408, reason="")
             return True
         self.close_idle()
         if not self.closing:
@@ -225,6 +294,8 @@
         self.response_started = False
         self.response_completed = False
         self._pending_request = request
+        self._request_bytes = len(request.body)
+        self._count_request()
         self._on_idle(self, False)
         self._handler = gevent.Greenlet(self._run_handler, request)
         self._begin(self._handler, request)
@@ -239,8 +310,34 @@
             self._handler = None
             self.idle_since = time.monotonic()
             self._idle_timeout = self._limits().idle_timeout
+            self._request_bytes = 0
+            self._count_request()
             if not self._has_finished:
                 self._on_idle(self, True)
+            else:
+                self.hold.close()
+
+    def _end_slow(self) -> None:
+        self.is_too_slow = True
+        self.hold.note_slow()
+
+    def drop(self, reason: str, *, keep_handler: bool) -> None:
+        """Abort the connection and drop the bytes that wait for the caller.
+
+        Args:
+            reason: For the log.
+            keep_handler: Whether the handler goes on without a caller; what it
+                sends is dropped.
+        """
+        if self._aborted:
+            return
+        self.end_reason = reason
+        self._keeps_handler = keep_handler
+        if self._writer is not None and keep_handler:
+            self._writer.discard()
+        elif self._writer is not None:
+            self._writer.fail(OSError(reason))
+        self.abort()
 
     def abort(self) -> None:
         """Abort the connection, so that no response on it looks complete."""
@@ -315,8 +412,28 @@
         Raises:
             OSError: The caller has disconnected, or does not read.
         """
-        self._socket.settimeout(10.0)
-        self._socket.sendall(data)
+        if self._keeps_handler:
+            return
+        if self._writer is not None:
+            self._writer.put(data)
+            self._writer.wait_for_room(self.hold.find_limit)
+            return
+        self.hold.set_response(len(data))
+        try:
+            self._socket.settimeout(10.0)
+            self._socket.sendall(data)
+        finally:
+            self.hold.set_response(0)
+
+    @property
+    def blocked_seconds(self) -> float:
+        """Time for which a handler has waited for room for its bytes."""
+        return 0.0 if self._writer is None else self._writer.blocked_seconds
+
+    @property
+    def streams_responses(self) -> bool:
+        """Whether bytes may wait here while the handler goes on."""
+        return self._writer is not None
 
     def send_whole(
         self,
@@ -330,6 +447,24 @@
         self._send_head(status, framed, body)
         self._finish()
 
+    def begin_whole(
+        self,
+        *,
+        status: int,
+        headers: Iterable[tuple[bytes, bytes]],
+        length: int,
+    ) -> None:
+        """Send the head of a response of known length.
+
+        Its body follows by ``write`` and ends with ``end_whole``.
+        """
+        framed = [*headers, (b"Content-Length", b"%d" % length)]
+        self._send_head(status, framed, b"")
+
+    def end_whole(self) -> None:
+        """Mark a response of known length as complete."""
+        self._finish()
+
     def begin_stream(
         self, *, status: int, headers: Iterable[tuple[bytes, bytes]]
     ) -> None:
@@ -355,6 +490,10 @@
         self.write(messages.write_head(status=status, headers=headers) + body)
 
     def _finish(self) -> None:
+        if self._writer is not None and not self._keeps_handler:
+            self._writer.flush()
+        if self._keeps_handler:
+            return
         self.response_completed = True
         if not self._keep_alive:
             self.close_gracefully()
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -22,6 +22,7 @@
 from daisypick_router import context as contexts
 from daisypick_router import discovery as discoveries
 from daisypick_router import exchange
+from daisypick_router import held_requests
 from daisypick_router import metrics as metric_numbers
 from daisypick_router import placing as placings
 from daisypick_router import plain_handler
@@ -63,6 +64,7 @@
         metrics: metric_numbers.Metrics,
         router: str,
         data_centre: str,
+        held: held_requests.HeldRequests,
     ) -> None:
         self._pool = pool
         self._discovery = discovery
@@ -73,6 +75,7 @@
         self._metrics = metrics
         self._router = router
         self._data_centre = data_centre
+        self._held = held
 
     def serve(
         self,
@@ -159,6 +162,7 @@
             if (
                 server is None
                 or not self._may_send(server)
+                or not self._held.allows(context, server)
                 or self._rollouts.is_outdated(context)
             ):
                 self._placing.note_end(context.pool, work.key)
@@ -170,12 +174,14 @@
                 self._placing.note_end(context.pool, work.key)
                 return self._choose_refusal(context, result, quarantined)
             source = directory.server_by_name.get(action.source)
-            result = self._try(
-                connection, context, work, server, source, stream
-            )
-            if isinstance(result, str):
-                return result
-            self._retry_policy.note_failed(context, server, result)
+            with self._held.sending(connection, context, server) as sending:
+                result = self._try(
+                    connection, context, work, server, source, stream
+                )
+                if isinstance(result, str):
+                    sending.answered = True
+                    return result
+                self._retry_policy.note_failed(context, server, result)
         paused = self._notices.refuse(context)
         return paused or retry_policies.choose_failure(context, result)
 
@@ -302,7 +308,8 @@
         if isinstance(result, exchange.NotRun):
             return
         if not isinstance(result, str):
-            self._rollouts.note_break(sent)
+            if not _is_caller_slow(result):
+                self._rollouts.note_break(sent)
             return
         first, pace = None, None
         if context.first_event_at is not None:
@@ -327,6 +334,7 @@
         stream: event_stream.EventStream,
     ) -> retry_policies.FailedTry | str:
         self._retry_policy.quarantine.note_sent(context)
+        self._held.note_sent(connection, context)
         opened = exchange.open_exchange(
             self._pool,
             connection,
@@ -338,6 +346,7 @@
                 context, servers_reached=context.servers_reached + 1
             ),
             copy_from=source.address if source is not None else None,
+            bound=self._held.server_bound,
         )
         if isinstance(opened, exchange.NotRun):
             context.servers_reached += opened.reached_server
@@ -372,17 +381,17 @@
         opened: exchange.OpenExchange,
     ) -> relay.Broken | str:
         response = plain_handler.read_whole(
-            self._pool, opened, context.deadline
+            self._pool, opened, context.deadline, connection
         )
         if isinstance(response, relay.Broken):
             return response
-        if connection.response_started:
+        if connection.response_started and not response.sent:
             return relay.Broken(
                 reason=f"server answered {response.head.status} to go on"
             )
         if response.head.status < 500:
             self._retry_policy.quarantine.note_answered(context)
-        plain_handler.send_response(connection, response)
+        relay.send_whole(connection, response)
         return f"answered_{response.head.status}"
 
     def _relay_stream(
@@ -399,6 +408,8 @@
             context, servers_reached=context.servers_reached
         )
         first = True
+        blocked = connection.blocked_seconds
+        connection.hold.set_stream(is_stream=True)
         try:
             while True:
                 events = self._read_events(context, reader, event_timeout)
@@ -414,12 +425,17 @@
                         status=opened.head.status,
                         headers=messages.drop_hop_by_hop(opened.head.headers),
                     )
+                waited = connection.blocked_seconds
                 connection.send_chunk(events)
+                # The server could not send while the caller did not read.
+                context.deadline += connection.blocked_seconds - waited
         finally:
             if not isinstance(ended, relay.StreamEnded):
                 opened.connection.close()
         if isinstance(ended, relay.Broken):
-            return ended
+            return relay.note_blocked(
+                ended, connection.blocked_seconds - blocked
+            )
         self._retry_policy.quarantine.note_answered(context)
         self._pool.release(opened.connection)
         if not connection.response_started:
@@ -477,6 +493,11 @@
 
 def _is_server_failure(result: retry_policies.FailedTry | str | None) -> bool:
     """Return whether the server caused the failure of a try."""
-    if result is None or isinstance(result, str):
+    if result is None or isinstance(result, str) or _is_caller_slow(result):
         return False
     return not (isinstance(result, exchange.NotRun) and result.unsent)
+
+
+def _is_caller_slow(result: retry_policies.FailedTry) -> bool:
+    """Return whether a response broke off since its caller did not read."""
+    return isinstance(result, relay.Broken) and result.caller_slow
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -11,6 +11,7 @@
 from daisypick_http import connection as connections
 from daisypick_http import messages
 from daisypick_http import pool as pools
+from daisypick_http import progress
 from daisypick_http import server as http_server
 from daisypick_platform import request_headers
 from daisypick_router import context as contexts
@@ -66,6 +67,7 @@
     last_event: int | None,
     head_timeout: float,
     copy_from: tuple[str, int] | None = None,
+    bound: progress.ProgressBound | None = None,
 ) -> Outcome:
     """Send a request and read the head of its response.
 
@@ -79,6 +81,8 @@
         head_timeout: Seconds to wait for the head of the response.
         copy_from: Address of a server that has more of the prompt in its KV
             cache.
+        bound: Progress with which the server is to read the request; without
+            one it has to read it within some seconds.
 
     Raises:
         CallerDisconnected: The caller disconnected before the request was sent.
@@ -110,6 +114,7 @@
             last_event,
             head_timeout,
             copy_from,
+            bound,
         )
         finished = isinstance(outcome, OpenExchange) or connection.is_reusable()
     finally:
@@ -128,10 +133,11 @@
     last_event: int | None,
     head_timeout: float,
     copy_from: tuple[str, int] | None,
+    bound: progress.ProgressBound | None,
 ) -> Outcome:
     request = context.request
     now = time.monotonic()
-    data = messages.write_request(
+    head = messages.write_request_head(
         method=request.method,
         target=request.target,
         headers=request_headers.write_for_server(
@@ -142,12 +148,18 @@
             last_event=last_event,
             copy_from=copy_from,
         ),
-        body=request.body,
+        length=len(request.body),
     )
     try:
         context.is_sent = True
         connection.send(
-            data, method=request.method, timeout=_SEND_TIMEOUT_SECONDS
+            head,
+            method=request.method,
+            timeout=_SEND_TIMEOUT_SECONDS
+            if bound is None
+            else context.deadline - now,
+            body=request.body,
+            bound=bound,
         )
         return _read_head(connection, context, server, notices, head_timeout)
     except connections.ConnectionBrokeError as error:
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -0,0 +1,342 @@
+"""Counts the bytes of callers' requests and applies the limits of the ledger.
+
+Each caller's connection has a ``CallerHold``. Above the hard limit connections
+are ended at once, until the ledger is below it. A request that must not be cut
+at its server loses only its caller: the handler goes on without keeping bytes.
+
+See Also:
+    daisypick_core.serving.held_bytes: the limits and who is ended.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import time
+
+import gevent
+
+from daisypick_core.results import codes
+from daisypick_core.results import failure
+from daisypick_core.serving import backend_server
+from daisypick_core.serving import held_bytes
+from daisypick_core.serving import server_capacity
+from daisypick_http import hold as holds
+from daisypick_http import messages
+from daisypick_http import progress
+from daisypick_http import server as http_server
+from daisypick_router import context as contexts
+from daisypick_router import log as logs
+from daisypick_router import metrics as metric_numbers
+from daisypick_router import refusals
+
+# A receiver with the usual buffers opens its window in steps of some 32 KB, so
+# one that reads 1 KB/s shows no progress for half a minute.
+_RESPONSE_BOUND = progress.ProgressBound(amount=16_384, seconds=40.0)
+# A sender has no such steps. A request's deadline ends it in any case.
+_BODY_BOUND = progress.ProgressBound(amount=2_048, seconds=4.0)
+# Progress asked of a backend server that reads a request.
+_SERVER_BOUND = progress.ProgressBound(amount=4_096, seconds=8.0)
+PACE = holds.Pace(body=_BODY_BOUND, response=_RESPONSE_BOUND)
+# Seconds after which a caller may retry. A response of the usual size takes a
+# part of this time.
+_RETRY_AFTER = 0.4
+# Heads that may be incomplete at once. Usual heads arrive in one piece.
+_MAX_HEADS = 256
+
+
+class Sending:
+    """One try at a backend server.
+
+    Attributes:
+        answered: Whether the server answered it.
+    """
+
+    def __init__(self) -> None:
+        self.answered = False
+
+
+class HeldRequests:
+    """The held bytes of a router.
+
+    Attributes:
+        ledger: The counts and limits.
+        capacity: Bytes in flight to backend servers.
+        pace: Progress asked of callers; ``None`` where callers and servers are
+            not expected to be slow.
+    """
+
+    def __init__(
+        self,
+        *,
+        memory_bytes: int,
+        pace: holds.Pace | None,
+        find_organisation: Callable[[messages.Headers], str],
+        log: logs.Log,
+        metrics: metric_numbers.Metrics,
+    ) -> None:
+        self.ledger = held_bytes.HeldBytes(memory_bytes=memory_bytes)
+        self.capacity = server_capacity.ServerCapacity()
+        self.pace = pace
+        self.find_organisation = find_organisation
+        self._log = log
+        self._metrics = metrics
+        self._hold_by_holder: dict[held_bytes.Holder, CallerHold] = {}
+        # Connections with an incomplete head, the oldest first.
+        self._heads: collections.OrderedDict[CallerHold, None] = (
+            collections.OrderedDict()
+        )
+
+    @property
+    def server_bound(self) -> progress.ProgressBound | None:
+        """Progress with which a backend server is to read a request."""
+        return _SERVER_BOUND if self.pace is not None else None
+
+    def open(self) -> "CallerHold":
+        """Return the hold of a new connection."""
+        hold = CallerHold(held=self)
+        self._hold_by_holder[hold.holder] = hold
+        return hold
+
+    def forget(self, hold: "CallerHold") -> None:
+        """Drop the hold of a connection that has ended."""
+        self._heads.pop(hold, None)
+        self.ledger.close(hold.holder, time.monotonic())
+        self._hold_by_holder.pop(hold.holder, None)
+
+    def note_head(self, hold: "CallerHold", *, incomplete: bool) -> None:
+        """Bound the number of incomplete heads; the oldest one is rejected."""
+        if not incomplete:
+            self._heads.pop(hold, None)
+            return
+        self._heads.setdefault(hold, None)
+        if len(self._heads) <= _MAX_HEADS:
+            return
+        oldest, _ = self._heads.popitem(last=False)
+        self._note("head", oldest)
+        refusal = holds.Refusal(status=408, reason="too many incomplete heads")
+        gevent.spawn(oldest.connection.reject, refusal)
+
+    def begin_body(self, hold: "CallerHold", size: int) -> holds.Refusal | None:
+        """Count a body that begins to arrive, or refuse it."""
+        self.ledger.end_arrival(hold.holder)
+        reason = self.ledger.begin_arrival(hold.holder, size)
+        if reason is None:
+            return None
+        self._note("body", hold, reason=reason, size=size)
+        refused = _refuse(reason)
+        return holds.Refusal(
+            status=refused.code.status,
+            reason=reason,
+            headers=tuple(refusals.write_headers(refused)),
+            body=refusals.write_body(refused),
+        )
+
+    def refuse_whole(
+        self, connection: http_server.CallerConnection
+    ) -> failure.Failure | None:
+        """Return the refusal of a whole response above the soft limit."""
+        if not self.ledger.is_above_soft:
+            return None
+        reason = "memory of the router is in use"
+        if isinstance(connection.hold, CallerHold):
+            self._note("response", connection.hold, reason=reason)
+        return _refuse(reason)
+
+    def enforce(self) -> None:
+        """End holders while the ledger is above the hard limit."""
+        while (holder := self.ledger.choose_end()) is not None:
+            self.end(self._hold_by_holder[holder], "hard limit of held bytes")
+
+    def end(self, hold: "CallerHold", reason: str) -> None:
+        """End a caller's connection; an unsafe request runs to its end."""
+        if hold.is_ended:
+            return
+        hold.is_ended = True
+        self._note("end", hold, reason=reason)
+        holder = hold.holder
+        holder.ended = True
+        now = time.monotonic()
+        if holder.protected:
+            self.ledger.set(holder, held_bytes.RESPONSE, 0, now)
+            self.ledger.set(holder, held_bytes.STREAM, 0, now)
+        else:
+            self.ledger.close(holder, now)
+        hold.connection.drop(reason, keep_handler=holder.protected)
+
+    def _note(self, bound: str, hold: "CallerHold", **fields: object) -> None:
+        """Count and log a decision."""
+        now = time.monotonic()
+        holder = hold.holder
+        self._metrics.count("held_bounds_total", bound=bound)
+        self._log.write(
+            "held",
+            "A bound of held bytes is met.",
+            bound=bound,
+            organisation=holder.organisation,
+            server=holder.server,
+            protected=holder.protected,
+            bytes=holder.bytes,
+            without_progress=round(now - holder.progressed_at, 3),
+            age=round(now - holder.opened_at, 3),
+            total=self.ledger.total,
+            **fields,
+        )
+
+    def allows(
+        self, context: contexts.Context, server: backend_server.BackendServer
+    ) -> bool:
+        """Return whether a server has room for a request."""
+        return self.capacity.allows(server.name, len(context.request.body))
+
+    @contextlib.contextmanager
+    def sending(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+        server: backend_server.BackendServer,
+    ) -> Iterator[Sending]:
+        """Count a request at a server until its failure has been examined."""
+        size = len(context.request.body)
+        holder = getattr(connection.hold, "holder", None)
+        if holder is not None:
+            self.ledger.assign(
+                holder,
+                organisation=context.organisation or "",
+                server=server.name,
+            )
+        self.capacity.note_sent(server.name, size)
+        sending = Sending()
+        try:
+            yield sending
+        finally:
+            self.capacity.note_end(server.name, size, answered=sending.answered)
+            if holder is not None:
+                holder.protected = False
+                self.ledger.assign(holder)
+
+    def note_sent(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+    ) -> None:
+        """Record that a request is sent now and may run."""
+        if isinstance(connection.hold, CallerHold):
+            connection.hold.holder.protected = not context.may_run_again
+
+    def is_overload(self, server: backend_server.BackendServer) -> bool:
+        """Return whether a server's crash is attributed to its memory."""
+        if self.pace is None:
+            return False
+        overload = self.capacity.note_crash(server.name, time.monotonic())
+        if overload:
+            self._metrics.count("server_overloads_total")
+            self._log.write(
+                "held",
+                "A server ended with much in flight and gets less.",
+                server=server.name,
+                limit=self.capacity.find_limit(server.name),
+            )
+        return overload
+
+    def write_metrics(self) -> None:
+        """Set the gauges."""
+        ledger = self.ledger
+        for kind, amount in ledger.bytes_by_kind.items():
+            self._metrics.set_gauge("held_bytes", amount, kind=kind)
+        self._metrics.set_gauge("held_bytes_peak", ledger.peak)
+        self._metrics.set_gauge(
+            "held_bytes_share", ledger.total / ledger.hard_limit
+        )
+
+
+def _refuse(reason: str) -> failure.Failure:
+    return failure.Failure(
+        code=codes.MEMORY_IN_USE, reason=reason, retry_after=_RETRY_AFTER
+    )
+
+
+class CallerHold(holds.Hold):
+    """Counts the bytes of one caller's connection in the ledger.
+
+    Attributes:
+        holder: Its entry in the ledger.
+        connection: The connection; set once it exists.
+        is_ended: Whether its caller's connection was ended.
+    """
+
+    connection: http_server.CallerConnection
+
+    def __init__(self, *, held: HeldRequests) -> None:
+        self._held = held
+        self.holder = held.ledger.open(time.monotonic())
+        self.is_ended = False
+        self._kind = held_bytes.RESPONSE
+        self._waiting = 0
+        self._buffered = 0
+
+    def note_head(self, *, incomplete: bool) -> None:
+        """See the base class."""
+        self._held.note_head(self, incomplete=incomplete)
+
+    def begin_body(
+        self, headers: messages.Headers, size: int
+    ) -> holds.Refusal | None:
+        """See the base class."""
+        if not self.holder.bytes_by_kind:
+            self._held.ledger.assign(
+                self.holder,
+                organisation=self._held.find_organisation(headers),
+            )
+        return self._held.begin_body(self, size)
+
+    def end_body(self) -> None:
+        """See the base class."""
+        self._held.ledger.end_arrival(self.holder)
+
+    def set_request(self, amount: int) -> None:
+        """See the base class."""
+        if not self.is_ended or self.holder.protected or not amount:
+            self._set(held_bytes.REQUEST, amount)
+
+    def set_response(self, amount: int) -> None:
+        """See the base class."""
+        self._waiting = amount
+        self._set_response()
+
+    def set_buffered(self, amount: int) -> None:
+        """Set the bytes of a response that are not sent to the caller yet."""
+        self._buffered = amount
+        self._set_response()
+
+    def _set_response(self) -> None:
+        if self.is_ended:
+            return
+        amount = self._waiting + self._buffered
+        if not amount:
+            self._set(held_bytes.RESPONSE, 0)
+            self._set(held_bytes.STREAM, 0)
+        else:
+            self._set(self._kind, amount)
+
+    def set_stream(self, *, is_stream: bool) -> None:
+        """Record whether the response is a stream; none of it is held yet."""
+        self._kind = held_bytes.STREAM if is_stream else held_bytes.RESPONSE
+
+    def _set(self, kind: str, amount: int) -> None:
+        ledger = self._held.ledger
+        ledger.set(self.holder, kind, amount, time.monotonic())
+        if ledger.is_above_hard:
+            self._held.enforce()
+
+    def find_limit(self) -> float:
+        """See the base class."""
+        return self._held.ledger.find_caller_limit(self.holder)
+
+    def note_slow(self) -> None:
+        """See the base class."""
+        self._held.end(self, "caller reads too slowly")
+
+    def close(self) -> None:
+        """See the base class."""
+        self._held.forget(self)
--- a/packages/daisypick_router/src/daisypick_router/plain_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_handler.py
@@ -1,7 +1,8 @@
 """Handles requests of plain services, with retries.
 
-A response is buffered until it is complete, so a try that fails midway can be
-repeated transparently to the caller if running the request twice is safe.
+A small response is buffered until it is complete, so a try that fails midway
+can be repeated transparently to the caller if running the request twice is
+safe. Where callers may be slow, a large one is sent on while it arrives.
 """
 
 import time
@@ -9,11 +10,11 @@
 from daisypick_core.results import failure
 from daisypick_core.serving import backend_server
 from daisypick_core.serving import route_table
-from daisypick_http import messages
 from daisypick_http import pool as pools
 from daisypick_http import server as http_server
 from daisypick_router import context as contexts
 from daisypick_router import exchange
+from daisypick_router import held_requests
 from daisypick_router import plain_servers
 from daisypick_router import relay
 from daisypick_router import retry_policy as retry_policies
@@ -37,12 +38,14 @@
         retry_policy: retry_policies.RetryPolicy,
         notices: server_notices.ServerNotices,
         rollouts: rollout_records.Rollouts,
+        held: held_requests.HeldRequests,
     ) -> None:
         self._pool = pool
         self._servers = servers
         self._retry_policy = retry_policy
         self._notices = notices
         self._rollouts = rollouts
+        self._held = held
 
     def serve(
         self,
@@ -50,9 +53,12 @@
         context: contexts.Context,
     ) -> failure.Failure | str:
         """Answer a request; return the outcome, or the failure."""
-        paused = self._notices.refuse(context)
+        paused = self._notices.refuse(context) or self._held.refuse_whole(
+            connection
+        )
         if paused is not None:
             return paused
+        connection.hold.set_stream(is_stream=False)
         last_response: relay.WholeResponse | None = None
         result: retry_policies.FailedTry | relay.WholeResponse | None = None
         while result is None or self._retry_policy.may_retry(context, result):
@@ -61,24 +67,31 @@
             if server is None:
                 break
             context.tried_servers.add(server.name)
-            try:
-                result = self._try(connection, context, server)
-            finally:
-                self._servers.note_end(server.name, isolated=isolated)
-            if isinstance(result, relay.WholeResponse):
-                last_response = result
-                if result.head.status < 500:
-                    self._retry_policy.outcomes.note_success(server.name)
-                    self._retry_policy.quarantine.note_answered(context)
-                    break
-                self._retry_policy.outcomes.note_failure(
-                    server.name, time.monotonic()
-                )
-            else:
-                self._retry_policy.note_failed(context, server, result)
-        if last_response is not None:
-            send_response(connection, last_response)
+            with self._held.sending(connection, context, server) as sending:
+                try:
+                    result = self._try(connection, context, server)
+                finally:
+                    self._servers.note_end(server.name, isolated=isolated)
+                if not isinstance(result, relay.WholeResponse):
+                    self._retry_policy.note_failed(context, server, result)
+                    if connection.response_started:
+                        break
+                    continue
+                sending.answered = True
+            last_response = result
+            if result.head.status < 500:
+                self._retry_policy.outcomes.note_success(server.name)
+                self._retry_policy.quarantine.note_answered(context)
+                break
+            self._retry_policy.outcomes.note_failure(
+                server.name, time.monotonic()
+            )
+        if last_response is not None and not connection.response_started:
+            relay.send_whole(connection, last_response)
             return f"answered_{last_response.head.status}"
+        if isinstance(result, relay.WholeResponse):
+            relay.send_whole(connection, result)
+            return f"answered_{result.head.status}"
         paused = self._notices.refuse(context)
         return paused or retry_policies.choose_failure(context, result)
 
@@ -91,6 +104,7 @@
             context.tried_servers.union(self._rollouts.find_avoided(context)),
             time.monotonic(),
             isolated=isolated,
+            has_room=lambda found: self._held.allows(context, found),
         )
         if server is not None or not context.tests_version:
             return server
@@ -100,6 +114,7 @@
             context.tried_servers,
             time.monotonic(),
             isolated=isolated,
+            has_room=lambda found: self._held.allows(context, found),
         )
 
     def _try(
@@ -122,7 +137,9 @@
                 failed=result.head.status >= 500,
                 first=time.monotonic() - sent.at,
             )
-        elif not isinstance(result, exchange.NotRun):
+        elif not isinstance(result, exchange.NotRun) and not (
+            isinstance(result, relay.Broken) and result.caller_slow
+        ):
             self._rollouts.note_break(sent)
         return result
 
@@ -139,6 +156,7 @@
             timeout = context.route.objective * _SAFE_TIMEOUT_OBJECTIVES
             head_timeout = min(head_timeout, timeout)
         self._retry_policy.quarantine.note_sent(context)
+        self._held.note_sent(connection, context)
         opened = exchange.open_exchange(
             self._pool,
             connection,
@@ -147,6 +165,7 @@
             notices=self._notices,
             last_event=None,
             head_timeout=head_timeout,
+            bound=self._held.server_bound,
         )
         if isinstance(opened, exchange.NotRun):
             context.servers_reached += opened.reached_server
@@ -154,7 +173,7 @@
         context.servers_reached += 1
         if isinstance(opened, exchange.Unknown):
             return opened
-        return read_whole(self._pool, opened, context.deadline)
+        return read_whole(self._pool, opened, context.deadline, connection)
 
     def _may_fail_over(self, context: contexts.Context) -> bool:
         """Return whether another server is left if the next one times out."""
@@ -166,26 +185,18 @@
 
 
 def read_whole(
-    pool: pools.Pool, opened: exchange.OpenExchange, deadline: float
+    pool: pools.Pool,
+    opened: exchange.OpenExchange,
+    deadline: float,
+    caller: http_server.CallerConnection,
 ) -> relay.WholeResponse | relay.Broken:
     """Read a complete response and release its connection."""
     response = None
     try:
-        response = relay.read_whole(opened, deadline)
+        response = relay.read_whole(opened, deadline, caller)
     finally:
         if not isinstance(response, relay.WholeResponse):
             opened.connection.close()
     if isinstance(response, relay.WholeResponse):
         pool.release(opened.connection)
     return response
-
-
-def send_response(
-    connection: http_server.CallerConnection, response: relay.WholeResponse
-) -> None:
-    """Relay a server's complete response to the caller."""
-    connection.send_whole(
-        status=response.head.status,
-        headers=messages.drop_hop_by_hop(response.head.headers),
-        body=response.body,
-    )
--- a/packages/daisypick_router/src/daisypick_router/plain_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_servers.py
@@ -7,6 +7,7 @@
 compared, so that the cost of a request does not depend on their number.
 """
 
+from collections.abc import Callable
 import random
 
 from daisypick_core.serving import backend_server
@@ -54,6 +55,9 @@
         now: float,
         *,
         isolated: bool = False,
+        has_room: Callable[[backend_server.BackendServer], bool] = (
+            lambda server: True
+        ),
     ) -> backend_server.BackendServer | None:
         """Select a server that was not tried and count the request.
 
@@ -63,11 +67,16 @@
             now: The time.
             isolated: Whether the request must not share a server with another
                 isolated one of this router.
+            has_room: Whether a server can hold the request.
         """
         excluded = tried_servers
         if isolated:
             excluded = tried_servers | self._with_isolated
-        candidates = self._find_untried(service, excluded, now)
+        candidates = [
+            candidate
+            for candidate in self._find_untried(service, excluded, now)
+            if has_room(candidate)
+        ]
         if not candidates:
             return None
         server = min(
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -23,12 +23,14 @@
 from daisypick_http import server as http_server
 from daisypick_platform import position as positions
 from daisypick_platform import probes
+from daisypick_platform import request_headers
 from daisypick_platform import settings as platform_settings
 from daisypick_platform import store as stores
 from daisypick_router import crash_probe
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_handler
 from daisypick_router import engine_schedulers
+from daisypick_router import held_requests
 from daisypick_router import idle_connections
 from daisypick_router import intake
 from daisypick_router import load_watch
@@ -122,11 +124,19 @@
             probe=probe,
             log=self.log,
         )
+        self.held = held_requests.HeldRequests(
+            memory_bytes=settings.memory_bytes,
+            pace=held_requests.PACE if settings.slow_peers else None,
+            find_organisation=self._find_organisation,
+            log=self.log,
+            metrics=self.metrics,
+        )
         self.quarantine = quarantines.Quarantine(
             probe=probe,
             directory=self.discovery.directory,
             log=self.log,
             metrics=self.metrics,
+            is_overload=self.held.is_overload,
         )
         self._quarantine_store = quarantine_store.QuarantineStore(
             store=store,
@@ -209,6 +219,7 @@
                 retry_policy=retry_policy,
                 notices=self._notices,
                 rollouts=self.rollouts,
+                held=self.held,
             ),
             engine=engine_handler.EngineHandler(
                 pool=self._pool,
@@ -220,6 +231,7 @@
                 metrics=self.metrics,
                 router=settings.name,
                 data_centre=settings.data_centre,
+                held=self.held,
             ),
             retry_policy=retry_policy,
             log=self.log,
@@ -313,8 +325,20 @@
             return _DEFAULT_LIMITS
         return configuration.limits
 
+    def _find_organisation(self, headers: messages.Headers) -> str:
+        """Return the owner of a request's API key; empty without one."""
+        configuration = self.discovery.configuration
+        if configuration is None:
+            return ""
+        key = request_headers.find_api_key(headers)
+        owner = configuration.organisation_by_key.get(
+            key.decode("latin-1") if isinstance(key, bytes) else key
+        )
+        return owner.name if owner is not None else ""
+
     def _serve_caller(self, socket, address) -> None:  # noqa: ANN001
         del address
+        hold = self.held.open()
         connection = http_server.CallerConnection(
             socket=socket,
             handle=self.serving.handle,
@@ -322,7 +346,10 @@
             begin=self._intake.add,
             on_drop=self.serving.note_dropped,
             on_idle=self._idle.note,
+            hold=hold,
+            pace=self.held.pace,
         )
+        hold.connection = connection
         self._connections[connection] = None
         self._idle.note(connection, True)
         if len(self._connections) > self._max_connections:
@@ -375,6 +402,7 @@
         self.metrics.set_gauge("timer_lag_seconds", self.load.overload.lag)
         self.metrics.set_gauge("server_connections_opened", self._pool.opened)
         self.metrics.set_gauge("server_connections_reused", self._pool.reused)
+        self.held.write_metrics()
         return self.metrics.write().encode()
 
     def _update_servers(self, names: Collection[str] | None) -> None:
@@ -432,6 +460,7 @@
         Addresses and the name cannot change while the process runs.
         """
         self.settings = settings
+        self.held.ledger.set_memory(settings.memory_bytes)
         bounds = settings.bounds
         self._budget.set_bounds(
             ratio=bounds.retry_ratio,
--- a/packages/daisypick_router/src/daisypick_router/quarantine.py
+++ b/packages/daisypick_router/src/daisypick_router/quarantine.py
@@ -49,11 +49,15 @@
         directory: directories.Directory,
         log: logs.Log,
         metrics: metric_numbers.Metrics,
+        is_overload: Callable[[backend_server.BackendServer], bool] = (
+            lambda server: False
+        ),
     ) -> None:
         self._probe = probe
         self._directory = directory
         self._log = log
         self._metrics = metrics
+        self._is_overload = is_overload
         self.ledger = crash_ledger.CrashLedger()
         self._senders: list[_Sender] = []
         self._unsent: dict[str, crash_record.CrashRecord] = {}
@@ -113,6 +117,9 @@
             server, sent_at=context.sent_at
         ):
             return
+        if self._is_overload(server):
+            # It ended of all its requests together, none of which is to blame.
+            return
         record = self.ledger.note_crash(
             context.digest,
             context.crashes_when_sent,
--- a/packages/daisypick_router/src/daisypick_router/retry_policy.py
+++ b/packages/daisypick_router/src/daisypick_router/retry_policy.py
@@ -100,7 +100,8 @@
         not_run = isinstance(result, exchange.NotRun)
         if not not_run:
             context.may_have_run = True
-        if not (not_run and result.unsent):
+        caller_slow = isinstance(result, relay.Broken) and result.caller_slow
+        if not (not_run and result.unsent) and not caller_slow:
             down = not_run and (result.server_down or result.misdirected)
             self.outcomes.note_failure(
                 server.name, time.monotonic(), certain=down
@@ -116,7 +117,8 @@
             reason=result.reason,
             arrivals=context.servers_reached,
         )
-        self.quarantine.note_failed(context, server, result)
+        if not caller_slow:
+            self.quarantine.note_failed(context, server, result)
 
 
 def choose_failure(
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -23,6 +23,7 @@
 from daisypick_router import log as logs
 from daisypick_router import metrics as metric_numbers
 from daisypick_router import plain_handler
+from daisypick_router import refusals
 from daisypick_router import retry_policy as retry_policies
 
 # Seconds after the start of a graceful stop during which requests may still
@@ -153,10 +154,16 @@
         try:
             outcome = handler.serve(connection, identified)
         except http_server.CallerDisconnected:
-            self._note_end(identified, "caller_left")
+            left = "caller_slow" if connection.is_too_slow else "caller_left"
+            self._note_end(identified, left, reason=connection.end_reason)
             raise
         except OSError as error:
-            self._note_end(identified, "caller_unreachable", reason=str(error))
+            unreachable = (
+                "caller_slow"
+                if connection.is_too_slow
+                else "caller_unreachable"
+            )
+            self._note_end(identified, unreachable, reason=str(error))
             raise
         if failure.is_failure(outcome):
             self._refuse(connection, identified, outcome, request)
@@ -237,22 +244,6 @@
             return
         connection.send_whole(
             status=refusal.code.status,
-            headers=_write_headers(refusal),
-            body=_write_body(refusal),
+            headers=refusals.write_headers(refusal),
+            body=refusals.write_body(refusal),
         )
-
-
-def _write_headers(refusal: failure.Failure) -> list[tuple[bytes, bytes]]:
-    headers = [(b"Content-Type", b"application/problem+json")]
-    if refusal.retry_after is not None:
-        headers.append((b"Retry-After", b"%.2f" % refusal.retry_after))
-    return headers
-
-
-def _write_body(refusal: failure.Failure) -> bytes:
-    code = refusal.code
-    return b'{"code": %d, "title": "%b", "ran": "%b"}' % (
-        code.number,
-        code.title.encode(),
-        code.ran.encode(),
-    )
