--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -27,14 +27,17 @@
 
 # Shares of the memory of the process that held bytes may take. A router of the
 # largest fleet needs some 60 MB for itself, and the smallest VM has 200 MB.
-_SOFT_SHARE = 0.25
-_HARD_SHARE = 0.4
+_SOFT_SHARE = 0.45
+_HARD_SHARE = 0.58
 # Share of the soft limit that the bytes of one organisation may take before
 # only its callers get less.
-_ORGANISATION_SHARE = 0.5
+_ORGANISATION_SHARE = 0.8
 # A caller may have this part of the free bytes in flight. All callers together
 # thus approach the soft limit without reaching it.
 _CALLER_PART = 8
+# Servers cut off a response that stays unread for some seconds. After this time
+# one more step is read as long as the router is below its soft limit.
+_MAX_UNREAD_SECONDS = 1.0
 _MIN_CALLER_BYTES = 32_768
 _MAX_CALLER_BYTES = 4_194_304
 # Bodies up to this size are accepted above the soft limit too.
@@ -241,8 +244,16 @@
         if not self._arriving_by_organisation[organisation]:
             del self._arriving_by_organisation[organisation]
 
-    def find_caller_limit(self, holder: Holder) -> float:
-        """Return the bytes that may be in flight to a holder's caller."""
+    def find_caller_limit(self, holder: Holder, waited: float = 0.0) -> float:
+        """Return the bytes that may be in flight to a holder's caller.
+
+        Args:
+            holder: The holder.
+            waited: Seconds for which its server has not been read since the
+                limit is reached.
+        """
+        if waited >= _MAX_UNREAD_SECONDS and not self.is_above_soft:
+            return float("inf")
         free = min(
             self.soft_limit - self.total,
             self.soft_limit * _ORGANISATION_SHARE
--- a/packages/daisypick_http/src/daisypick_http/caller_writer.py
+++ b/packages/daisypick_http/src/daisypick_http/caller_writer.py
@@ -98,17 +98,21 @@
         self._accepted += sent
         return sent
 
-    def wait_for_room(self, find_limit: Callable[[], float]) -> None:
-        """Wait until fewer bytes are kept than ``find_limit()``.
+    def wait_for_room(self, find_limit: Callable[[float], float]) -> None:
+        """Wait until fewer bytes are kept than the limit.
+
+        ``find_limit(waited)`` gets the seconds for which the call has waited.
 
         Raises:
             OSError: The caller has disconnected or misses the bound.
         """
-        if self.waiting < find_limit():
+        if self.waiting < find_limit(0.0):
             return
         began_at = time.monotonic()
         try:
-            while self.waiting and self.waiting >= find_limit():
+            while self.waiting and self.waiting >= find_limit(
+                time.monotonic() - began_at
+            ):
                 self._wait_for_change()
         finally:
             self.blocked_seconds += time.monotonic() - began_at
@@ -126,7 +130,7 @@
 
     def _wait_for_change(self) -> None:
         self._has_changed.clear()
-        self._has_changed.wait()
+        self._has_changed.wait(_LOOK_SECONDS)
 
     def _raise_error(self) -> None:
         if self._error is not None and not self._discards:
--- a/packages/daisypick_http/src/daisypick_http/hold.py
+++ b/packages/daisypick_http/src/daisypick_http/hold.py
@@ -69,8 +69,13 @@
     def set_stream(self, *, is_stream: bool) -> None:
         """Record whether the response is a stream."""
 
-    def find_limit(self) -> float:
-        """Return the number of bytes that may wait for the caller."""
+    def find_limit(self, waited: float) -> float:
+        """Return the number of bytes that may wait for the caller.
+
+        Args:
+            waited: Seconds for which the handler has waited for room.
+        """
+        del waited
         return float("inf")
 
     def note_slow(self) -> None:
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -329,9 +329,9 @@
         if ledger.is_above_hard:
             self._held.enforce()
 
-    def find_limit(self) -> float:
+    def find_limit(self, waited: float) -> float:
         """See the base class."""
-        return self._held.ledger.find_caller_limit(self.holder)
+        return self._held.ledger.find_caller_limit(self.holder, waited)
 
     def note_slow(self) -> None:
         """See the base class."""
--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -454,6 +454,8 @@
     most_files: int = 4096,
     processor: float = 1.0,
     canary_share: float = 0.0,
+    memory_bytes: int = 0,
+    slow_peers: bool = False,
 ) -> process.RouterProcess:
     """Return a router on free ports that has not been started."""
     settings = platform_settings.Settings(
@@ -468,6 +470,8 @@
         most_files=most_files,
         processor=processor,
         bounds=BOUNDS._replace(canary_share=canary_share),
+        memory_bytes=memory_bytes,
+        slow_peers=slow_peers,
     )
     return process.RouterProcess(settings=settings, rng=random.Random(1))
 
