--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -292,6 +292,10 @@
         connection.setsockopt(
             plain_socket.IPPROTO_TCP, plain_socket.TCP_NODELAY, 1
         )
+        if not self.reads_bodies:
+            connection.setsockopt(
+                plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, 65536
+            )
         self._open.add(connection)
         try:
             self._serve_requests(connection)
--- a/packages/daisypick_router/tests/slow_peers.py
+++ b/packages/daisypick_router/tests/slow_peers.py
@@ -69,7 +69,7 @@
     store = fakes.FakeStore()
     manifest = fakes.make_manifest()
     manifest["Tenants"].append({"Name": "slow", "ApiKeys": [SLOW_KEY]})
-    manifest["Limits"]["BodyBytes"] = 4_000_000
+    manifest["Limits"]["BodyBytes"] = 16_000_000
     store.put("config", "main", manifest)
     return store
 
--- a/packages/daisypick_router/tests/test_slow_callers.py
+++ b/packages/daisypick_router/tests/test_slow_callers.py
@@ -148,7 +148,8 @@
     ended = []
 
     def _answer(server, connection, first, headers, body):
-        size = 3_000_000
+        # More than the kernel takes for a reader that has gone.
+        size = 12_000_000
         connection.settimeout(3.0)
         connection.sendall(
             fakes.write_answer(
@@ -171,6 +172,7 @@
     fakes.wait_for(lambda: ended == ["a-1"])
     assert not fakes.read_answer(caller).whole
     assert _count(router, "held_bounds_total", bound="end") == 1
+    assert router.held.ledger.peak < 1_000_000
     fakes.wait_for(lambda: router.held.ledger.total == 0)
 
 
--- a/packages/daisypick_router/tests/test_slow_servers.py
+++ b/packages/daisypick_router/tests/test_slow_servers.py
@@ -77,7 +77,7 @@
         store, memory_bytes=200_000_000, slow_peers=True
     )
     for number in range(6):
-        assert _send(router, f"a-{number}", 3_900_000) == 200
+        assert _send(router, f"a-{number}", 12_000_000) == 200
     assert early.requests
 
 
