--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -250,6 +250,17 @@
             body=refusal.body or refusal.reason.encode(),
         )
 
+    def reject_incomplete(self, refusal: request_reader.Refusal) -> None:
+        """Reject a request whose head is still incomplete."""
+        if not self._reader.in_head or self._handler is not None:
+            return
+        if self.closing:
+            return
+        self._reader.refusal = refusal
+        # The caller may have closed the connection.
+        with contextlib.suppress(OSError):
+            self.reject(refusal)
+
     def _next_timeout(self, reader: request_reader.RequestReader) -> float:
         now = time.monotonic()
         if self._handler is not None:
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -115,7 +115,7 @@
         oldest, _ = self._heads.popitem(last=False)
         self._note("head", oldest)
         refusal = holds.Refusal(status=408, reason="too many incomplete heads")
-        gevent.spawn(oldest.connection.reject, refusal)
+        gevent.spawn(oldest.connection.reject_incomplete, refusal)
 
     def begin_body(self, hold: "CallerHold", size: int) -> holds.Refusal | None:
         """Count a body that begins to arrive, or refuse it."""
--- a/packages/daisypick_router/tests/test_slow_callers.py
+++ b/packages/daisypick_router/tests/test_slow_callers.py
@@ -9,6 +9,7 @@
 
 from daisypick_http import hold
 from daisypick_http import progress
+from daisypick_router import held_requests
 
 # A stream of these is larger than the kernel's largest buffer of a socket.
 _PART = b"x" * 60_000
@@ -176,6 +177,21 @@
     fakes.wait_for(lambda: router.held.ledger.total == 0)
 
 
+def test_oldest_incomplete_head_is_rejected_above_the_bound(store, monkeypatch):
+    """Guards against incomplete heads that fill a router."""
+    monkeypatch.setattr(held_requests, "_MAX_HEADS", 4)
+    router = _serve(store, fakes.FakeServer("d-1", "desk", fakes.answer_ok))
+    callers = [fakes.connect(router) for _ in range(5)]
+    head = fakes.write_request("/look/1", method="GET")
+    for caller in callers:
+        caller.sendall(head[:30])
+        gevent.sleep(0.02)
+    assert callers[0].recv(12) == b"HTTP/1.1 408"
+    for caller in callers[1:]:
+        caller.sendall(head[30:])
+        assert fakes.read_answer(caller).status == 200
+
+
 def test_body_in_slow_steps_is_accepted_and_a_stopped_one_is_not(store):
     """Guards against a time limit for a body that a working link misses."""
     router = _serve(store, fakes.FakeServer("d-1", "desk", fakes.answer_ok))
