--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -13,9 +13,14 @@
 from gevent import socket
 
 from daisypick_http import messages
+from daisypick_http import progress as progress_module
 from daisypick_http import response_reader
 
 _RECEIVE_BYTES = 65536
+# Time between two looks for an early response while a peer does not read.
+_EARLY_LOOK_SECONDS = 0.05
+# Largest body that is copied into one packet with its head.
+_COPY_BYTES = 16384
 _MIN_TIMEOUT_SECONDS = 0.001
 # The kernel closes a connection with unacknowledged bytes after this time, so
 # an unreachable peer does not hold it for the system's default of a quarter of
@@ -122,6 +127,7 @@
         address: tuple[str, int],
         connect_timeout: float,
         keepalive_timeout: int | None = None,
+        receive_bytes: int | None = None,
     ) -> None:
         """Connect.
 
@@ -132,6 +138,10 @@
             keepalive_timeout: Seconds after which the kernel closes the
                 connection if the peer does not respond to keepalive probes;
                 ``None`` for no probes.
+            receive_bytes: Size of the kernel's receive buffer, which it
+                doubles; ``None`` for one that grows to some megabytes. While it
+                is full, the kernel asks for more only after a sixteenth of it
+                was read, so a large one makes a peer wait for long.
 
         Raises:
             NoDescriptorsError: This process has no free file descriptor.
@@ -145,6 +155,7 @@
         self.open_until = 0.0
         self.exchanges = 0
         self.reader: response_reader.ResponseReader | None = None
+        self._is_sent = True
         self._socket = open_socket()
         try:
             self._socket.setsockopt(
@@ -155,6 +166,12 @@
                 plain_socket.TCP_USER_TIMEOUT,
                 _TCP_USER_TIMEOUT_MS,
             )
+            if receive_bytes is not None:
+                self._socket.setsockopt(
+                    plain_socket.SOL_SOCKET,
+                    plain_socket.SO_RCVBUF,
+                    receive_bytes,
+                )
             if keepalive_timeout is not None:
                 enable_keepalive(self._socket, keepalive_timeout)
             self._connect(connect_timeout)
@@ -175,9 +192,25 @@
             if not is_connected(self._socket):
                 raise
 
-    def send(self, data: bytes, *, method: bytes, timeout: float) -> None:
+    def send(
+        self,
+        data: bytes,
+        *,
+        method: bytes,
+        timeout: float,
+        body: bytes = b"",
+        bound: progress_module.ProgressBound | None = None,
+    ) -> None:
         """Send a request and prepare to read its response.
 
+        Args:
+            data: The request, or its head.
+            method: Its method.
+            timeout: Seconds within which all of it is to be sent.
+            body: The rest of it. Small ones are copied into one packet with
+                the head; large ones are not copied.
+            bound: Progress that is asked of the peer besides.
+
         Raises:
             ConnectionBrokeError: The peer closed the connection or does not
                 read.
@@ -185,11 +218,49 @@
         self.exchanges += 1
         self.open_until = 0.0
         self.reader = response_reader.ResponseReader(method=method)
+        parts = [data + body] if len(body) <= _COPY_BYTES else [data, body]
+        self._is_sent = False
         try:
-            self._socket.settimeout(timeout)
-            self._socket.sendall(data)
+            if bound is not None:
+                self._send_paced(parts, timeout, bound)
+            else:
+                for part in parts:
+                    self._socket.settimeout(timeout)
+                    self._socket.sendall(part)
         except OSError as error:
             raise ConnectionBrokeError(f"send: {error}") from error
+        self._is_sent = True
+
+    def _send_paced(
+        self,
+        parts: list[bytes],
+        timeout: float,
+        bound: progress_module.ProgressBound,
+    ) -> None:
+        now = time.monotonic()
+        until = now + timeout
+        progress = progress_module.Progress(bound, now)
+        for part in parts:
+            rest = memoryview(part)
+            while rest:
+                wait = min(
+                    min(progress.due_at, until) - time.monotonic(),
+                    _EARLY_LOOK_SECONDS,
+                )
+                self._socket.settimeout(max(wait, _MIN_TIMEOUT_SECONDS))
+                try:
+                    sent = self._socket.send(rest[:_RECEIVE_BYTES])
+                except TimeoutError:
+                    sent = 0
+                    if not self.is_open_and_idle():
+                        raise ConnectionResetError(
+                            "peer answers before it has the request"
+                        ) from None
+                rest = rest[sent:]
+                progress.note(sent)
+                now = time.monotonic()
+                if rest and (now >= until or progress.is_late(now)):
+                    raise TimeoutError("peer reads too slowly")
 
     def read(self, timeout: float) -> None:
         """Read available bytes into ``reader``.
@@ -219,7 +290,12 @@
         reader = self.reader
         if reader is None:
             return True
-        return reader.complete and reader.keep_alive and not reader.surplus
+        return (
+            self._is_sent
+            and reader.complete
+            and reader.keep_alive
+            and not reader.surplus
+        )
 
     def is_open_and_idle(self) -> bool:
         """Return whether an idle connection is open and has nothing to read.
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -25,6 +25,7 @@
 from daisypick_router import context as contexts
 from daisypick_router import discovery as discoveries
 from daisypick_router import exchange
+from daisypick_router import held_requests
 from daisypick_router import metrics as metric_numbers
 from daisypick_router import placing as placings
 from daisypick_router import plain_handler
@@ -63,6 +64,7 @@
         metrics: metric_numbers.Metrics,
         router: str,
         data_centre: str,
+        held: held_requests.HeldRequests,
     ) -> None:
         self._pool = pool
         self._discovery = discovery
@@ -74,6 +76,7 @@
         self._metrics = metrics
         self._router = router
         self._data_centre = data_centre
+        self._held = held
 
     def serve(
         self,
@@ -182,10 +185,16 @@
                 # It has crashed its last server while it waited.
                 self._release(place)
                 return self._choose_refusal(context, result, quarantined)
-            result = self._try(connection, context, place, progress, takeover)
-            if isinstance(result, str):
-                return result
-            self._retry_policy.note_failed(context, place.server, result)
+            with self._held.sending(
+                connection, context, place.server
+            ) as sending:
+                result = self._try(
+                    connection, context, place, progress, takeover
+                )
+                if isinstance(result, str):
+                    sending.answered = True
+                    return result
+                self._retry_policy.note_failed(context, place.server, result)
             place = takeover.take()
             if place is not None:
                 context.pool = place.service
@@ -220,6 +229,7 @@
         if (
             server is None
             or not self._may_send(server)
+            or not self._held.allows(context, server)
             or self._rollouts.is_outdated(context)
         ):
             self._placing.note_end(context.pool, work.key)
@@ -450,7 +460,8 @@
         if isinstance(result, exchange.NotRun):
             return
         if not isinstance(result, str):
-            self._rollouts.note_break(sent)
+            if not _is_caller_slow(result):
+                self._rollouts.note_break(sent)
             return
         first, pace = None, None
         if context.first_event_at is not None:
@@ -474,6 +485,7 @@
         takeover: takeovers.Takeover,
     ) -> retry_policies.FailedTry | str:
         self._retry_policy.quarantine.note_sent(context)
+        self._held.note_sent(connection, context)
         source = place.source
         head_timeout = self._answers.find_first_event_timeout(
             context, place.prefill_seconds
@@ -491,6 +503,7 @@
             head_timeout=head_timeout,
             on_silent=takeover.extend,
             copy_from=source.address if source is not None else None,
+            bound=self._held.server_bound,
         )
         if isinstance(opened, exchange.NotRun):
             context.servers_reached += opened.reached_server
@@ -517,17 +530,17 @@
         opened: exchange.OpenExchange,
     ) -> relay.Broken | str:
         response = plain_handler.read_whole(
-            self._pool, opened, context.deadline
+            self._pool, opened, context.deadline, connection
         )
         if isinstance(response, relay.Broken):
             return response
-        if connection.response_started:
+        if connection.response_started and not response.sent:
             return relay.Broken(
                 reason=f"server answered {response.head.status} to go on"
             )
         if response.head.status < 500:
             self._retry_policy.quarantine.note_answered(context)
-        plain_handler.send_response(connection, response)
+        relay.send_whole(connection, response)
         return f"answered_{response.head.status}"
 
     def _relay_stream(
@@ -545,6 +558,8 @@
             context, place.prefill_seconds
         )
         first = True
+        blocked = connection.blocked_seconds
+        connection.hold.set_stream(is_stream=True)
         try:
             while True:
                 until = takeover.watch(
@@ -571,7 +586,9 @@
             if not isinstance(ended, relay.StreamEnded):
                 opened.connection.close()
         if isinstance(ended, relay.Broken):
-            return ended
+            return relay.note_blocked(
+                ended, connection.blocked_seconds - blocked
+            )
         self._retry_policy.quarantine.note_answered(context)
         self._pool.release(opened.connection)
         if not connection.response_started:
@@ -626,6 +643,11 @@
 
 def _is_server_failure(result: retry_policies.FailedTry | str | None) -> bool:
     """Return whether the server caused the failure of a try."""
-    if result is None or isinstance(result, str):
+    if result is None or isinstance(result, str) or _is_caller_slow(result):
         return False
     return not (isinstance(result, exchange.NotRun) and result.unsent)
+
+
+def _is_caller_slow(result: retry_policies.FailedTry) -> bool:
+    """Return whether a response broke off since its caller did not read."""
+    return isinstance(result, relay.Broken) and result.caller_slow
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -12,12 +12,15 @@
 from daisypick_http import connection as connections
 from daisypick_http import messages
 from daisypick_http import pool as pools
+from daisypick_http import progress
 from daisypick_http import server as http_server
 from daisypick_platform import request_headers
 from daisypick_router import context as contexts
 from daisypick_router import server_notices
 
 _SEND_TIMEOUT_SECONDS = 5.0
+# Wait for a response that a server sent before it stopped reading a request.
+_EARLY_HEAD_SECONDS = 0.05
 
 
 class NotRun(typing.NamedTuple):
@@ -68,6 +71,7 @@
     head_timeout: float,
     on_silent: Callable[[], float | None] | None = None,
     copy_from: tuple[str, int] | None = None,
+    bound: progress.ProgressBound | None = None,
 ) -> Outcome:
     """Send a request and read the head of its response.
 
@@ -83,6 +87,8 @@
             wait on, or ``None`` to give up.
         copy_from: Address of a server that has more of the prompt in its KV
             cache.
+        bound: Progress with which the server is to read the request; without
+            one it has to read it within some seconds.
 
     Raises:
         CallerDisconnected: The caller disconnected before the request was sent.
@@ -115,6 +121,7 @@
             head_timeout,
             on_silent,
             copy_from,
+            bound,
         )
         finished = isinstance(outcome, OpenExchange) or connection.is_reusable()
     finally:
@@ -134,10 +141,11 @@
     head_timeout: float,
     on_silent: Callable[[], float | None] | None,
     copy_from: tuple[str, int] | None,
+    bound: progress.ProgressBound | None,
 ) -> Outcome:
     request = context.request
     now = time.monotonic()
-    data = messages.write_request(
+    head = messages.write_request_head(
         method=request.method,
         target=request.target,
         headers=request_headers.write_for_server(
@@ -148,13 +156,25 @@
             last_event=last_event,
             copy_from=copy_from,
         ),
-        body=request.body,
+        length=len(request.body),
     )
     try:
         context.is_sent = True
-        connection.send(
-            data, method=request.method, timeout=_SEND_TIMEOUT_SECONDS
-        )
+        try:
+            connection.send(
+                head,
+                method=request.method,
+                timeout=_SEND_TIMEOUT_SECONDS
+                if bound is None
+                else context.deadline - now,
+                body=request.body,
+                bound=bound,
+            )
+        except connections.ConnectionBrokeError:
+            if bound is None:
+                raise
+            # A server may reject a large body without reading all of it.
+            head_timeout, on_silent = _EARLY_HEAD_SECONDS, None
         return _read_head(
             connection, context, server, notices, head_timeout, on_silent
         )
