Weigh a fault of the version against faulty servers, and approve nothing in doubt

Cause: with a probe of six servers the median server shows nothing, so the comparison by servers leaves out the six that show the fault. 5 in 100 failures need more answers than a test by servers with a tolerance of 0.01 has.

Change: the likelihood ratio of a faulty version and a sound one is tested beside the present test, by route and in all. Each server may be faulty itself under both, which bounds what it adds. The ratio rejects at e^9; at the move, which is the last test, at e^3.

--- a/packages/daisypick_core/src/daisypick_core/rollout/decider.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/decider.py
@@ -156,7 +156,13 @@
     def _find_phase(self, now: float, has_capacity: bool) -> states.Phase:
         if self.state.target == self.state.in_force:
             return states.Phase.MOVING
-        fault = self._find_fault()
+        move_at = self._find_move_at(now)
+        is_last_test = now >= move_at and self.state.is_testing
+        fault = self._find_fault(
+            verdict.DOUBTED_LOG_ODDS
+            if is_last_test
+            else verdict.REJECTED_LOG_ODDS
+        )
         if fault is not None:
             where = f"route {fault.route}" if fault.route else "all routes"
             self.reason = (
@@ -167,7 +173,6 @@
         if self.state.phase is states.Phase.MOVING:
             return states.Phase.MOVING
         answers = self._evidence.count_target()
-        move_at = self._find_move_at(now)
         # Also at the limit: a decider that was late rejects no good version.
         if now >= move_at and answers >= _MIN_ANSWERS and has_capacity:
             return states.Phase.MOVING
@@ -182,18 +187,20 @@
             return states.Phase.PROBE
         return states.Phase.CANARY
 
-    def _find_fault(self) -> verdict.Fault | None:
+    def _find_fault(self, log_odds: float) -> verdict.Fault | None:
         everything, recent = self._evidence, self._recent
         fault = verdict.find_failures(
-            reference=everything, target=everything
-        ) or verdict.find_failures(reference=everything, target=recent)
+            reference=everything, target=everything, log_odds=log_odds
+        ) or verdict.find_failures(
+            reference=everything, target=recent, log_odds=log_odds
+        )
         if fault is not None:
             return fault
         if self.state.phase is states.Phase.MOVING:
             return verdict.find_later_slowness(
                 reference=everything, target=recent
             )
-        return verdict.find_slowness(self._slices)
+        return verdict.find_slowness(self._slices, log_odds=log_odds)
 
     def _find_move_at(self, now: float) -> float:
         seconds = self.state.seconds
--- a/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
@@ -31,6 +31,7 @@
     Fault(sign='failures', route='look', found=12, expected=0.35, answers=12)
 """
 
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -39,6 +40,7 @@
 import typing
 
 from daisypick_core.rollout import evidence as evidences
+from daisypick_core.rollout import likelihood
 
 # Largest probability at which a sign may appear on a sound version. Some seven
 # strata and six signs are tested some forty times on data that grow, so a sound
@@ -52,6 +54,15 @@
 # Share of a sound version's answers that may exceed the time which four in five
 # of the version in force stay below: without any cached prefix twice as many.
 _SHIFTED_SHARE = 0.45
+# The likelihood ratio has a tolerance of its own for failures: it tells a fault
+# of 3 in 100 from none.
+_TOLERANCE_BY_SIGN = {"failures": _FAILURE_TOLERANCE}
+# Logarithm of the ratio of likelihoods at which a version is rejected. A sound
+# one reaches it in one of 8,000 roll-outs for each of the six signs.
+REJECTED_LOG_ODDS = 9.0
+# That at which it is not approved at the end of its test, which is looked at
+# once. A good version hardly reaches it then.
+DOUBTED_LOG_ODDS = 3.0
 # A bucket is a quarter longer than the one before, so three are twice as long.
 _SLOW_BUCKETS = 3
 # The same for times of another time: six times as long.
@@ -98,25 +109,38 @@
 
 
 def find_failures(
-    *, reference: evidences.Evidence, target: evidences.Evidence
+    *,
+    reference: evidences.Evidence,
+    target: evidences.Evidence,
+    log_odds: float = REJECTED_LOG_ODDS,
 ) -> Fault | None:
     """Return a fault if too many answers of a target are failures.
 
     Args:
         reference: Evidence with the answers of the version in force.
         target: Evidence with the answers of the target.
+        log_odds: Logarithm of the likelihood ratio from which on it is one.
     """
-    return _find_fault({"failures": _count_failures}, [(reference, target)])
+    return _find_fault(
+        {"failures": _count_failures}, [(reference, target)], log_odds
+    )
 
 
-def find_slowness(slices: Iterable[evidences.Evidence]) -> Fault | None:
+def find_slowness(
+    slices: Iterable[evidences.Evidence],
+    *,
+    log_odds: float = REJECTED_LOG_ODDS,
+) -> Fault | None:
     """Return a fault if too many answers of a target are slow.
 
     Args:
         slices: Answers of both versions, of one short time each. The times of
             each are compared among themselves, and the counts are added.
+        log_odds: Logarithm of the likelihood ratio from which on it is one.
     """
-    return _find_fault(_SLOW_SIGNS, [(found, found) for found in slices])
+    return _find_fault(
+        _SLOW_SIGNS, [(found, found) for found in slices], log_odds
+    )
 
 
 def find_later_slowness(
@@ -128,7 +152,9 @@
         reference: Evidence with earlier answers of the version in force.
         target: Evidence with later answers of the target.
     """
-    return _find_fault(_LATER_SLOW_SIGNS, [(reference, target)])
+    return _find_fault(
+        _LATER_SLOW_SIGNS, [(reference, target)], REJECTED_LOG_ODDS
+    )
 
 
 def is_comparable(evidence: evidences.Evidence) -> bool:
@@ -146,6 +172,7 @@
 def _find_fault(
     signs: Mapping[str, _Sign],
     pairs: list[tuple[evidences.Evidence, evidences.Evidence]],
+    log_odds: float,
 ) -> Fault | None:
     """Return the first fault, of pairs of evidence that are added."""
     tallies = [_find_tallies(*pair) for pair in pairs]
@@ -167,9 +194,74 @@
             )
             if fault is not None:
                 return fault
+        fault = _weigh(name, samples_by_route, log_odds)
+        if fault is not None:
+            return fault
     return None
 
 
+def _weigh(
+    name: str,
+    samples_by_route: Mapping[str, list[_Sample]],
+    log_odds: float,
+) -> Fault | None:
+    """Return a fault if one of the version explains the sign far better.
+
+    A fault of all routes is as likely as one of a single route, and each route
+    as likely as another.
+    """
+    strata_by_server: dict[str, list[likelihood.Stratum]] = (
+        collections.defaultdict(list)
+    )
+    odds_by_route = {}
+    for route, samples in samples_by_route.items():
+        answers = sum(sample.answers for sample in samples)
+        if not answers:
+            continue
+        share = sum(sample.expected for sample in samples) / answers
+        share -= _TOLERANCE_BY_SIGN.get(name, 0.0)
+        strata = {
+            sample.server: likelihood.Stratum(
+                answers=sample.answers, found=sample.found, share=share
+            )
+            for sample in samples
+        }
+        odds_by_route[route] = likelihood.find_log_odds(
+            [[stratum] for stratum in strata.values()]
+        )
+        for server, stratum in strata.items():
+            strata_by_server[server].append(stratum)
+    if not odds_by_route:
+        return None
+    odds_by_route[""] = likelihood.find_log_odds(
+        list(strata_by_server.values())
+    )
+    mean = likelihood.find_log_mean(
+        [
+            odds_by_route[""],
+            likelihood.find_log_mean(
+                [odds for route, odds in odds_by_route.items() if route]
+            ),
+        ]
+    )
+    if mean < log_odds:
+        return None
+    worst = max(odds_by_route, key=lambda route: odds_by_route[route])
+    shown = [
+        sample
+        for route, samples in samples_by_route.items()
+        for sample in samples
+        if worst in ("", route)
+    ]
+    return Fault(
+        sign=name,
+        route=worst,
+        found=sum(sample.found for sample in shown),
+        expected=round(sum(sample.expected for sample in shown), 2),
+        answers=sum(sample.answers for sample in shown),
+    )
+
+
 def _find_tallies(
     reference: evidences.Evidence, target: evidences.Evidence
 ) -> dict[str, tuple[_Tallies, _Tallies]]:
--- a/packages/daisypick_core/tests/rollout/test_decider.py
+++ b/packages/daisypick_core/tests/rollout/test_decider.py
@@ -116,3 +116,14 @@
     decider = _make()
     _add_answers(decider)
     assert _decide(decider, 11.9) is states.Phase.MOVING
+
+
+def test_version_in_doubt_is_not_approved():
+    """Guards against a move while a fault is likely but not yet certain."""
+    decider = _make()
+    _add_answers(decider)
+    for server in range(8):
+        tally = evidences.Tally(answers=10, failures=1 + server // 5)
+        decider.add_tally("ask", f"i-{server}", tally, is_target=True)
+    assert _decide(decider, 5.0) is states.Phase.CANARY
+    assert _decide(decider, 11.0) is states.Phase.ROLLED_BACK
--- a/packages/daisypick_core/tests/rollout/test_verdict.py
+++ b/packages/daisypick_core/tests/rollout/test_verdict.py
@@ -138,3 +138,24 @@
             everything.add(answer)
     assert verdict.find_slowness(slices) is None
     assert verdict.find_slowness([everything]) is not None
+
+
+def test_fault_on_the_few_busy_servers_of_a_probe_is_found():
+    """Guards against taking the busy servers for faulty ones.
+
+    The median server shows nothing, as those outside the probe are counted
+    with the one request that was reported late.
+    """
+    evidence = evidences.Evidence()
+    rng = random.Random(1)
+    for number in range(3000):
+        evidence.add(
+            _answer(rng, is_target=False, failing=0.01, server=number % 21)
+        )
+    for number in range(350):
+        server = number % 9 if number < 338 else 9 + number % 12
+        failing = 0.2 if server < 9 else 0.01
+        evidence.add(
+            _answer(rng, is_target=True, failing=failing, server=server)
+        )
+    assert _find_fault(evidence).sign == "failures"
