Approve nothing on the evidence of a decider that took over late

Cause: a router that takes over a roll-out has no earlier answers, and approved on 20 of them.

Change: a decider approves if it has heard half of the canary and the whole probe; else the version is rolled back half a second before the limit. After the advance nothing more is saved, and the advance is 0.45.

--- a/packages/daisypick_core/src/daisypick_core/rollout/decider.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/decider.py
@@ -12,6 +12,9 @@
 The move begins as late as the end of the requests that still run at old servers
 allows, so that what turns bad later has time to show.
 
+A decider that took over in the middle knows only the answers since then. It
+approves if it has heard half of the canary and the whole probe.
+
 Examples:
     >>> from daisypick_core.rollout import state as states
     >>> decider = Decider(
@@ -51,6 +54,9 @@
 _LONGER_REQUESTS = 1.2
 # Fewest answers of a version that may be approved.
 _MIN_ANSWERS = 20
+# Part of the canary that a decider may have missed. A third of the answers come
+# in the canary, so one that has missed half of it knows five in six of them.
+_MAX_MISSED_PART = 0.5
 # Time after which a router that reports nothing no longer counts: its process
 # has ended, or it is cut off and decides for itself.
 SILENT_SECONDS = 3.0
@@ -79,6 +85,8 @@
     Args:
         state: State of the roll-out so far.
         started_at: When the order was given.
+        heard_at: Since when the answers are reported to this decider; since
+            the order if it is None.
 
     Attributes:
         state: State of the roll-out; its phase only grows.
@@ -86,7 +94,11 @@
     """
 
     def __init__(
-        self, *, state: states.RolloutState, started_at: float
+        self,
+        *,
+        state: states.RolloutState,
+        started_at: float,
+        heard_at: float | None = None,
     ) -> None:
         self.state = state
         self.reason = ""
@@ -99,6 +111,7 @@
         self._slices = [evidences.Evidence()]
         self._slice_began_at = started_at
         self._started_at = started_at
+        self._heard_at = started_at if heard_at is None else heard_at
         self._report_by_router: dict[str, tuple[float, Report]] = {}
 
     @property
@@ -173,20 +186,32 @@
         if self.state.phase is states.Phase.MOVING:
             return states.Phase.MOVING
         answers = self._evidence.count_target()
+        is_tested = answers >= _MIN_ANSWERS and self._has_heard(move_at)
         # Also at the limit: a decider that was late rejects no good version.
-        if now >= move_at and answers >= _MIN_ANSWERS and has_capacity:
+        if now >= move_at and is_tested and has_capacity:
             return states.Phase.MOVING
         if now >= self.limit_at - _LAST_SECONDS:
-            self.reason = (
-                f"the target answered {answers} requests before the time limit"
-                if answers < _MIN_ANSWERS
-                else "the target has too few servers at the time limit"
-            )
+            self.reason = self._explain_limit(answers, is_tested=is_tested)
             return states.Phase.ROLLED_BACK
         if now >= move_at - _PROBE_SECONDS:
             return states.Phase.PROBE
         return states.Phase.CANARY
 
+    def _has_heard(self, move_at: float) -> bool:
+        """Return whether enough of the test was reported to this decider."""
+        canary = move_at - _PROBE_SECONDS - self._started_at
+        missed = self._heard_at - self._started_at
+        return missed <= canary * _MAX_MISSED_PART
+
+    def _explain_limit(self, answers: int, *, is_tested: bool) -> str:
+        if answers < _MIN_ANSWERS:
+            return (
+                f"the target answered {answers} requests before the time limit"
+            )
+        if not is_tested:
+            return "the router that decides has heard too little of the test"
+        return "the target has too few servers at the time limit"
+
     def _find_fault(self, log_odds: float) -> verdict.Fault | None:
         everything, recent = self._evidence, self._recent
         fault = verdict.find_failures(
--- a/packages/daisypick_core/src/daisypick_core/rollout/exposure.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/exposure.py
@@ -41,9 +41,11 @@
 # is saved is spent. At the usual rate some reach half of their usual load and
 # others do not, and the former look like faulty servers.
 _PROBE_RATE = 2.0
-# Part of the share of the requests still to come that is spent on the probe.
-# The bound then holds if half as many come as are expected.
-_ADVANCE_PART = 0.5
+# Part of the share of the requests still to come that is spent on the probe
+# instead of being saved. With the canary's part it is all of their share, so a
+# probe may go on until the limit. If it ends before, the bound holds if half as
+# many come as are expected.
+_ADVANCE_PART = 0.45
 # Longest rest of the time limit for which requests are expected, as a multiple
 # of the time that has passed.
 _MAX_REMAINING = 1.0
@@ -76,7 +78,8 @@
         routes = list(self._credit_by_route)
         self._sent += 1
         self._add(routes[self._sent % len(routes)], canary * _EVEN_PART)
-        self._saved += self._share * _SAVED_PART
+        if not self._has_advance:
+            self._saved += self._share * _SAVED_PART
         self._probe_credit = min(
             self._probe_credit + _PROBED_PART * _PROBE_RATE, _MAX_PROBE_CREDIT
         )
@@ -102,7 +105,8 @@
         """Undo ``note_sent`` for a request that reached no server."""
         self._sent -= 1
         self._credit_by_route[route] -= self._share * _CANARY_PART
-        self._saved -= self._share * _SAVED_PART
+        if not self._has_advance:
+            self._saved -= self._share * _SAVED_PART
 
     def take(self, route: str, *, is_probe: bool) -> bool:
         """Return whether a request may test the version, and count it."""
--- a/packages/daisypick_core/tests/rollout/test_decider.py
+++ b/packages/daisypick_core/tests/rollout/test_decider.py
@@ -118,6 +118,18 @@
     assert _decide(decider, 11.9) is states.Phase.MOVING
 
 
+@pytest.mark.parametrize(
+    ("heard_at", "expected"),
+    [(2.0, states.Phase.MOVING), (5.0, states.Phase.ROLLED_BACK)],
+)
+def test_new_decider_does_not_approve_on_less_evidence(heard_at, expected):
+    """Guards against approving a version of whose test little was heard."""
+    decider = deciders.Decider(state=_STATE, started_at=0.0, heard_at=heard_at)
+    _add_answers(decider)
+    _decide(decider, 10.5)
+    assert _decide(decider, 11.6) is expected
+
+
 def test_version_in_doubt_is_not_approved():
     """Guards against a move while a fault is likely but not yet certain."""
     decider = _make()
--- a/packages/daisypick_lab/src/daisypick_lab/rollout_model.py
+++ b/packages/daisypick_lab/src/daisypick_lab/rollout_model.py
@@ -163,6 +163,8 @@
         self.lost_share = 0.0
         # Steps in which all servers of both versions are slower.
         self.slow_steps = (0, 0)
+        # Step at which another router takes over without the evidence.
+        self.takeover_step = -1
         self._state = states.RolloutState(
             service="s",
             number=(0, 1),
@@ -187,6 +189,12 @@
         ended_step = steps
         for step in range(steps):
             self._phase_by_step[step] = self._decider.state.phase
+            if step == self.takeover_step:
+                self._decider = deciders.Decider(
+                    state=self._decider.state,
+                    started_at=0.0,
+                    heard_at=step * _STEP_SECONDS,
+                )
             self._deliver_notices(step)
             self._send_requests(step)
             if step % _REPORT_STEPS == 0:
@@ -383,6 +391,16 @@
         router.cut_until = begin + 55
 
 
+@_register("new decider")
+def _replace_decider(play: Play) -> None:
+    play.takeover_step = play.rng.randrange(30)
+
+
+@_register("late new decider")
+def _replace_decider_late(play: Play) -> None:
+    play.takeover_step = play.rng.randrange(32, 75)
+
+
 class Row(typing.NamedTuple):
     """Outcomes of all seeds of a kind."""
 
--- a/packages/daisypick_router/src/daisypick_router/rollout_host.py
+++ b/packages/daisypick_router/src/daisypick_router/rollout_host.py
@@ -316,9 +316,11 @@
     def _find_decider(self, state: states.RolloutState) -> deciders.Decider:
         decider = self._decider_by_service.get(state.service)
         if decider is None or not decider.state.is_of_same_order(state):
-            age = self._rollouts.find_age(state.service)
+            now = time.monotonic()
             decider = deciders.Decider(
-                state=state, started_at=time.monotonic() - age
+                state=state,
+                started_at=now - self._rollouts.find_age(state.service),
+                heard_at=now,
             )
             self._decider_by_service[state.service] = decider
         decider.merge(state)
