Split the roll-outs of a router into choice, counts and reports

Cause: one module of 516 lines held the choice of a version, the counting of answers and the messages to other routers.

Change: version_choice, answer_counts and the records that they share, rollout_progress; rollouts keeps the states and reports. The handlers call rollouts.choice and rollouts.answers. The code of the methods is moved as it was.

Tests: test_rollouts, test_placing and test_store_feed of the router pass unchanged.

--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -19,6 +19,7 @@
 from daisypick_http import pool as pools
 from daisypick_http import server as http_server
 from daisypick_platform import request_headers
+from daisypick_router import answer_counts
 from daisypick_router import context as contexts
 from daisypick_router import discovery as discoveries
 from daisypick_router import exchange
@@ -122,10 +123,10 @@
         result: retry_policies.FailedTry | None = None
         organisation = context.organisation or ""
         self._count_demand(context, organisation)
-        self._rollouts.choose(context)
+        self._rollouts.choice.choose(context)
         refused = self._refuse_locally(context, organisation)
         if refused is not None and context.tests_version:
-            self._rollouts.skip_test(context)
+            self._rollouts.choice.skip_test(context)
             refused = self._refuse_locally(context, organisation)
         if refused is not None:
             return self._make_failure(context, None, refused)
@@ -144,11 +145,11 @@
             )
         while result is None or self._retry_policy.may_retry(context, result):
             if result is not None:
-                self._rollouts.choose(context)
+                self._rollouts.choice.choose(context)
             work = self._make_job(context)
             action = self._placing.acquire(context.pool, work)
             if isinstance(action, actions.Refuse) and context.tests_version:
-                self._rollouts.skip_test(context)
+                self._rollouts.choice.skip_test(context)
                 work = self._make_job(context)
                 action = self._placing.acquire(context.pool, work)
             if isinstance(action, actions.Refuse):
@@ -159,10 +160,10 @@
             if (
                 server is None
                 or not self._may_send(server)
-                or self._rollouts.is_outdated(context)
+                or self._rollouts.choice.is_outdated(context)
             ):
                 self._placing.note_end(context.pool, work.key)
-                self._rollouts.choose(context)
+                self._rollouts.choice.choose(context)
                 continue
             quarantined = self._retry_policy.quarantine.refuse(context)
             if quarantined is not None:
@@ -251,7 +252,9 @@
             deadline_at=context.deadline,
             avoid=frozenset(
                 context.tried_servers.union(
-                    unavailable, paused, self._rollouts.find_avoided(context)
+                    unavailable,
+                    paused,
+                    self._rollouts.choice.find_avoided(context),
                 )
             ),
             data_centre=self._data_centre,
@@ -269,7 +272,7 @@
     ) -> retry_policies.FailedTry | str:
         """Send a request to one server and relay the response."""
         result: retry_policies.FailedTry | str | None = None
-        sent = self._rollouts.note_sent(context, server)
+        sent = self._rollouts.answers.note_sent(context, server)
         reached = context.servers_reached
         last_event = stream.last_id or 0
         try:
@@ -277,7 +280,7 @@
                 connection, context, work, server, source, stream
             )
         finally:
-            self._rollouts.note_end(
+            self._rollouts.answers.note_end(
                 sent, reached=context.servers_reached > reached
             )
             if not _is_server_failure(result):
@@ -294,7 +297,7 @@
     def _note_answer(
         self,
         context: contexts.Context,
-        sent: rollout_records.Sent,
+        sent: answer_counts.Sent,
         result: retry_policies.FailedTry | str,
         events: int,
     ) -> None:
@@ -302,7 +305,7 @@
         if isinstance(result, exchange.NotRun):
             return
         if not isinstance(result, str):
-            self._rollouts.note_break(sent)
+            self._rollouts.answers.note_break(sent)
             return
         first, pace = None, None
         if context.first_event_at is not None:
@@ -310,7 +313,7 @@
             if events > 1:
                 streamed = time.monotonic() - context.first_event_at
                 pace = streamed / (events - 1)
-        self._rollouts.note_answer(
+        self._rollouts.answers.note_answer(
             sent,
             failed=result.startswith("answered_5"),
             first=first,
--- a/packages/daisypick_router/src/daisypick_router/plain_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_handler.py
@@ -85,16 +85,18 @@
     def _pick(
         self, context: contexts.Context, *, isolated: bool
     ) -> backend_server.BackendServer | None:
-        self._rollouts.choose(context)
+        self._rollouts.choice.choose(context)
         server = self._servers.pick(
             context.pool,
-            context.tried_servers.union(self._rollouts.find_avoided(context)),
+            context.tried_servers.union(
+                self._rollouts.choice.find_avoided(context)
+            ),
             time.monotonic(),
             isolated=isolated,
         )
         if server is not None or not context.tests_version:
             return server
-        self._rollouts.skip_test(context)
+        self._rollouts.choice.skip_test(context)
         return self._servers.pick(
             context.pool,
             context.tried_servers,
@@ -108,22 +110,22 @@
         context: contexts.Context,
         server: backend_server.BackendServer,
     ) -> retry_policies.FailedTry | relay.WholeResponse:
-        sent = self._rollouts.note_sent(context, server)
+        sent = self._rollouts.answers.note_sent(context, server)
         reached = context.servers_reached
         try:
             result = self._exchange(connection, context, server)
         finally:
-            self._rollouts.note_end(
+            self._rollouts.answers.note_end(
                 sent, reached=context.servers_reached > reached
             )
         if isinstance(result, relay.WholeResponse):
-            self._rollouts.note_answer(
+            self._rollouts.answers.note_answer(
                 sent,
                 failed=result.head.status >= 500,
                 first=time.monotonic() - sent.at,
             )
         elif not isinstance(result, exchange.NotRun):
-            self._rollouts.note_break(sent)
+            self._rollouts.answers.note_break(sent)
         return result
 
     def _exchange(
