Skip the likelihoods of signs that are not more frequent than usual

Cause: with 1,650 new servers a decision took 668 ms of a core instead of 161.

Change: nothing is weighed where a sign is not more frequent than on a sound version, and servers with the same answers are computed once.

--- a/packages/daisypick_core/src/daisypick_core/rollout/likelihood.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/likelihood.py
@@ -20,6 +20,7 @@
     True
 """
 
+import collections
 from collections.abc import Sequence
 import math
 import typing
@@ -59,7 +60,9 @@
     """
     logs_by_share: dict[float, list[tuple[float, float]]] = {}
     sums = [0.0] * len(_VERSION_FAULTS)
-    for strata in servers:
+    # Of thousands of servers many have the same few answers.
+    alike = collections.Counter(tuple(strata) for strata in servers)
+    for strata, count in alike.items():
         sound, *faulty = _find_log_likelihoods(strata, logs_by_share)
         highest = max(sound, *faulty)
         by_server = sum(
@@ -72,15 +75,16 @@
         )
         log_sound = _add(sound - highest, by_server)
         for number in range(len(_VERSION_FAULTS)):
-            sums[number] += (
-                _add(faulty[number] - highest, by_server) - log_sound
-            )
+            odds = _add(faulty[number] - highest, by_server) - log_sound
+            sums[number] += odds * count
     return find_log_mean(sums)
 
 
 def find_log_mean(logs: Sequence[float]) -> float:
     """Return the logarithm of the mean of numbers with these logarithms."""
     highest = max(logs)
+    if highest == -math.inf:
+        return highest
     total = sum(math.exp(value - highest) for value in logs)
     return highest + math.log(total / len(logs))
 
--- a/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
@@ -248,49 +248,71 @@
 def _find_odds(
     samples_by_route: Mapping[str, list[_Sample]],
 ) -> dict[str, float]:
-    """Return the log odds of a fault by route; those of all have no name."""
-    shares = _find_shares(samples_by_route)
+    """Return the log odds of a fault by route; those of all have no name.
+
+    Where a sign is not more frequent than on a sound version there is no fault
+    of the version, and with thousands of servers the likelihoods take long.
+    """
+    total_by_route = {
+        route: _sum_all(samples)
+        for route, samples in samples_by_route.items()
+        if any(sample.answers for sample in samples)
+    }
+    if not total_by_route:
+        return {}
     # The shares of several routes are hardly all too low at once.
-    margins = [
-        sum(sample.margin for sample in samples_by_route[route])
-        for route in shares
-    ]
+    margins = [total.margin for total in total_by_route.values()]
     part = math.hypot(*margins) / max(sum(margins), 1e-9)
-    strata_by_server: dict[str, list[likelihood.Stratum]] = (
-        collections.defaultdict(list)
-    )
-    odds_by_route = {}
-    for route, (share, margin) in shares.items():
-        alone = []
-        for sample in samples_by_route[route]:
-            stratum = likelihood.Stratum(
-                answers=sample.answers,
-                found=sample.found,
-                share=share + margin,
-            )
-            alone.append([stratum])
-            strata_by_server[sample.server].append(
-                stratum._replace(share=share + margin * part)
-            )
-        odds_by_route[route] = likelihood.find_log_odds(alone)
-    if odds_by_route:
-        everything = list(strata_by_server.values())
-        odds_by_route[""] = likelihood.find_log_odds(everything)
+    odds_by_route = {
+        route: likelihood.find_log_odds(
+            [
+                [_make_stratum(sample, total, 1.0)]
+                for sample in samples_by_route[route]
+            ]
+        )
+        if total.found > total.likely + total.margin
+        else -math.inf
+        for route, total in total_by_route.items()
+    }
+    total = _sum_all(total_by_route.values())
+    odds_by_route[""] = -math.inf
+    if total.found > total.likely + total.margin * part:
+        strata_by_server: dict[str, list[likelihood.Stratum]] = (
+            collections.defaultdict(list)
+        )
+        for route, total in total_by_route.items():
+            for sample in samples_by_route[route]:
+                strata_by_server[sample.server].append(
+                    _make_stratum(sample, total, part)
+                )
+        odds_by_route[""] = likelihood.find_log_odds(
+            list(strata_by_server.values())
+        )
     return odds_by_route
 
 
-def _find_shares(
-    samples_by_route: Mapping[str, list[_Sample]],
-) -> dict[str, tuple[float, float]]:
-    """Return the likely share of a sign and its margin, by route."""
-    shares = {}
-    for route, samples in samples_by_route.items():
-        answers = sum(sample.answers for sample in samples)
-        if answers:
-            likely = sum(sample.likely for sample in samples)
-            margin = sum(sample.margin for sample in samples)
-            shares[route] = (likely / answers, margin / answers)
-    return shares
+def _sum_all(samples: Iterable[_Sample]) -> _Sample:
+    """Return the sums of all servers."""
+    samples = list(samples)
+    return _Sample(
+        server="",
+        answers=sum(sample.answers for sample in samples),
+        found=sum(sample.found for sample in samples),
+        expected=sum(sample.expected for sample in samples),
+        likely=sum(sample.likely for sample in samples),
+        margin=sum(sample.margin for sample in samples),
+    )
+
+
+def _make_stratum(
+    sample: _Sample, total: _Sample, part: float
+) -> likelihood.Stratum:
+    """Return a server's answers with the share of its route."""
+    return likelihood.Stratum(
+        answers=sample.answers,
+        found=sample.found,
+        share=(total.likely + total.margin * part) / total.answers,
+    )
 
 
 def _find_tallies(
