--- a/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/verdict.py
@@ -3,7 +3,9 @@
 Sound servers fail too: some requests have errors of their own, and servers
 crash, hang and turn slow. So the target is compared with the version in force
 on the same routes at the same time. Of both, servers that stand out are left
-out, up to half of them, since a fault of the version shows on most.
+out, up to half of them, since a fault of the version shows on most. Beside that,
+the likelihood of a faulty version is compared with that of faulty servers, which
+tells smaller faults and those that show on the busy servers of a probe only.
 
 These signs are tested for each route and for all routes together:
 
