--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -10,7 +10,7 @@
     >>> held = HeldBytes(memory_bytes=1_000_000)
     >>> slow = held.open(now=0.0)
     >>> held.assign(slow, organisation="farm")
-    >>> held.set(slow, RESPONSE, 450_000, now=1.0)
+    >>> held.set(slow, RESPONSE, 600_000, now=1.0)
     >>> held.is_above_soft, held.is_above_hard
     (True, True)
     >>> held.choose_end() is slow
