--- a/packages/daisypick_core/src/daisypick_core/scheduling/decode_load.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/decode_load.py
@@ -93,7 +93,6 @@
         self._answers_by_pause: collections.Counter[float] = (
             collections.Counter()
         )
-        self._long_prefill_at = -math.inf
         # Sum over time of the running requests, in request-seconds.
         self._running_seconds = 0.0
         self._summed_at: float | None = None
@@ -158,15 +157,6 @@
             if not self._answers_by_pause[answer.max_pause]:
                 del self._answers_by_pause[answer.max_pause]
 
-    def note_long_prefill(self, now: float) -> None:
-        """Record a prompt that takes longer than the answers' pauses allow.
-
-        The pauses of the answers that run then say nothing of how long other
-        prompts may take together: learned from, they would let an engine with
-        few requests refuse most of them.
-        """
-        self._long_prefill_at = now
-
     def find_max_prefill(self, running: int) -> float:
         """Return for how long the engine may prefill without a break.
 
@@ -204,7 +194,7 @@
         answer = self._answer_by_key.get(key)
         if answer is None or answer.first_at is None or seconds <= 0.0:
             return
-        if answer.max_pause > 0.0 and self._long_prefill_at < answer.first_at:
+        if answer.max_pause > 0.0:
             self.speed.service.pause_limit.learn(
                 longest=longest, limit=answer.max_pause
             )
--- a/packages/daisypick_core/src/daisypick_core/scheduling/engine_estimate.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/engine_estimate.py
@@ -243,8 +243,6 @@
         self.update_headroom(now)
         prefill_seconds = own_tokens * self.speed.token_seconds
         self._stretch = self.prefill_stretch(now) + prefill_seconds
-        if self._stretch > self.decode.find_max_prefill(self.running):
-            self.decode.note_long_prefill(now)
         self._prefill_started += prefill_seconds
         self.prefill_credit.spend(prefill_seconds)
         self._run_by_key[work.key] = run
--- a/packages/daisypick_core/tests/scheduling/test_decode_load.py
+++ b/packages/daisypick_core/tests/scheduling/test_decode_load.py
@@ -79,24 +79,3 @@
         )
     assert load.speed.predict(10.0) == pytest.approx(0.05, rel=0.1)
     assert before == pytest.approx(0.05, rel=0.5)
-
-
-def test_pauses_beside_a_long_prompt_are_not_learned_from():
-    """Guards against a limit that falls for prompts that no limit can split.
-
-    With the limit at its least, engines of an idle fleet refused one request in
-    ten: each long prompt made the pauses of all answers beside it too long.
-    """
-    load = _make()
-    limit = load.speed.service.pause_limit
-    for number, is_long in enumerate((False, True)):
-        before = limit.factor
-        load.begin("r-1", deadline_at=20.0, events=40.0, max_pause=0.4)
-        load.note_first("r-1", 0.0, prefilled=0.0)
-        if is_long:
-            load.note_long_prefill(1.0)
-        load.note_pace(
-            "r-1", events=40, seconds=4.0, longest=1.0, prefilled=2.0
-        )
-        load.end("r-1")
-        assert (limit.factor < before) == (not is_long), number
