Refusals name the version that decides them, and the age of its copy

Now each refusal has the version and confirmed_seconds_ago, and copy_age_seconds is a metric for configuration and servers. No decision uses it.

--- a/packages/daisypick_http/src/daisypick_http/__init__.py
+++ b/packages/daisypick_http/src/daisypick_http/__init__.py
@@ -11,4 +11,5 @@
 * ``connection``: one connection to a backend server.
 * ``pool``: persistent connections by address.
 * ``idle_limits``: for how long an idle connection may be reused.
+* ``clocks``: the clock for the age of what a process knows.
 """
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+import math
 import random
 import time
 
@@ -56,6 +57,7 @@
         store.eras.on_new_era(self._begin_hold)
         self._server_list_read = event.Event()
         self._is_store_unreachable = False
+        self._watcher_by_kind: dict[str, watch.Watcher] = {}
         self._unreadable: set[str] = set()
 
     @property
@@ -105,8 +107,23 @@
             rng=self._rng,
             feed=self._feed,
         )
+        self._watcher_by_kind[kind] = watcher
         gevent.spawn(watcher.run)
 
+    def _find_age(self, kind: str) -> float:
+        watcher = self._watcher_by_kind.get(kind)
+        return math.inf if watcher is None else watcher.find_age()
+
+    @property
+    def configuration_age(self) -> float:
+        """Seconds for which the configuration may have been out of date."""
+        return self._find_age(manifest.KIND)
+
+    @property
+    def server_list_age(self) -> float:
+        """Seconds for which the list of servers may have been out of date."""
+        return self._find_age(entries.KIND)
+
     def _note_contact(self, error: failure.Failure | None) -> None:
         now = time.monotonic()
         if error is None:
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -415,6 +415,14 @@
         self.metrics.set_gauge("routers", self.membership.routers)
         self.metrics.set_gauge("store_followers", self._feed.followers)
         self.metrics.set_gauge("store_era", self.store.eras.newest)
+        self.metrics.set_gauge(
+            "copy_age_seconds",
+            self.discovery.configuration_age,
+            kind="configuration",
+        )
+        self.metrics.set_gauge(
+            "copy_age_seconds", self.discovery.server_list_age, kind="servers"
+        )
         self.metrics.set_gauge("connections", len(self._connections))
         self.metrics.set_gauge("requests_running", self.serving.running)
         self.metrics.set_gauge("timer_lag_seconds", self.load.overload.lag)
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -7,6 +7,7 @@
 and its reason are logged.
 """
 
+import math
 import random
 import time
 
@@ -238,7 +239,8 @@
             retry_after=refusal.retry_after,
             cut=connection.response_started,
             route=context.route.name if context else None,
-            version=context.version if context else None,
+            version=context.version if context else self._find_version(),
+            confirmed_seconds_ago=self._find_configuration_age(),
             servers=sorted(context.tried_servers) if context else [],
             seconds=round(time.monotonic() - request.began_at, 4),
         )
@@ -251,6 +253,14 @@
             body=refusals.write_body(refusal),
         )
 
+    def _find_version(self) -> int | None:
+        configuration = self._discovery.configuration
+        return None if configuration is None else configuration.version
+
+    def _find_configuration_age(self) -> float | None:
+        age = self._discovery.configuration_age
+        return round(age, 3) if math.isfinite(age) else None
+
 
 def _find_reason_number(context: contexts.Context | None) -> int | None:
     """Return the number of the scheduler's reason, if it refused a request."""
--- a/packages/daisypick_router/src/daisypick_router/store_feed.py
+++ b/packages/daisypick_router/src/daisypick_router/store_feed.py
@@ -16,10 +16,12 @@
 
 import collections
 from collections.abc import Callable
+import math
 import time
 
 from gevent import event
 
+
 from daisypick_platform import position as positions
 from daisypick_platform import store as stores
 from daisypick_router import peer_channel
@@ -48,7 +50,7 @@
         self.pending: collections.deque[peer_messages.Feed] = (
             collections.deque()
         )
-        self.confirmed_at = -_MAX_CONFIRMATION_AGE_SECONDS
+        self.confirmed_at = -math.inf
         self.changed = event.Event()
 
 
@@ -161,7 +163,7 @@
         del old
         for state in self._by_kind.values():
             state.pending.clear()
-            state.confirmed_at = -_MAX_CONFIRMATION_AGE_SECONDS
+            state.confirmed_at = -math.inf
             state.changed.set()
         self._published += 1
         announcement = peer_messages.Feed(
@@ -199,6 +201,16 @@
         """Whether a recent confirmation shows that no change was missed."""
         return self._stale_at(kind) > time.monotonic()
 
+    def find_age(self, kind: str) -> float:
+        """Return seconds since it was confirmed that no change was missed.
+
+        Infinite while messages with changes wait to be taken.
+        """
+        state = self._by_kind[kind]
+        if state.pending:
+            return math.inf
+        return time.monotonic() - state.confirmed_at
+
     def is_connected(self) -> bool:
         """Whether other routers follow this one, or it recently heard them."""
         return self.has_followers() or any(
