--- a/packages/daisypick_router/src/daisypick_router/store_feed.py
+++ b/packages/daisypick_router/src/daisypick_router/store_feed.py
@@ -21,7 +21,6 @@
 
 from gevent import event
 
-
 from daisypick_platform import position as positions
 from daisypick_platform import store as stores
 from daisypick_router import peer_channel
--- a/packages/daisypick_router/tests/fakes.py
+++ b/packages/daisypick_router/tests/fakes.py
@@ -70,6 +70,9 @@
         self.changed = event.Event()
         self.down = False
         self.hanging = False
+        # Connections that get no more bytes, without an error.
+        self._silent: set[socket.socket] = set()
+        self._open: set[socket.socket] = set()
         # Kinds whose lists are answered only once they are taken out again.
         self.held_kinds: set[str] = set()
         self.page = 500
@@ -128,12 +131,24 @@
         self.down = True
         self._wake()
 
+    def silence(self) -> None:
+        """Send nothing more on the open connections; new ones work."""
+        self._silent |= self._open
+
     def _serve(self, connection: socket.socket, address: tuple) -> None:
+        self._open.add(connection)
+        try:
+            self._serve_requests(connection)
+        finally:
+            self._open.discard(connection)
+            self._silent.discard(connection)
+
+    def _serve_requests(self, connection: socket.socket) -> None:
         while True:
             request = read_request(connection)
             if request is None:
                 return
-            if self.hanging:
+            if self.hanging or connection in self._silent:
                 continue
             if self.down:
                 connection.sendall(write_answer(503, {}, b""))
@@ -141,6 +156,8 @@
             method, target, _ = request[0].decode().split(" ")
             era = self.era
             status, body = self._answer(method, target, request[2])
+            if connection in self._silent:
+                continue
             if era != self.era:
                 connection.close()
                 return
