Time-outs of a silent store do not add up to more than a router may lag

Callers: refused with 401, 403 or 404, or sent to a server that drains, by a router that counts as connected and has an older version of the configuration. Cause: the way to a missed change was a watch of up to 4.2 s on a connection that went silent, then a pause of 0.3 to 0.7 s, and before both 1.5 s without a message of the feed in a large fleet. The bounds were added up: 3 s after which a router counts as connected, and 2 s to apply a change. They run at the same time. A router whose configuration nothing confirms refuses unknown routes and keys with 3006 (503) instead of for good.

--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -83,6 +83,7 @@
 WITHDRAWN = define(3003, "Attempt was withdrawn before it started", 503)
 NOT_CONFIGURED = define(3004, "Process has no configuration yet", 503)
 STALE_EPOCH = define(3005, "Attempt is of an epoch that has passed", 503)
+NOT_CONFIRMED = define(3006, "Configuration may be out of date", 503)
 
 KEY_IN_PROGRESS = define(
     4001, "Idempotency key is in progress", 409, RAN_UNKNOWN
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -20,6 +20,7 @@
 from daisypick_core.serving import restore_hold
 from daisypick_platform import entries
 from daisypick_platform import manifest
+from daisypick_platform import settings as platform_settings
 from daisypick_platform import store as stores
 from daisypick_platform import watch
 from daisypick_router import log as logs
@@ -43,12 +44,21 @@
         log: logs.Log,
         rng: random.Random,
         on_servers: Callable[[Collection[str] | None], None],
+        bounds: platform_settings.Bounds,
         feed: watch.ChangeFeed | None = None,
     ) -> None:
         self._store = store
         self._log = log
         self._rng = rng
         self._on_servers = on_servers
+        self._max_age_by_kind = {
+            kind: max(bounds.stable_seconds, seconds)
+            for kind, seconds in (
+                (manifest.KIND, bounds.configuration_seconds),
+                (entries.KIND, bounds.drain_seconds),
+                (entries.EVACUATIONS_KIND, bounds.evacuation_seconds),
+            )
+        }
         self._feed = feed
         self._outage = watch.Outage()
         self.configuration: fleet_configuration.FleetConfiguration | None = None
@@ -105,6 +115,7 @@
             on_result=self._note_contact,
             outage=self._outage,
             rng=self._rng,
+            max_age=self._max_age_by_kind[kind],
             feed=self._feed,
         )
         self._watcher_by_kind[kind] = watcher
@@ -119,6 +130,11 @@
         """Seconds for which the configuration may have been out of date."""
         return self._find_age(manifest.KIND)
 
+    @property
+    def is_configuration_confirmed(self) -> bool:
+        """Whether no newer configuration can have to be in force."""
+        return self.configuration_age < self._max_age_by_kind[manifest.KIND]
+
     @property
     def server_list_age(self) -> float:
         """Seconds for which the list of servers may have been out of date."""
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -114,6 +114,7 @@
             log=self.log,
             rng=rng,
             on_servers=self._update_servers,
+            bounds=settings.bounds,
             feed=self._feed,
         )
         self.membership = memberships.Membership(
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -31,6 +31,8 @@
 # start. Later ones might not finish before the process is killed and would be
 # cut off.
 _DRAIN_START_SECONDS = 2.5
+# Seconds. Another router may have the configuration that allows the request.
+_RETRY_AFTER_UNCONFIRMED = 0.2
 # Seconds. Another router can take the request at once, so callers only need
 # the time to open a new connection.
 _RETRY_AFTER_DRAINING = 0.02
@@ -183,9 +185,20 @@
                 reason="the process stops",
                 retry_after=_RETRY_AFTER_DRAINING,
             )
-        return identify.identify(
+        found = identify.identify(
             request, self._discovery.configuration, self._rng
         )
+        if (
+            failure.is_failure(found)
+            and found.code in (codes.NO_ROUTE, codes.UNAUTHENTICATED)
+            and not self._discovery.is_configuration_confirmed
+        ):
+            return failure.Failure(
+                code=codes.NOT_CONFIRMED,
+                reason=f"{found.reason}, by a configuration not confirmed",
+                retry_after=_RETRY_AFTER_UNCONFIRMED,
+            )
+        return found
 
     def _is_too_late_to_start(self) -> bool:
         if self.stopping_since is None:
--- a/packages/daisypick_router/src/daisypick_router/store_feed.py
+++ b/packages/daisypick_router/src/daisypick_router/store_feed.py
@@ -17,10 +17,10 @@
 import collections
 from collections.abc import Callable
 import math
-import time
 
 from gevent import event
 
+from daisypick_http import clocks
 from daisypick_platform import position as positions
 from daisypick_platform import store as stores
 from daisypick_router import peer_channel
@@ -152,7 +152,7 @@
         if self._followers:
             forwarded = message._replace(age=round(age, 3))
             self._send(peer_messages.encode(forwarded))
-        confirmed_at = time.monotonic() - age
+        confirmed_at = clocks.read_boot_time() - age
         state.confirmed_at = max(state.confirmed_at, confirmed_at)
         state.pending.append(message)
         state.changed.set()
@@ -198,7 +198,7 @@
 
     def is_fresh(self, kind: str) -> bool:
         """Whether a recent confirmation shows that no change was missed."""
-        return self._stale_at(kind) > time.monotonic()
+        return self._stale_at(kind) > clocks.read_boot_time()
 
     def find_age(self, kind: str) -> float:
         """Return seconds since it was confirmed that no change was missed.
@@ -208,7 +208,7 @@
         state = self._by_kind[kind]
         if state.pending:
             return math.inf
-        return time.monotonic() - state.confirmed_at
+        return clocks.read_boot_time() - state.confirmed_at
 
     def is_connected(self) -> bool:
         """Whether other routers follow this one, or it recently heard them."""
@@ -229,7 +229,7 @@
             ``None`` if the store must be read instead.
         """
         state = self._by_kind[kind]
-        deadline = time.monotonic() + seconds
+        deadline = clocks.read_boot_time() + seconds
         while since.era == self._eras.newest:
             while state.pending:
                 message = state.pending.popleft()
@@ -237,7 +237,7 @@
                     return None
                 if message.revision > since.revision:
                     return _to_listing(message, since)
-            now = time.monotonic()
+            now = clocks.read_boot_time()
             stale_at = self._stale_at(kind)
             if now >= stale_at:
                 return None
