Logs name the version of a stream's server, and what a request takes up

First events carry the version, ended requests the attempt that began the stream (Resumes) and the event after which it goes on. Without them a stream that a caller takes up looks like one that its router takes up itself (docs/incidents/mixed-versions.md). No decision uses them.

--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -606,7 +606,9 @@
         self, context: contexts.Context, place: takeovers.Place
     ) -> None:
         work = place.work
-        self._placing.note_first_token(place.service, work.key)
+        self._placing.note_first_token(
+            place.service, work.key, version=place.server.version
+        )
         if context.first_event_at is None:
             context.first_event_at = time.monotonic()
             self._placing.tally.add(work.organisation, begun=work.cost)
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -384,11 +384,17 @@
         return self.fallback.predict_prefill(service, tokens)
 
     def note_first_token(
-        self, service: fleet_configuration.Service, key: str
+        self, service: fleet_configuration.Service, key: str, *, version: str
     ) -> None:
-        """Record that a request's first token was received."""
+        """Record a request's first token.
+
+        Args:
+            service: Its service and the version that it asked for.
+            key: The request.
+            version: Version of its server.
+        """
         self._prefilling.discard(key)
-        self._log.write("placing", "First event.", id=key)
+        self._log.write("placing", "First event.", id=key, version=version)
         late = self._load.is_late() or key in self._started_during_lag
         self._started_during_lag.discard(key)
         self.fallback.note_first_token(service, key, late=late)
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -226,6 +226,8 @@
             organisation=context.organisation,
             servers=sorted(context.tried_servers),
             seconds=round(seconds, 4),
+            resumes=context.caller_headers.resumes or None,
+            after=context.caller_headers.last_event,
         )
 
     def _refuse(
