Streams go on only at the version of the software that began them

Cause: a resumable stream was taken to fit any server of its service. Nothing kept the version that began it, neither in the router that goes on after a failed or silent server, nor for a caller that comes back at another router. Change: the router that sends the first event notes service and version, and registers them at four routers that follow from the attempt's id, while the service has several versions or the fleet is small. A caller that returns names the attempt (Resumes); its router asks those four, and is answered from what was noted, or, if a confirmed list has shown one version only for as long as streams last, by that one. A new version begins no resumable streams until every confirmed list has it. A stream goes only to servers of its version (Only, told to the host), or is refused with 2010 (503) at once. State: 40,000 origins for 30 s at most; at most 48 routers of a service.

--- a/packages/daisypick_core/src/daisypick_core/results/codes.py
+++ b/packages/daisypick_core/src/daisypick_core/results/codes.py
@@ -76,6 +76,9 @@
 TIMED_OUT = define(2007, "Timeout of the route passed", 504, RAN_UNKNOWN)
 TOO_LATE = define(2008, "No start in time is to be expected", 503)
 MEMORY_IN_USE = define(2009, "Memory of the router is in use", 503)
+NO_SERVER_OF_VERSION = define(
+    2010, "No server of the version that began the stream", 503
+)
 AGENT_QUEUE_FULL = define(2006, "Queue of the agent is full", 503)
 
 DRAINING = define(3001, "Process is draining", 503)
--- a/packages/daisypick_core/src/daisypick_core/scheduling/job.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/job.py
@@ -35,6 +35,7 @@
             unknown.
         max_pause: Longest time between two events for which the answer is in
             time, in seconds; zero if unknown.
+        only: Backend servers that it may go to; empty for any.
     """
 
     key: str
@@ -52,6 +53,13 @@
     expected_events: float = 0.0
     high_events: float = 0.0
     max_pause: float = 0.0
+    only: frozenset[str] = frozenset()
+
+    def may_use(self, server: str) -> bool:
+        """Return whether it may go to a backend server."""
+        return server not in self.avoid and (
+            not self.only or server in self.only
+        )
 
     @property
     def cost(self) -> float:
--- a/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/placement.py
@@ -122,11 +122,11 @@
     best = None
     best_cost = 0.0
     max_busy_cached = max(
-        (prefix.by_server[name] for name in busy if name not in work.avoid),
+        (prefix.by_server[name] for name in busy if work.may_use(name)),
         default=0,
     )
     for server, ahead in backlog_by_server.items():
-        if server in work.avoid or not can_handle(server):
+        if not work.may_use(server) or not can_handle(server):
             continue
         engine = engine_by_server[server]
         cached = prefix.by_server[server]
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -172,9 +172,7 @@
         return [self._refuse(late, now, refusal_reasons.Reason.DISPLACED)]
 
     def _may_ever_start(self, work: job.Job) -> bool:
-        return any(
-            name not in work.avoid for name in self._fleet.state_by_server
-        )
+        return any(work.may_use(name) for name in self._fleet.state_by_server)
 
     def withdraw(self, key: str, now: float) -> list[actions.Action]:
         """Drop a waiting or running request whose caller disconnected."""
@@ -394,6 +392,7 @@
         now: float,
     ) -> placement.Placement | None:
         candidates.add(self._fleet.find_holders(work.parts))
+        candidates.add(work.only)
         return placement.choose(
             work,
             engine_by_server=candidates.engine_by_server,
--- a/packages/daisypick_core/src/daisypick_core/serving/directory.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/directory.py
@@ -78,6 +78,7 @@
         # Caches that every request reads; a change of the service clears them.
         self._ready_by_service: dict[str, _Ready] = {}
         self._unavailable_by_service: dict[str, list[str]] = {}
+        self._versions_by_service: dict[str, frozenset[str]] = {}
 
     def set_data_centres_out(
         self, data_centres: Iterable[str], now: float
@@ -224,6 +225,7 @@
     def _note_change(self, service: str) -> None:
         self._ready_by_service.pop(service, None)
         self._unavailable_by_service.pop(service, None)
+        self._versions_by_service.pop(service, None)
 
     def find_ready(self, service: str) -> list[backend_server.BackendServer]:
         """Return the servers of a service that may receive requests.
@@ -257,6 +259,16 @@
         """Return the version of each available server of a service."""
         return [server.version for server in self.find_ready(service)]
 
+    def find_listed_versions(self, service: str) -> frozenset[str]:
+        """Return the versions of all servers of a service, also draining."""
+        versions = self._versions_by_service.get(service)
+        if versions is None:
+            versions = frozenset(
+                server.version for server in self._find_servers(service)
+            )
+            self._versions_by_service[service] = versions
+        return versions
+
     def find_unavailable(self, service: str) -> list[str]:
         """Return the names of the servers that must not get new requests."""
         names = self._unavailable_by_service.get(service)
--- a/packages/daisypick_core/src/daisypick_core/serving/route_table.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/route_table.py
@@ -75,11 +75,20 @@
 
     def __init__(self, *, routes: Iterable[Route]) -> None:
         self._routes_by_host: dict[str, list[Route]] = {}
+        self._timeout_by_service: dict[str, float] = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, []).append(route)
+            for service in route.weight_by_service:
+                self._timeout_by_service[service] = max(
+                    self.find_longest_timeout(service), route.timeout
+                )
         for host_routes in self._routes_by_host.values():
             host_routes.sort(key=lambda route: -len(route.path_prefix))
 
+    def find_longest_timeout(self, service: str) -> float:
+        """Return the longest timeout in seconds of a service's routes."""
+        return self._timeout_by_service.get(service, 0.0)
+
     def find(self, host: str, target: str) -> Route | None:
         """Return the route of a request, or ``None``."""
         name = host.lower().partition(":")[0]
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -5,6 +5,7 @@
 from daisypick_core.scheduling import refusal_reasons
 from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import route_table
+from daisypick_core.serving import stream_origins
 from daisypick_http import messages
 from daisypick_platform import request_headers
 
@@ -36,6 +37,8 @@
         refusal_reason: Why the scheduler refused it, if it did.
         sent_at: When it was last sent to a backend server.
         crashes_when_sent: What was known of its crashes then.
+        origin: Service and version of the server that began the stream;
+            ``None`` before the first event.
     """
 
     __slots__ = (
@@ -49,6 +52,7 @@
         "may_have_run",
         "objective_at",
         "organisation",
+        "origin",
         "pool",
         "refusal_reason",
         "request",
@@ -93,6 +97,7 @@
         self.is_sent = False
         self.sent_at = 0.0
         self.crashes_when_sent = crash_record.NO_RECORD
+        self.origin: stream_origins.Origin | None = None
         self._digest: str | None = None
 
     @property
--- a/packages/daisypick_router/src/daisypick_router/discovery.py
+++ b/packages/daisypick_router/src/daisypick_router/discovery.py
@@ -155,6 +155,11 @@
                 "store", "The store does not respond.", reason=error.reason
             )
 
+    @property
+    def max_server_list_age(self) -> float:
+        """Age in seconds up to which the list of servers is confirmed."""
+        return self._max_age_by_kind[entries.KIND]
+
     def _apply_configurations(
         self, objects: tuple[stores.StoredObject, ...]
     ) -> None:
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -34,6 +34,7 @@
 from daisypick_router import retry_policy as retry_policies
 from daisypick_router import rollouts as rollout_records
 from daisypick_router import server_notices
+from daisypick_router import stream_versions
 from daisypick_router import takeover as takeovers
 
 _EVENT_STREAM = b"text/event-stream"
@@ -61,6 +62,7 @@
         retry_policy: retry_policies.RetryPolicy,
         notices: server_notices.ServerNotices,
         rollouts: rollout_records.Rollouts,
+        streams: stream_versions.StreamVersions,
         answers: answer_records.Answers,
         metrics: metric_numbers.Metrics,
         router: str,
@@ -73,6 +75,7 @@
         self._retry_policy = retry_policy
         self._notices = notices
         self._rollouts = rollouts
+        self._streams = streams
         self._answers = answers
         self._metrics = metrics
         self._router = router
@@ -126,9 +129,12 @@
         )
         organisation = context.organisation or ""
         self._count_demand(context, organisation)
+        unknown = self._streams.bind(context)
+        if unknown is not None:
+            return unknown
         self._rollouts.choice.choose(context)
         refused = self._refuse_locally(context, organisation)
-        if refused is not None and context.tests_version:
+        if refused is not None and self._may_skip_test(context):
             self._rollouts.choice.skip_test(context)
             refused = self._refuse_locally(context, organisation)
         if refused is not None:
@@ -174,6 +180,9 @@
             if place is None:
                 if result is not None:
                     self._rollouts.choice.choose(context)
+                refused = self._refuse_version(context)
+                if refused is not None:
+                    return self._choose_refusal(context, result, refused)
                 found = self._acquire(context, progress)
                 if isinstance(found, actions.Refuse):
                     return self._make_failure(context, result, found)
@@ -205,6 +214,15 @@
         paused = self._notices.refuse(context)
         return paused or retry_policies.choose_failure(context, result)
 
+    def _refuse_version(
+        self, context: contexts.Context
+    ) -> failure.Failure | None:
+        """Return the refusal of a stream whose version gets no requests."""
+        refused = self._streams.refuse(context)
+        if refused is None and context.origin is not None:
+            refused = self._rollouts.choice.refuse(context)
+        return refused
+
     def _acquire(
         self,
         context: contexts.Context,
@@ -218,7 +236,7 @@
         """
         work = self._make_job(context, progress.passed)
         action = self._placing.acquire(context.pool, work)
-        if isinstance(action, actions.Refuse) and context.tests_version:
+        if isinstance(action, actions.Refuse) and self._may_skip_test(context):
             self._rollouts.choice.skip_test(context)
             work = self._make_job(context, progress.passed)
             action = self._placing.acquire(context.pool, work)
@@ -231,6 +249,7 @@
             server is None
             or not self._may_send(server)
             or not self._held.allows(context, server)
+            or not self._streams.may_use(context, server)
             or self._rollouts.choice.is_outdated(context)
         ):
             self._placing.note_end(context.pool, work.key)
@@ -246,6 +265,10 @@
             ),
         )
 
+    def _may_skip_test(self, context: contexts.Context) -> bool:
+        """Return whether the version in force can take a test's request."""
+        return context.tests_version and context.origin is None
+
     def _release(self, place: takeovers.Place) -> None:
         self._placing.note_end(place.service, place.work.key)
 
@@ -280,7 +303,9 @@
         following = copy.copy(context)
         following.tried_servers = set(context.tried_servers)
         self._rollouts.choice.choose(following)
-        place = self._acquire(following, progress)
+        place = None
+        if self._refuse_version(following) is None:
+            place = self._acquire(following, progress)
         if not isinstance(place, takeovers.Place):
             self._count_silent(context, "no_place")
             return None
@@ -395,8 +420,10 @@
                     unavailable,
                     paused,
                     self._rollouts.choice.find_avoided(context),
+                    self._streams.find_avoided(context),
                 )
             ),
+            only=self._streams.find_only(context),
             data_centre=self._data_centre,
             isolated=self._retry_policy.quarantine.is_isolated(context),
             expected_events=length.expected,
@@ -577,6 +604,7 @@
                 if first:
                     first = False
                     self._note_first(context, place)
+                self._streams.note_began(context, place.server)
                 read_at = time.monotonic()
                 if not connection.response_started:
                     connection.begin_stream(
--- a/packages/daisypick_router/src/daisypick_router/host_links.py
+++ b/packages/daisypick_router/src/daisypick_router/host_links.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 import time
 
@@ -24,6 +25,9 @@
 
 # Number of candidates for each service.
 _CANDIDATE_COUNT = 2
+# Number of routers among which the streams of a service are divided, so that
+# none gets a message of every stream of a large fleet.
+_REGISTRAR_COUNT = 48
 _CHECK_SECONDS = 0.05
 # If the check wakes this late, the delay is in this process, not in a host,
 # whose heartbeats may be waiting unread. Links must not be closed for that: a
@@ -58,6 +62,7 @@
         log: logs.Log,
         rng: random.Random,
         on_connect: Callable[[peer_link.PeerLink], None],
+        on_origin: Callable[[peer_messages.OriginReply], None],
     ) -> None:
         self._name = name
         self._cores = cores
@@ -70,9 +75,13 @@
         self._log = log
         self._rng = rng
         self._on_connect = on_connect
+        self._on_origin = on_origin
         self._link_by_name: dict[str, peer_link.PeerLink] = {}
         self._services: set[str] = set()
         self._candidates_by_service: dict[str, list[str]] = {}
+        # Services whose streams are registered, and the routers for it.
+        self._registered: frozenset[str] = frozenset()
+        self._registrars_by_service: dict[str, list[str]] = {}
         # Routers to receive the store's changes from, in order of preference.
         self._feed_sources: list[str] = []
         # Position of a router's entry when it announced its stop. Its next
@@ -99,6 +108,14 @@
             order = hosts.order_hosts(service, cores_by_router)
             self._candidates_by_service[service] = order[:_CANDIDATE_COUNT]
             wanted.update(order[:_CANDIDATE_COUNT])
+        self._registrars_by_service = {
+            service: hosts.order_hosts(service, cores_by_router)[
+                :_REGISTRAR_COUNT
+            ]
+            for service in self._registered
+        }
+        for registrars in self._registrars_by_service.values():
+            wanted.update(registrars)
         order = hosts.order_hosts(_STORE_ORDER_KEY, cores_by_router)
         self._feed_sources = relay_tree.find_sources(order, self._name)
         wanted.update(self._feed_sources)
@@ -122,6 +139,7 @@
             on_leaving=self._handle_leaving,
             on_crashes=self._quarantine.receive,
             on_rollout=self._rollouts.receive,
+            on_origin=self._on_origin,
         )
         self._link_by_name[member.name] = link
         link.start()
@@ -141,6 +159,22 @@
             self._stopping_position_by_name[link.name] = member.position
             self.update()
 
+    def set_registered(self, services: Iterable[str]) -> None:
+        """Set the services whose streams are registered at other routers."""
+        registered = frozenset(services)
+        if registered != self._registered:
+            self._registered = registered
+            self.update()
+
+    @property
+    def is_fleet_small(self) -> bool:
+        """Whether a message to each router for each stream costs little."""
+        return self._membership.routers < store_feed.MIN_ROUTERS
+
+    def find_registrars(self, service: str) -> list[str]:
+        """Return the routers among which a service's streams are divided."""
+        return self._registrars_by_service.get(service, [])
+
     def find_link(self, router: str) -> peer_link.PeerLink | None:
         """Return the link to a router, if there is one."""
         return self._link_by_name.get(router)
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -26,6 +26,7 @@
 from daisypick_router import rollout_host as rollout_hosts
 from daisypick_router import rollouts as rollout_records
 from daisypick_router import store_feed
+from daisypick_router import stream_versions
 
 HEARTBEAT_SECONDS = 0.05
 # Time that a disconnected router has to reconnect: about three of its
@@ -57,6 +58,7 @@
         quarantine: quarantines.Quarantine,
         rollouts: rollout_records.Rollouts,
         rollout_host: rollout_hosts.RolloutHost,
+        streams: stream_versions.StreamVersions,
         load: load_watch.LoadWatch,
         log: logs.Log,
     ) -> None:
@@ -69,6 +71,7 @@
         self._rollouts = rollouts
         rollouts.add_sender(self._send_to_all)
         self._rollout_host = rollout_host
+        self._streams = streams
         self._log = log
         self._router_by_channel: dict[peer_channel.PeerChannel, str] = {}
         self._waiting_by_channel: dict[peer_channel.PeerChannel, set[str]] = {}
@@ -78,6 +81,10 @@
         self._expected_by_channel: dict[
             peer_channel.PeerChannel, peer_messages.Expect
         ] = {}
+        # The latest ``Only`` message of each channel.
+        self._only_by_channel: dict[
+            peer_channel.PeerChannel, peer_messages.Only
+        ] = {}
         self._leaving = False
 
     def start(self) -> None:
@@ -110,6 +117,7 @@
             self._waiting_by_channel.pop(channel, None)
             self._isolated_by_channel.pop(channel, None)
             self._expected_by_channel.pop(channel, None)
+            self._only_by_channel.pop(channel, None)
             self._feed.remove_follower(channel)
             router = self._router_by_channel.pop(channel, None)
             if router is not None:
@@ -214,6 +222,27 @@
     ) -> None:
         self._expected_by_channel[channel] = message
 
+    @handles(peer_messages.Only)
+    def _handle_only(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Only
+    ) -> None:
+        self._only_by_channel[channel] = message
+
+    @handles(peer_messages.Began)
+    def _handle_began(
+        self, channel: peer_channel.PeerChannel, message: peer_messages.Began
+    ) -> None:
+        del channel
+        self._streams.receive(message)
+
+    @handles(peer_messages.AskOrigin)
+    def _handle_ask_origin(
+        self,
+        channel: peer_channel.PeerChannel,
+        message: peer_messages.AskOrigin,
+    ) -> None:
+        channel.send(self._streams.answer(message))
+
     def _read_job(
         self, channel: peer_channel.PeerChannel, wire: peer_messages.WireJob
     ) -> job.Job:
@@ -228,6 +257,9 @@
                 high_events=expected.high,
                 max_pause=expected.max_pause,
             )
+        only = self._only_by_channel.pop(channel, None)
+        if only is not None and only.key == work.key:
+            work = work._replace(only=frozenset(only.servers))
         return work._replace(isolated=isolated)
 
     @handles(peer_messages.Follow)
--- a/packages/daisypick_router/src/daisypick_router/peer_link.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_link.py
@@ -36,7 +36,7 @@
     of the store that it forwards; ``on_leaving(link)`` is called when it
     announces that it stops; ``on_crashes(message)`` for each of its reports of
     requests that may crash servers; ``on_rollout(message)`` for each state of a
-    roll-out.
+    roll-out; ``on_origin(message)`` for each reply on where a stream began.
     """
 
     def __init__(
@@ -52,6 +52,7 @@
         on_leaving: Callable[["PeerLink"], None],
         on_crashes: Callable[[peer_messages.CrashMessage], None],
         on_rollout: Callable[[peer_messages.RolloutNotice], None],
+        on_origin: Callable[[peer_messages.OriginReply], None],
     ) -> None:
         self.name = name
         self._address = address
@@ -63,6 +64,7 @@
         self._on_leaving = on_leaving
         self._on_crashes = on_crashes
         self._on_rollout = on_rollout
+        self._on_origin = on_origin
         self._channel: peer_channel.PeerChannel | None = None
         self._cooldown_until = 0.0
         self.leaving = False
@@ -220,6 +222,9 @@
         if isinstance(message, peer_messages.RolloutNotice):
             self._on_rollout(message)
             return
+        if isinstance(message, peer_messages.OriginReply):
+            self._on_origin(message)
+            return
         if isinstance(message, peer_messages.Leaving):
             self.leaving = True
             self._log.write("peer", "A host is stopping.", host=self.name)
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -136,6 +136,66 @@
     max_pause: float
 
 
+@register("only")
+class Only(typing.NamedTuple):
+    """Servers to which the next ``Submit`` or ``Running`` request may go.
+
+    A separate message, since hosts of an older version can only ignore it as a
+    whole. The router declines another server that such a host chooses.
+    """
+
+    key: str
+    servers: tuple[str, ...]
+
+
+@register("began")
+class Began(typing.NamedTuple):
+    """Streams that servers of one version of a service have begun.
+
+    Attributes:
+        service: Their service.
+        version: Version of the servers' software.
+        attempts: Ids of the attempts that brought their first events.
+    """
+
+    service: str
+    version: str
+    attempts: tuple[str, ...]
+
+
+@register("ask-origin")
+class AskOrigin(typing.NamedTuple):
+    """Where did a stream begin? The reply is an ``OriginReply``.
+
+    Attributes:
+        number: Identifies the question among those of the sender's process.
+        attempt: Id of the attempt that brought its first event.
+        service: Service of the route by which it is taken up.
+    """
+
+    number: int
+    attempt: str
+    service: str
+
+
+@register("origin")
+class OriginReply(typing.NamedTuple):
+    """Reply to ``AskOrigin``.
+
+    Attributes:
+        number: Number of the question.
+        service: Service that began the stream; empty if unknown.
+        version: Version of the software that began it.
+        noted: Whether it was noted as it began; else it follows from the
+            service having had no other version.
+    """
+
+    number: int
+    service: str
+    version: str
+    noted: bool
+
+
 @register("crashes")
 class CrashReports(typing.NamedTuple):
     """Changed records of requests that may crash servers.
@@ -400,9 +460,11 @@
     )
 
 
-def write_notes(work: job.Job) -> list[Isolate | Expect]:
+def write_notes(work: job.Job) -> list[Isolate | Expect | Only]:
     """Return the messages that precede a job's ``Submit`` or ``Running``."""
-    notes: list[Isolate | Expect] = []
+    notes: list[Isolate | Expect | Only] = []
+    if work.only:
+        notes.append(Only(key=work.key, servers=tuple(sorted(work.only))))
     if work.isolated:
         notes.append(Isolate(key=work.key))
     if work.expected_events:
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -36,6 +36,7 @@
 from daisypick_router import quarantine as quarantines
 from daisypick_router import rollouts as rollout_records
 from daisypick_router import store_feed
+from daisypick_router import stream_versions
 
 _REPORT_SECONDS = 1.0
 # Organisations per log line, those with the highest demand first. An
@@ -68,6 +69,7 @@
         fallback: engine_schedulers.EngineSchedulers,
         quarantine: quarantines.Quarantine,
         rollouts: rollout_records.Rollouts,
+        streams: stream_versions.StreamVersions,
         load: load_watch.LoadWatch,
         log: logs.Log,
         metrics: metric_numbers.Metrics,
@@ -84,8 +86,10 @@
             rollouts=rollouts,
             log=log,
             rng=rng,
-            on_connect=self._send_placements,
+            on_connect=self._handle_connect,
+            on_origin=streams.receive_reply,
         )
+        self._streams = streams
         self.fallback = fallback
         self._load = load
         self._log = log
@@ -114,6 +118,7 @@
     def start(self) -> None:
         """Start connecting to the hosts and reporting."""
         self.links.start()
+        self._streams.start(self.links)
         gevent.spawn(self._report)
 
     def _report(self) -> None:
@@ -502,6 +507,10 @@
                 ended=key not in self._running,
             )
 
+    def _handle_connect(self, link: peer_link.PeerLink) -> None:
+        self._send_placements(link)
+        self._streams.handle_connect(link)
+
     def _send_placements(self, link: peer_link.PeerLink) -> None:
         """Send running and recent placements to a newly connected host."""
         for service in self._placements_by_service:
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -52,6 +52,7 @@
 from daisypick_router import serving
 from daisypick_router import settings_watch
 from daisypick_router import store_feed
+from daisypick_router import stream_versions
 
 # Servers are a few milliseconds away, so one that does not accept in this time
 # is down or unreachable. A lost SYN would be retransmitted only after 1 s.
@@ -180,6 +181,14 @@
             )
             for _ in range(2)
         )
+        self.streams = stream_versions.StreamVersions(
+            name=settings.name,
+            discovery=self.discovery,
+            has_rollouts=self.rollouts.is_active,
+            log=self.log,
+            metrics=self.metrics,
+            rng=rng,
+        )
         self.placing = placings.Placing(
             name=settings.name,
             cores=settings.processor,
@@ -189,6 +198,7 @@
             fallback=self._local_engines,
             quarantine=self.quarantine,
             rollouts=self.rollouts,
+            streams=self.streams,
             load=self.load,
             log=self.log,
             metrics=self.metrics,
@@ -209,6 +219,7 @@
             quarantine=self.quarantine,
             rollouts=self.rollouts,
             rollout_host=self._rollout_host,
+            streams=self.streams,
             load=self.load,
             log=self.log,
         )
@@ -239,6 +250,7 @@
                 retry_policy=retry_policy,
                 notices=self._notices,
                 rollouts=self.rollouts,
+                streams=self.streams,
                 answers=answer_records.Answers(
                     load=self.load, log=self.log, metrics=self.metrics
                 ),
@@ -435,6 +447,7 @@
     def _update_servers(self, names: Collection[str] | None) -> None:
         self.hosted.update_servers(names)
         self._local_engines.update_servers(names)
+        self.streams.update_servers()
 
     def _update_members(self) -> None:
         routers = self.membership.routers
--- a/packages/daisypick_router/src/daisypick_router/version_choice.py
+++ b/packages/daisypick_router/src/daisypick_router/version_choice.py
@@ -7,6 +7,8 @@
 import time
 import typing
 
+from daisypick_core.results import codes
+from daisypick_core.results import failure
 from daisypick_core.rollout import exposure as exposures
 from daisypick_core.rollout import state as states
 from daisypick_core.rollout import versions
@@ -21,6 +23,8 @@
 # Largest number of servers of a version from which those of the probe are
 # chosen: a request names those to avoid.
 _MAX_CHOSEN_FROM = 64
+# Seconds after which a caller may ask again for a version that is tested.
+_RETRY_AFTER = 0.5
 
 
 class _InForce(typing.NamedTuple):
@@ -71,6 +75,9 @@
         if not self._records.is_active:
             return
         service = context.service
+        if context.origin is not None:
+            self._choose_origin(context, context.origin.version)
+            return
         version = self.find_in_force(service.name)
         context.tests_version = False
         state = self._records.state_by_service.get(service.name)
@@ -84,6 +91,27 @@
             context.tests_version = True
         context.pool = service._replace(version=version)
 
+    def _choose_origin(self, context: contexts.Context, version: str) -> None:
+        """Let a stream go on at its version, within the share of a test."""
+        state = self._records.state_by_service.get(context.service.name)
+        context.pool = context.service._replace(version=version)
+        context.tests_version = (
+            state is not None
+            and state.is_testing
+            and version == state.target
+            and self._may_test(context, state)
+        )
+
+    def refuse(self, context: contexts.Context) -> failure.Failure | None:
+        """Return the refusal of a stream whose version gets nothing now."""
+        if not self.is_outdated(context):
+            return None
+        return failure.Failure(
+            code=codes.NO_SERVER_OF_VERSION,
+            reason=f"version {context.pool.version!r} is not in force",
+            retry_after=_RETRY_AFTER,
+        )
+
     def _may_test(
         self, context: contexts.Context, state: states.RolloutState
     ) -> bool:
