--- a/packages/daisypick_router/tests/test_rollouts.py
+++ b/packages/daisypick_router/tests/test_rollouts.py
@@ -468,3 +468,26 @@
     assert answer.status == 200
     assert chosen == ["i-v1", "i-v2"]
     assert answer.headers["daisypick-server-seal"] == "seal-i-v2"
+
+
+def test_stream_of_a_version_that_is_not_in_force_is_refused(store):
+    """Guards against events of two versions when a roll-out has moved on."""
+    for version in ("v1", "v2"):
+        server = fakes.FakeServer(version, "assist", fakes.stream_five)
+        store.put("servers", version, server.describe(Version=version))
+    (router,) = _start_routers(store, 1)
+    router.streams.receive(
+        peer_messages.Began(service="assist", version="v2", attempts=("a-2",))
+    )
+    router.streams.receive(
+        peer_messages.Began(service="assist", version="v1", attempts=("a-1",))
+    )
+    for attempt, status in (("a-1", 200), ("a-2", 503)):
+        answer = fakes.call(
+            router,
+            "/visit/1",
+            attempt=f"{attempt}-again",
+            Last_Event_Id="2",
+            Resumes=attempt,
+        )
+        assert answer.status == status
