--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -604,7 +604,7 @@
                 if first:
                     first = False
                     self._note_first(context, place)
-                self._streams.note_began(context, place.server)
+                    self._streams.note_began(context, place.server)
                 read_at = time.monotonic()
                 if not connection.response_started:
                     connection.begin_stream(
--- a/packages/daisypick_router/tests/test_stream_versions.py
+++ b/packages/daisypick_router/tests/test_stream_versions.py
@@ -21,6 +21,14 @@
     found.server.stop()
 
 
+def _stream_slowly(server, connection, first, headers, body):
+    fakes.begin_stream(server, connection, headers)
+    for number in range(1, 6):
+        fakes.send_events(connection, (number,))
+        gevent.sleep(0.06)
+    fakes.end_stream(connection)
+
+
 def _hold_after_two(server, connection, first, headers, body):
     """Send the first two events and no more, or the rest of them."""
     if "last-event-id" in headers:
@@ -218,3 +226,15 @@
         )
         assert answer.whole
         assert len(_find_versions(servers, f"a-{number}")) == 1
+
+
+def test_stream_is_registered_once(store):
+    """Guards against a message to other routers for each event of a stream."""
+    _start_engines(store, _stream_slowly, ["v1", "v2"])
+    routers = [fakes.start_router(store, f"r-{n}") for n in range(2)]
+    _wait_for_members(routers)
+    messages = []
+    routers[1].streams.receive = messages.append
+    assert fakes.call(routers[0], "/visit/1", attempt="a-1").whole
+    gevent.sleep(0.3)
+    assert [message.attempts for message in messages] == [("a-1",)]
