--- a/packages/daisypick_router/src/daisypick_router/__init__.py
+++ b/packages/daisypick_router/src/daisypick_router/__init__.py
@@ -11,6 +11,8 @@
 * ``relay``: sends a server's response to the caller.
 * ``plain_servers``: selects a server of a plain service.
 * ``engine_schedulers``: selects a server and a start time for a model service.
+* ``stream_versions``: the software version at which a stream goes on.
+* ``stream_registry``: where streams began, as routers have noted it.
 * ``discovery``: local copies of objects in the platform's store.
 * ``membership``: the routers of the fleet.
 * ``log``: bounded, structured log lines.
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -26,6 +26,7 @@
 from daisypick_router import rollout_host as rollout_hosts
 from daisypick_router import rollouts as rollout_records
 from daisypick_router import store_feed
+from daisypick_router import stream_registry
 from daisypick_router import stream_versions
 
 HEARTBEAT_SECONDS = 0.05
@@ -59,6 +60,7 @@
         rollouts: rollout_records.Rollouts,
         rollout_host: rollout_hosts.RolloutHost,
         streams: stream_versions.StreamVersions,
+        registry: stream_registry.StreamRegistry,
         load: load_watch.LoadWatch,
         log: logs.Log,
     ) -> None:
@@ -72,6 +74,7 @@
         rollouts.add_sender(self._send_to_all)
         self._rollout_host = rollout_host
         self._streams = streams
+        self._registry = registry
         self._log = log
         self._router_by_channel: dict[peer_channel.PeerChannel, str] = {}
         self._waiting_by_channel: dict[peer_channel.PeerChannel, set[str]] = {}
@@ -233,7 +236,7 @@
         self, channel: peer_channel.PeerChannel, message: peer_messages.Began
     ) -> None:
         del channel
-        self._streams.receive(message)
+        self._registry.receive(message)
 
     @handles(peer_messages.AskOrigin)
     def _handle_ask_origin(
--- a/packages/daisypick_router/src/daisypick_router/placing.py
+++ b/packages/daisypick_router/src/daisypick_router/placing.py
@@ -36,7 +36,7 @@
 from daisypick_router import quarantine as quarantines
 from daisypick_router import rollouts as rollout_records
 from daisypick_router import store_feed
-from daisypick_router import stream_versions
+from daisypick_router import stream_registry
 
 _REPORT_SECONDS = 1.0
 # Organisations per log line, those with the highest demand first. An
@@ -69,7 +69,7 @@
         fallback: engine_schedulers.EngineSchedulers,
         quarantine: quarantines.Quarantine,
         rollouts: rollout_records.Rollouts,
-        streams: stream_versions.StreamVersions,
+        registry: stream_registry.StreamRegistry,
         load: load_watch.LoadWatch,
         log: logs.Log,
         metrics: metric_numbers.Metrics,
@@ -87,9 +87,9 @@
             log=log,
             rng=rng,
             on_connect=self._handle_connect,
-            on_origin=streams.receive_reply,
+            on_origin=registry.receive_reply,
         )
-        self._streams = streams
+        self._registry = registry
         self.fallback = fallback
         self._load = load
         self._log = log
@@ -118,7 +118,7 @@
     def start(self) -> None:
         """Start connecting to the hosts and reporting."""
         self.links.start()
-        self._streams.start(self.links)
+        self._registry.start(self.links)
         gevent.spawn(self._report)
 
     def _report(self) -> None:
@@ -509,7 +509,7 @@
 
     def _handle_connect(self, link: peer_link.PeerLink) -> None:
         self._send_placements(link)
-        self._streams.handle_connect(link)
+        self._registry.handle_connect(link)
 
     def _send_placements(self, link: peer_link.PeerLink) -> None:
         """Send running and recent placements to a newly connected host."""
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -52,6 +52,7 @@
 from daisypick_router import serving
 from daisypick_router import settings_watch
 from daisypick_router import store_feed
+from daisypick_router import stream_registry
 from daisypick_router import stream_versions
 
 # Servers are a few milliseconds away, so one that does not accept in this time
@@ -181,9 +182,10 @@
             )
             for _ in range(2)
         )
-        self.streams = stream_versions.StreamVersions(
-            name=settings.name,
+        self.stream_registry = stream_registry.StreamRegistry()
+        self._streams = stream_versions.StreamVersions(
             discovery=self.discovery,
+            registry=self.stream_registry,
             has_rollouts=self.rollouts.is_active,
             log=self.log,
             metrics=self.metrics,
@@ -198,7 +200,7 @@
             fallback=self._local_engines,
             quarantine=self.quarantine,
             rollouts=self.rollouts,
-            streams=self.streams,
+            registry=self.stream_registry,
             load=self.load,
             log=self.log,
             metrics=self.metrics,
@@ -219,7 +221,8 @@
             quarantine=self.quarantine,
             rollouts=self.rollouts,
             rollout_host=self._rollout_host,
-            streams=self.streams,
+            streams=self._streams,
+            registry=self.stream_registry,
             load=self.load,
             log=self.log,
         )
@@ -250,7 +253,7 @@
                 retry_policy=retry_policy,
                 notices=self._notices,
                 rollouts=self.rollouts,
-                streams=self.streams,
+                streams=self._streams,
                 answers=answer_records.Answers(
                     load=self.load, log=self.log, metrics=self.metrics
                 ),
@@ -301,6 +304,7 @@
         self.hosted.start()
         self._local_engines.start()
         self.placing.start()
+        self._streams.start()
         self.peer_host.start()
         self._rollout_host.start()
         self.rollouts.start(
@@ -447,7 +451,7 @@
     def _update_servers(self, names: Collection[str] | None) -> None:
         self.hosted.update_servers(names)
         self._local_engines.update_servers(names)
-        self.streams.update_servers()
+        self._streams.update_servers()
 
     def _update_members(self) -> None:
         routers = self.membership.routers
--- a/packages/daisypick_router/tests/test_rollouts.py
+++ b/packages/daisypick_router/tests/test_rollouts.py
@@ -476,10 +476,10 @@
         server = fakes.FakeServer(version, "assist", fakes.stream_five)
         store.put("servers", version, server.describe(Version=version))
     (router,) = _start_routers(store, 1)
-    router.streams.receive(
+    router.stream_registry.receive(
         peer_messages.Began(service="assist", version="v2", attempts=("a-2",))
     )
-    router.streams.receive(
+    router.stream_registry.receive(
         peer_messages.Began(service="assist", version="v1", attempts=("a-1",))
     )
     for attempt, status in (("a-1", 200), ("a-2", 503)):
--- a/packages/daisypick_router/tests/test_stream_versions.py
+++ b/packages/daisypick_router/tests/test_stream_versions.py
@@ -234,7 +234,7 @@
     routers = [fakes.start_router(store, f"r-{n}") for n in range(2)]
     _wait_for_members(routers)
     messages = []
-    routers[1].streams.receive = messages.append
+    routers[1].stream_registry.receive = messages.append
     assert fakes.call(routers[0], "/visit/1", attempt="a-1").whole
     gevent.sleep(0.3)
     assert [message.attempts for message in messages] == [("a-1",)]
