--- a/packages/daisypick_router/tests/test_silent_store.py
+++ b/packages/daisypick_router/tests/test_silent_store.py
@@ -65,24 +65,27 @@
     routers = [fakes.start_router(store, f"r-{n}") for n in range(4)]
     for router in routers:
         fakes.wait_for(lambda peer=router: peer.membership.routers == 4, 8.0)
-    followers = [
-        router
-        for router in routers
-        if router.placing.links.feed_source is not None
-    ]
     fakes.wait_for(
-        lambda: all(
-            router.discovery._feed.is_fresh("config") for router in followers
+        lambda: (
+            sum(
+                router.placing.links.feed_source is not None
+                for router in routers
+            )
+            == 3
         )
     )
+    # Each of them has just been told that it lacks nothing.
+    store.put("config", "main", fakes.make_manifest(2))
+    for router in routers:
+        fakes.wait_for(lambda peer=router: _has_version(peer, 2))
     for router in routers:
         monkeypatch.setattr(router.discovery._feed, "publish", lambda *_: None)
     store.silence()
     until = time.monotonic() + _CONNECTED_AFTER_SECONDS
-    store.put("config", "main", fakes.make_manifest(2))
+    store.put("config", "main", fakes.make_manifest(3))
     for router in routers:
         fakes.wait_for(
-            lambda peer=router: _has_version(peer, 2), until - time.monotonic()
+            lambda peer=router: _has_version(peer, 3), until - time.monotonic()
         )
 
 
