Review: a second answer to a HEAD reaches the next request

Two of four replicas send a second answer after 2 in 100 of their answers. After each HEAD concerned, the next request on the requester's channel gets the sealed answer of the HEAD.

--- a/review/harness.py
+++ b/review/harness.py
@@ -131,8 +131,11 @@
         self._file.close()
 
 
-async def read_message(reader):
-    """Return the first line, headers and body of a message, or ``None``."""
+async def read_message(reader, *, has_body=True):
+    """Return the first line, headers and body of a message, or ``None``.
+
+    The answer to a HEAD has no body, whatever its headers say.
+    """
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -142,7 +145,9 @@
     for line in lines:
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
-    if headers.get("transfer-encoding", "").lower() == "chunked":
+    if not has_body:
+        body = b""
+    elif headers.get("transfer-encoding", "").lower() == "chunked":
         body = b""
         while True:
             size = int((await reader.readuntil(b"\r\n"))[:-2], 16)
@@ -326,6 +331,8 @@
         self.ended_at = None
         self.runs = []
         self.cut = []
+        # Share of its answers after which it sends a second one.
+        self.second_answers = 0.0
         self._tasks = set()
 
     async def start(self):
@@ -377,6 +384,24 @@
             task.cancel()
         self._store.remove("servers", self.name)
 
+    def _make_answer(self, method, attempt):
+        body = f"{self.name} {attempt}".encode() + b"." * 700
+        answer = write_message(
+            "HTTP/1.1 200 OK",
+            {
+                "Daisypick-Attempt-Id": attempt,
+                "Daisypick-Server-Seal": f"{self.name}.{attempt}",
+                "Keep-Alive": "timeout=15",
+            },
+            body,
+        )
+        if method == "HEAD":
+            answer = answer[: -len(body)]
+        if random.random() < self.second_answers:
+            self._record.write("second answer", id=attempt, call=method)
+            answer += answer
+        return answer
+
     async def _serve(self, reader, writer):
         task = asyncio.current_task()
         self._tasks.add(task)
@@ -424,17 +449,7 @@
                 current = attempt
                 await asyncio.sleep(self._work)
                 current = None
-                writer.write(
-                    write_message(
-                        "HTTP/1.1 200 OK",
-                        {
-                            "Daisypick-Attempt-Id": attempt,
-                            "Daisypick-Server-Seal": f"{self.name}.{attempt}",
-                            "Keep-Alive": "timeout=15",
-                        },
-                        f"{self.name} {attempt}".encode() + b"." * 700,
-                    )
-                )
+                writer.write(self._make_answer(method, attempt))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
@@ -599,6 +614,8 @@
         self.status = None
         self.outcome = "not sent"
         self.seal = ""
+        # The request that the answer names, if it names one.
+        self.answers = None
         self.body = b""
         self.is_whole = False
 
@@ -654,23 +671,32 @@
                 write_message(f"{method} {path} HTTP/1.1", headers, body)
             )
             await writer.drain()
-            message = await asyncio.wait_for(read_message(reader), limit)
+            message = await asyncio.wait_for(
+                read_message(reader, has_body=method != "HEAD"), limit
+            )
         except TimeoutError:
             answer.outcome = "unanswered"
         except (OSError, asyncio.IncompleteReadError):
             answer.outcome = "closed"
         else:
-            answer.outcome = "closed" if message is None else "answered"
+            if message is None:
+                answer.outcome = "closed"
+            elif message[0].startswith("HTTP/1.1 "):
+                answer.outcome = "answered"
+            else:
+                answer.outcome = "no answer in the protocol"
         answer.ended_at = time.monotonic()
         if answer.outcome == "answered":
             first, headers, content = message
             answer.status = int(first.split(" ")[1])
             seal = headers.get("daisypick-server-seal", "")
             answer.seal, answer.body = seal, content
+            answer.answers = headers.get("daisypick-attempt-id")
             answer.is_whole = seal.endswith(answer.attempt) and (
-                answer.attempt.encode() in content
+                method == "HEAD" or answer.attempt.encode() in content
             )
-            if headers.get("connection", "").lower() == "close":
+            is_foreign = answer.answers not in (None, answer.attempt)
+            if is_foreign or headers.get("connection", "").lower() == "close":
                 self.close()
         else:
             self.close()
