Log what a router sends to cold servers, and on what its quota rests

The record of the incident does not tell why a cold server got too many requests: no line named a router's quota, the list of routers that it follows from, since when it took the server for cold, or when requests were sent.

"A server is cold." tells what was sent there before, the age of the list of servers, the quota, and size and age of the list of routers. "Requests were sent to a cold server.", once a second and for sixteen servers at most, tells the most within the window and the longest time from the choice of the server to the send. Counted where the request is sent, for logs only: no decision changes. Metrics: requests_to_cold_servers_total, cold_send_delay_seconds, cold_quota_routers.

--- a/packages/daisypick_core/src/daisypick_core/serving/cold_limit.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/cold_limit.py
@@ -35,9 +35,16 @@
 
     def allows(self, server: str, rate: float, now: float) -> bool:
         """Return whether one more request may be sent now."""
-        quota = self._quotas.find_quota(self._router, server, rate=rate)
+        return self.find_quota(server, rate) > self.count(server, now)
+
+    def count(self, server: str, now: float) -> int:
+        """Return the number of requests sent within the window."""
         window = self._window_by_server.get(server)
-        return quota > (0 if window is None else window.count(now))
+        return 0 if window is None else window.count(now)
+
+    def find_quota(self, server: str, rate: float) -> int:
+        """Return the requests that the router may send within the window."""
+        return self._quotas.find_quota(self._router, server, rate=rate)
 
     def take(self, server: str, rate: float, now: float) -> bool:
         """Count a request and return ``True``, or ``False`` at the limit."""
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -24,6 +24,7 @@
 from daisypick_router import answer_progress
 from daisypick_router import answers as answer_records
 from daisypick_router import closed_answers
+from daisypick_router import cold_sends
 from daisypick_router import context as contexts
 from daisypick_router import discovery as discoveries
 from daisypick_router import exchange
@@ -69,9 +70,11 @@
         router: str,
         data_centre: str,
         held: held_requests.HeldRequests,
+        sends: cold_sends.ColdSends,
         closed: closed_answers.ClosedAnswers,
     ) -> None:
         self._closed_answers = closed
+        self._sends = sends
         self._pool = pool
         self._discovery = discovery
         self._placing = placing
@@ -310,6 +313,7 @@
                 context.pool,
                 action.ahead + max(work.prompt_tokens - action.cached, 0),
             ),
+            decided_at=time.monotonic(),
         )
 
     def _may_skip_test(self, context: contexts.Context) -> bool:
@@ -578,6 +582,8 @@
             context,
             place.server,
             notices=self._notices,
+            sends=self._sends,
+            decided_at=place.decided_at,
             last_event=progress.stream.last_id,
             head_timeout=head_timeout,
             on_silent=takeover.extend,
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -15,6 +15,7 @@
 from daisypick_http import progress
 from daisypick_http import server as http_server
 from daisypick_platform import request_headers
+from daisypick_router import cold_sends
 from daisypick_router import context as contexts
 from daisypick_router import server_notices
 
@@ -71,6 +72,8 @@
     server: backend_server.BackendServer,
     *,
     notices: server_notices.ServerNotices,
+    sends: cold_sends.ColdSends,
+    decided_at: float,
     last_event: int | None,
     head_timeout: float,
     on_silent: Callable[[], float | None] | None = None,
@@ -85,6 +88,8 @@
         context: The request.
         server: Server to send it to.
         notices: Gets the headers of each response.
+        sends: Counts the request when it is sent.
+        decided_at: When the server was chosen.
         last_event: Id of the event after which to resume a stream.
         head_timeout: Seconds to wait for the head of the response.
         on_silent: Called when there is no head then; returns until when to
@@ -114,6 +119,7 @@
     if caller.has_disconnected():
         pool.release(connection)
         raise http_server.CallerDisconnected
+    sends.note_sent(server, decided_at=decided_at)
     finished = False
     try:
         outcome = _send_and_read(
--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -11,6 +11,7 @@
 """
 
 from collections.abc import Callable
+import math
 import random
 import time
 import typing
@@ -102,6 +103,10 @@
         # Set when the store may have lost the entry of this router.
         self._renewal_due = event.Event()
         self._restore_grace_until = 0.0
+        # When the last list and the last renewal of this router's entry were
+        # received.
+        self._listed_at = -math.inf
+        self._renewed_at = -math.inf
         store.eras.on_new_era(self._handle_restore)
         self.member_by_name: dict[str, Member] = {}
 
@@ -123,6 +128,15 @@
             return frozenset()
         return frozenset(self.member_by_name) | {self._name}
 
+    def describe(self) -> dict[str, object]:
+        """Return the size and age of the list, for logs."""
+        now = time.monotonic()
+        return {
+            "routers": len(self.names),
+            "routers_list_age": _round_age(now - self._listed_at),
+            "own_entry_age": _round_age(now - self._renewed_at),
+        }
+
     def start(self) -> None:
         """Start polling the list and renewing this router's entry."""
         loops.spawn(self._poll_list)
@@ -195,6 +209,7 @@
                 pause = _RENEW_SECONDS / 10.0
             else:
                 self._written_at = self._find_position(written)
+                self._renewed_at = time.monotonic()
             self._renewal_due.clear()
             self._renewal_due.wait(pause * self._rng.uniform(0.8, 1.2))
 
@@ -248,6 +263,7 @@
     def _apply_list(self, objects: tuple[stores.StoredObject, ...]) -> None:
         before = set(self.member_by_name), self.routers
         self._has_list = True
+        self._listed_at = time.monotonic()
         listed = {stored.name for stored in objects}
         if time.monotonic() >= self._restore_grace_until:
             for name in self.member_by_name.keys() - listed:
@@ -302,3 +318,7 @@
                 self._log.write(
                     "members", "A router's entry expired.", name=member.name
                 )
+
+
+def _round_age(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/packages/daisypick_router/src/daisypick_router/plain_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_handler.py
@@ -14,6 +14,7 @@
 from daisypick_http import pool as pools
 from daisypick_http import server as http_server
 from daisypick_router import closed_answers
+from daisypick_router import cold_sends
 from daisypick_router import context as contexts
 from daisypick_router import exchange
 from daisypick_router import held_requests
@@ -41,9 +42,11 @@
         notices: server_notices.ServerNotices,
         rollouts: rollout_records.Rollouts,
         held: held_requests.HeldRequests,
+        sends: cold_sends.ColdSends,
         closed: closed_answers.ClosedAnswers,
     ) -> None:
         self._closed_answers = closed
+        self._sends = sends
         self._pool = pool
         self._servers = servers
         self._retry_policy = retry_policy
@@ -163,12 +166,15 @@
             head_timeout = min(head_timeout, timeout)
         self._retry_policy.quarantine.note_sent(context)
         self._held.note_sent(connection, context)
+        decided_at = time.monotonic()
         opened = exchange.open_exchange(
             self._pool,
             connection,
             context,
             server,
             notices=self._notices,
+            sends=self._sends,
+            decided_at=decided_at,
             last_event=None,
             head_timeout=head_timeout,
             bound=self._held.server_bound,
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -28,6 +28,7 @@
 from daisypick_platform import store as stores
 from daisypick_router import answers as answer_records
 from daisypick_router import closed_answers
+from daisypick_router import cold_sends
 from daisypick_router import crash_probe
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_handler
@@ -141,6 +142,15 @@
             on_change=self._update_members,
             skipped=self.skipped,
         )
+        self._sends = cold_sends.ColdSends(
+            discovery=self.discovery,
+            membership=self.membership,
+            limit=cold_limit.ColdLimit(
+                router=settings.name, quotas=self._cold_quotas
+            ),
+            log=self.log,
+            metrics=self.metrics,
+        )
         probe = crash_probe.CrashProbe(pool=self._pool)
         self.rollouts = rollout_records.Rollouts(
             share=settings.bounds.canary_share,
@@ -264,6 +274,7 @@
                 notices=self._notices,
                 rollouts=self.rollouts,
                 held=self.held,
+                sends=self._sends,
                 closed=closed,
             ),
             engine=engine_handler.EngineHandler(
@@ -281,6 +292,7 @@
                 router=settings.name,
                 data_centre=settings.data_centre,
                 held=self.held,
+                sends=self._sends,
                 closed=closed,
             ),
             retry_policy=retry_policy,
@@ -327,6 +339,7 @@
         self.hosted.start()
         self._local_engines.start()
         self.placing.start()
+        self._sends.start()
         self._streams.start()
         self.peer_host.start()
         self._rollout_host.start()
@@ -457,6 +470,7 @@
 
     def _write_metrics(self) -> bytes:
         self.metrics.set_gauge("routers", self.membership.routers)
+        self.metrics.set_gauge("cold_quota_routers", len(self.membership.names))
         self.metrics.set_gauge("store_followers", self._feed.followers)
         self.metrics.set_gauge("store_era", self.store.eras.newest)
         self.metrics.set_gauge(
@@ -478,6 +492,7 @@
     def _update_servers(self, names: Collection[str] | None) -> None:
         self.hosted.update_servers(names)
         self._local_engines.update_servers(names)
+        self._sends.update_servers(names)
         self._streams.update_servers()
 
     def _update_members(self) -> None:
--- a/packages/daisypick_router/src/daisypick_router/takeover.py
+++ b/packages/daisypick_router/src/daisypick_router/takeover.py
@@ -31,6 +31,7 @@
         source: Server that has more of the prompt in its KV cache.
         prefill_seconds: Seconds predicted for its prefill and that of requests
             ahead of it.
+        decided_at: When the server was chosen.
     """
 
     work: job.Job
@@ -38,6 +39,7 @@
     server: backend_server.BackendServer
     source: backend_server.BackendServer | None
     prefill_seconds: float
+    decided_at: float
 
 
 class Takeover:
