--- a/packages/daisypick_core/tests/scheduling/test_scheduler.py
+++ b/packages/daisypick_core/tests/scheduling/test_scheduler.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from daisypick_core.scheduling import actions
 from daisypick_core.scheduling import job
 from daisypick_core.scheduling import prefill_speed
@@ -292,6 +294,27 @@
     assert sum(len(_servers(decided)) for decided in started) == 4
 
 
+@pytest.mark.parametrize("age", [0.0, 3.9, 4.1, 60.0])
+def test_old_requests_count_at_a_cold_engine(age):
+    """Guards against a cold engine overloaded after a process stood still."""
+    scheduler = _make(servers=0)
+    scheduler.set_servers([_state("e-0", slots=64, cold_until=100.0)])
+    decided = [
+        scheduler.submit(
+            _job(f"a{n}", prompt=10, now=50.0, arrived_at=50.0 - age), 50.0
+        )
+        for n in range(20)
+    ]
+    assert sum(len(_servers(found)) for found in decided) == 4
+
+
+def test_old_requests_count_against_their_share():
+    """Guards against an organisation whose late requests cost it nothing."""
+    scheduler = _make()
+    scheduler.submit(_job("a", now=50.0, arrived_at=45.0), 50.0)
+    assert scheduler.shares.find_usage("farm", 50.0) > 0.0
+
+
 def test_engine_that_is_down_is_ejected_for_a_while():
     scheduler = _make()
     (server,) = _servers(scheduler.submit(_job("a"), 0.0))
--- a/packages/daisypick_router/src/daisypick_router/cold_sends.py
+++ b/packages/daisypick_router/src/daisypick_router/cold_sends.py
@@ -137,12 +137,14 @@
         self, server: backend_server.BackendServer
     ) -> dict[str, object]:
         return {
-            "quota": self._limit.find_quota(
-                server.name, self._find_rate(server)
-            ),
+            "quota": self.find_quota(server),
             **self._membership.describe(),
         }
 
+    def find_quota(self, server: backend_server.BackendServer) -> int:
+        """Return how many requests this router may send to a cold server."""
+        return self._limit.find_quota(server.name, self._find_rate(server))
+
     def note_sent(
         self, server: backend_server.BackendServer, *, decided_at: float
     ) -> None:
--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -248,18 +248,22 @@
         reads = 0
         while True:
             found = self._store.list_kind(KIND, stale=reads > 1)
-            if failure.is_failure(found):
-                self._log.write(
-                    "members",
-                    "Could not read the list of routers.",
-                    reason=found.reason,
-                )
-            else:
-                self._apply_list(found.objects)
+            self.receive(found)
             pause = _POLL_SECONDS[min(reads, len(_POLL_SECONDS) - 1)]
             reads += 1
             gevent.sleep(pause * self._rng.uniform(0.8, 1.2))
 
+    def receive(self, found: stores.Listing | failure.Failure) -> None:
+        """Take the list of routers, or the failure to read it."""
+        if failure.is_failure(found):
+            self._log.write(
+                "members",
+                "Could not read the list of routers.",
+                reason=found.reason,
+            )
+            return
+        self._apply_list(found.objects)
+
     def _apply_list(self, objects: tuple[stores.StoredObject, ...]) -> None:
         before = set(self.member_by_name), self.routers
         self._has_list = True
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -142,7 +142,7 @@
             on_change=self._update_members,
             skipped=self.skipped,
         )
-        self._sends = cold_sends.ColdSends(
+        self.sends = cold_sends.ColdSends(
             discovery=self.discovery,
             membership=self.membership,
             limit=cold_limit.ColdLimit(
@@ -274,7 +274,7 @@
                 notices=self._notices,
                 rollouts=self.rollouts,
                 held=self.held,
-                sends=self._sends,
+                sends=self.sends,
                 closed=closed,
             ),
             engine=engine_handler.EngineHandler(
@@ -292,7 +292,7 @@
                 router=settings.name,
                 data_centre=settings.data_centre,
                 held=self.held,
-                sends=self._sends,
+                sends=self.sends,
                 closed=closed,
             ),
             retry_policy=retry_policy,
@@ -339,7 +339,7 @@
         self.hosted.start()
         self._local_engines.start()
         self.placing.start()
-        self._sends.start()
+        self.sends.start()
         self._streams.start()
         self.peer_host.start()
         self._rollout_host.start()
@@ -492,7 +492,7 @@
     def _update_servers(self, names: Collection[str] | None) -> None:
         self.hosted.update_servers(names)
         self._local_engines.update_servers(names)
-        self._sends.update_servers(names)
+        self.sends.update_servers(names)
         self._streams.update_servers()
 
     def _update_members(self) -> None:
--- /dev/null
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -0,0 +1,181 @@
+"""Requests of routers to cold servers, as the servers receive them."""
+
+import itertools
+
+import fakes
+import gevent
+from gevent import event
+import pytest
+
+from daisypick_http import connection as connections
+from daisypick_router import membership as memberships
+
+# A cold server handles 20 requests a second. Five routers have four each.
+_ROUTERS = 5
+_QUOTA = 4
+_OVERLOAD = 20 * 1.5 + 5
+
+
+@pytest.fixture
+def store():
+    found = fakes.FakeStore()
+    manifest = fakes.make_manifest()
+    for route in manifest["Routes"]:
+        route["TimeoutMs"] = 8000
+    manifest["Services"][1]["Engine"]["Slots"] = 500
+    found.put("config", "main", manifest)
+    yield found
+    found.server.stop()
+
+
+def _list_routers(store):
+    for number in range(1, _ROUTERS + 1):
+        store.put(memberships.KIND, f"r-{number}", {"address": "127.0.0.1:1"})
+
+
+def _start_counted(store):
+    """Return one of five routers, under a name that the others know."""
+    _list_routers(store)
+    router = fakes.start_router(store)
+    fakes.wait_for(lambda: len(router.membership.names) == _ROUTERS)
+    return router
+
+
+def _call(router, number):
+    return gevent.spawn(
+        fakes.call,
+        router,
+        f"/ask/{number}",
+        attempt=f"a-{number}",
+        parts=f"p{number}:60,q{number}:40",
+        patience="8000",
+    )
+
+
+def _find_most(times):
+    """Return the most requests within any second."""
+    return max(
+        sum(begin <= at < begin + 1.0 for at in times) for begin in times
+    )
+
+
+def test_server_that_restarted_unseen_gets_at_most_the_cold_rate(store):
+    """Guards against flooding a restarted server whose entry is the old one."""
+    server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.put("servers", "e-0", server.describe(Slots=500))
+    router = _start_counted(store)
+    fakes.wait_for(lambda: router.discovery.directory.find_ready("assist"))
+    store.refuse()
+    numbers = itertools.count()
+    calls = [_call(router, next(numbers)) for _ in range(10)]
+    gevent.joinall(calls)
+    assert len(server.requests) == 10
+    server.crash()
+    gevent.joinall([_call(router, next(numbers)) for _ in range(3)])
+    server.times.clear()
+    server.restart("e-0")
+    calls = []
+    for _ in range(120):
+        calls.append(_call(router, next(numbers)))
+        gevent.sleep(0.01)
+    gevent.joinall(calls)
+    assert 0 < _find_most(server.times) <= _QUOTA
+
+
+def test_idle_connections_that_a_restart_ended_show_that_it_may_be_cold(store):
+    """Guards against flooding a server that restarted between two requests."""
+    server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.put("servers", "e-0", server.describe(Slots=500))
+    router = _start_counted(store)
+    fakes.wait_for(lambda: router.discovery.directory.find_ready("assist"))
+    store.refuse()
+    gevent.joinall([_call(router, number) for number in range(10)])
+    server.crash()
+    server.times.clear()
+    server.restart("e-0")
+    gevent.sleep(1.2)
+    gevent.joinall([_call(router, number) for number in range(20, 70)])
+    assert 0 < _find_most(server.times) <= _QUOTA
+
+
+def test_sound_server_is_not_limited_after_one_connection_broke(store):
+    """Guards against taking each broken connection for a cold start."""
+    server = fakes.FakeServer("e-0", "assist", _break_some)
+    store.put("servers", "e-0", server.describe(Slots=500))
+    router = _start_counted(store)
+    fakes.wait_for(lambda: router.discovery.directory.find_ready("assist"))
+    long_one = _call(router, "slow")
+    fakes.wait_for(lambda: server.requests)
+    _call(router, "break").join()
+    gevent.sleep(0.3)
+    server.times.clear()
+    gevent.joinall([_call(router, number) for number in range(30)])
+    assert len(server.times) == 30
+    long_one.join()
+
+
+def _break_some(server, connection, first, headers, body):
+    if b"/break" in first:
+        return "close"
+    if b"/slow" not in first:
+        return fakes.stream_five(server, connection, first, headers, body)
+    fakes.begin_stream(server, connection, headers)
+    for number in range(1, 13):
+        fakes.send_events(connection, [number])
+        gevent.sleep(0.05)
+    fakes.end_stream(connection)
+    return None
+
+
+def test_starts_held_up_before_their_send_stay_within_the_rate(
+    store, monkeypatch
+):
+    """Guards against several windows' starts sent at once."""
+    server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.put("servers", "e-0", server.describe(Slots=500, ColdLeftMs=60_000))
+    router = _start_counted(store)
+    fakes.wait_for(lambda: router.discovery.directory.find_ready("assist"))
+    released = event.Event()
+    connect = connections.Connection._connect
+
+    def _connect_late(self, timeout):
+        connect(self, timeout)
+        if self.address[1] == server.port:
+            released.wait()
+
+    monkeypatch.setattr(connections.Connection, "_connect", _connect_late)
+    calls = []
+    for turn in range(4):
+        calls += [_call(router, 10 * turn + number) for number in range(8)]
+        gevent.sleep(1.2)
+    released.set()
+    gevent.joinall(calls)
+    assert 0 < _find_most(server.times) <= _QUOTA
+
+
+def _find_quotas(routers, name):
+    return sum(
+        router.sends.find_quota(server)
+        for router in routers
+        for server in [router.discovery.directory.server_by_name.get(name)]
+        if server is not None
+    )
+
+
+def test_routers_that_start_on_an_empty_store_have_no_quota_too_many(store):
+    """Guards against routers that each believe to be the only one."""
+    server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.put("servers", "e-0", server.describe(Slots=500, ColdLeftMs=60_000))
+    routers = []
+    most = 0
+    for number in range(_ROUTERS):
+        router = fakes.make_router(store, f"r-{number + 1}")
+        router.start()
+        routers.append(router)
+        for _ in range(10):
+            gevent.sleep(0.01)
+            most = max(most, _find_quotas(routers, "e-0"))
+    for _ in range(100):
+        gevent.sleep(0.01)
+        most = max(most, _find_quotas(routers, "e-0"))
+    assert most <= _OVERLOAD
