Starts of old requests count at cold servers and against their share

Cause: the rule that keeps a reconnecting router's reports from being counted twice also applied to the scheduler's own decisions: nothing older than the window of the shares was counted. A process that stands still for seconds makes all its jobs old. The host and the router had the same rule, so neither limit applied; their organisations paid nothing either.

Change: a scheduler counts each of its own decisions, and a start that its router has just made, once and whatever the request's age. Only repeated reports are told apart by key and age.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -264,6 +264,7 @@
         *,
         ahead: float | None = None,
         copied: int = 0,
+        is_new: bool = False,
     ) -> None:
         """Record a request that a router started by its own decision.
 
@@ -274,14 +275,18 @@
             ahead: Prompt tokens that the server had to prefill before, if
                 known to the router and if it was started just now.
             copied: Prompt tokens that it copies from another server.
+            is_new: Whether it was started just now, and this is the only
+                report of it. Other reports may be repeated.
         """
         if work.key in self._server_by_key:
             return
         token_seconds = self._fleet.find(server).speed.token_seconds
         saved = copied * (1.0 - self._copy_token_seconds / token_seconds)
-        self._record_start(
+        is_known = self._record_start(
             work, server, now, ahead=ahead, saved=max(saved, 0.0)
         )
+        if is_known and (is_new or self._is_first_report(work, now)):
+            self._count_start(work, server, now)
 
     def tick(self, now: float) -> list[actions.Action]:
         """Refuse requests that waited too long; start what is possible."""
@@ -467,6 +472,7 @@
             self._fleet.find(server).prefill_backlog(now) / self._fleet.share
         )
         self._record_start(work, server, now, ahead=ahead, saved=chosen.saved)
+        self._count_start(work, server, now)
         self.tally.add(work.organisation, started=1, begun=work.cost)
         self._retry_delays.note_start(work.organisation, now)
         candidates.note_start(server)
@@ -488,22 +494,28 @@
         *,
         ahead: float | None,
         saved: float,
-    ) -> None:
+    ) -> bool:
+        """Record a start; return whether its server is known."""
         if not self._fleet.start(work, server, now, ahead=ahead, saved=saved):
-            return
+            return False
         self._server_by_key[work.key] = server
         self._suspect_runs.note_start(work, server)
-        if self._is_counted(work, now):
-            self.note_sent(work.router, server, now)
-            self.shares.add_usage(work.organisation, work.cost, now)
+        return True
+
+    def _count_start(self, work: job.Job, server: str, now: float) -> None:
+        """Count a start towards its share and the cold limits."""
+        self._counted_keys.add(work.key, now)
+        self.note_sent(work.router, server, now)
+        self.shares.add_usage(work.organisation, work.cost, now)
 
-    def _is_counted(self, work: job.Job, now: float) -> bool:
-        """Return whether a start counts towards its share and cold limits.
+    def _is_first_report(self, work: job.Job, now: float) -> bool:
+        """Return whether a start is reported for the first time.
 
         A router that reconnects reports its recent starts, most of them for
         the second time. Counted again, some seconds' worth of starts would be
         added at once, and their organisation would get nothing until they
-        have left the window.
+        have left the window. Keys are forgotten after that window, so older
+        requests are taken for known ones.
         """
         is_new = self._counted_keys.add(work.key, now)
         return is_new and now - work.arrived_at < self._counted_keys.seconds
--- a/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
@@ -238,10 +238,15 @@
         ahead: float | None = None,
         copied: int = 0,
     ) -> None:
-        """Record a request started by the decision of another scheduler."""
+        """Record that another scheduler has just started a request."""
         scheduler = self.find_scheduler(service)
         scheduler.note_started_elsewhere(
-            work, server, time.monotonic(), ahead=ahead, copied=copied
+            work,
+            server,
+            time.monotonic(),
+            ahead=ahead,
+            copied=copied,
+            is_new=True,
         )
 
     def note_earlier_start(
