A list older than one read before drops no router

The store may answer a poll from state that is seconds old. A router that had its entry written since was dropped by such a list, and each other one took a larger part of every limit that is divided among the routers: cold servers (FAILBACK), the fixed part of the retry budget (BUDGET), shares of engines. An entry that the list lacks is dropped only if the list is not older than the entry.

--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -262,16 +262,19 @@
                 reason=found.reason,
             )
             return
-        self._apply_list(found.objects)
+        self._apply_list(found)
 
-    def _apply_list(self, objects: tuple[stores.StoredObject, ...]) -> None:
+    def _apply_list(self, listing: stores.Listing) -> None:
+        objects = listing.objects
         before = set(self.member_by_name), self.routers
         self._has_list = True
         self._listed_at = time.monotonic()
         listed = {stored.name for stored in objects}
         if time.monotonic() >= self._restore_grace_until:
             for name in self.member_by_name.keys() - listed:
-                del self.member_by_name[name]
+                # A stale list may be older than the router's entry.
+                if listing.position >= self.member_by_name[name].position:
+                    del self.member_by_name[name]
         for stored in objects:
             known = self.member_by_name.get(stored.name)
             position = self._find_position(stored)
--- a/packages/daisypick_router/tests/test_member_entry.py
+++ b/packages/daisypick_router/tests/test_member_entry.py
@@ -93,7 +93,7 @@
     membership = router.membership
     fakes.wait_for(lambda: "r-1" in membership.member_by_name)
     # The list is not read again.
-    membership._apply_list = lambda objects: None
+    membership._apply_list = lambda listing: None
     listed = membership.member_by_name["r-1"].position.revision
     membership._renewal_due.set()
     fakes.wait_for(lambda: _find_entry(store)["Meta"]["Revision"] > listed)
@@ -142,7 +142,7 @@
     membership = router.membership
     fakes.wait_for(lambda: membership._written_at is not None)
     # The list is not read again in the time of the test, as in most of the 8 s.
-    membership._apply_list = lambda objects: None
+    membership._apply_list = lambda listing: None
     written = membership._written_at.revision
     store.lost_answers = 1
     membership._renewal_due.set()
