Routers do not expire because the store was away or this process stood still

A router's entry expires when it was not renewed for 100 s. The first list after an outage of more than 70 s, or after a process was stopped for so long, showed no renewal yet: all other routers expired at once, their entries were deleted from the store, and the one that read first had the whole of every limit that is divided among the routers. Expiry now counts only time in which lists were read without a gap.

--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -39,6 +39,9 @@
 # Pauses between reads of the list: short after the start, when other routers
 # may be starting too, then longer.
 _POLL_SECONDS = (0.7, 1.5, 3.0, 8.0)
+# A longer time between two reads of the list is a gap: several polls failed, or
+# this process stood still.
+_MAX_READ_INTERVAL_SECONDS = 30.0
 # Number of routers assumed before the list was read, so that a router which
 # starts while the store is unreachable uses only a small share of each limit.
 _ASSUMED_ROUTERS = 8
@@ -106,6 +109,10 @@
         # When the last list and the last renewal of this router's entry were
         # received.
         self._listed_at = -math.inf
+        # Since when lists have been read without a gap, and when the last one
+        # was asked for.
+        self._read_since = math.inf
+        self._asked_at = -math.inf
         self._renewed_at = -math.inf
         store.eras.on_new_era(self._handle_restore)
         self.member_by_name: dict[str, Member] = {}
@@ -255,13 +262,19 @@
 
     def receive(self, found: stores.Listing | failure.Failure) -> None:
         """Take the list of routers, or the failure to read it."""
+        now = time.monotonic()
+        if now - self._asked_at > _MAX_READ_INTERVAL_SECONDS:
+            self._read_since = math.inf
+        self._asked_at = now
         if failure.is_failure(found):
+            self._read_since = math.inf
             self._log.write(
                 "members",
                 "Could not read the list of routers.",
                 reason=found.reason,
             )
             return
+        self._read_since = min(self._read_since, now)
         self._apply_list(found)
 
     def _apply_list(self, listing: stores.Listing) -> None:
@@ -314,9 +327,15 @@
         )
 
     def _drop_expired(self) -> None:
+        """Drop routers that were not renewed while lists were read.
+
+        An outage of the store keeps routers from renewing their entries, and
+        a gap between two lists this one from noticing it.
+        """
         now = time.monotonic()
         for member in list(self.member_by_name.values()):
-            is_expired = now - member.changed_at > _EXPIRY_SECONDS
+            since = max(member.changed_at, self._read_since)
+            is_expired = now - since > _EXPIRY_SECONDS
             if is_expired and member.name != self._name:
                 del self.member_by_name[member.name]
                 gevent.spawn(
