A router has no quota at cold servers while others do not count it

Routers that started on an empty store had quotas of 46 in all for the first second, where a cold server bears 35: each knew some of the others only. A router that joins later adds its quota to those of routers that have not read its entry yet, for as long as their polls take, and one that cannot renew its entry keeps its quota after the others have dropped it and divided anew.

As with a lease, the holder stops before the others act: no quota until the entry is written, and for 12 s after it was created (the longest pause between two polls and the age of a stale list), or 2 s if a fresh list then shows no other; none from 90 s after the last renewal (others drop it after 100 s), none once it leaves. A router that restarts under its name after a kill is still listed and has its quota at once. The decision is daisypick_core.membership. standing, without a clock.

--- a/packages/daisypick_router/src/daisypick_router/cold_sends.py
+++ b/packages/daisypick_router/src/daisypick_router/cold_sends.py
@@ -143,6 +143,8 @@
 
     def find_quota(self, server: backend_server.BackendServer) -> int:
         """Return how many requests this router may send to a cold server."""
+        if not self._membership.is_counted:
+            return 0
         return self._limit.find_quota(server.name, self._find_rate(server))
 
     def note_sent(
--- a/packages/daisypick_router/src/daisypick_router/membership.py
+++ b/packages/daisypick_router/src/daisypick_router/membership.py
@@ -19,6 +19,7 @@
 import gevent
 from gevent import event
 
+from daisypick_core.membership import standing as standings
 from daisypick_core.results import codes
 from daisypick_core.results import failure
 from daisypick_platform import fields
@@ -34,6 +35,14 @@
 _RENEW_SECONDS = 30.0
 # An entry not renewed for this long belongs to a router that has ended.
 _EXPIRY_SECONDS = 100.0
+# A router that has not renewed its entry for this long does not use its quotas,
+# as others may drop it soon. The rest covers clocks that differ in speed.
+_LEASE_SECONDS = 90.0
+# Within this time routers that start together have written their entries, and
+# within the next one all others have read the list: the longest pause between
+# two polls and the age of a stale list.
+_SETTLE_SECONDS = 2.0
+_JOIN_SECONDS = 12.0
 # A stopping router has some seconds until its process ends.
 _DELETE_RETRY_SECONDS = 0.5
 # Pauses between reads of the list: short after the start, when other routers
@@ -106,6 +115,14 @@
         # Set when the store may have lost the entry of this router.
         self._renewal_due = event.Event()
         self._restore_grace_until = 0.0
+        self._standing = standings.Standing(
+            lease_seconds=_LEASE_SECONDS,
+            settle_seconds=_SETTLE_SECONDS,
+            join_seconds=_JOIN_SECONDS,
+        )
+        # Whether an entry that exists may have been created by this process,
+        # in a call whose response was lost.
+        self._may_have_created = False
         # When the last list and the last renewal of this router's entry were
         # received.
         self._listed_at = -math.inf
@@ -135,11 +152,20 @@
             return frozenset()
         return frozenset(self.member_by_name) | {self._name}
 
+    @property
+    def is_counted(self) -> bool:
+        """Whether all other routers count this one.
+
+        Until then it must not use its part of limits on the fleet.
+        """
+        return self._has_list and self._standing.is_counted(time.monotonic())
+
     def describe(self) -> dict[str, object]:
         """Return the size and age of the list, for logs."""
         now = time.monotonic()
         return {
             "routers": len(self.names),
+            "counted": self.is_counted,
             "routers_list_age": _round_age(now - self._listed_at),
             "own_entry_age": _round_age(now - self._renewed_at),
         }
@@ -155,6 +181,7 @@
         Returns once the entry is gone; the end of the process ends it sooner.
         """
         self._is_leaving = True
+        self._standing.note_leaving()
         self._renewal_due.set()
         position = self._written_at
         while not self._delete_entry(position) or self._is_writing:
@@ -228,6 +255,8 @@
 
     def _write_entry(self) -> stores.StoredObject | failure.Failure:
         self._renewals += 1
+        sent_at = time.monotonic()
+        is_join = False
         spec = {
             "address": f"{self._address[0]}:{self._address[1]}",
             "power": self._cores,
@@ -241,21 +270,43 @@
                 written.code is codes.PLATFORM_CONFLICT
             )
             if not exists:
-                return written
+                self._may_have_created = True
+                return self._note_written(written, sent_at, is_join=True)
+            is_join = self._may_have_created
         written = self._store.replace(KIND, self._name, spec)
         is_missing = (
             failure.is_failure(written) and written.code is codes.NOT_FOUND
         )
         if is_missing and not self._is_leaving:
             written = self._store.create(KIND, self._name, spec)
+            # After a restore the others count it without its entry.
+            is_join = time.monotonic() >= self._restore_grace_until
+        return self._note_written(written, sent_at, is_join=is_join)
+
+    def _note_written(
+        self,
+        written: stores.StoredObject | failure.Failure,
+        sent_at: float,
+        *,
+        is_join: bool,
+    ) -> stores.StoredObject | failure.Failure:
+        if not failure.is_failure(written):
+            self._standing.note_written(sent_at, is_join=is_join)
         return written
 
     def _poll_list(self) -> None:
         """Read the list at growing intervals."""
         reads = 0
         while True:
-            found = self._store.list_kind(KIND, stale=reads > 1)
+            stale = reads > 1 and not self._standing.needs_list
+            asked_at = time.monotonic()
+            found = self._store.list_kind(KIND, stale=stale)
             self.receive(found)
+            if not stale and not failure.is_failure(found):
+                self._standing.note_list(
+                    asked_at,
+                    has_others=bool(self.member_by_name.keys() - {self._name}),
+                )
             pause = _POLL_SECONDS[min(reads, len(_POLL_SECONDS) - 1)]
             reads += 1
             gevent.sleep(pause * self._rng.uniform(0.8, 1.2))
