Requests to cold servers count when they are sent

A start was counted when it was decided and sent once the connection was made, up to 0.25 s later, or whenever its process went on after a stand-still. Plain services counted when they picked.

The router now checks and counts in the statement before the first byte is sent, for both kinds of services with one limit; what the schedulers count is a reservation. A request that finds the rate used up is declined there, has not run, is not held against the server, and goes elsewhere.

--- a/packages/daisypick_router/src/daisypick_router/cold_sends.py
+++ b/packages/daisypick_router/src/daisypick_router/cold_sends.py
@@ -147,19 +147,35 @@
             return 0
         return self._limit.find_quota(server.name, self._find_rate(server))
 
-    def note_sent(
+    def allows(self, server: backend_server.BackendServer) -> bool:
+        """Return whether a server can handle one more request, if cold."""
+        now = time.monotonic()
+        if self._find_cold_left(server, now) <= 0.0:
+            return True
+        return self.find_quota(server) > self._limit.count(server.name, now)
+
+    def take(
         self, server: backend_server.BackendServer, *, decided_at: float
-    ) -> None:
+    ) -> bool:
         """Count a request whose first bytes are about to be sent.
 
+        The server may have been chosen some time ago, while the connection was
+        made or while the process stood still.
+
         Args:
             server: Where it is sent.
             decided_at: When the server was chosen for it.
+
+        Returns:
+            ``False`` if the server is cold and cannot handle it now.
         """
         now = time.monotonic()
+        if not self.allows(server):
+            self._metrics.count("sends_declined_total", service=server.service)
+            return False
         self._limit.note(server.name, now)
         if self._find_cold_left(server, now) <= 0.0:
-            return
+            return True
         sends = self._sends_by_server[server.name]
         sends.sent += 1
         sends.most = max(sends.most, self._limit.count(server.name, now))
@@ -168,6 +184,7 @@
             "requests_to_cold_servers_total", service=server.service
         )
         self._metrics.observe("cold_send_delay_seconds", now - decided_at)
+        return True
 
     def _report(self) -> None:
         now = time.monotonic()
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -299,6 +299,7 @@
         if (
             server is None
             or not self._may_send(server)
+            or not self._sends.allows(server)
             or not self._held.allows(context, server)
             or not self._streams.may_use(context, server)
             or self._rollouts.choice.is_outdated(context)
@@ -762,7 +763,7 @@
     """Return whether the server caused the failure of a try."""
     if result is None or isinstance(result, str) or _is_caller_slow(result):
         return False
-    return not (isinstance(result, exchange.NotRun) and result.unsent)
+    return not isinstance(result, exchange.NotRun) or result.is_servers_fault
 
 
 def _is_caller_slow(result: retry_policies.FailedTry) -> bool:
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -39,6 +39,8 @@
         unsent: Whether it was not sent for a reason unrelated to the server:
             its deadline had passed, or this process has no file descriptor
             left.
+        limited: Whether it was not sent as the server is cold and cannot
+            handle it now.
     """
 
     reason: str
@@ -46,6 +48,12 @@
     server_down: bool = False
     misdirected: bool = False
     unsent: bool = False
+    limited: bool = False
+
+    @property
+    def is_servers_fault(self) -> bool:
+        """Whether it shows something about the server."""
+        return not (self.unsent or self.limited)
 
 
 class Unknown(typing.NamedTuple):
@@ -88,7 +96,7 @@
         context: The request.
         server: Server to send it to.
         notices: Gets the headers of each response.
-        sends: Counts the request when it is sent.
+        sends: Counts the request when it is sent, or declines it.
         decided_at: When the server was chosen.
         last_event: Id of the event after which to resume a stream.
         head_timeout: Seconds to wait for the head of the response.
@@ -119,7 +127,11 @@
     if caller.has_disconnected():
         pool.release(connection)
         raise http_server.CallerDisconnected
-    sends.note_sent(server, decided_at=decided_at)
+    if not sends.take(server, decided_at=decided_at):
+        pool.release(connection)
+        return NotRun(
+            reason="the server is cold", reached_server=False, limited=True
+        )
     finished = False
     try:
         outcome = _send_and_read(
--- a/packages/daisypick_router/src/daisypick_router/plain_servers.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_servers.py
@@ -11,10 +11,10 @@
 import random
 
 from daisypick_core.serving import backend_server
-from daisypick_core.serving import cold_limit
 from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import outcomes as outcome_records
 from daisypick_core.serving import server_pauses
+from daisypick_router import cold_sends
 from daisypick_router import discovery as discoveries
 
 # Load added to a server in another data centre, as a fraction of its slots.
@@ -33,14 +33,14 @@
         *,
         discovery: "discoveries.Discovery",
         outcomes: outcome_records.Outcomes,
-        cold: cold_limit.ColdLimit,
+        sends: cold_sends.ColdSends,
         pauses: server_pauses.ServerPauses,
         data_centre: str,
         rng: random.Random,
     ) -> None:
         self._discovery = discovery
         self._outcomes = outcomes
-        self._cold = cold
+        self._sends = sends
         self._pauses = pauses
         self._data_centre = data_centre
         self._rng = rng
@@ -83,7 +83,6 @@
             candidates,
             key=lambda candidate: (self._score(candidate), self._rng.random()),
         )
-        self._cold.note(server.name, now)
         if isolated:
             self._with_isolated.add(server.name)
         running = self._running_by_server.get(server.name, 0)
@@ -146,9 +145,7 @@
             if not self._outcomes.is_ejected(server.name, now)
         ]
         return [
-            server
-            for server in healthy or ready
-            if self._can_handle(server, service, now)
+            server for server in healthy or ready if self._sends.allows(server)
         ]
 
     def _score(self, server: backend_server.BackendServer) -> float:
@@ -156,19 +153,6 @@
         is_remote = server.data_centre != self._data_centre
         return used + _REMOTE_PENALTY * is_remote
 
-    def _can_handle(
-        self,
-        server: backend_server.BackendServer,
-        service: fleet_configuration.Service,
-        now: float,
-    ) -> bool:
-        cold_until = self._discovery.directory.find_cold_until(
-            server, service.cold_seconds
-        )
-        if cold_until <= now or service.cold_rate <= 0.0:
-            return True
-        return self._cold.allows(server.name, service.cold_rate, now)
-
     def note_end(self, server: str, *, isolated: bool = False) -> None:
         """Record that a request ended at a server."""
         if isolated:
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -263,9 +263,7 @@
                 servers=plain_servers.PlainServers(
                     discovery=self.discovery,
                     outcomes=outcomes,
-                    cold=cold_limit.ColdLimit(
-                        router=settings.name, quotas=self._cold_quotas
-                    ),
+                    sends=self.sends,
                     pauses=self._notices.pauses,
                     data_centre=settings.data_centre,
                     rng=rng,
--- a/packages/daisypick_router/src/daisypick_router/retry_policy.py
+++ b/packages/daisypick_router/src/daisypick_router/retry_policy.py
@@ -101,7 +101,8 @@
         if not not_run:
             context.may_have_run = True
         caller_slow = isinstance(result, relay.Broken) and result.caller_slow
-        if not (not_run and result.unsent) and not caller_slow:
+        is_blamed = not not_run or result.is_servers_fault
+        if is_blamed and not caller_slow:
             down = not_run and (result.server_down or result.misdirected)
             self.outcomes.note_failure(
                 server.name, time.monotonic(), certain=down
--- a/packages/daisypick_router/tests/test_placing.py
+++ b/packages/daisypick_router/tests/test_placing.py
@@ -12,6 +12,7 @@
 from daisypick_core.scheduling import hosts
 from daisypick_core.scheduling import job
 from daisypick_router import log as logs
+from daisypick_router import membership as memberships
 from daisypick_router import peer_link
 from daisypick_router import peer_messages
 
@@ -277,6 +278,8 @@
     engine = fakes.FakeServer("e-0", "assist", fakes.stream_five)
     store.put("evacuations", "a", {})
     store.put("servers", "e-0", engine.describe(Slots=100))
+    # Its name is known: a new router has no quota at first.
+    store.put(memberships.KIND, "r-1", {"address": "127.0.0.1:1"})
     router = fakes.start_router(store)
     fakes.wait_for(lambda: router.membership.member_by_name)
     directory = router.discovery.directory
