A server that may have restarted unseen counts as cold

What users saw: a cold server, just born, flooded by two routers of its own data centre, which had failures at other servers at that time.

Cause: the limit applied only to servers whose entry says that they are cold. Class: a decision by the last known state of something that may have been replaced since. A router has evidence of its own, which it did not use: connections to that server broke.

Change: after a broken or refused connection, or an idle one that the server ended, the server counts as cold for this router until a connection older than that brings something (0.1 s later at least, so not from a buffer), or for the duration of a cold start after the first new connection. Suspected servers are tried, 16 at a time, so that it ends without requests too. The host of the scheduler does not use it: other routers may know better.

--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -111,6 +111,7 @@
 
     Attributes:
         address: IP address and port of the peer.
+        opened_at: Monotonic time at which the connection was established.
         idle_since: Monotonic time at which bytes were last received, or of
             the opening.
         idle_limit: Seconds for which the peer keeps an idle connection, or
@@ -176,6 +177,7 @@
             if keepalive_timeout is not None:
                 enable_keepalive(self._socket, keepalive_timeout)
             self._connect(connect_timeout)
+            self.opened_at = time.monotonic()
         except ConnectionRefusedError as error:
             self._socket.close()
             raise RefusedError(f"{address}: {error}") from error
--- a/packages/daisypick_http/src/daisypick_http/pool.py
+++ b/packages/daisypick_http/src/daisypick_http/pool.py
@@ -6,6 +6,7 @@
 timeout (``idle_limits``), and only if nothing was received on it meanwhile.
 """
 
+from collections.abc import Callable
 import time
 
 from daisypick_http import connection as connections
@@ -18,6 +19,8 @@
     """Idle connections, of which the most recently used one is reused first.
 
     Attributes:
+        on_ended: Called with the address of a peer that was found to have
+            closed an idle connection.
         opened: Number of connections opened.
         reused: Number of times that a connection was reused.
     """
@@ -43,6 +46,7 @@
             tuple[str, int], list[connections.Connection]
         ] = {}
         self._idle_limits = idle_limits.IdleLimits()
+        self.on_ended: Callable[[tuple[str, int]], None] = lambda address: None
         self.opened = 0
         self.reused = 0
 
@@ -171,9 +175,12 @@
         for address, idle in list(self._idle_by_address.items()):
             kept = []
             for connection in idle:
-                if self._is_fresh(connection, now) or (
-                    not kept and self._observe(connection, now)
-                ):
+                if self._is_fresh(connection, now):
+                    if connection.is_open_and_idle():
+                        kept.append(connection)
+                    else:
+                        self._close_ended(connection, now)
+                elif not kept and self._observe(connection, now):
                     kept.append(connection)
                 else:
                     connection.close()
@@ -198,6 +205,7 @@
 
     def _close_ended(self, kept: connections.Connection, now: float) -> None:
         """Close a connection that the peer has closed, and learn from it."""
+        self.on_ended(kept.address)
         if kept.idle_limit is None:
             self._idle_limits.note_closed(
                 kept.address,
--- a/packages/daisypick_router/src/daisypick_router/cold_sends.py
+++ b/packages/daisypick_router/src/daisypick_router/cold_sends.py
@@ -21,6 +21,7 @@
 from daisypick_router import loops
 from daisypick_router import membership as memberships
 from daisypick_router import metrics as metric_numbers
+from daisypick_router import restarts as restart_records
 
 _REPORT_SECONDS = 1.0
 # Cold servers per report, those that received most first.
@@ -39,10 +40,14 @@
 class ColdSends:
     """Counts requests to servers at the moment at which they are sent.
 
+    Attributes:
+        restarts: Which servers may have restarted unseen.
+
     Args:
         discovery: The backend servers.
         membership: The routers, by which the quota is computed.
         limit: This router's limit at cold servers.
+        restarts: Which servers may have restarted unseen.
         log: The log.
         metrics: The metrics.
     """
@@ -53,12 +58,14 @@
         discovery: "discoveries.Discovery",
         membership: memberships.Membership,
         limit: cold_limit.ColdLimit,
+        restarts: restart_records.Restarts,
         log: logs.Log,
         metrics: metric_numbers.Metrics,
     ) -> None:
         self._discovery = discovery
         self._membership = membership
         self._limit = limit
+        self.restarts = restarts
         self._log = log
         self._metrics = metrics
         self._cold_since_by_server: dict[str, float] = {}
@@ -108,10 +115,7 @@
         )
         if service is None or not service.cold_rate:
             return 0.0
-        until = self._discovery.directory.find_cold_until(
-            server, service.cold_seconds
-        )
-        return until - now
+        return self.restarts.find_cold_until(server, service.cold_seconds) - now
 
     def _find_rate(self, server: backend_server.BackendServer) -> float:
         configuration = self._discovery.configuration
@@ -127,7 +131,7 @@
             service=server.service,
             born=server.born,
             listed_cold_seconds=round(max(server.cold_until - now, 0.0), 3),
-            cold_seconds=round(self._find_cold_left(server, now), 3),
+            suspected=self.restarts.is_suspected(server),
             sent_before=self._limit.count(server.name, now),
             server_list_age=round(self._discovery.server_list_age, 3),
             **self._describe_quota(server),
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -664,6 +664,9 @@
                 if not isinstance(events, bytes):
                     ended = events
                     break
+                self._sends.restarts.note_received(
+                    place.server, opened_at=opened.connection.opened_at
+                )
                 self._answers.note_events(context, progress, events)
                 self._note_events(context, progress)
                 event_timeout = self._answers.find_silence_timeout(context)
--- a/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_schedulers.py
@@ -47,12 +47,14 @@
         window_seconds: float,
         rng: random.Random,
         speed_by_service: MutableMapping[str, prefill_speed.ServiceSpeed],
+        find_cold_until: Callable[[backend_server.BackendServer, float], float],
         by_version: bool = False,
         find_suspicion: Callable[[str], suspect_runs.Suspicion] = (
             lambda service: suspect_runs.NO_SUSPICION
         ),
     ) -> None:
         self._find_suspicion = find_suspicion
+        self._find_cold_until = find_cold_until
         self._discovery = discovery
         self._window_seconds = window_seconds
         self._rng = rng
@@ -158,9 +160,7 @@
         return server_state.ServerState(
             name=server.name,
             slots=min(server.slots, service.engine.slots),
-            cold_until=self._discovery.directory.find_cold_until(
-                server, service.cold_seconds
-            ),
+            cold_until=self._find_cold_until(server, service.cold_seconds),
             born=server.born,
             data_centre=server.data_centre,
         )
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -127,6 +127,7 @@
     if caller.has_disconnected():
         pool.release(connection)
         raise http_server.CallerDisconnected
+    sends.restarts.note_connected(server, opened_at=connection.opened_at)
     if not sends.take(server, decided_at=decided_at):
         pool.release(connection)
         return NotRun(
@@ -146,6 +147,8 @@
             bound,
         )
         finished = isinstance(outcome, OpenExchange) or connection.is_reusable()
+        if not isinstance(outcome, Unknown):
+            sends.restarts.note_received(server, opened_at=connection.opened_at)
     finally:
         if not finished:
             connection.close()
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -48,6 +48,7 @@
 from daisypick_router import plain_servers
 from daisypick_router import quarantine as quarantines
 from daisypick_router import quarantine_store
+from daisypick_router import restarts as restart_records
 from daisypick_router import retry_policy as retry_policies
 from daisypick_router import rollout_host as rollout_hosts
 from daisypick_router import rollouts as rollout_records
@@ -142,12 +143,19 @@
             on_change=self._update_members,
             skipped=self.skipped,
         )
+        self._restarts = restart_records.Restarts(
+            discovery=self.discovery,
+            pool=self._pool,
+            log=self.log,
+            on_change=self._update_suspected,
+        )
         self.sends = cold_sends.ColdSends(
             discovery=self.discovery,
             membership=self.membership,
             limit=cold_limit.ColdLimit(
                 router=settings.name, quotas=self._cold_quotas
             ),
+            restarts=self._restarts,
             log=self.log,
             metrics=self.metrics,
         )
@@ -193,6 +201,7 @@
             quarantine=self.quarantine,
             log=self.log,
             metrics=self.metrics,
+            restarts=self._restarts,
         )
         self._notices = server_notices.ServerNotices(
             discovery=self.discovery, log=self.log
@@ -206,10 +215,15 @@
                 window_seconds=settings.bounds.quota_window_seconds,
                 rng=rng,
                 speed_by_service=speed_by_service,
+                find_cold_until=find_cold_until,
                 by_version=self.rollouts.is_active,
                 find_suspicion=self.quarantine.parts.find_service,
             )
-            for _ in range(2)
+            for find_cold_until in (
+                # The host decides for routers that know more of a server.
+                self.discovery.directory.find_cold_until,
+                self._restarts.find_cold_until,
+            )
         )
         self.stream_registry = stream_registry.StreamRegistry()
         self._streams = stream_versions.StreamVersions(
@@ -337,6 +351,7 @@
         self.hosted.start()
         self._local_engines.start()
         self.placing.start()
+        self._restarts.start()
         self.sends.start()
         self._streams.start()
         self.peer_host.start()
@@ -493,6 +508,10 @@
         self.sends.update_servers(names)
         self._streams.update_servers()
 
+    def _update_suspected(self, names: Collection[str]) -> None:
+        self._local_engines.update_servers(names)
+        self.sends.update_servers(names)
+
     def _update_members(self) -> None:
         routers = self.membership.routers
         names = self.membership.names
--- /dev/null
+++ b/packages/daisypick_router/src/daisypick_router/restarts.py
@@ -0,0 +1,152 @@
+"""Backend servers that may have restarted unseen, as this router observes it.
+
+See Also:
+    daisypick_core.serving.restart_suspicion: what observations show.
+"""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import time
+
+import gevent
+from gevent import event
+
+from daisypick_core.serving import backend_server
+from daisypick_core.serving import restart_suspicion
+from daisypick_http import connection as connections
+from daisypick_http import pool as pools
+from daisypick_router import discovery as discoveries
+from daisypick_router import log as logs
+from daisypick_router import loops
+
+# Interval in seconds at which suspected servers are tried, and how many at a
+# time. A router that was cut off suspects all of its servers.
+_PROBE_SECONDS = 0.5
+_MAX_PROBED = 16
+
+
+class Restarts:
+    """Tells until when servers count as cold; ``on_change(names)`` follows.
+
+    Args:
+        discovery: The backend servers.
+        pool: Connections to them.
+        log: The log.
+        on_change: Called with the servers whose time changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        discovery: "discoveries.Discovery",
+        pool: pools.Pool,
+        log: logs.Log,
+        on_change: Callable[[Collection[str]], None],
+    ) -> None:
+        self._discovery = discovery
+        self._pool = pool
+        self._log = log
+        self._on_change = on_change
+        self._suspicion = restart_suspicion.RestartSuspicion()
+        self._has_suspects = event.Event()
+        pool.on_ended = self._note_ended
+
+    def start(self) -> None:
+        """Start trying suspected servers."""
+        loops.spawn(self._run)
+
+    def find_cold_until(
+        self, server: backend_server.BackendServer, cold_seconds: float
+    ) -> float:
+        """Return the time at which a server is warm."""
+        return max(
+            self._discovery.directory.find_cold_until(server, cold_seconds),
+            self._suspicion.find_cold_until(server.name, born=server.born),
+        )
+
+    def is_suspected(self, server: backend_server.BackendServer) -> bool:
+        """Return whether a server may have restarted unseen."""
+        until = self._suspicion.find_cold_until(server.name, born=server.born)
+        return until > time.monotonic()
+
+    def note_failure(self, server: backend_server.BackendServer) -> None:
+        """Record that a connection to a server broke or was not made."""
+        if not self._find_cold_seconds(server):
+            return
+        changed = self._suspicion.note_failure(
+            server.name, born=server.born, now=time.monotonic()
+        )
+        self._has_suspects.set()
+        if changed:
+            self._log.write(
+                "cold",
+                "A server may have restarted; it counts as cold.",
+                server=server.name,
+                born=server.born,
+            )
+            self._on_change([server.name])
+
+    def _note_ended(self, address: tuple[str, int]) -> None:
+        for server in self._discovery.directory.server_by_name.values():
+            if server.address == address:
+                self.note_failure(server)
+
+    def note_connected(
+        self, server: backend_server.BackendServer, *, opened_at: float
+    ) -> None:
+        """Record a connection that a server accepted."""
+        if not len(self._suspicion):
+            return
+        changed = self._suspicion.note_connected(
+            server.name,
+            opened_at=opened_at,
+            cold_seconds=self._find_cold_seconds(server),
+        )
+        if changed:
+            self._on_change([server.name])
+
+    def note_received(
+        self, server: backend_server.BackendServer, *, opened_at: float
+    ) -> None:
+        """Record that something was received on a connection to a server."""
+        if not len(self._suspicion):
+            return
+        changed = self._suspicion.note_received(
+            server.name, opened_at=opened_at, now=time.monotonic()
+        )
+        if changed:
+            self._log.write(
+                "cold", "A server has not restarted.", server=server.name
+            )
+            self._on_change([server.name])
+
+    def _find_cold_seconds(self, server: backend_server.BackendServer) -> float:
+        """Return how long a server is cold; zero if it has no limit then."""
+        configuration = self._discovery.configuration
+        if configuration is None:
+            return 0.0
+        service = configuration.service_by_name.get(server.service)
+        if service is None or not service.cold_rate:
+            return 0.0
+        return service.cold_seconds
+
+    def _run(self) -> None:
+        while True:
+            self._has_suspects.wait()
+            by_name = self._discovery.directory.server_by_name
+            self._suspicion.expire(by_name, time.monotonic())
+            if not len(self._suspicion):
+                self._has_suspects.clear()
+                continue
+            for name in self._suspicion.find_unconnected(_MAX_PROBED):
+                gevent.spawn(self._probe, by_name[name])
+            gevent.sleep(_PROBE_SECONDS)
+
+    def _probe(self, server: backend_server.BackendServer) -> None:
+        """Connect, so that the suspicion ends also without a request."""
+        try:
+            is_listening = self._pool.is_listening(server.address)
+        except connections.NotConnectedError:
+            return
+        if is_listening:
+            self.note_connected(server, opened_at=time.monotonic())
--- a/packages/daisypick_router/src/daisypick_router/retry_policy.py
+++ b/packages/daisypick_router/src/daisypick_router/retry_policy.py
@@ -19,6 +19,7 @@
 from daisypick_router import metrics as metric_numbers
 from daisypick_router import quarantine as quarantines
 from daisypick_router import relay
+from daisypick_router import restarts as restart_records
 
 # Seconds after which a caller may retry if no server was available; a server
 # that is being replaced is back within about that time.
@@ -38,7 +39,9 @@
         quarantine: quarantines.Quarantine,
         log: logs.Log,
         metrics: metric_numbers.Metrics,
+        restarts: restart_records.Restarts,
     ) -> None:
+        self._restarts = restarts
         self.outcomes = outcomes
         self._budget = budget
         self.quarantine = quarantine
@@ -103,6 +106,8 @@
         caller_slow = isinstance(result, relay.Broken) and result.caller_slow
         is_blamed = not not_run or result.is_servers_fault
         if is_blamed and not caller_slow:
+            if not not_run or result.server_down:
+                self._restarts.note_failure(server)
             down = not_run and (result.server_down or result.misdirected)
             self.outcomes.note_failure(
                 server.name, time.monotonic(), certain=down
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -38,6 +38,7 @@
     _list_routers(store)
     router = fakes.start_router(store)
     fakes.wait_for(lambda: len(router.membership.names) == _ROUTERS)
+    fakes.wait_for(lambda: router.membership.is_counted)
     return router
 
 
