Log why a stream that was taken up did not go on

A line told that a stream is taken up, none why it ended: one for each such stream now, with code, reason, the servers of its version that were left and the time. Metric: streams_not_gone_on_total.

--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -98,6 +98,9 @@
         try:
             outcome = self._serve(connection, context)
             refused = failure.is_failure(outcome)
+            self._streams.note_ended(
+                context, outcome, time.monotonic() - context.request.began_at
+            )
             return outcome
         finally:
             self._count_missed_objective(context, refused=refused)
--- a/packages/daisypick_router/src/daisypick_router/stream_versions.py
+++ b/packages/daisypick_router/src/daisypick_router/stream_versions.py
@@ -246,6 +246,35 @@
             return None
         return _refuse(f"no server of version {context.origin.version!r}")
 
+    def note_ended(
+        self,
+        context: contexts.Context,
+        outcome: failure.Failure | str,
+        seconds: float,
+    ) -> None:
+        """Log why a stream that was taken up did not go on."""
+        if not context.caller_headers.resumes or not failure.is_failure(
+            outcome
+        ):
+            return
+        self._metrics.count(
+            "streams_not_gone_on_total",
+            service=context.service.name,
+            code=str(outcome.code.number),
+        )
+        self._log.write(
+            "streams",
+            "A stream that was taken up did not go on.",
+            id=context.attempt,
+            resumes=context.caller_headers.resumes,
+            version=context.origin.version if context.origin else None,
+            code=outcome.code.number,
+            reason=outcome.reason,
+            servers_left=sorted(self.find_only(context)),
+            servers_tried=sorted(context.tried_servers),
+            seconds=round(seconds, 4),
+        )
+
     def find_only(self, context: contexts.Context) -> frozenset[str]:
         """Return the servers that may go on with a stream.
 
