A new router may use servers that only it suspects to be cold

Most suspected servers are warm, so it has its part there by the routers it knows. Servers that are listed as cold get nothing from it as before.

--- a/packages/daisypick_router/src/daisypick_router/cold_sends.py
+++ b/packages/daisypick_router/src/daisypick_router/cold_sends.py
@@ -146,8 +146,14 @@
         }
 
     def find_quota(self, server: backend_server.BackendServer) -> int:
-        """Return how many requests this router may send to a cold server."""
-        if not self._membership.is_counted:
+        """Return how many requests this router may send to a cold server.
+
+        A router that the others do not count may still use servers that only
+        it suspects to be cold: most of these are not.
+        """
+        if not self._membership.is_counted and not self.restarts.is_suspected(
+            server
+        ):
             return 0
         return self._limit.find_quota(server.name, self._find_rate(server))
 
