Streams that go on wait for a place before new work of their organisation

Change: a request that goes on with an answer of which its caller has a part goes before all others of its organisation, is counted apart from them in the bound of waiting requests, and is not refused unasked. Its objective is its deadline, so it waits for up to 0.6 of the time that it has. Its organisation's share (FAIR), the limits of cold servers and the version bind as before; without a server of its version it is refused at once. Two of those that wait are examined besides the new ones, so that a full version blocks nothing elsewhere.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/admission.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/admission.py
@@ -84,8 +84,15 @@
         return seconds * (1.0 + self._speed.relative_error)
 
     def exceeds_queue_limit(self, work: job.Job, now: float) -> bool:
-        """Return whether too many of an organisation over its share wait."""
-        waiting = self._waiting.count(work.organisation)
+        """Return whether too many of an organisation over its share wait.
+
+        Requests that go on with an answer are counted by themselves.
+        """
+        waiting = (
+            self._waiting.count_going_on(work.organisation)
+            if work.goes_on
+            else self._waiting.count(work.organisation)
+        )
         return waiting >= MAX_WAITING_OVER_SHARE and not self._shares.is_within(
             work.organisation, work.cost, now
         )
--- a/packages/daisypick_core/src/daisypick_core/scheduling/job.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/job.py
@@ -35,7 +35,8 @@
             unknown.
         max_pause: Longest time between two events for which the answer is in
             time, in seconds; zero if unknown.
-        only: Backend servers that it may go to; empty for any.
+        only: Backend servers that it may go to, if it goes on with an answer
+            that another server began; empty for any.
     """
 
     key: str
@@ -55,6 +56,11 @@
     max_pause: float = 0.0
     only: frozenset[str] = frozenset()
 
+    @property
+    def goes_on(self) -> bool:
+        """Whether its caller has a part of the answer already."""
+        return bool(self.only)
+
     def may_use(self, server: str) -> bool:
         """Return whether it may go to a backend server."""
         return server not in self.avoid and (
--- a/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/scheduler.py
@@ -10,8 +10,10 @@
 *Order.* The organisation with the least usage in the window goes first; within
 it the request whose objective ends first. Requests over a share wait for spare
 capacity, which is thus divided evenly among the organisations that want it.
-A request that returns after one or two refusals and is past the objective of
-its first try goes behind first tries of its organisation that can meet theirs.
+Before all others of it go requests that go on with an answer, of which their
+callers have a part. A request that returns after one or two refusals and is
+past the objective of its first try goes behind first tries of its organisation
+that can meet theirs.
 
 *Refusal* is described in ``admission``: a request that has not started by the
 latest time at which its own prefill still fits into the objective is refused
@@ -434,7 +436,8 @@
                 and self._may_join(work, server)
             ),
             share=self._fleet.share,
-            may_wait=work.find_waited_share(now) < _CACHED_WAIT_SHARE,
+            may_wait=not work.goes_on
+            and work.find_waited_share(now) < _CACHED_WAIT_SHARE,
             now=now,
             copy_token_seconds=self._copy_token_seconds,
         )
--- a/packages/daisypick_core/src/daisypick_core/scheduling/wait_queue.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/wait_queue.py
@@ -10,6 +10,9 @@
 
 from daisypick_core.scheduling import job
 
+# Requests that go on with an answer among the first of an organisation.
+MAX_GOING_ON = 2
+
 
 class WaitQueue:
     """Queues by organisation, each ordered by the end of the objective."""
@@ -74,6 +77,11 @@
         """Return the organisations that have requests waiting."""
         return list(self._queue_by_organisation)
 
+    def count_going_on(self, organisation: str) -> int:
+        """Return how many of an organisation go on with an answer."""
+        queue = self._queue_by_organisation.get(organisation, ())
+        return sum(work.goes_on for work in queue)
+
     def count(self, organisation: str) -> int:
         """Return the number of waiting requests of an organisation."""
         return len(self._queue_by_organisation.get(organisation, ()))
@@ -96,6 +104,9 @@
     ) -> list[job.Job]:
         """Return the first requests of an organisation.
 
+        Those that go on with an answer go before all others. They may go to
+        few servers only, so they are returned besides ``count`` others.
+
         Requests that meet their objective if they start at ``start_at`` go
         before others, and of these the ones that meet that of their caller's
         first try. Those that have waited longest are the first that no
@@ -115,7 +126,13 @@
             for work in feasible
             if self._on_target_until_by_key[work.key] >= start_at
         ]
-        return (on_target or feasible or queue)[:count]
+        going_on = [work for work in queue if work.goes_on][:MAX_GOING_ON]
+        others = [
+            work
+            for work in on_target or feasible or queue
+            if work not in going_on
+        ]
+        return going_on + others[:count]
 
     def find_infeasible(
         self, organisation: str, start_at: float
--- a/packages/daisypick_core/tests/scheduling/test_bound_jobs.py
+++ b/packages/daisypick_core/tests/scheduling/test_bound_jobs.py
@@ -46,6 +46,35 @@
     )
 
 
+def _fill(scheduler, server, *, slots=8):
+    for number in range(slots):
+        scheduler.submit(_make_job(f"full-{number}", [server]), 0.0)
+
+
+def test_request_that_goes_on_starts_before_new_ones_of_its_organisation():
+    """Guards against new requests that take each place of a version (LOST)."""
+    scheduler = _make_scheduler(1)
+    _fill(scheduler, "e-0")
+    for number in range(10):
+        scheduler.submit(_make_job(f"new-{number}"), 0.01)
+    scheduler.submit(_make_job("rest", ["e-0"])._replace(objective_at=8.0), 0.1)
+    (start,) = scheduler.note_end("full-0", 0.2)
+    assert start.key == "rest"
+
+
+def test_requests_that_go_on_do_not_block_new_ones_elsewhere():
+    """Guards against an organisation that waits for one full server."""
+    scheduler = _make_scheduler(2)
+    _fill(scheduler, "e-0")
+    for number in range(6):
+        scheduler.submit(
+            _make_job(f"rest-{number}", ["e-0"])._replace(objective_at=8.0),
+            0.1,
+        )
+    (start,) = scheduler.submit(_make_job("new"), 0.2)
+    assert (start.key, start.server) == ("new", "e-1")
+
+
 @pytest.mark.parametrize("servers", [3, 300])
 def test_bound_request_finds_the_last_server_of_its_version(servers):
     """Guards against a rare version that no round of a large fleet considers.
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -384,6 +384,9 @@
     def _refuse_locally(
         self, context: contexts.Context, organisation: str
     ) -> actions.Refuse | None:
+        if context.origin is not None:
+            # The host lets it wait whatever it refused of its organisation.
+            return None
         return self._placing.refuse_locally(
             context.pool,
             organisation,
@@ -452,6 +455,10 @@
                 objective_at,
                 time.monotonic() + context.route.objective * _TEST_WAIT_SHARE,
             )
+        if context.origin is not None:
+            # A part of the answer is with its caller. The rest is worth having
+            # while it can be whole in time.
+            objective_at = max(objective_at, context.deadline)
         # Only this router may know of these servers: the scheduler host may be
         # cut off from the platform's list.
         unavailable = self._discovery.directory.find_unavailable(
--- a/packages/daisypick_router/tests/test_stream_versions.py
+++ b/packages/daisypick_router/tests/test_stream_versions.py
@@ -4,6 +4,7 @@
 
 import fakes
 import gevent
+import gevent.event
 import pytest
 
 from daisypick_router import answers
@@ -124,6 +125,40 @@
         assert b"id: 5" in answer.body
 
 
+def test_stream_taken_up_waits_for_a_place_of_its_version(store):
+    """Guards against streams lost while their version is busy (LOST)."""
+    busy = gevent.event.Event()
+
+    def _hold_until_free(server, connection, first, headers, body):
+        if server.name == "e-1" and not busy.is_set():
+            fakes.begin_stream(server, connection, headers)
+            fakes.send_events(connection, (1,))
+            busy.wait()
+            fakes.send_events(connection, (2, 3, 4, 5))
+            fakes.end_stream(connection)
+            return None
+        return _hold_after_two(server, connection, first, headers, body)
+
+    servers = _start_engines(store, _hold_until_free, ["v1"])
+    router = fakes.start_router(store)
+    _begin(router, "a-0")
+    (other,) = _start_engines(store, _hold_until_free, ["v1", "v1"])[1:]
+    store.put("servers", "e-1", other.describe(Version="v1", Slots=1))
+    directory = router.discovery.directory
+    fakes.wait_for(lambda: "e-1" in directory.server_by_name)
+    servers[0].crash()
+    store.remove("servers", "e-0")
+    fakes.wait_for(lambda: "e-0" not in directory.server_by_name)
+    first = gevent.spawn(fakes.call, router, "/visit/2", attempt="long")
+    fakes.wait_for(lambda: other.requests)
+    again = gevent.spawn(_take_up, router, "a-0")
+    gevent.sleep(0.6)
+    assert not again.ready()
+    busy.set()
+    assert again.get().status == 200
+    assert first.get().status == 200
+
+
 @pytest.mark.parametrize(
     ("versions", "is_whole"),
     [(["v2", "v1", "v2"], True), (["v1", "v2", "v2"], False)],
