Retries that are sent late count in the window in which they arrive

The retry budget counts a retry when it is allowed. A retry that is sent more than 0.5 s after it was allowed now counts once more at that time, which is more than needed, never less.

--- a/packages/daisypick_core/src/daisypick_core/serving/retry_budget.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/retry_budget.py
@@ -19,6 +19,10 @@
 _USED_FRACTION = 0.8
 
 
+# A retry that is sent later than this after it was allowed counts once more.
+_MAX_UNSENT_SECONDS = 0.5
+
+
 class RetryBudget:
     """Requests and retries by service, in a sliding window."""
 
@@ -67,6 +71,15 @@
         self._get_window(self._retries_by_service, service).add(now)
         return True
 
+    def note_sent(self, service: str, *, taken_at: float, now: float) -> None:
+        """Count a retry again if it is sent long after it was allowed.
+
+        Waiting retries may leave the window before they are sent, and as many
+        again would be allowed in the window in which they arrive.
+        """
+        if now - taken_at > _MAX_UNSENT_SECONDS:
+            self._get_window(self._retries_by_service, service).add(now)
+
     def _get_window(
         self, windows: dict[str, sliding_window.SlidingWindow], service: str
     ) -> sliding_window.SlidingWindow:
--- a/packages/daisypick_core/tests/serving/test_limits.py
+++ b/packages/daisypick_core/tests/serving/test_limits.py
@@ -110,6 +110,18 @@
     assert len(retries) > 300
 
 
+def test_retries_sent_late_count_where_they_arrive():
+    """Guards against two windows' retries that are sent in one."""
+    budget = retry_budget.RetryBudget(ratio=0.0, window_seconds=10.0, extra=50)
+    while budget.take("s", 0.0):
+        pass
+    for _ in range(40):
+        budget.note_sent("s", taken_at=0.0, now=10.5)
+    assert not budget.take("s", 10.6)
+    budget.note_sent("s", taken_at=30.0, now=30.4)
+    assert sum(budget.take("s", 30.5) for _ in range(50)) == 40
+
+
 def test_ejection_time_doubles_after_failed_retry_and_success_resets_it():
     outcomes = outcome_records.Outcomes()
     outcomes.note_failure("i-1", now=0.0, certain=True)
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -45,6 +45,8 @@
             their keys.
         went_on: Whether the answer of the last try went on past its first
             event.
+        retry_allowed_at: When its next retry was allowed by the budget;
+            ``None`` for none that was not sent.
         origin: Service and version of the server that began the stream;
             ``None`` before the first event.
     """
@@ -66,6 +68,7 @@
         "pool",
         "refusal_reason",
         "request",
+        "retry_allowed_at",
         "route",
         "sent_at",
         "tests_version",
@@ -110,6 +113,7 @@
         self.crashes_when_sent = crash_record.NO_RECORD
         self.parts_when_sent: dict[str, part_record.PartRecord] = {}
         self.went_on = False
+        self.retry_allowed_at: float | None = None
         self.origin: stream_origins.Origin | None = None
         self._digest: str | None = None
         self._part_keys: tuple[str, ...] | None = None
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -578,6 +578,7 @@
         progress: answer_progress.AnswerProgress,
         takeover: takeovers.Takeover,
     ) -> retry_policies.FailedTry | str:
+        self._retry_policy.note_sent(context)
         self._retry_policy.quarantine.note_sent(context)
         self._held.note_sent(connection, context)
         source = place.source
--- a/packages/daisypick_router/src/daisypick_router/plain_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/plain_handler.py
@@ -164,6 +164,7 @@
         ):
             timeout = context.route.objective * _SAFE_TIMEOUT_OBJECTIVES
             head_timeout = min(head_timeout, timeout)
+        self._retry_policy.note_sent(context)
         self._retry_policy.quarantine.note_sent(context)
         self._held.note_sent(connection, context)
         decided_at = time.monotonic()
--- a/packages/daisypick_router/src/daisypick_router/retry_policy.py
+++ b/packages/daisypick_router/src/daisypick_router/retry_policy.py
@@ -87,12 +87,24 @@
         if context.servers_reached >= context.route.max_attempts:
             return False
         allowed = self._budget.take(context.service.name, now)
-        if not allowed:
+        if allowed:
+            context.retry_allowed_at = now
+        else:
             self._metrics.count(
                 "retry_budget_spent_total", service=context.service.name
             )
         return allowed
 
+    def note_sent(self, context: contexts.Context) -> None:
+        """Record that a request is about to be sent to a server."""
+        if context.retry_allowed_at is not None:
+            self._budget.note_sent(
+                context.service.name,
+                taken_at=context.retry_allowed_at,
+                now=time.monotonic(),
+            )
+            context.retry_allowed_at = None
+
     def note_failed(
         self,
         context: contexts.Context,
