A stream taken up without its attempt stays at one version after a loss of all routers

Such a stream was bound only where a router had seen several versions. A router that has just started has not seen the version that left, took the service for one with a single version and sent the stream to it. The test (both routers' lists differ by a version that left meanwhile) got 200 and events of the new version; with the attempt named it was refused before too.

Change: such a stream goes on only if this router, or one that it asks, knows from a confirmed list that the service has had one version for as long as streams last; else 2010 (503) at once, as with an attempt that nobody knows.

--- a/packages/daisypick_router/src/daisypick_router/stream_versions.py
+++ b/packages/daisypick_router/src/daisypick_router/stream_versions.py
@@ -183,9 +183,6 @@
             caller_headers.resumes or caller_headers.last_event
         ):
             return None
-        if not caller_headers.resumes and not self._is_mixed(context):
-            # The caller does not tell which attempt began the stream.
-            return None
         origin, source = self._find_origin(context)
         self._metrics.count(
             "streams_taken_up_total",
@@ -205,21 +202,24 @@
             return _refuse("nobody knows the version that began the stream")
         return self._apply(context, origin)
 
-    def _is_mixed(self, context: contexts.Context) -> bool:
-        versions = self._versions_by_service.get(context.service.name)
-        return versions is not None and versions.is_mixed(time.monotonic())
-
     def _find_origin(
         self, context: contexts.Context
     ) -> tuple[stream_origins.Origin | None, str]:
-        """Return the origin of a stream and how it is known."""
+        """Return the origin of a stream and how it is known.
+
+        A caller need not tell which attempt began its stream. Others may still
+        know that the service has had one version only.
+        """
         attempt = context.caller_headers.resumes
         noted = self._registry.find(attempt) if attempt else None
         if noted is not None:
             return noted, "noted"
-        if attempt:
+        inferred = None if attempt else self._infer(context.service.name)
+        if inferred is None:
             asked = self._registry.ask(
-                context.service.name, attempt, context.deadline
+                context.service.name,
+                attempt or context.attempt,
+                context.deadline,
             )
             if asked is not None:
                 return asked, "asked"
--- a/packages/daisypick_router/tests/test_stream_versions.py
+++ b/packages/daisypick_router/tests/test_stream_versions.py
@@ -125,6 +125,33 @@
         assert b"id: 5" in answer.body
 
 
+@pytest.mark.parametrize("names_attempt", [True, False])
+def test_stream_of_a_version_that_left_does_not_go_on_after_all_routers_ended(
+    store, names_attempt
+):
+    """Guards against events of two versions after a loss of all routers."""
+    (old,) = _start_engines(store, _hold_after_two, ["v1"])
+    router = fakes.start_router(store)
+    _begin(router, "a-0")
+    router.begin_stop()
+    (_, new) = _start_engines(store, _hold_after_two, ["v1", "v2"])
+    store.remove("servers", old.name)
+    again = fakes.start_router(store, "r-2")
+    fakes.wait_for(lambda: again.discovery.directory.find_ready("assist"))
+    assert set(again.discovery.directory.server_by_name) == {new.name}
+    options = {"Resumes": "a-0"} if names_attempt else {}
+    answer = fakes.call(
+        again,
+        "/visit/1",
+        attempt="a-0-again",
+        patience="9000",
+        Last_Event_Id="2",
+        **options,
+    )
+    assert answer.status == 503
+    assert not new.requests
+
+
 def test_stream_taken_up_waits_for_a_place_of_its_version(store):
     """Guards against streams lost while their version is busy (LOST)."""
     busy = gevent.event.Event()
