The report on cold servers goes on when a service is removed

Found by reading the diff: the report of a second in which a configuration removed the service of a cold server ended with a KeyError; its loop ran again 0.2 s later and lost that second's lines. The test failed before.

--- a/packages/daisypick_router/src/daisypick_router/cold_sends.py
+++ b/packages/daisypick_router/src/daisypick_router/cold_sends.py
@@ -16,6 +16,7 @@
 
 from daisypick_core.serving import backend_server
 from daisypick_core.serving import cold_limit
+from daisypick_core.serving import fleet_configuration
 from daisypick_router import discovery as discoveries
 from daisypick_router import log as logs
 from daisypick_router import loops
@@ -107,19 +108,23 @@
         self, server: backend_server.BackendServer, now: float
     ) -> float:
         """Return the seconds for which a server is still cold."""
-        configuration = self._discovery.configuration
-        service = (
-            configuration.service_by_name.get(server.service)
-            if configuration is not None
-            else None
-        )
+        service = self._find_service(server)
         if service is None or not service.cold_rate:
             return 0.0
         return self.restarts.find_cold_until(server, service.cold_seconds) - now
 
-    def _find_rate(self, server: backend_server.BackendServer) -> float:
+    def _find_service(
+        self, server: backend_server.BackendServer
+    ) -> fleet_configuration.Service | None:
+        """Return a server's service, unless it was removed meanwhile."""
         configuration = self._discovery.configuration
-        return configuration.service_by_name[server.service].cold_rate
+        if configuration is None:
+            return None
+        return configuration.service_by_name.get(server.service)
+
+    def _find_rate(self, server: backend_server.BackendServer) -> float:
+        service = self._find_service(server)
+        return 0.0 if service is None else service.cold_rate
 
     def _log_cold(
         self, server: backend_server.BackendServer, now: float
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -154,6 +154,23 @@
     assert 0 < _find_most(server.times) <= _QUOTA
 
 
+def test_report_goes_on_when_the_service_of_a_cold_server_is_removed(store):
+    """Guards against a report that ends with each removed service."""
+    server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.put("servers", "e-0", server.describe(ColdLeftMs=60_000))
+    router = _start_counted(store)
+    fakes.wait_for(lambda: router.discovery.directory.find_ready("assist"))
+    assert _call(router, 1).get().status == 200
+    manifest = fakes.make_manifest(2)
+    manifest["Routes"] = manifest["Routes"][:2]
+    manifest["Services"] = manifest["Services"][:1]
+    store.put("config", "main", manifest)
+    fakes.wait_for(lambda: router.discovery.configuration.version == 2)
+    router.sends._report()
+    known = router.discovery.directory.server_by_name["e-0"]
+    assert router.sends.find_quota(known) == 0
+
+
 def _find_quotas(routers, name):
     return sum(
         router.sends.find_quota(server)
