A server counts as cold after a failure only while its entry may be outdated

Suspected: 24 routers have a quota of one or none at a suspected server, and an idle connection that ends, or a stream that breaks, made each router suspect it for up to 3 s, also while its list was confirmed and would show a restart.

Change: the suspicion binds only while the list of servers has not been confirmed for 2 s (1.4 s pass between two confirmations while the store responds). The two tests now wait until the list is that old; both fail without the suspicion.

--- a/packages/daisypick_router/src/daisypick_router/restarts.py
+++ b/packages/daisypick_router/src/daisypick_router/restarts.py
@@ -23,6 +23,11 @@
 # time. A router that was cut off suspects all of its servers.
 _PROBE_SECONDS = 0.5
 _MAX_PROBED = 16
+# A list of servers younger than this shows a restart itself: 1.4 s pass between
+# two confirmations while the store responds. With many routers a quota is one
+# request or none, which is too little for a server that has just closed some
+# connections.
+_LIST_AGE_SECONDS = 2.0
 
 
 class Restarts:
@@ -59,13 +64,18 @@
         self, server: backend_server.BackendServer, cold_seconds: float
     ) -> float:
         """Return the time at which a server is warm."""
+        listed = self._discovery.directory.find_cold_until(server, cold_seconds)
+        if self._discovery.server_list_age < _LIST_AGE_SECONDS:
+            return listed
         return max(
-            self._discovery.directory.find_cold_until(server, cold_seconds),
+            listed,
             self._suspicion.find_cold_until(server.name, born=server.born),
         )
 
     def is_suspected(self, server: backend_server.BackendServer) -> bool:
         """Return whether a server may have restarted unseen."""
+        if self._discovery.server_list_age < _LIST_AGE_SECONDS:
+            return False
         until = self._suspicion.find_cold_until(server.name, born=server.born)
         return until > time.monotonic()
 
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -42,6 +42,11 @@
     return router
 
 
+def _lose_store(store, router):
+    store.refuse()
+    fakes.wait_for(lambda: router.discovery.server_list_age > 2.0)
+
+
 def _call(router, number):
     return gevent.spawn(
         fakes.call,
@@ -66,7 +71,7 @@
     store.put("servers", "e-0", server.describe(Slots=500))
     router = _start_counted(store)
     fakes.wait_for(lambda: router.discovery.directory.find_ready("assist"))
-    store.refuse()
+    _lose_store(store, router)
     numbers = itertools.count()
     calls = [_call(router, next(numbers)) for _ in range(10)]
     gevent.joinall(calls)
@@ -89,7 +94,7 @@
     store.put("servers", "e-0", server.describe(Slots=500))
     router = _start_counted(store)
     fakes.wait_for(lambda: router.discovery.directory.find_ready("assist"))
-    store.refuse()
+    _lose_store(store, router)
     gevent.joinall([_call(router, number) for number in range(10)])
     server.crash()
     server.times.clear()
