--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -143,18 +143,20 @@
             on_change=self._update_members,
             skipped=self.skipped,
         )
+        limit = cold_limit.ColdLimit(
+            router=settings.name, quotas=self._cold_quotas
+        )
         self._restarts = restart_records.Restarts(
             discovery=self.discovery,
             pool=self._pool,
+            limit=limit,
             log=self.log,
             on_change=self._update_suspected,
         )
         self.sends = cold_sends.ColdSends(
             discovery=self.discovery,
             membership=self.membership,
-            limit=cold_limit.ColdLimit(
-                router=settings.name, quotas=self._cold_quotas
-            ),
+            limit=limit,
             restarts=self._restarts,
             log=self.log,
             metrics=self.metrics,
--- a/packages/daisypick_router/src/daisypick_router/restarts.py
+++ b/packages/daisypick_router/src/daisypick_router/restarts.py
@@ -12,6 +12,8 @@
 from gevent import event
 
 from daisypick_core.serving import backend_server
+from daisypick_core.serving import cold_limit
+from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import restart_suspicion
 from daisypick_http import connection as connections
 from daisypick_http import pool as pools
@@ -23,10 +25,11 @@
 # time. A router that was cut off suspects all of its servers.
 _PROBE_SECONDS = 0.5
 _MAX_PROBED = 16
-# A list of servers younger than this shows a restart itself: 1.4 s pass between
-# two confirmations while the store responds. With many routers a quota is one
-# request or none, which is too little for a server that has just closed some
-# connections.
+# With many routers a quota is one request or none, which is too little for a
+# server that has just closed some connections. There a suspicion binds only
+# while the list of servers is older than this. A younger one shows a restart
+# itself: 1.4 s pass between two confirmations while the store responds.
+_MIN_QUOTA = 2
 _LIST_AGE_SECONDS = 2.0
 
 
@@ -36,6 +39,7 @@
     Args:
         discovery: The backend servers.
         pool: Connections to them.
+        limit: This router's limit at cold servers.
         log: The log.
         on_change: Called with the servers whose time changed.
     """
@@ -45,11 +49,13 @@
         *,
         discovery: "discoveries.Discovery",
         pool: pools.Pool,
+        limit: cold_limit.ColdLimit,
         log: logs.Log,
         on_change: Callable[[Collection[str]], None],
     ) -> None:
         self._discovery = discovery
         self._pool = pool
+        self._limit = limit
         self._log = log
         self._on_change = on_change
         self._suspicion = restart_suspicion.RestartSuspicion()
@@ -65,19 +71,22 @@
     ) -> float:
         """Return the time at which a server is warm."""
         listed = self._discovery.directory.find_cold_until(server, cold_seconds)
-        if self._discovery.server_list_age < _LIST_AGE_SECONDS:
-            return listed
-        return max(
-            listed,
-            self._suspicion.find_cold_until(server.name, born=server.born),
-        )
+        return max(listed, self._find_suspected_until(server))
+
+    def _find_suspected_until(
+        self, server: backend_server.BackendServer
+    ) -> float:
+        until = self._suspicion.find_cold_until(server.name, born=server.born)
+        if not until or self._discovery.server_list_age >= _LIST_AGE_SECONDS:
+            return until
+        service = self._find_service(server)
+        rate = 0.0 if service is None else service.cold_rate
+        quota = self._limit.find_quota(server.name, rate)
+        return until if quota >= _MIN_QUOTA else 0.0
 
     def is_suspected(self, server: backend_server.BackendServer) -> bool:
         """Return whether a server may have restarted unseen."""
-        if self._discovery.server_list_age < _LIST_AGE_SECONDS:
-            return False
-        until = self._suspicion.find_cold_until(server.name, born=server.born)
-        return until > time.monotonic()
+        return self._find_suspected_until(server) > time.monotonic()
 
     def note_failure(self, server: backend_server.BackendServer) -> None:
         """Record that a connection to a server broke or was not made."""
@@ -132,14 +141,19 @@
 
     def _find_cold_seconds(self, server: backend_server.BackendServer) -> float:
         """Return how long a server is cold; zero if it has no limit then."""
-        configuration = self._discovery.configuration
-        if configuration is None:
-            return 0.0
-        service = configuration.service_by_name.get(server.service)
+        service = self._find_service(server)
         if service is None or not service.cold_rate:
             return 0.0
         return service.cold_seconds
 
+    def _find_service(
+        self, server: backend_server.BackendServer
+    ) -> fleet_configuration.Service | None:
+        configuration = self._discovery.configuration
+        if configuration is None:
+            return None
+        return configuration.service_by_name.get(server.service)
+
     def _run(self) -> None:
         while True:
             self._has_suspects.wait()
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -131,6 +131,22 @@
     long_one.join()
 
 
+def test_many_routers_are_not_limited_while_their_list_is_confirmed(store):
+    """Guards against a quota of none at servers that closed a connection."""
+    for number in range(40):
+        store.put(memberships.KIND, f"x-{number}", {"address": "127.0.0.1:1"})
+    server = fakes.FakeServer("e-0", "assist", _break_some)
+    store.put("servers", "e-0", server.describe(Slots=500))
+    _list_routers(store)
+    router = fakes.start_router(store)
+    fakes.wait_for(lambda: router.membership.is_counted, _WAIT_SECONDS)
+    directory = router.discovery.directory
+    fakes.wait_for(lambda: directory.find_ready("assist"), _WAIT_SECONDS)
+    _call(router, "break").join()
+    server.times.clear()
+    assert _call(router, 1).get().status == 200
+
+
 def _break_some(server, connection, first, headers, body):
     if b"/break" in first:
         return "close"
