--- a/packages/daisypick_core/src/daisypick_core/rollout/decider.py
+++ b/packages/daisypick_core/src/daisypick_core/rollout/decider.py
@@ -225,7 +225,7 @@
             return verdict.find_later_slowness(
                 reference=everything, target=recent
             )
-        # A doubt is measured for failures only.
+        # A doubt is computed for failures only.
         return verdict.find_slowness(self._slices)
 
     def _find_move_at(self, now: float) -> float:
--- a/packages/daisypick_core/src/daisypick_core/serving/restart_suspicion.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/restart_suspicion.py
@@ -1,8 +1,8 @@
 """Backend servers that may have restarted without a new entry.
 
 A restarted server is cold, and its entry shows that only after it was written
-and read. A router that is cut off from the platform keeps the entry of the
-instance before. What it sees itself is that connections broke, as they do
+and read. A router that is cut off from the platform still has the entry of the
+previous instance. What it sees itself is that connections broke, as they do
 when a process ends. Until the contrary is shown, such a server counts as cold:
 until a connection that is older than the failure brings something, or for the
 duration of a cold start after the first new connection.
--- a/packages/daisypick_router/src/daisypick_router/cold_sends.py
+++ b/packages/daisypick_router/src/daisypick_router/cold_sends.py
@@ -113,6 +113,12 @@
             return 0.0
         return self.restarts.find_cold_until(server, service.cold_seconds) - now
 
+    def _is_listed_cold(self, server: backend_server.BackendServer) -> bool:
+        service = self._find_service(server)
+        cold_seconds = 0.0 if service is None else service.cold_seconds
+        until = self._discovery.directory.find_cold_until(server, cold_seconds)
+        return until > time.monotonic()
+
     def _find_service(
         self, server: backend_server.BackendServer
     ) -> fleet_configuration.Service | None:
@@ -153,12 +159,10 @@
     def find_quota(self, server: backend_server.BackendServer) -> int:
         """Return how many requests this router may send to a cold server.
 
-        A router that the others do not count may still use servers that only
-        it suspects to be cold: most of these are not.
+        A router that the others do not count may still use servers that are
+        suspected and not listed as cold: most of these are warm.
         """
-        if not self._membership.is_counted and not self.restarts.is_suspected(
-            server
-        ):
+        if not self._membership.is_counted and self._is_listed_cold(server):
             return 0
         return self._limit.find_quota(server.name, self._find_rate(server))
 
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -456,8 +456,8 @@
                 time.monotonic() + context.route.objective * _TEST_WAIT_SHARE,
             )
         if context.origin is not None:
-            # A part of the answer is with its caller. The rest is worth having
-            # while it can be whole in time.
+            # The caller has a part of the response, and can use the rest until
+            # its deadline.
             objective_at = max(objective_at, context.deadline)
         # Only this router may know of these servers: the scheduler host may be
         # cut off from the platform's list.
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -71,7 +71,7 @@
 
 
 def test_server_that_restarted_unseen_gets_at_most_the_cold_rate(store):
-    """Guards against flooding a restarted server whose entry is the old one."""
+    """Guards against overload of a restarted server with an outdated entry."""
     server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
     store.put("servers", "e-0", server.describe(Slots=500))
     router = _start_counted(store)
@@ -96,7 +96,7 @@
 
 
 def test_idle_connections_that_a_restart_ended_show_that_it_may_be_cold(store):
-    """Guards against flooding a server that restarted between two requests."""
+    """Guards against overload of a server restarted between two requests."""
     server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
     store.put("servers", "e-0", server.describe(Slots=500))
     router = _start_counted(store)
@@ -207,6 +207,21 @@
     assert router.sends.find_quota(known) == 0
 
 
+def test_new_router_has_no_quota_at_a_suspected_server_listed_as_cold(store):
+    """Guards against a failure that gives a new router a quota too early."""
+    server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.put(memberships.KIND, "r-2", {"address": "127.0.0.1:1"})
+    store.put("servers", "e-0", server.describe(ColdLeftMs=60_000))
+    router = fakes.start_router(store)
+    directory = router.discovery.directory
+    fakes.wait_for(lambda: directory.find_ready("assist"), _WAIT_SECONDS)
+    fakes.wait_for(lambda: router.membership.names, _WAIT_SECONDS)
+    (known,) = directory.find_ready("assist")
+    router.sends.restarts.note_failure(known)
+    assert not router.membership.is_counted
+    assert router.sends.find_quota(known) == 0
+
+
 def _find_quotas(routers, name):
     return sum(
         router.sends.find_quota(server)
@@ -217,7 +232,7 @@
 
 
 def test_routers_that_start_on_an_empty_store_have_no_quota_too_many(store):
-    """Guards against routers that each believe to be the only one."""
+    """Guards against routers that each assume that there is no other."""
     server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
     store.put("servers", "e-0", server.describe(Slots=500, ColdLeftMs=60_000))
     routers = []
--- a/packages/daisypick_router/tests/test_member_list.py
+++ b/packages/daisypick_router/tests/test_member_list.py
@@ -113,7 +113,7 @@
 def test_router_that_does_not_renew_expires_while_lists_are_read(
     clock, membership
 ):
-    """Guards against quotas of routers that have ended for ever."""
+    """Guards against quotas of routers that have ended."""
     for turn in range(12):
         _read(membership, _list(9 + turn, r_1=5 + turn, r_2=6))
         clock.now += 8.0
