Routers of a small fleet report servers that may have restarted

Change: a router reports a failed connection on its links to the others; the receiver suspects the server too, until a connection older than two seconds before the report brings something, or for a cold start after its first later connection. The host of the scheduler uses its suspicion as well, so it does not place what routers decline. Only where quotas are two or more (small fleets). The test failed without the handler: r-2 learned nothing. An older router logs the message as invalid and goes on.

--- a/packages/daisypick_core/src/daisypick_core/serving/restart_suspicion.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/restart_suspicion.py
@@ -28,6 +28,9 @@
 
 # Bytes received this long after the failure were not in a buffer before it.
 _BUFFERED_SECONDS = 0.1
+# Another router may notice the end of its connection this much later than the
+# restart. A connection of this router made meanwhile is to the new instance.
+_REPORT_DELAY_SECONDS = 2.0
 
 
 class _Suspect(typing.NamedTuple):
@@ -36,12 +39,14 @@
     Attributes:
         born: Identifies the listed instance.
         since: When a connection last failed.
+        opened_before: Connections opened later may be to a new instance.
         warm_at: When it is warm at the latest; infinite before a connection
             was made.
     """
 
     born: int
     since: float
+    opened_before: float
     warm_at: float
 
 
@@ -59,17 +64,24 @@
         """Return the number of suspected servers."""
         return len(self._suspect_by_server)
 
-    def note_failure(self, server: str, *, born: int, now: float) -> bool:
+    def note_failure(
+        self, server: str, *, born: int, now: float, is_reported: bool = False
+    ) -> bool:
         """Record that a connection to a server failed.
 
         Args:
             server: Its name.
             born: Identifies the listed instance.
             now: The time.
+            is_reported: Whether it was a connection of another router.
         """
+        delay = _REPORT_DELAY_SECONDS if is_reported else 0.0
         before = self.find_cold_until(server, born=born)
         self._suspect_by_server[server] = _Suspect(
-            born=born, since=now, warm_at=math.inf
+            born=born,
+            since=now,
+            opened_before=now - delay,
+            warm_at=math.inf,
         )
         return before != math.inf
 
@@ -80,7 +92,7 @@
         suspect = self._suspect_by_server.get(server)
         if (
             suspect is None
-            or opened_at < suspect.since
+            or opened_at < suspect.opened_before
             or suspect.warm_at != math.inf
         ):
             return False
@@ -96,7 +108,7 @@
         suspect = self._suspect_by_server.get(server)
         if (
             suspect is None
-            or opened_at >= suspect.since
+            or opened_at >= suspect.opened_before
             or now < suspect.since + _BUFFERED_SECONDS
         ):
             return False
--- a/packages/daisypick_core/tests/serving/test_restart_suspicion.py
+++ b/packages/daisypick_core/tests/serving/test_restart_suspicion.py
@@ -41,6 +41,16 @@
     assert _until(suspicion) == math.inf
 
 
+def test_connection_made_before_a_late_report_may_be_to_a_new_instance():
+    """Guards against a restart hidden by a report that comes after it."""
+    found = restart_suspicion.RestartSuspicion()
+    found.note_failure("i-1", born=1, now=10.0, is_reported=True)
+    assert not found.note_received("i-1", opened_at=9.5, now=10.2)
+    assert found.note_connected("i-1", opened_at=9.5, cold_seconds=3.0)
+    assert found.find_cold_until("i-1", born=1) == 12.5
+    assert found.note_received("i-1", opened_at=7.9, now=10.2)
+
+
 def test_next_failure_renews_the_suspicion(suspicion):
     """Guards against a server that ends just after a connection was made."""
     suspicion.note_connected("i-1", opened_at=11.0, cold_seconds=3.0)
--- a/packages/daisypick_router/src/daisypick_router/host_links.py
+++ b/packages/daisypick_router/src/daisypick_router/host_links.py
@@ -71,9 +71,9 @@
         self._membership = membership
         self._feed = feed
         self._quarantine = quarantine
-        quarantine.add_sender(self._send_to_all)
+        quarantine.add_sender(self.send_to_all)
         self._rollouts = rollouts
-        rollouts.add_sender(self._send_to_all)
+        rollouts.add_sender(self.send_to_all)
         self._log = log
         self._rng = rng
         self._on_connect = on_connect
@@ -145,7 +145,10 @@
         self._link_by_name[member.name] = link
         link.start()
 
-    def _send_to_all(self, message: peer_messages.Flooded) -> None:
+    def send_to_all(
+        self, message: peer_messages.Flooded | peer_messages.ServerSuspected
+    ) -> None:
+        """Send a message to all routers that this one has a link to."""
         for link in self._link_by_name.values():
             link.send(message)
 
--- a/packages/daisypick_router/src/daisypick_router/peer_host.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_host.py
@@ -24,6 +24,7 @@
 from daisypick_router import peer_channel
 from daisypick_router import peer_messages
 from daisypick_router import quarantine as quarantines
+from daisypick_router import restarts as restart_records
 from daisypick_router import rollout_host as rollout_hosts
 from daisypick_router import rollouts as rollout_records
 from daisypick_router import store_feed
@@ -63,8 +64,10 @@
         streams: stream_versions.StreamVersions,
         registry: stream_registry.StreamRegistry,
         load: load_watch.LoadWatch,
+        restarts: restart_records.Restarts,
         log: logs.Log,
     ) -> None:
+        self._restarts = restarts
         self._discovery = discovery
         self._load = load
         self._engines = engines
@@ -196,6 +199,16 @@
         del channel
         self._quarantine.receive(message)
 
+    @handles(peer_messages.ServerSuspected)
+    def _handle_suspected(
+        self,
+        channel: peer_channel.PeerChannel,
+        message: peer_messages.ServerSuspected,
+    ) -> None:
+        router = self._router_by_channel.get(channel)
+        if router is not None:
+            self._restarts.receive(message, router)
+
     @handles(peer_messages.RolloutNotice)
     def _handle_rollout(
         self,
--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -237,6 +237,19 @@
     ]
 
 
+@register("suspect")
+class ServerSuspected(typing.NamedTuple):
+    """A server may have restarted: a connection of the sender to it failed.
+
+    Attributes:
+        server: Its name.
+        born: Start time of the instance that the sender's list has.
+    """
+
+    server: str
+    born: int
+
+
 CrashMessage = CrashReports | CrashEnds | PartCrashes
 
 
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -152,6 +152,7 @@
             limit=limit,
             log=self.log,
             on_change=self._update_suspected,
+            send=lambda message: self.placing.links.send_to_all(message),
         )
         self.sends = cold_sends.ColdSends(
             discovery=self.discovery,
@@ -217,15 +218,11 @@
                 window_seconds=settings.bounds.quota_window_seconds,
                 rng=rng,
                 speed_by_service=speed_by_service,
-                find_cold_until=find_cold_until,
+                find_cold_until=self._restarts.find_cold_until,
                 by_version=self.rollouts.is_active,
                 find_suspicion=self.quarantine.parts.find_service,
             )
-            for find_cold_until in (
-                # The host decides for routers that know more of a server.
-                self.discovery.directory.find_cold_until,
-                self._restarts.find_cold_until,
-            )
+            for _ in range(2)
         )
         self.stream_registry = stream_registry.StreamRegistry()
         self._streams = stream_versions.StreamVersions(
@@ -269,6 +266,7 @@
             streams=self._streams,
             registry=self.stream_registry,
             load=self.load,
+            restarts=self._restarts,
             log=self.log,
         )
         self.serving = serving.Serving(
@@ -511,6 +509,7 @@
         self._streams.update_servers()
 
     def _update_suspected(self, names: Collection[str]) -> None:
+        self.hosted.update_servers(names)
         self._local_engines.update_servers(names)
         self.sends.update_servers(names)
 
--- a/packages/daisypick_router/src/daisypick_router/restarts.py
+++ b/packages/daisypick_router/src/daisypick_router/restarts.py
@@ -20,6 +20,7 @@
 from daisypick_router import discovery as discoveries
 from daisypick_router import log as logs
 from daisypick_router import loops
+from daisypick_router import peer_messages
 
 # Interval in seconds at which suspected servers are tried, and how many at a
 # time. A router that was cut off suspects all of its servers.
@@ -28,7 +29,8 @@
 # With many routers a quota is one request or none, which is too little for a
 # server that has just closed some connections. There a suspicion binds only
 # while the list of servers is older than this. A younger one shows a restart
-# itself: 1.4 s pass between two confirmations while the store responds.
+# itself: 1.4 s pass between two confirmations while the store responds. Routers
+# report failures to each other only where their quotas are larger.
 _MIN_QUOTA = 2
 _LIST_AGE_SECONDS = 2.0
 
@@ -42,6 +44,7 @@
         limit: This router's limit at cold servers.
         log: The log.
         on_change: Called with the servers whose time changed.
+        send: Sends a message to the other routers of a small fleet.
     """
 
     def __init__(
@@ -52,7 +55,9 @@
         limit: cold_limit.ColdLimit,
         log: logs.Log,
         on_change: Callable[[Collection[str]], None],
+        send: Callable[[peer_messages.ServerSuspected], None],
     ) -> None:
+        self._send = send
         self._discovery = discovery
         self._pool = pool
         self._limit = limit
@@ -79,31 +84,68 @@
         until = self._suspicion.find_cold_until(server.name, born=server.born)
         if not until or self._discovery.server_list_age >= _LIST_AGE_SECONDS:
             return until
+        return until if self._find_quota(server) >= _MIN_QUOTA else 0.0
+
+    def _find_quota(self, server: backend_server.BackendServer) -> int:
         service = self._find_service(server)
         rate = 0.0 if service is None else service.cold_rate
-        quota = self._limit.find_quota(server.name, rate)
-        return until if quota >= _MIN_QUOTA else 0.0
+        return self._limit.find_quota(server.name, rate)
 
     def is_suspected(self, server: backend_server.BackendServer) -> bool:
         """Return whether a server may have restarted unseen."""
         return self._find_suspected_until(server) > time.monotonic()
 
-    def note_failure(self, server: backend_server.BackendServer) -> None:
-        """Record that a connection to a server broke or was not made."""
+    def note_failure(
+        self,
+        server: backend_server.BackendServer,
+        *,
+        reported_by: str | None = None,
+    ) -> None:
+        """Record that a connection to a server broke or was not made.
+
+        Args:
+            server: The server.
+            reported_by: Router whose connection it was; ``None`` for this one.
+        """
         if not self._find_cold_seconds(server):
             return
         changed = self._suspicion.note_failure(
-            server.name, born=server.born, now=time.monotonic()
+            server.name,
+            born=server.born,
+            now=time.monotonic(),
+            is_reported=reported_by is not None,
         )
         self._has_suspects.set()
-        if changed:
-            self._log.write(
-                "cold",
-                "A server may have restarted; it counts as cold.",
-                server=server.name,
-                born=server.born,
+        if not changed:
+            return
+        self._log.write(
+            "cold",
+            "A server may have restarted; it counts as cold.",
+            server=server.name,
+            born=server.born,
+            reported_by=reported_by,
+        )
+        self._on_change([server.name])
+        if reported_by is None and self._find_quota(server) >= _MIN_QUOTA:
+            self._send(
+                peer_messages.ServerSuspected(
+                    server=server.name, born=server.born
+                )
             )
-            self._on_change([server.name])
+
+    def receive(
+        self, message: peer_messages.ServerSuspected, router: str
+    ) -> None:
+        """Take the report of another router.
+
+        This one may have no connection to that server, and would learn of a
+        restart from the list only.
+        """
+        server = self._discovery.directory.server_by_name.get(message.server)
+        if server is None or server.born != message.born:
+            return
+        if self._find_quota(server) >= _MIN_QUOTA:
+            self.note_failure(server, reported_by=router)
 
     def _note_ended(self, address: tuple[str, int]) -> None:
         for server in self._discovery.directory.server_by_name.values():
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -38,11 +38,15 @@
     """Return one of five routers, under a name that the others know."""
     _list_routers(store)
     router = fakes.start_router(store)
+    _wait_until_counted(router)
+    return router
+
+
+def _wait_until_counted(router):
     fakes.wait_for(
         lambda: len(router.membership.names) == _ROUTERS, _WAIT_SECONDS
     )
     fakes.wait_for(lambda: router.membership.is_counted, _WAIT_SECONDS)
-    return router
 
 
 def _lose_store(store, router):
@@ -113,6 +117,43 @@
     assert 0 < _find_most(server.times) <= _QUOTA
 
 
+def test_router_without_a_connection_learns_of_a_restart_from_others(store):
+    """Guards against overload by a router that has not seen the end."""
+    server = fakes.FakeServer("e-0", "assist", fakes.stream_five)
+    store.put("servers", "e-0", server.describe(Slots=500))
+    _list_routers(store)
+    routers = [fakes.make_router(store, name) for name in ("r-1", "r-2")]
+    for router in routers:
+        address = f"127.0.0.1:{router.settings.peer_port}"
+        store.put(memberships.KIND, router.settings.name, {"address": address})
+    for router in routers:
+        router.start()
+    for router in routers:
+        _wait_until_counted(router)
+    first, second = routers
+    fakes.wait_for(
+        lambda: (
+            first.placing.links.find_link("r-2") is not None
+            and first.placing.links.find_link("r-2").is_connected
+        ),
+        _WAIT_SECONDS,
+    )
+    gevent.joinall([_call(first, number) for number in range(4)])
+    server.crash()
+    _call(first, 10).join()
+    restarts = second.sends.restarts
+    (known,) = second.discovery.directory.find_ready("assist")
+    fakes.wait_for(lambda: restarts.is_suspected(known), _WAIT_SECONDS)
+    server.times.clear()
+    server.restart("e-0")
+    calls = []
+    for number in range(100, 200):
+        calls.append(_call(second, number))
+        gevent.sleep(0.01)
+    gevent.joinall(calls)
+    assert 0 < _find_most(server.times) <= _QUOTA
+
+
 def test_sound_server_is_not_limited_after_one_connection_broke(store):
     """Guards against taking each broken connection for a cold start."""
     server = fakes.FakeServer("e-0", "assist", _break_some)
