A suspicion binds all fleets; a fresh failure is checked by a connection

Change: a stream that breaks within 0.1 s after its last event shows a server that ran just then. The router connects at once; one that accepts within 0.1 s has not ended, since the next instance needs longer to listen. Not after a stand-still of this process, when what is read may be old. Idle connections that end while the pool observes idle timeouts show nothing. With that the suspicion binds whatever the quota, and reports go out only after the check.

Tests: a server that goes on listening is not limited; a stand-still ends no suspicion.

--- a/packages/daisypick_core/src/daisypick_core/serving/restart_suspicion.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/restart_suspicion.py
@@ -28,6 +28,8 @@
 
 # Bytes received this long after the failure were not in a buffer before it.
 _BUFFERED_SECONDS = 0.1
+# An ended process is not replaced by the next one within this time.
+_PROBE_SECONDS = 0.1
 # Another router may notice the end of its connection this much later than the
 # restart. A connection of this router made meanwhile is to the new instance.
 _REPORT_DELAY_SECONDS = 2.0
@@ -101,6 +103,27 @@
         )
         return True
 
+    def note_listening(self, server: str, *, since: float, now: float) -> bool:
+        """Record that a server accepts connections after a fresh failure.
+
+        One that has ended refuses them until its next instance listens, which
+        takes longer than a probe.
+
+        Args:
+            server: Its name.
+            since: When the connection failed, and the probe began.
+            now: When the probe ended.
+        """
+        suspect = self._suspect_by_server.get(server)
+        if (
+            suspect is None
+            or suspect.since != since
+            or now > since + _PROBE_SECONDS
+        ):
+            return False
+        del self._suspect_by_server[server]
+        return True
+
     def note_received(
         self, server: str, *, opened_at: float, now: float
     ) -> bool:
--- a/packages/daisypick_core/tests/serving/test_restart_suspicion.py
+++ b/packages/daisypick_core/tests/serving/test_restart_suspicion.py
@@ -41,6 +41,18 @@
     assert _until(suspicion) == math.inf
 
 
+@pytest.mark.parametrize(
+    ("since", "now", "ends"),
+    [(10.0, 10.1, True), (10.0, 10.11, False), (9.0, 10.0, False)],
+)
+def test_server_that_listens_right_after_a_failure_did_not_end(
+    suspicion, since, now, ends
+):
+    """Guards against a suspicion that a late or an earlier probe ends."""
+    assert suspicion.note_listening("i-1", since=since, now=now) is ends
+    assert (_until(suspicion) == 0.0) is ends
+
+
 def test_connection_made_before_a_late_report_may_be_to_a_new_instance():
     """Guards against a restart hidden by a report that comes after it."""
     found = restart_suspicion.RestartSuspicion()
--- a/packages/daisypick_http/src/daisypick_http/pool.py
+++ b/packages/daisypick_http/src/daisypick_http/pool.py
@@ -20,7 +20,7 @@
 
     Attributes:
         on_ended: Called with the address of a peer that was found to have
-            closed an idle connection.
+            closed an idle connection sooner than expected.
         opened: Number of connections opened.
         reused: Number of times that a connection was reused.
     """
@@ -69,6 +69,7 @@
                 self.reused += 1
                 return kept
             self._close_ended(kept, now)
+            self.on_ended(address)
         return self._open_new(address)
 
     def _open_new(self, address: tuple[str, int]) -> connections.Connection:
@@ -180,6 +181,7 @@
                         kept.append(connection)
                     else:
                         self._close_ended(connection, now)
+                        self.on_ended(address)
                 elif not kept and self._observe(connection, now):
                     kept.append(connection)
                 else:
@@ -205,7 +207,6 @@
 
     def _close_ended(self, kept: connections.Connection, now: float) -> None:
         """Close a connection that the peer has closed, and learn from it."""
-        self.on_ended(kept.address)
         if kept.idle_limit is None:
             self._idle_limits.note_closed(
                 kept.address,
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -40,6 +40,7 @@
         is_sent: Whether sending to a backend server has started.
         refusal_reason: Why the scheduler refused it, if it did.
         sent_at: When it was last sent to a backend server.
+        received_at: When something of the response was last received.
         crashes_when_sent: What was known of its crashes then.
         parts_when_sent: What was known then of the parts of its prompt, by
             their keys.
@@ -67,6 +68,7 @@
         "parts_when_sent",
         "pool",
         "refusal_reason",
+        "received_at",
         "request",
         "retry_allowed_at",
         "route",
@@ -110,6 +112,7 @@
         self.first_event_at: float | None = None
         self.is_sent = False
         self.sent_at = 0.0
+        self.received_at = 0.0
         self.crashes_when_sent = crash_record.NO_RECORD
         self.parts_when_sent: dict[str, part_record.PartRecord] = {}
         self.went_on = False
--- a/packages/daisypick_router/src/daisypick_router/engine_handler.py
+++ b/packages/daisypick_router/src/daisypick_router/engine_handler.py
@@ -675,6 +675,7 @@
                 if not isinstance(events, bytes):
                     ended = events
                     break
+                context.received_at = time.monotonic()
                 self._sends.restarts.note_received(
                     place.server, opened_at=opened.connection.opened_at
                 )
--- a/packages/daisypick_router/src/daisypick_router/load_watch.py
+++ b/packages/daisypick_router/src/daisypick_router/load_watch.py
@@ -1,6 +1,7 @@
 """A timer that measures the lag of this process's event loop."""
 
 from collections.abc import Callable
+import math
 import time
 
 import gevent
@@ -13,6 +14,10 @@
 # With a greater lag, times measured here say nothing about how long others
 # took. Times to the first token are only a few times as long.
 _LATE_SECONDS = 0.02
+# After a greater lag the process may have been suspended. What was received
+# meanwhile is read within the time after it.
+_STALLED_SECONDS = 0.15
+_STALL_EFFECT_SECONDS = 1.0
 
 
 class LoadWatch:
@@ -31,6 +36,7 @@
         self._woke_at = time.monotonic()
         self._last_lag = 0.0
         self._max_lag = 0.0
+        self._stalled_at = -math.inf
 
     def take_max_lag(self) -> float:
         """Return and reset the greatest timer lag since the last call."""
@@ -50,6 +56,13 @@
         """Return whether data read now may have arrived some time before."""
         return self.find_lag() > _LATE_SECONDS
 
+    def has_stalled(self) -> bool:
+        """Return whether the process may have been suspended a moment ago."""
+        return (
+            self.find_lag() > _STALLED_SECONDS
+            or time.monotonic() - self._stalled_at < _STALL_EFFECT_SECONDS
+        )
+
     def start(self) -> None:
         """Start the timer."""
         loops.spawn(self._run)
@@ -69,6 +82,8 @@
         """Record the lag of one wake-up of the timer."""
         self._woke_at = now
         self._last_lag = max(lag, 0.0)
+        if lag > _STALLED_SECONDS:
+            self._stalled_at = now
         self._max_lag = max(self._max_lag, lag)
         was_ready = self.overload.is_ready
         self.overload.note_lag(max(lag, self._find_wait(now)), now)
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -149,7 +149,7 @@
         self._restarts = restart_records.Restarts(
             discovery=self.discovery,
             pool=self._pool,
-            limit=limit,
+            load=self.load,
             log=self.log,
             on_change=self._update_suspected,
             send=lambda message: self.placing.links.send_to_all(message),
--- a/packages/daisypick_router/src/daisypick_router/restarts.py
+++ b/packages/daisypick_router/src/daisypick_router/restarts.py
@@ -12,12 +12,12 @@
 from gevent import event
 
 from daisypick_core.serving import backend_server
-from daisypick_core.serving import cold_limit
 from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import restart_suspicion
 from daisypick_http import connection as connections
 from daisypick_http import pool as pools
 from daisypick_router import discovery as discoveries
+from daisypick_router import load_watch
 from daisypick_router import log as logs
 from daisypick_router import loops
 from daisypick_router import peer_messages
@@ -26,13 +26,6 @@
 # time. A router that was cut off suspects all of its servers.
 _PROBE_SECONDS = 0.5
 _MAX_PROBED = 16
-# With many routers a quota is one request or none, which is too little for a
-# server that has just closed some connections. There a suspicion binds only
-# while the list of servers is older than this. A younger one shows a restart
-# itself: 1.4 s pass between two confirmations while the store responds. Routers
-# report failures to each other only where their quotas are larger.
-_MIN_QUOTA = 2
-_LIST_AGE_SECONDS = 2.0
 
 
 class Restarts:
@@ -41,10 +34,10 @@
     Args:
         discovery: The backend servers.
         pool: Connections to them.
-        limit: This router's limit at cold servers.
+        load: The lag of the event loop.
         log: The log.
         on_change: Called with the servers whose time changed.
-        send: Sends a message to the other routers of a small fleet.
+        send: Sends a message to the routers that this one has links to.
     """
 
     def __init__(
@@ -52,7 +45,7 @@
         *,
         discovery: "discoveries.Discovery",
         pool: pools.Pool,
-        limit: cold_limit.ColdLimit,
+        load: load_watch.LoadWatch,
         log: logs.Log,
         on_change: Callable[[Collection[str]], None],
         send: Callable[[peer_messages.ServerSuspected], None],
@@ -60,7 +53,7 @@
         self._send = send
         self._discovery = discovery
         self._pool = pool
-        self._limit = limit
+        self._load = load
         self._log = log
         self._on_change = on_change
         self._suspicion = restart_suspicion.RestartSuspicion()
@@ -75,49 +68,64 @@
         self, server: backend_server.BackendServer, cold_seconds: float
     ) -> float:
         """Return the time at which a server is warm."""
-        listed = self._discovery.directory.find_cold_until(server, cold_seconds)
-        return max(listed, self._find_suspected_until(server))
-
-    def _find_suspected_until(
-        self, server: backend_server.BackendServer
-    ) -> float:
-        until = self._suspicion.find_cold_until(server.name, born=server.born)
-        if not until or self._discovery.server_list_age >= _LIST_AGE_SECONDS:
-            return until
-        return until if self._find_quota(server) >= _MIN_QUOTA else 0.0
-
-    def _find_quota(self, server: backend_server.BackendServer) -> int:
-        service = self._find_service(server)
-        rate = 0.0 if service is None else service.cold_rate
-        return self._limit.find_quota(server.name, rate)
+        return max(
+            self._discovery.directory.find_cold_until(server, cold_seconds),
+            self._suspicion.find_cold_until(server.name, born=server.born),
+        )
 
     def is_suspected(self, server: backend_server.BackendServer) -> bool:
         """Return whether a server may have restarted unseen."""
-        return self._find_suspected_until(server) > time.monotonic()
+        until = self._suspicion.find_cold_until(server.name, born=server.born)
+        return until > time.monotonic()
 
     def note_failure(
         self,
         server: backend_server.BackendServer,
         *,
         reported_by: str | None = None,
+        is_fresh: bool = False,
     ) -> None:
         """Record that a connection to a server broke or was not made.
 
         Args:
             server: The server.
             reported_by: Router whose connection it was; ``None`` for this one.
+            is_fresh: Whether the connection worked a moment ago, so that the
+                server cannot have restarted since.
         """
         if not self._find_cold_seconds(server):
             return
+        since = time.monotonic()
         changed = self._suspicion.note_failure(
             server.name,
             born=server.born,
-            now=time.monotonic(),
+            now=since,
             is_reported=reported_by is not None,
         )
         self._has_suspects.set()
-        if not changed:
+        if is_fresh and not self._load.has_stalled():
+            gevent.spawn(self._check, server, since)
+        elif changed:
+            self._note_suspected(server, reported_by)
+
+    def _check(
+        self, server: backend_server.BackendServer, since: float
+    ) -> None:
+        """End the suspicion if the server has not ended."""
+        is_listening = self._is_listening(server)
+        now = time.monotonic()
+        if is_listening and self._suspicion.note_listening(
+            server.name, since=since, now=now
+        ):
+            self._on_change([server.name])
             return
+        if is_listening:
+            self.note_connected(server, opened_at=now)
+        self._note_suspected(server, None)
+
+    def _note_suspected(
+        self, server: backend_server.BackendServer, reported_by: str | None
+    ) -> None:
         self._log.write(
             "cold",
             "A server may have restarted; it counts as cold.",
@@ -126,7 +134,7 @@
             reported_by=reported_by,
         )
         self._on_change([server.name])
-        if reported_by is None and self._find_quota(server) >= _MIN_QUOTA:
+        if reported_by is None:
             self._send(
                 peer_messages.ServerSuspected(
                     server=server.name, born=server.born
@@ -142,9 +150,7 @@
         restart from the list only.
         """
         server = self._discovery.directory.server_by_name.get(message.server)
-        if server is None or server.born != message.born:
-            return
-        if self._find_quota(server) >= _MIN_QUOTA:
+        if server is not None and server.born == message.born:
             self.note_failure(server, reported_by=router)
 
     def _note_ended(self, address: tuple[str, int]) -> None:
@@ -210,9 +216,11 @@
 
     def _probe(self, server: backend_server.BackendServer) -> None:
         """Connect, so that the suspicion ends also without a request."""
+        if self._is_listening(server):
+            self.note_connected(server, opened_at=time.monotonic())
+
+    def _is_listening(self, server: backend_server.BackendServer) -> bool:
         try:
-            is_listening = self._pool.is_listening(server.address)
+            return self._pool.is_listening(server.address)
         except connections.NotConnectedError:
-            return
-        if is_listening:
-            self.note_connected(server, opened_at=time.monotonic())
+            return False
--- a/packages/daisypick_router/src/daisypick_router/retry_policy.py
+++ b/packages/daisypick_router/src/daisypick_router/retry_policy.py
@@ -24,6 +24,9 @@
 # Seconds after which a caller may retry if no server was available; a server
 # that is being replaced is back within about that time.
 RETRY_AFTER = 0.4
+# A connection that broke within this time after something was received on it
+# worked a moment before.
+_FRESH_SECONDS = 0.1
 
 FailedTry = exchange.NotRun | exchange.Unknown | relay.Broken
 
@@ -97,6 +100,7 @@
 
     def note_sent(self, context: contexts.Context) -> None:
         """Record that a request is about to be sent to a server."""
+        context.received_at = 0.0
         if context.retry_allowed_at is not None:
             self._budget.note_sent(
                 context.service.name,
@@ -119,7 +123,12 @@
         is_blamed = not not_run or result.is_servers_fault
         if is_blamed and not caller_slow:
             if not not_run or result.server_down:
-                self._restarts.note_failure(server)
+                now = time.monotonic()
+                self._restarts.note_failure(
+                    server,
+                    is_fresh=not not_run
+                    and now < context.received_at + _FRESH_SECONDS,
+                )
             down = not_run and (result.server_down or result.misdirected)
             self.outcomes.note_failure(
                 server.name, time.monotonic(), certain=down
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -1,6 +1,7 @@
 """Requests of routers to cold servers, as the servers receive them."""
 
 import itertools
+import time
 
 import fakes
 import gevent
@@ -172,8 +173,8 @@
     long_one.join()
 
 
-def test_many_routers_are_not_limited_while_their_list_is_confirmed(store):
-    """Guards against a quota of none at servers that closed a connection."""
+def test_server_that_goes_on_listening_is_not_limited(store):
+    """Guards against a quota of none at a server that broke one stream."""
     for number in range(40):
         store.put(memberships.KIND, f"x-{number}", {"address": "127.0.0.1:1"})
     server = fakes.FakeServer("e-0", "assist", _break_some)
@@ -183,7 +184,9 @@
     fakes.wait_for(lambda: router.membership.is_counted, _WAIT_SECONDS)
     directory = router.discovery.directory
     fakes.wait_for(lambda: directory.find_ready("assist"), _WAIT_SECONDS)
-    _call(router, "break").join()
+    fakes.wait_for(lambda: not router.load.has_stalled(), _WAIT_SECONDS)
+    _call(router, "cut").join()
+    gevent.sleep(0.2)
     server.times.clear()
     assert _call(router, 1).get().status == 200
 
@@ -191,6 +194,10 @@
 def _break_some(server, connection, first, headers, body):
     if b"/break" in first:
         return "close"
+    if b"/cut" in first:
+        fakes.begin_stream(server, connection, headers)
+        fakes.send_events(connection, [1])
+        return "close"
     if b"/slow" not in first:
         return fakes.stream_five(server, connection, first, headers, body)
     fakes.begin_stream(server, connection, headers)
@@ -263,6 +270,20 @@
     assert router.sends.find_quota(known) == 0
 
 
+def test_stream_read_after_a_stand_still_does_not_hide_a_restart(store):
+    """Guards against a restart that happened while this process stood still."""
+    server = fakes.FakeServer("e-0", "assist", _break_some)
+    store.put("servers", "e-0", server.describe(Slots=500))
+    router = _start_counted(store)
+    directory = router.discovery.directory
+    fakes.wait_for(lambda: directory.find_ready("assist"), _WAIT_SECONDS)
+    router.load.record_lag(2.0, time.monotonic())
+    _call(router, "cut").join()
+    gevent.sleep(0.2)
+    (known,) = directory.find_ready("assist")
+    assert router.sends.restarts.is_suspected(known)
+
+
 def _find_quotas(routers, name):
     return sum(
         router.sends.find_quota(server)
