Reports of suspected servers do not depend on the reporter's list

Either list may be outdated, so a report counts for the instance that the receiver has listed. The test's routers list different instances now; with the comparison it failed (nothing learned). A suspicion is logged and reported once, not for each stream that broke with it.

--- a/packages/daisypick_router/src/daisypick_router/peer_messages.py
+++ b/packages/daisypick_router/src/daisypick_router/peer_messages.py
@@ -243,11 +243,9 @@
 
     Attributes:
         server: Its name.
-        born: Start time of the instance that the sender's list has.
     """
 
     server: str
-    born: int
 
 
 CrashMessage = CrashReports | CrashEnds | PartCrashes
--- a/packages/daisypick_router/src/daisypick_router/restarts.py
+++ b/packages/daisypick_router/src/daisypick_router/restarts.py
@@ -104,14 +104,14 @@
         )
         self._has_suspects.set()
         if is_fresh and not self._load.has_stalled():
-            gevent.spawn(self._check, server, since)
+            gevent.spawn(self._check, server, since, changed)
         elif changed:
             self._note_suspected(server, reported_by)
 
     def _check(
-        self, server: backend_server.BackendServer, since: float
+        self, server: backend_server.BackendServer, since: float, is_new: bool
     ) -> None:
-        """End the suspicion if the server has not ended."""
+        """End a suspicion, which may be new, if the server has not ended."""
         is_listening = self._is_listening(server)
         now = time.monotonic()
         if is_listening and self._suspicion.note_listening(
@@ -121,7 +121,8 @@
             return
         if is_listening:
             self.note_connected(server, opened_at=now)
-        self._note_suspected(server, None)
+        if is_new:
+            self._note_suspected(server, None)
 
     def _note_suspected(
         self, server: backend_server.BackendServer, reported_by: str | None
@@ -135,11 +136,7 @@
         )
         self._on_change([server.name])
         if reported_by is None:
-            self._send(
-                peer_messages.ServerSuspected(
-                    server=server.name, born=server.born
-                )
-            )
+            self._send(peer_messages.ServerSuspected(server=server.name))
 
     def receive(
         self, message: peer_messages.ServerSuspected, router: str
@@ -147,10 +144,11 @@
         """Take the report of another router.
 
         This one may have no connection to that server, and would learn of a
-        restart from the list only.
+        restart from the list only. The lists of the two may show different
+        instances; either may be outdated.
         """
         server = self._discovery.directory.server_by_name.get(message.server)
-        if server is not None and server.born == message.born:
+        if server is not None:
             self.note_failure(server, reported_by=router)
 
     def _note_ended(self, address: tuple[str, int]) -> None:
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -140,6 +140,10 @@
         _WAIT_SECONDS,
     )
     gevent.joinall([_call(first, number) for number in range(4)])
+    # Lists of the two show different instances.
+    directory = first.discovery.directory
+    (listed,) = directory.find_ready("assist")
+    directory.put(listed._replace(born=listed.born - 1))
     server.crash()
     _call(first, 10).join()
     restarts = second.sends.restarts
