Streams that break together on a sound server are checked once

Found by reading the change: each fresh failure of a server renews the suspicion, so only the last check could end it, and the first one reported the server to all routers though it had not ended. A new suspicion is now logged and reported once its last check has failed, or with the first failure that is not fresh.

--- a/packages/daisypick_core/src/daisypick_core/serving/restart_suspicion.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/restart_suspicion.py
@@ -149,6 +149,11 @@
             return 0.0
         return suspect.warm_at
 
+    def find_since(self, server: str) -> float | None:
+        """Return when a connection last failed, if a server is suspected."""
+        suspect = self._suspect_by_server.get(server)
+        return None if suspect is None else suspect.since
+
     def find_unconnected(self, most: int) -> list[str]:
         """Return suspected servers without a connection, longest ago first."""
         found = [
--- a/packages/daisypick_router/src/daisypick_router/restarts.py
+++ b/packages/daisypick_router/src/daisypick_router/restarts.py
@@ -58,6 +58,8 @@
         self._on_change = on_change
         self._suspicion = restart_suspicion.RestartSuspicion()
         self._has_suspects = event.Event()
+        # New suspicions that a check may end; not logged nor reported yet.
+        self._unchecked: set[str] = set()
         pool.on_ended = self._note_ended
 
     def start(self) -> None:
@@ -103,30 +105,40 @@
             is_reported=reported_by is not None,
         )
         self._has_suspects.set()
+        if changed:
+            self._unchecked.add(server.name)
         if is_fresh and not self._load.has_stalled():
-            gevent.spawn(self._check, server, since, changed)
-        elif changed:
+            gevent.spawn(self._check, server, since)
+        elif server.name in self._unchecked:
             self._note_suspected(server, reported_by)
 
     def _check(
-        self, server: backend_server.BackendServer, since: float, is_new: bool
+        self, server: backend_server.BackendServer, since: float
     ) -> None:
-        """End a suspicion, which may be new, if the server has not ended."""
+        """End the suspicion if the server has not ended.
+
+        If more of its connections broke meanwhile, the last check decides.
+        """
         is_listening = self._is_listening(server)
         now = time.monotonic()
         if is_listening and self._suspicion.note_listening(
             server.name, since=since, now=now
         ):
+            self._unchecked.discard(server.name)
             self._on_change([server.name])
             return
         if is_listening:
             self.note_connected(server, opened_at=now)
-        if is_new:
+        if (
+            server.name in self._unchecked
+            and self._suspicion.find_since(server.name) == since
+        ):
             self._note_suspected(server, None)
 
     def _note_suspected(
         self, server: backend_server.BackendServer, reported_by: str | None
     ) -> None:
+        self._unchecked.discard(server.name)
         self._log.write(
             "cold",
             "A server may have restarted; it counts as cold.",
@@ -206,6 +218,7 @@
             by_name = self._discovery.directory.server_by_name
             self._suspicion.expire(by_name, time.monotonic())
             if not len(self._suspicion):
+                self._unchecked.clear()
                 self._has_suspects.clear()
                 continue
             for name in self._suspicion.find_unconnected(_MAX_PROBED):
--- a/packages/daisypick_router/tests/test_cold_servers.py
+++ b/packages/daisypick_router/tests/test_cold_servers.py
@@ -288,6 +288,23 @@
     assert router.sends.restarts.is_suspected(known)
 
 
+def test_streams_that_break_together_are_not_reported_if_the_server_runs(store):
+    """Guards against reports of servers that only closed some connections."""
+    server = fakes.FakeServer("e-0", "assist", _break_some)
+    store.put("servers", "e-0", server.describe(Slots=500))
+    router = _start_counted(store)
+    directory = router.discovery.directory
+    fakes.wait_for(lambda: directory.find_ready("assist"), _WAIT_SECONDS)
+    fakes.wait_for(lambda: not router.load.has_stalled(), _WAIT_SECONDS)
+    sent = []
+    router.sends.restarts._send = sent.append
+    gevent.joinall([_call(router, f"cut-{number}") for number in range(5)])
+    gevent.sleep(0.3)
+    (known,) = directory.find_ready("assist")
+    assert not router.sends.restarts.is_suspected(known)
+    assert sent == []
+
+
 def _find_quotas(routers, name):
     return sum(
         router.sends.find_quota(server)
