--- a/packages/daisypick_lab/src/daisypick_lab/commands.py
+++ b/packages/daisypick_lab/src/daisypick_lab/commands.py
@@ -19,7 +19,7 @@
 EXIT_SUCCESS = 0
 EXIT_FAILURE = 1
 EXIT_USAGE = 2
-_DEPLOYMENTS = ("union", "kopacka")
+_DEPLOYMENTS = ("union", "studio")
 
 _SEED = helpers.option(
     "seed",
@@ -107,7 +107,7 @@
     options = [
         helpers.option(
             "deployment",
-            description="union or kopacka; default: both.",
+            description="union or studio; default: both.",
             flag=False,
             multiple=True,
         ),
--- a/packages/daisypick_lab/src/daisypick_lab/deployments.py
+++ b/packages/daisypick_lab/src/daisypick_lab/deployments.py
@@ -1,7 +1,7 @@
 """Size and load of embedded fleets: the demo and the reference deployments.
 
 Examples:
-    >>> [len(s.data_centres) for s in (DEMO, UNION, KOPACKA)]
+    >>> [len(s.data_centres) for s in (DEMO, UNION, STUDIO)]
     [2, 4, 3]
     >>> len(UNION.profiles), UNION.replicas, UNION.plain_replicas
     (16, 6, 4)
@@ -157,9 +157,9 @@
     leaving="plovdiv",
 )
 
-_KOPACKA_SERVICES = ("assistant", "ordering")
-KOPACKA = Deployment(
-    name="kopacka",
+_STUDIO_SERVICES = ("assistant", "ordering")
+STUDIO = Deployment(
+    name="studio",
     data_centres=("praha", "brno", "plzen"),
     routers=3,
     model_service="assistant",
@@ -169,9 +169,9 @@
     engine=_make_engine(4),
     profiles=_make_profiles(
         tuple(f"workshop-{number:02}" for number in range(1, 17)),
-        _KOPACKA_SERVICES,
+        _STUDIO_SERVICES,
     ),
     leaving="brno",
 )
 
-by_name = {deployment.name: deployment for deployment in (DEMO, UNION, KOPACKA)}
+by_name = {deployment.name: deployment for deployment in (DEMO, UNION, STUDIO)}
