Log lines do not grow with what callers send

What callers see: nothing by itself; it is part of a router that is ended for its memory.

Cause: a refused request is logged with its attempt id and host, which take up to HeaderBytes, escaped up to four times as much, and 2,000 lines may wait for an output that is not read.

Change: a text of a line has 1,000 characters at most and says how many there were. Its test had 50,000 characters in the line before.

--- a/packages/daisypick_router/src/daisypick_router/log.py
+++ b/packages/daisypick_router/src/daisypick_router/log.py
@@ -24,6 +24,8 @@
 # others report the state of the process. They are few and explain what happens
 # during a load spike, so only the size of the queue limits them.
 _REQUEST_PARTS = frozenset({"serve", "placing", "send"})
+# Texts may come from callers.
+_MAX_TEXT_LENGTH = 1000
 _FLUSH_SECONDS = 0.1
 _STDOUT = 1
 
@@ -63,7 +65,7 @@
             "process": self._process,
             "part": part,
             "say": text,
-            **fields,
+            **{name: _clip(value) for name, value in fields.items()},
         }
         self._lines.append(self._encoder.encode(line) + b"\n")
 
@@ -99,3 +101,9 @@
             self._unwritten = self._unwritten[written:]
             if self._unwritten:
                 return
+
+
+def _clip(value: typing.Any) -> typing.Any:
+    if isinstance(value, str) and len(value) > _MAX_TEXT_LENGTH:
+        return f"{value[:_MAX_TEXT_LENGTH]}... ({len(value)} characters)"
+    return value
--- a/packages/daisypick_router/tests/test_log.py
+++ b/packages/daisypick_router/tests/test_log.py
@@ -71,3 +71,12 @@
     assert len([line for line in lines if line["part"] == "process"]) == (
         30_000 - dropped
     )
+
+
+def test_long_text_is_clipped():
+    """Guards against lines as long as what a caller has sent."""
+    log = logs.Log(process="r")
+    log.write("serve", "Refused.", reason="x" * 50_000, id="a")
+    (line,) = _write_all(log)
+    assert len(line["reason"]) < 1100
+    assert line["id"] == "a"
