State kept under names that callers choose is bounded

What callers see: a router that is ended for its memory.

Cause: attempt ids, the attempt that a stream resumes, and the parts of a prompt are kept beyond their request (40,000 origins of streams, 8,192 keys of parts, the estimates of engines' prefix caches) and sent to the scheduler's host. Each may have up to HeaderBytes; 16 KB of parts are some thousand parts of 600 bytes of objects each, and a cache's estimate evicts by tokens, of which a part may have none.

An estimate remembers at most a part for each 128 tokens of its capacity.

--- a/packages/daisypick_core/src/daisypick_core/scheduling/prefix_cache.py
+++ b/packages/daisypick_core/src/daisypick_core/scheduling/prefix_cache.py
@@ -22,6 +22,11 @@
 
 from daisypick_core.scheduling import job
 
+# Smallest mean size of the parts that are remembered. Callers choose the parts
+# of their prompts, which may have no tokens at all.
+_MIN_MEAN_TOKENS = 128
+_MIN_PARTS = 256
+
 
 class PrefixCache:
     """Parts by name, least recently used first.
@@ -32,6 +37,7 @@
 
     def __init__(self, *, capacity: int) -> None:
         self._capacity = capacity
+        self._max_parts = max(_MIN_PARTS, capacity // _MIN_MEAN_TOKENS)
         self._tokens_by_part: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -120,13 +126,19 @@
                 continue
             self._cached -= self._tokens_by_part.pop(part.name, 0)
 
+    def _is_full(self) -> bool:
+        return (
+            self._cached + self.output_tokens > self._capacity
+            or len(self._tokens_by_part) > self._max_parts
+        )
+
     def _evict(self) -> None:
-        if self._cached + self.output_tokens <= self._capacity:
+        if not self._is_full():
             return
         for name in list(self._tokens_by_part):
             if name in self._references_by_part:
                 continue
             self._cached -= self._tokens_by_part.pop(name)
             self._prefilled.discard(name)
-            if self._cached + self.output_tokens <= self._capacity:
+            if not self._is_full():
                 return
--- a/packages/daisypick_core/tests/scheduling/test_prefix_cache.py
+++ b/packages/daisypick_core/tests/scheduling/test_prefix_cache.py
@@ -39,3 +39,15 @@
     cache.end([SYSTEM, TALK])
     cache.drop_unprefilled([SYSTEM, TALK])
     assert cache.count_cached([SYSTEM, TALK]) == 300
+
+
+def test_parts_without_tokens_are_bounded():
+    """Guards against parts that no limit of tokens evicts."""
+    cache = prefix_cache.PrefixCache(capacity=1000)
+    for number in range(2000):
+        parts = [job.Part(name=f"{number}", tokens=0)]
+        cache.begin(parts)
+        cache.mark_prefilled(parts)
+        cache.end(parts)
+    assert len(cache._tokens_by_part) <= 256
+    assert len(cache._prefilled) <= 256
