Callers' requests take as much memory as their bytes

What callers see: a router that is ended for its memory, with all requests on it: 877 MB of 128 for 60 bodies in chunks of two bytes, 266 MB for 800 heads of short lines whose bodies lack a byte.

Cause: what is kept is not what is counted. A header line of four bytes became a tuple and two values, a chunk of two bytes a value and an entry of a list; a head that comes in one piece was not counted at all; what a refused request had sent stayed until its connection was closed, and what it went on to send was collected too; a trailer was kept by the parser up to sixteen times the body.

Change: headers are kept in one block of the bytes of their lines, and names and values are made while they are looked at. Pieces of a body are collected in blocks of 16 KB; a body above 64 KB is sent from its blocks and not copied into one value. The reader's count has heads, complete requests and their objects; a handled request counts its decoded headers and handler besides. A refused request is dropped at once and what follows is not parsed. Bytes since the last one of the body (trailers, extensions) are bounded by HeaderBytes. The head for a server is not kept while the server works.

--- a/packages/daisypick_core/src/daisypick_core/quarantine/digest.py
+++ b/packages/daisypick_core/src/daisypick_core/quarantine/digest.py
@@ -19,6 +19,7 @@
     False
 """
 
+from collections.abc import Iterable
 import functools
 import hashlib
 
@@ -37,7 +38,7 @@
     host: str,
     target: bytes,
     organisation: str | None,
-    body: bytes,
+    body: bytes | Iterable[bytes],
 ) -> str:
     """Return the digest as hexadecimal text.
 
@@ -46,7 +47,8 @@
         host: Value of the Host header.
         target: Path and query.
         organisation: Organisation of the caller, ``None`` on public routes.
-        body: Complete body.
+        body: Complete body, or its parts in order; where they are divided makes
+            no difference.
     """
     hashed = hashlib.blake2b(digest_size=_DIGEST_BYTES)
     fields = (
@@ -54,11 +56,14 @@
         host.encode("latin-1", "replace"),
         target,
         (organisation or "").encode("latin-1", "replace"),
-        body,
     )
     for field in fields:
         hashed.update(b"%d:" % len(field))
         hashed.update(field)
+    parts = [body] if isinstance(body, bytes) else list(body)
+    hashed.update(b"%d:" % sum(map(len, parts)))
+    for part in parts:
+        hashed.update(part)
     return hashed.hexdigest()
 
 
--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -12,6 +12,7 @@
 
 from gevent import socket
 
+from daisypick_http import bodies
 from daisypick_http import messages
 from daisypick_http import progress as progress_module
 from daisypick_http import response_reader
@@ -201,7 +202,7 @@
         *,
         method: bytes,
         timeout: float,
-        body: bytes = b"",
+        body: bodies.Body = b"",
         bound: progress_module.ProgressBound | None = None,
     ) -> None:
         """Send a request and prepare to read its response.
@@ -221,7 +222,9 @@
         self.exchanges += 1
         self.open_until = 0.0
         self.reader = response_reader.ResponseReader(method=method)
-        parts = [data + body] if len(body) <= _COPY_BYTES else [data, body]
+        parts: list[bytes | bytearray] = [data, *bodies.iterate_blocks(body)]
+        if len(body) <= _COPY_BYTES:
+            parts = [b"".join(parts)]
         self._is_sent = False
         try:
             if bound is not None:
@@ -236,7 +239,7 @@
 
     def _send_paced(
         self,
-        parts: list[bytes],
+        parts: list[bytes | bytearray],
         timeout: float,
         bound: progress_module.ProgressBound,
     ) -> None:
--- a/packages/daisypick_http/src/daisypick_http/hold.py
+++ b/packages/daisypick_http/src/daisypick_http/hold.py
@@ -50,9 +50,15 @@
         """Record whether the head of a request is incomplete."""
 
     def begin_body(
-        self, headers: messages.Headers, size: int
+        self, head: messages.RequestHead, size: int
     ) -> Refusal | None:
-        """Count a body that begins to arrive, or refuse it."""
+        """Reserve the bytes that a body needs first, or refuse it."""
+
+    def extend_body(self, size: int) -> Refusal | None:
+        """Reserve the bytes that an arriving body needs now, or refuse it."""
+
+    def note_body(self, amount: int) -> None:
+        """Record how many bytes of an arriving body were received."""
 
     def end_body(self) -> None:
         """Record that a body is complete or was refused."""
--- a/packages/daisypick_http/src/daisypick_http/messages.py
+++ b/packages/daisypick_http/src/daisypick_http/messages.py
@@ -14,7 +14,10 @@
 from collections.abc import Iterable
 import typing
 
-Headers = tuple[tuple[bytes, bytes], ...]
+from daisypick_http import bodies
+from daisypick_http import header_block
+
+Headers = tuple[tuple[bytes, bytes], ...] | header_block.HeaderBlock
 
 # Hop-by-hop headers (RFC 9110, section 7.6.1), and the headers of the framing,
 # which each side sets for its own connection.
@@ -48,6 +51,20 @@
 }
 
 
+class RequestHead(typing.NamedTuple):
+    """The head of a request whose body has not arrived.
+
+    Attributes:
+        method: Method as received.
+        target: Path and query as received.
+        headers: Headers as received, in their order.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+
+
 class Request(typing.NamedTuple):
     """A complete request of a caller.
 
@@ -63,7 +80,7 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: bytes
+    body: bodies.Body
     keep_alive: bool
     began_at: float
 
@@ -77,6 +94,8 @@
 
 def find_header(headers: Headers, lower_name: bytes) -> bytes | None:
     """Return the first value of a header, or ``None``."""
+    if isinstance(headers, header_block.HeaderBlock):
+        return headers.find(lower_name)
     for name, value in headers:
         if name.lower() == lower_name:
             return value
@@ -100,17 +119,12 @@
 
     Headers listed in ``Connection`` are hop-by-hop too.
     """
-    named = {
-        token.strip().lower()
-        for name, value in headers
-        if name.lower() == b"connection"
-        for token in value.split(b",")
-    }
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in HOP_BY_HOP_NAMES and name.lower() not in named
-    )
+    pairs = list(headers)
+    dropped = set(HOP_BY_HOP_NAMES)
+    for name, value in pairs:
+        if name.lower() == b"connection":
+            dropped.update(token.strip().lower() for token in value.split(b","))
+    return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
 
 
 def _write_lines(
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -128,6 +128,7 @@
             header_bytes=limits().header_bytes,
             body_bytes=limits().body_bytes,
             begin_body=self.hold.begin_body,
+            extend_body=self.hold.extend_body,
         )
         self.closing = False
         self._aborted = False
@@ -149,6 +150,11 @@
             and not reader.requests
         )
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request is queued or handled."""
+        return self._handler is not None
+
     def run(self) -> None:
         """Serve the connection until either end closes it."""
         self._socket.setsockopt(
@@ -201,16 +207,20 @@
         reader.set_limits(
             header_bytes=limits.header_bytes, body_bytes=limits.body_bytes
         )
-        if self.closing and reader.refusal is not None:
+        if self.closing and (reader.refusal is not None or reader.requests):
             return True
         reader.feed(data, time.monotonic())
         self._note_received(reader, len(data))
+        self._serve_received(reader)
+        return True
+
+    def _serve_received(self, reader: request_reader.RequestReader) -> None:
         if self.closing and self._handler is None:
-            return True
+            return
         if reader.expects_continue and not reader.refusal:
             reader.expects_continue = False
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        return self._serve_requests(reader)
+        self._serve_requests(reader)
 
     def _note_end(self, reason: str) -> None:
         if not self._aborted:
@@ -225,7 +235,9 @@
         if not reader.in_body or reader.refusal is not None:
             self._body_progress = None
             self.hold.end_body()
-        elif self._pace is not None:
+            return
+        self.hold.note_body(reader.body_bytes)
+        if self._pace is not None:
             if self._body_progress is None:
                 self._body_progress = progress_module.Progress(
                     self._pace.body, time.monotonic()
@@ -235,18 +247,17 @@
     def _count_request(self) -> None:
         self.hold.set_request(self._request_bytes + self._reader.held_bytes)
 
-    def _serve_requests(self, reader: request_reader.RequestReader) -> bool:
+    def _serve_requests(self, reader: request_reader.RequestReader) -> None:
         while reader.requests and not self._aborted:
             if self._handler is not None:
                 self._handler.join()
             if self.closing or self._aborted:
                 break
-            self._start(reader.requests.pop(0))
+            self._start(reader.take())
         if reader.refusal is not None and not self.closing:
             if self._handler is not None:
                 self._handler.join()
             self.reject(reader.refusal)
-        return True
 
     def reject(self, refusal: request_reader.Refusal) -> None:
         """Respond to bytes that are not an acceptable request, and close."""
@@ -260,15 +271,30 @@
         )
 
     def reject_incomplete(self, refusal: request_reader.Refusal) -> None:
-        """Reject a request whose head is still incomplete."""
-        if not self._reader.in_head or self._handler is not None:
-            return
-        if self.closing:
+        """Reject a request that is still incomplete.
+
+        What was received of it is dropped at once, the response is sent by a
+        greenlet of its own.
+        """
+        reader = self._reader
+        is_incomplete = reader.in_head or reader.in_body
+        if not is_incomplete or self._handler is not None or self.closing:
             return
-        self._reader.refusal = refusal
+        self._drop_incomplete(refusal)
+        gevent.spawn(self._reject_quietly, refusal)
+
+    def _reject_quietly(self, refusal: request_reader.Refusal) -> None:
         # The caller may have closed the connection.
         with contextlib.suppress(OSError):
-            self.reject(refusal)
+            if not self.closing:
+                self.reject(refusal)
+
+    def _drop_incomplete(self, refusal: request_reader.Refusal) -> None:
+        self._reader.refuse(refusal)
+        self._body_progress = None
+        self.hold.note_head(incomplete=False)
+        self.hold.end_body()
+        self._count_request()
 
     def _next_timeout(self, reader: request_reader.RequestReader) -> float:
         now = time.monotonic()
@@ -293,15 +319,11 @@
         ):
             return True
         if reader.began_at is not None:
-            self._body_progress = None
-            self.hold.end_body()
-            self.reject(
-                request_reader.Refusal(
-                    status=408, reason="request came too slowly"
-                )
+            refusal = request_reader.Refusal(
+                status=408, reason="request came too slowly"
             )
-            # What still arrives of it is not kept.
-            reader.refusal = request_reader.Refusal(status=408, reason="")
+            self._drop_incomplete(refusal)
+            self.reject(refusal)
             return True
         self.close_idle()
         if not self.closing:
@@ -315,8 +337,9 @@
         self.response_completed = False
         self._method = request.method
         self._pending_request = request
-        self._request_bytes = len(request.body)
+        self._request_bytes = request_reader.find_running_size(request)
         self._count_request()
+        self.hold.note_head(incomplete=self._reader.in_head)
         self._on_idle(self, False)
         self._handler = gevent.Greenlet(self._run_handler, request)
         self._begin(self._handler, request)
@@ -362,6 +385,7 @@
             self._writer.discard()
         elif self._writer is not None:
             self._writer.fail(OSError(reason))
+        self._drop_incomplete(request_reader.Refusal(status=503, reason=reason))
         self.abort()
 
     def abort(self) -> None:
--- a/packages/daisypick_http/tests/test_request_reader.py
+++ b/packages/daisypick_http/tests/test_request_reader.py
@@ -1,5 +1,7 @@
 """A caller's bytes must not become part of another request."""
 
+import tracemalloc
+
 import pytest
 
 from daisypick_http import request_reader
@@ -150,3 +152,61 @@
     reader = _read(_CHUNKED, *([b"1\r\na\r\n"] * 99), b"0\r\n\r\n")
     (request,) = reader.requests
     assert request.body == b"a" * 100
+
+
+_CHUNKED_HEAD = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+_TINY = b"GET / HTTP/1.1\r\nHost:h\r\n\r\n"
+
+
+def _feed_all(data, piece, reader=None):
+    reader = reader or request_reader.RequestReader(
+        header_bytes=16_384, body_bytes=1 << 20
+    )
+    for at in range(0, len(data), piece):
+        reader.feed(data[at : at + piece], 1.0)
+    return reader
+
+
+@pytest.mark.parametrize("piece", [65_536, 700])
+@pytest.mark.parametrize(
+    "data",
+    [
+        _HEAD + b"a:\r\n" * 3500,
+        _HEAD + b"n:" + b"v" * 14_000,
+        _HEAD + b"Content-Length: 9\r\n" + b"ab:c\r\n" * 2300 + b"\r\n12345678",
+        _CHUNKED_HEAD + b"1\r\nx\r\n" * 100_000,
+        _CHUNKED_HEAD + b"2\r\nxx\r\n" * 100_000,
+        _CHUNKED_HEAD + (b"ea60\r\n" + b"x" * 60_000 + b"\r\n") * 15,
+        _HEAD + b"Content-Length: 900001\r\n\r\n" + b"x" * 900_000,
+        _TINY * 2000,
+    ],
+)
+def test_count_follows_what_is_kept(data, piece):
+    """Guards against bytes that take more memory than is counted for them."""
+    tracemalloc.start()
+    try:
+        reader = _feed_all(data, piece)
+        kept, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert reader.refusal is None
+    assert kept < 1.3 * reader.held_bytes + 16_384
+
+
+def test_refused_request_is_dropped_at_once():
+    """Guards against memory of refused requests while callers stay."""
+    for data in (_CHUNKED_HEAD + b"x", _HEAD + b"a:\r\n" * 5000):
+        assert _feed_all(data, 700).held_bytes < 2048
+    reader = _read(_CHUNKED_HEAD, b"4\r\nbody\r\n")
+    reader.refuse(request_reader.Refusal(status=408, reason="slow"))
+    reader.feed(b"4\r\nbody\r\n", 2.0)
+    assert reader.held_bytes < 2048
+
+
+def test_trailers_are_bounded_like_a_head():
+    """Guards against a trailer that the parser keeps until it is complete."""
+    reader = _feed_all(_CHUNKED_HEAD + b"4\r\nbody\r\n" * 5000, 65_536)
+    reader.feed(b"0\r\nt: ", 1.0)
+    for _ in range(20):
+        reader.feed(b"v" * 1000, 1.0)
+    assert reader.refusal.status == 431
--- a/packages/daisypick_router/src/daisypick_router/context.py
+++ b/packages/daisypick_router/src/daisypick_router/context.py
@@ -7,6 +7,7 @@
 from daisypick_core.serving import fleet_configuration
 from daisypick_core.serving import route_table
 from daisypick_core.serving import stream_origins
+from daisypick_http import bodies
 from daisypick_http import messages
 from daisypick_platform import request_headers
 
@@ -130,7 +131,7 @@
                 host=self.caller_headers.host,
                 target=self.request.target,
                 organisation=self.organisation,
-                body=self.request.body,
+                body=bodies.iterate_blocks(self.request.body),
             )
         return self._digest
 
--- a/packages/daisypick_router/src/daisypick_router/exchange.py
+++ b/packages/daisypick_router/src/daisypick_router/exchange.py
@@ -170,24 +170,12 @@
 ) -> Outcome:
     request = context.request
     now = time.monotonic()
-    head = messages.write_request_head(
-        method=request.method,
-        target=request.target,
-        headers=request_headers.write_for_server(
-            request_headers.filter_for_server(request.headers),
-            seconds_left=context.deadline - now,
-            server=server.name,
-            organisation=context.organisation,
-            last_event=last_event,
-            copy_from=copy_from,
-        ),
-        length=len(request.body),
-    )
     try:
         context.is_sent = True
         try:
+            # The head is not kept while the server works on the request.
             connection.send(
-                head,
+                _write_head(context, server, now, last_event, copy_from),
                 method=request.method,
                 timeout=_SEND_TIMEOUT_SECONDS
                 if bound is None
@@ -209,6 +197,29 @@
         return Unknown(reason=str(error), timed_out=True)
 
 
+def _write_head(
+    context: contexts.Context,
+    server: backend_server.BackendServer,
+    now: float,
+    last_event: int | None,
+    copy_from: tuple[str, int] | None,
+) -> bytes:
+    request = context.request
+    return messages.write_request_head(
+        method=request.method,
+        target=request.target,
+        headers=request_headers.write_for_server(
+            request_headers.filter_for_server(request.headers),
+            seconds_left=context.deadline - now,
+            server=server.name,
+            organisation=context.organisation,
+            last_event=last_event,
+            copy_from=copy_from,
+        ),
+        length=len(request.body),
+    )
+
+
 def _read_head(
     connection: connections.Connection,
     context: contexts.Context,
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -293,13 +293,13 @@
         self._held.note_head(self, incomplete=incomplete)
 
     def begin_body(
-        self, headers: messages.Headers, size: int
+        self, head: messages.RequestHead, size: int
     ) -> holds.Refusal | None:
         """See the base class."""
         if not self.holder.bytes_by_kind:
             self._held.ledger.assign(
                 self.holder,
-                organisation=self._held.find_organisation(headers),
+                organisation=self._held.find_organisation(head.headers),
             )
         return self._held.begin_body(self, size)
 
