Heads of short lines are accepted up to HeaderBytes

What callers see: 431 for a legal head of 15 KB in a limit of 16 KB, which callers do not repeat.

Cause: each line was counted with four bytes beside its name and value, for a colon, a space and the end of the line; the space need not be sent.

--- a/packages/daisypick_http/src/daisypick_http/request_reader.py
+++ b/packages/daisypick_http/src/daisypick_http/request_reader.py
@@ -269,8 +269,7 @@
             return
         headers = self._headers
         self._head_size = len(self._target) + headers.size
-        size = self._head_size + sum(1 for _ in headers)
-        if size > self._header_bytes:
+        if self._head_size > self._header_bytes:
             self._reject(431, f"head exceeds {self._header_bytes} bytes")
         length = headers.find(b"content-length")
         if length and int(length) > self._body_bytes:
--- a/packages/daisypick_http/tests/test_request_reader.py
+++ b/packages/daisypick_http/tests/test_request_reader.py
@@ -203,6 +203,13 @@
     assert reader.held_bytes < 2048
 
 
+def test_head_of_short_lines_is_accepted_up_to_the_limit():
+    """Guards against bytes that are counted though they were not sent."""
+    head = _HEAD + b"a:\r\n" * ((16_384 - len(_HEAD) - 2) // 4) + b"\r\n"
+    assert _feed_all(head, 65_536).refusal is None
+    assert _feed_all(head, 700).refusal is None
+
+
 def test_trailers_are_bounded_like_a_head():
     """Guards against a trailer that the parser keeps until it is complete."""
     reader = _feed_all(_CHUNKED_HEAD + b"4\r\nbody\r\n" * 5000, 65_536)
