Bodies are admitted by what they may still bring

What callers see: a router that is ended for its memory as bodies that it admitted go on, and 503 for all others as long as those stay.

Cause: a body was admitted against the bytes held at that moment. 128 bodies of one organisation, 512 in all, each of BodyBytes, were admitted before the first of them brought anything. Whose a body is was not found if its head came in two pieces. Bodies with unknown keys were read to their end, to be refused then.

Change: the bytes of an admitted body are reserved and count until they have arrived or the body ends: all of a body of known length, 16 KB of a chunked one and twice as much each time it needs more. Bodies above 16 KB are admitted up to 0.8 of the soft limit, those of one organisation up to 0.64 of it, so that small requests and responses have room beside any number of them. A body that does not fit takes the place of one that has made no progress for a second: the one that has stopped for the longest time is refused with 408, and its bytes are dropped at once. A large body whose head alone decides that it is refused (no route, unknown key) is refused before it is read; a small one is read, so that its connection can be used again. Log lines name the caller's address and what is reserved; a bound has 100 lines in ten seconds. A metric names the five organisations that hold most.

--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -18,20 +18,26 @@
 """
 
 import collections
+import heapq
 
 # Kinds of held bytes.
 REQUEST = "request"
 RESPONSE = "response"
 STREAM = "stream"
-KINDS = (REQUEST, RESPONSE, STREAM)
+# What admitted bodies may still bring.
+ARRIVING = "arriving"
+KINDS = (REQUEST, RESPONSE, STREAM, ARRIVING)
 
 # Shares of the memory of the process that held bytes may take. A router of the
 # largest fleet needs some 60 MB for itself, and the smallest VM has 200 MB.
 _SOFT_SHARE = 0.45
 _HARD_SHARE = 0.58
 # Share of the soft limit that the bytes of one organisation may take before
-# only its callers get less.
+# only its callers get less, and its large bodies are refused.
 _ORGANISATION_SHARE = 0.8
+# Share of the soft limit up to which large bodies are admitted. The rest is for
+# small requests and for responses.
+_BODY_SHARE = 0.8
 # A caller may have this part of the free bytes in flight. All callers together
 # thus approach the soft limit without reaching it.
 _CALLER_PART = 8
@@ -46,12 +52,15 @@
 # callers that read, and for what others are reading at the same moment.
 _STEP_SHARE = 0.9
 # Bodies up to this size are accepted above the soft limit too.
-_SMALL_BODY_BYTES = 16_384
+SMALL_BODY_BYTES = 16_384
 # Bodies that may be arriving at once, in total and from one organisation. They
 # are bounded by count too, since a body that does not arrive holds a descriptor
 # but few bytes.
 _MAX_ARRIVING = 512
 _MAX_ARRIVING_BY_ORGANISATION = 128
+# An arriving body without a byte for this time yields to another one that
+# does not fit.
+_STALLED_SECONDS = 1.0
 
 
 class Holder:
@@ -65,6 +74,7 @@
         opened_at: When the holder was opened.
         progressed_at: When bytes were last taken from it.
         granted: Bytes that it may have although its limit is lower.
+        reserved: Bytes of its arriving body that it may have.
     """
 
     __slots__ = (
@@ -76,6 +86,7 @@
         "organisation",
         "progressed_at",
         "protected",
+        "reserved",
         "server",
     )
 
@@ -86,6 +97,7 @@
         self.ended = False
         self.arriving: str | None = None
         self.granted = 0
+        self.reserved = 0
         self.opened_at = now
         self.progressed_at = now
         self.bytes_by_kind: dict[str, int] = {}
@@ -100,7 +112,7 @@
     """The ledger of a router.
 
     Attributes:
-        total: Bytes that are held now.
+        total: Bytes that are held now, or reserved for admitted bodies.
         peak: The highest total so far.
         soft_limit: Bytes above which large bodies and whole responses are
             refused.
@@ -126,7 +138,10 @@
         self._arriving_by_organisation: collections.Counter[str] = (
             collections.Counter()
         )
-        self._arriving = 0
+        # Holders of arriving bodies in the order of their last progress.
+        self._arriving: collections.OrderedDict[Holder, None] = (
+            collections.OrderedDict()
+        )
         self.set_memory(memory_bytes)
 
     def set_memory(self, memory_bytes: int) -> None:
@@ -153,6 +168,12 @@
         """Return the bytes that are held for an organisation."""
         return self._bytes_by_organisation.get(organisation, 0)
 
+    def find_largest(self, count: int) -> list[tuple[str, int]]:
+        """Return the organisations that hold most, and their bytes."""
+        return heapq.nlargest(
+            count, self._bytes_by_organisation.items(), key=lambda item: item[1]
+        )
+
     def set(self, holder: Holder, kind: str, amount: int, now: float) -> None:
         """Set the bytes of a kind; fewer than before are progress."""
         change = amount - holder.bytes_by_kind.get(kind, 0)
@@ -223,23 +244,91 @@
         for kind in list(holder.bytes_by_kind):
             self.set(holder, kind, 0, now)
 
-    def begin_arrival(self, holder: Holder, size: int) -> str | None:
-        """Count a body that begins to arrive.
+    def begin_arrival(
+        self, holder: Holder, size: int, now: float
+    ) -> str | None:
+        """Reserve the bytes of a body that begins to arrive.
+
+        Args:
+            holder: Who holds it.
+            size: Its size, or the first bytes of one of unknown size.
+            now: The time.
 
         Returns:
             Why the body is refused, or ``None``.
         """
-        if size > _SMALL_BODY_BYTES and self.total + size > self.soft_limit:
-            return "memory of the router is in use"
         organisation = holder.organisation
-        arriving = self._arriving_by_organisation[organisation]
+        arriving = self._arriving_by_organisation.get(organisation, 0)
+        reason = self._find_refusal(holder, size, size)
+        if reason is not None:
+            return reason
         if arriving >= _MAX_ARRIVING_BY_ORGANISATION:
             return "too many bodies of the organisation are arriving"
-        if self._arriving >= _MAX_ARRIVING:
+        if len(self._arriving) >= _MAX_ARRIVING:
             return "too many bodies are arriving"
         holder.arriving = organisation
-        self._arriving += 1
+        holder.reserved = size
+        self._arriving[holder] = None
         self._arriving_by_organisation[organisation] += 1
+        holder.progressed_at = now
+        self.set(holder, ARRIVING, size, now)
+        return None
+
+    def extend_arrival(
+        self, holder: Holder, size: int, now: float
+    ) -> str | None:
+        """Reserve more bytes for an arriving body of unknown size.
+
+        Returns:
+            Why the body is refused, or ``None``.
+        """
+        more = size - holder.reserved
+        reason = self._find_refusal(holder, size, more)
+        if reason is not None:
+            return reason
+        holder.reserved = size
+        left = holder.bytes_by_kind.get(ARRIVING, 0)
+        self.set(holder, ARRIVING, left + more, now)
+        return None
+
+    def _find_refusal(self, holder: Holder, size: int, more: int) -> str | None:
+        """Return why a body may not have ``more`` bytes, or ``None``."""
+        total = self.total + more
+        if size <= SMALL_BODY_BYTES:
+            is_full = total > self.hard_limit
+            return "memory of the router is in use" if is_full else None
+        if total > self.soft_limit * _BODY_SHARE:
+            return "memory of the router is in use"
+        used = self.find_organisation_bytes(holder.organisation) + more
+        if used > self.soft_limit * _BODY_SHARE * _ORGANISATION_SHARE:
+            return "the organisation's share of the memory is in use"
+        return None
+
+    def note_arrived(self, holder: Holder, amount: int, now: float) -> None:
+        """Record how much of an arriving body has been received."""
+        if holder.arriving is None:
+            return
+        holder.progressed_at = now
+        self._arriving.move_to_end(holder)
+        self.set(holder, ARRIVING, max(holder.reserved - amount, 0), now)
+
+    def find_stalled(self, holder: Holder | None, now: float) -> Holder | None:
+        """Return the arriving body that yields to another one, if any does.
+
+        It is the one without progress for the longest time. Where the
+        organisation of ``holder`` has too many, it is one of that
+        organisation.
+        """
+        organisation = None if holder is None else holder.organisation
+        arriving = self._arriving_by_organisation.get(organisation, 0)
+        only_own = arriving >= _MAX_ARRIVING_BY_ORGANISATION
+        for other in self._arriving:
+            if now - other.progressed_at < _STALLED_SECONDS:
+                return None
+            if other is not holder and (
+                not only_own or other.arriving == organisation
+            ):
+                return other
         return None
 
     def end_arrival(self, holder: Holder) -> None:
@@ -248,10 +337,12 @@
         if organisation is None:
             return
         holder.arriving = None
-        self._arriving -= 1
+        holder.reserved = 0
+        self._arriving.pop(holder, None)
         self._arriving_by_organisation[organisation] -= 1
         if not self._arriving_by_organisation[organisation]:
             del self._arriving_by_organisation[organisation]
+        self.set(holder, ARRIVING, 0, holder.progressed_at)
 
     def find_caller_limit(self, holder: Holder, waited: float = 0.0) -> float:
         """Return the bytes that may be in flight to a holder's caller.
--- a/packages/daisypick_core/tests/serving/test_held_bytes.py
+++ b/packages/daisypick_core/tests/serving/test_held_bytes.py
@@ -121,3 +121,67 @@
     capacity = server_capacity.ServerCapacity()
     capacity.note_sent("d-1", 4 * _MEGABYTE)
     assert not capacity.note_crash("d-1", 1.0)
+
+
+def _arrive(held, organisation, size, now):
+    holder = held.open(now)
+    held.assign(holder, organisation=organisation)
+    return holder, held.begin_arrival(holder, size, now)
+
+
+def test_bodies_are_admitted_by_what_they_may_still_bring():
+    """Guards against bodies that are admitted together and all go on."""
+    held = held_bytes.HeldBytes(memory_bytes=100 * _MEGABYTE)
+    admitted = []
+    for number in range(40):
+        holder, reason = _arrive(held, f"o-{number}", 4 * _MEGABYTE, 0.0)
+        if reason is None:
+            admitted.append(holder)
+    assert 4 * len(admitted) * _MEGABYTE <= held.soft_limit
+    assert len(admitted) >= 8
+    for holder in admitted:
+        for amount in range(0, 4 * _MEGABYTE, 65_536):
+            held.note_arrived(holder, amount, 1.0)
+            held.set(holder, held_bytes.REQUEST, amount, 1.0)
+            assert held.total <= held.soft_limit
+    for holder in admitted:
+        held.close(holder, 2.0)
+    assert held.total == 0
+
+
+def test_body_of_unknown_size_is_refused_once_it_does_not_fit():
+    """Guards against a body that grows beyond what was reserved for it."""
+    held = held_bytes.HeldBytes(memory_bytes=10 * _MEGABYTE)
+    holder, reason = _arrive(held, "farm", 16_384, 0.0)
+    size = 16_384
+    while reason is None:
+        size *= 2
+        reason = held.extend_arrival(holder, size, 0.0)
+    assert size <= held.soft_limit
+    assert held.total == size // 2
+
+
+def test_small_bodies_of_others_fit_beside_those_of_one_organisation():
+    """Guards against one organisation's bodies refusing those of others."""
+    held = held_bytes.HeldBytes(memory_bytes=100 * _MEGABYTE)
+    while _arrive(held, "crowd", _MEGABYTE, 0.0)[1] is None:
+        pass
+    assert _arrive(held, "other", _MEGABYTE, 0.0)[1] is None
+    while _arrive(held, "many", 200_000, 0.0)[1] is None:
+        pass
+    assert _arrive(held, "other", 16_000, 0.0)[1] is None
+
+
+def test_body_without_progress_yields_to_another():
+    """Guards against stopped bodies that keep their memory from others."""
+    held = held_bytes.HeldBytes(memory_bytes=100 * _MEGABYTE)
+    stopped = [_arrive(held, "crowd", 10_000, 0.0)[0] for _ in range(3)]
+    held.note_arrived(stopped[0], 9_000, 2.0)
+    new = held.open(2.5)
+    held.assign(new, organisation="other")
+    assert held.find_stalled(new, 0.5) is None
+    assert held.find_stalled(new, 2.5) is stopped[1]
+    held.close(stopped[1], 2.5)
+    held.close(stopped[2], 2.5)
+    assert held.find_stalled(new, 2.5) is None
+    assert held.find_stalled(new, 3.5) is stopped[0]
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -1,8 +1,10 @@
 """Counts the bytes of callers' requests and applies the limits of the ledger.
 
-Each caller's connection has a ``CallerHold``. Above the hard limit connections
-are ended at once, until the ledger is below it. A request that must not be cut
-at its server loses only its caller: the handler goes on without keeping bytes.
+Each caller's connection has a ``CallerHold``. A body is admitted only if there
+is room for all that it may bring; if there is none, bodies that make no
+progress yield to it. Above the hard limit connections are ended at once, until
+the ledger is below it. A request that must not be cut at its server loses only
+its caller: the handler goes on without keeping bytes.
 
 See Also:
     daisypick_core.serving.held_bytes: the limits and who is ended.
@@ -14,8 +16,6 @@
 import contextlib
 import time
 
-import gevent
-
 from daisypick_core.results import codes
 from daisypick_core.results import failure
 from daisypick_core.serving import backend_server
@@ -26,6 +26,7 @@
 from daisypick_http import progress
 from daisypick_http import server as http_server
 from daisypick_router import context as contexts
+from daisypick_router import line_limit
 from daisypick_router import log as logs
 from daisypick_router import metrics as metric_numbers
 from daisypick_router import refusals
@@ -43,6 +44,10 @@
 _RETRY_AFTER = 0.4
 # Heads that may be incomplete at once. Usual heads arrive in one piece.
 _MAX_HEADS = 256
+# Log lines about each bound in ten seconds.
+_MAX_LINES = 100
+# Organisations that the metrics name.
+_NAMED_ORGANISATIONS = 5
 
 
 class Sending:
@@ -64,6 +69,10 @@
         capacity: Bytes in flight to backend servers.
         pace: Progress asked of callers; ``None`` where callers and servers are
             not expected to be slow.
+        find_organisation: Returns the owner of the API key in some headers,
+            empty without one.
+        refuse_head: Returns why a request is refused whatever its body is, or
+            ``None``.
     """
 
     def __init__(
@@ -72,6 +81,7 @@
         memory_bytes: int,
         pace: holds.Pace | None,
         find_organisation: Callable[[messages.Headers], str],
+        refuse_head: Callable[[messages.RequestHead], failure.Failure | None],
         log: logs.Log,
         metrics: metric_numbers.Metrics,
     ) -> None:
@@ -79,8 +89,10 @@
         self.capacity = server_capacity.ServerCapacity()
         self.pace = pace
         self.find_organisation = find_organisation
+        self.refuse_head = refuse_head
         self._log = log
         self._metrics = metrics
+        self._lines = line_limit.LineLimit(most=_MAX_LINES)
         self._hold_by_holder: dict[held_bytes.Holder, CallerHold] = {}
         # Connections with an incomplete head, the oldest first.
         self._heads: collections.OrderedDict[CallerHold, None] = (
@@ -92,9 +104,13 @@
         """Progress with which a backend server is to read a request."""
         return _SERVER_BOUND if self.pace is not None else None
 
-    def open(self) -> "CallerHold":
-        """Return the hold of a new connection."""
-        hold = CallerHold(held=self)
+    def open(self, *, caller: str) -> "CallerHold":
+        """Return the hold of a new connection.
+
+        Args:
+            caller: IP address of the caller.
+        """
+        hold = CallerHold(held=self, caller=caller)
         self._hold_by_holder[hold.holder] = hold
         return hold
 
@@ -114,23 +130,50 @@
             return
         oldest, _ = self._heads.popitem(last=False)
         self._note("head", oldest)
-        refusal = holds.Refusal(status=408, reason="too many incomplete heads")
-        gevent.spawn(oldest.connection.reject_incomplete, refusal)
+        oldest.connection.reject_incomplete(
+            holds.Refusal(status=408, reason="too many incomplete heads")
+        )
+
+    def _reject_stalled(self, hold: "CallerHold", reason: str) -> bool:
+        """Reject a body without progress in favour of a hold, if there is one.
+
+        Its bytes are free at once.
+        """
+        stalled = self.ledger.find_stalled(hold.holder, time.monotonic())
+        if stalled is None:
+            return False
+        other = self._hold_by_holder[stalled]
+        self._note("stalled", other, reason=reason)
+        other.connection.reject_incomplete(
+            holds.Refusal(status=408, reason="request came too slowly")
+        )
+        self.ledger.end_arrival(stalled)
+        return True
 
     def begin_body(self, hold: "CallerHold", size: int) -> holds.Refusal | None:
-        """Count a body that begins to arrive, or refuse it."""
+        """Reserve the first bytes of a body, or refuse it."""
         self.ledger.end_arrival(hold.holder)
-        reason = self.ledger.begin_arrival(hold.holder, size)
+        return self._reserve(hold, size, self.ledger.begin_arrival)
+
+    def extend_body(
+        self, hold: "CallerHold", size: int
+    ) -> holds.Refusal | None:
+        """Reserve more bytes for an arriving body, or refuse it."""
+        return self._reserve(hold, size, self.ledger.extend_arrival)
+
+    def _reserve(
+        self,
+        hold: "CallerHold",
+        size: int,
+        reserve: Callable[[held_bytes.Holder, int, float], str | None],
+    ) -> holds.Refusal | None:
+        reason = reserve(hold.holder, size, time.monotonic())
+        while reason is not None and self._reject_stalled(hold, reason):
+            reason = reserve(hold.holder, size, time.monotonic())
         if reason is None:
             return None
         self._note("body", hold, reason=reason, size=size)
-        refused = _refuse(reason)
-        return holds.Refusal(
-            status=refused.code.status,
-            reason=reason,
-            headers=tuple(refusals.write_headers(refused)),
-            body=refusals.write_body(refused),
-        )
+        return write_refusal(_refuse(reason))
 
     def refuse_whole(
         self, connection: http_server.CallerConnection
@@ -165,24 +208,33 @@
         hold.connection.drop(reason, keep_handler=holder.protected)
 
     def _note(self, bound: str, hold: "CallerHold", **fields: object) -> None:
-        """Count and log a decision."""
+        """Count and log a decision about a connection."""
         now = time.monotonic()
         holder = hold.holder
-        self._metrics.count("held_bounds_total", bound=bound)
-        self._log.write(
-            "held",
-            "A bound of held bytes is met.",
-            bound=bound,
+        self._note_bound(
+            bound,
+            caller=hold.caller,
             organisation=holder.organisation,
             server=holder.server,
             protected=holder.protected,
             bytes=holder.bytes,
+            reserved=holder.reserved,
             without_progress=round(now - holder.progressed_at, 3),
             age=round(now - holder.opened_at, 3),
-            total=self.ledger.total,
             **fields,
         )
 
+    def _note_bound(self, bound: str, **fields: object) -> None:
+        self._metrics.count("held_bounds_total", bound=bound)
+        if self._lines.allows(bound):
+            self._log.write(
+                "held",
+                "A bound of held bytes is met.",
+                bound=bound,
+                total=self.ledger.total,
+                **fields,
+            )
+
     def allows(
         self, context: contexts.Context, server: backend_server.BackendServer
     ) -> bool:
@@ -252,6 +304,11 @@
         for kind, amount in ledger.bytes_by_kind.items():
             self._metrics.set_gauge("held_bytes", amount, kind=kind)
         self._metrics.set_gauge("held_bytes_peak", ledger.peak)
+        self._metrics.clear_gauge("held_bytes_by_organisation")
+        for name, amount in ledger.find_largest(_NAMED_ORGANISATIONS):
+            self._metrics.set_gauge(
+                "held_bytes_by_organisation", amount, organisation=name
+            )
         self._metrics.set_gauge(
             "held_bytes_share", ledger.total / ledger.hard_limit
         )
@@ -263,6 +320,16 @@
     return f"{ip}:{port}"
 
 
+def write_refusal(refused: failure.Failure) -> holds.Refusal:
+    """Return the response to a request that is refused."""
+    return holds.Refusal(
+        status=refused.code.status,
+        reason=refused.reason,
+        headers=tuple(refusals.write_headers(refused)),
+        body=refusals.write_body(refused),
+    )
+
+
 def _refuse(reason: str) -> failure.Failure:
     return failure.Failure(
         code=codes.MEMORY_IN_USE, reason=reason, retry_after=_RETRY_AFTER
@@ -275,18 +342,22 @@
     Attributes:
         holder: Its entry in the ledger.
         connection: The connection; set once it exists.
+        caller: IP address of the caller.
         is_ended: Whether its caller's connection was ended.
     """
 
     connection: http_server.CallerConnection
 
-    def __init__(self, *, held: HeldRequests) -> None:
+    def __init__(self, *, held: HeldRequests, caller: str) -> None:
         self._held = held
+        self.caller = caller
         self.holder = held.ledger.open(time.monotonic())
         self.is_ended = False
         self._kind = held_bytes.RESPONSE
         self._waiting = 0
         self._buffered = 0
+        # Head of the arriving body, until it was examined.
+        self._head: messages.RequestHead | None = None
 
     def note_head(self, *, incomplete: bool) -> None:
         """See the base class."""
@@ -296,15 +367,38 @@
         self, head: messages.RequestHead, size: int
     ) -> holds.Refusal | None:
         """See the base class."""
-        if not self.holder.bytes_by_kind:
+        if not self.connection.has_request:
             self._held.ledger.assign(
                 self.holder,
                 organisation=self._held.find_organisation(head.headers),
             )
-        return self._held.begin_body(self, size)
+        self._head = head
+        return self._refuse_head(size) or self._held.begin_body(self, size)
+
+    def extend_body(self, size: int) -> holds.Refusal | None:
+        """See the base class."""
+        return self._refuse_head(size) or self._held.extend_body(self, size)
+
+    def _refuse_head(self, size: int) -> holds.Refusal | None:
+        """Refuse a large body at once if its head decides that.
+
+        The response to a small one is sent once it has arrived, after which
+        the connection can be used again.
+        """
+        head = self._head
+        if size <= held_bytes.SMALL_BODY_BYTES or head is None:
+            return None
+        self._head = None
+        refused = self._held.refuse_head(head)
+        return None if refused is None else write_refusal(refused)
+
+    def note_body(self, amount: int) -> None:
+        """See the base class."""
+        self._held.ledger.note_arrived(self.holder, amount, time.monotonic())
 
     def end_body(self) -> None:
         """See the base class."""
+        self._head = None
         self._held.ledger.end_arrival(self.holder)
 
     def set_request(self, amount: int) -> None:
--- a/packages/daisypick_router/src/daisypick_router/metrics.py
+++ b/packages/daisypick_router/src/daisypick_router/metrics.py
@@ -37,6 +37,11 @@
         """Set a gauge."""
         self._value_by_key[(name, tuple(sorted(labels.items())))] = value
 
+    def clear_gauge(self, name: str) -> None:
+        """Remove a gauge with all its labels."""
+        for key in [key for key in self._value_by_key if key[0] == name]:
+            del self._value_by_key[key]
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Add a duration to a histogram."""
         key = (name, tuple(sorted(labels.items())))
@@ -76,5 +81,11 @@
 def _format_labels(labels: tuple[tuple[str, str], ...]) -> str:
     if not labels:
         return ""
-    inner = ",".join(f'{name}="{value}"' for name, value in labels)
+    inner = ",".join(
+        f'{name}="{_escape_label(value)}"' for name, value in labels
+    )
     return "{" + inner + "}"
+
+
+def _escape_label(value: str) -> str:
+    return value.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -174,6 +174,7 @@
             memory_bytes=settings.memory_bytes,
             pace=held_requests.PACE if settings.slow_peers else None,
             find_organisation=self._find_organisation,
+            refuse_head=lambda head: self.serving.refuse_head(head),
             log=self.log,
             metrics=self.metrics,
         )
@@ -414,8 +415,7 @@
         return owner.name if owner is not None else ""
 
     def _serve_caller(self, socket, address) -> None:  # noqa: ANN001
-        del address
-        hold = self.held.open()
+        hold = self.held.open(caller=address[0])
         connection = http_server.CallerConnection(
             socket=socket,
             handle=self.serving.handle,
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -222,9 +222,38 @@
         found = identify.identify(
             request, self._discovery.configuration, self._rng
         )
+        if failure.is_failure(found):
+            return self._check_confirmed(found)
+        return found
+
+    def refuse_head(self, head: messages.RequestHead) -> failure.Failure | None:
+        """Return the refusal of a request whose body has not arrived.
+
+        ``None`` if it depends on more than the head.
+        """
+        configuration = self._discovery.configuration
+        if configuration is None:
+            return None
+        found = identify.refuse_head(head, configuration)
+        if found is None:
+            return None
+        refusal = self._check_confirmed(found)
+        self._metrics.count("refusals_total", code=str(refusal.code.number))
+        self._log.write(
+            "serve",
+            f"{refusal.code.title}.",
+            id=request_headers.read_caller(head.headers).attempt,
+            code=refusal.code.number,
+            status=refusal.code.status,
+            reason=refusal.reason,
+            stage="head",
+        )
+        return refusal
+
+    def _check_confirmed(self, found: failure.Failure) -> failure.Failure:
+        """Return the failure, or one to retry if a newer copy may differ."""
         if (
-            failure.is_failure(found)
-            and found.code in (codes.NO_ROUTE, codes.UNAUTHENTICATED)
+            found.code in (codes.NO_ROUTE, codes.UNAUTHENTICATED)
             and not self._discovery.is_configuration_confirmed
         ):
             return failure.Failure(
--- a/packages/daisypick_router/tests/test_slow_callers.py
+++ b/packages/daisypick_router/tests/test_slow_callers.py
@@ -232,3 +232,42 @@
     assert b'"ran": "no"' in answer.body
     assert server.requests == []
     assert fakes.call(router, "/look/1").status == 200
+
+
+def _begin_body(router, size, **headers):
+    caller = fakes.connect(router)
+    caller.sendall(
+        fakes.write_request("/look/1", **headers).replace(
+            b"Content-Length: 4\r\n\r\nbody",
+            b"Content-Length: %d\r\n\r\n" % size,
+        )
+    )
+    return caller
+
+
+def test_large_body_with_an_unknown_key_is_refused_by_its_head(store):
+    """Guards against memory for requests that no configuration allows."""
+    router = _serve(store, fakes.FakeServer("d-1", "desk", fakes.answer_ok))
+    with _begin_body(router, 2_000_000, key="unknown") as caller:
+        assert fakes.read_answer(caller).status == 401
+    assert router.held.ledger.peak < 100_000
+
+
+def test_stopped_bodies_yield_to_one_that_goes_on(store):
+    """Guards against callers that stop and keep the memory from others."""
+    server = fakes.FakeServer("d-1", "desk", fakes.answer_ok)
+    router = _serve(store, server, memory_bytes=30_000_000)
+    stopped = [_begin_body(router, 2_000_000) for _ in range(8)]
+    fakes.wait_for(
+        lambda: _count(router, "held_bounds_total", bound="body") > 0
+    )
+    gevent.sleep(1.1)
+    with _begin_body(router, 2_000_000) as caller:
+        caller.sendall(b"x" * 2_000_000)
+        assert fakes.read_answer(caller).status == 200
+    assert _count(router, "held_bounds_total", bound="stalled") > 0
+    statuses = {fakes.read_answer(caller).status for caller in stopped[:1]}
+    assert statuses == {408}
+    for caller in stopped:
+        caller.close()
+    fakes.wait_for(lambda: router.held.ledger.total == 0)
