Bytes of ended connections count until they are freed

What callers see: a router that is ended for its memory while it ends connections.

Cause: above the hard limit a connection's bytes left the count at once, and its memory only when the event loop had run its greenlet. Others were admitted in that moment.

Evidence: the ledger's new test; not seen apart in a crowd.

Change: the bytes of an ended connection stay in the count, and are not counted again when the next one to end is chosen, until its greenlet has freed them. What an incomplete request has kept is freed at once.

--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -75,6 +75,7 @@
         progressed_at: When bytes were last taken from it.
         granted: Bytes that it may have although its limit is lower.
         reserved: Bytes of its arriving body that it may have.
+        leaves: Whether it was ended and its bytes are about to be freed.
     """
 
     __slots__ = (
@@ -82,6 +83,7 @@
         "bytes_by_kind",
         "ended",
         "granted",
+        "leaves",
         "opened_at",
         "organisation",
         "progressed_at",
@@ -98,6 +100,7 @@
         self.arriving: str | None = None
         self.granted = 0
         self.reserved = 0
+        self.leaves = False
         self.opened_at = now
         self.progressed_at = now
         self.bytes_by_kind: dict[str, int] = {}
@@ -113,6 +116,8 @@
 
     Attributes:
         total: Bytes that are held now, or reserved for admitted bodies.
+        leaving: Those of them whose holders were ended, which are freed as soon
+            as the event loop has run their greenlets.
         peak: The highest total so far.
         soft_limit: Bytes above which large bodies and whole responses are
             refused.
@@ -128,6 +133,7 @@
             memory_bytes: Memory of the process; zero for no limits.
         """
         self.total = 0
+        self.leaving = 0
         self.peak = 0
         self.bytes_by_kind = dict.fromkeys(KINDS, 0)
         self.bytes_by_server: dict[str, int] = {}
@@ -158,7 +164,7 @@
     @property
     def is_above_hard(self) -> bool:
         """Whether holders are to be ended."""
-        return self.total > self.hard_limit
+        return self.total - self.leaving > self.hard_limit
 
     def open(self, now: float) -> Holder:
         """Return a holder without bytes."""
@@ -186,6 +192,8 @@
             holder.bytes_by_kind.pop(kind, None)
         self.bytes_by_kind[kind] += change
         self.total += change
+        if holder.leaves:
+            self.leaving += change
         self.peak = max(self.peak, self.total)
         self._count(holder, 1)
         # A body that arrives is progress of its caller, too.
@@ -244,6 +252,15 @@
         for kind in list(holder.bytes_by_kind):
             self.set(holder, kind, 0, now)
 
+    def note_leaving(self, holder: Holder) -> None:
+        """Record that a holder was ended and its bytes are about to be freed.
+
+        They count until then, so that nothing else takes their place before.
+        """
+        if not holder.leaves:
+            holder.leaves = True
+            self.leaving += holder.bytes
+
     def begin_arrival(
         self, holder: Holder, size: int, now: float
     ) -> str | None:
--- a/packages/daisypick_core/tests/serving/test_held_bytes.py
+++ b/packages/daisypick_core/tests/serving/test_held_bytes.py
@@ -185,3 +185,17 @@
     held.close(stopped[2], 2.5)
     assert held.find_stalled(new, 2.5) is None
     assert held.find_stalled(new, 3.5) is stopped[0]
+
+
+def test_bytes_of_an_ended_holder_count_until_they_are_freed():
+    """Guards against memory that is given away before it is free."""
+    held = held_bytes.HeldBytes(memory_bytes=100 * _MEGABYTE)
+    for _ in range(4):
+        _hold(held, "crowd", 18 * _MEGABYTE, 0.0)
+    ended = held.choose_end()
+    held.note_leaving(ended)
+    assert not held.is_above_hard
+    assert held.total == 72 * _MEGABYTE
+    assert _arrive(held, "other", _MEGABYTE, 0.0)[1] is not None
+    held.close(ended, 1.0)
+    assert (held.total, held.leaving) == (54 * _MEGABYTE, 0)
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -204,7 +204,7 @@
             self.ledger.set(holder, held_bytes.RESPONSE, 0, now)
             self.ledger.set(holder, held_bytes.STREAM, 0, now)
         else:
-            self.ledger.close(holder, now)
+            self.ledger.note_leaving(holder)
         hold.connection.drop(reason, keep_handler=holder.protected)
 
     def _note(self, bound: str, hold: "CallerHold", **fields: object) -> None:
@@ -304,6 +304,7 @@
         for kind, amount in ledger.bytes_by_kind.items():
             self._metrics.set_gauge("held_bytes", amount, kind=kind)
         self._metrics.set_gauge("held_bytes_peak", ledger.peak)
+        self._metrics.set_gauge("held_bytes_leaving", ledger.leaving)
         self._metrics.clear_gauge("held_bytes_by_organisation")
         for name, amount in ledger.find_largest(_NAMED_ORGANISATIONS):
             self._metrics.set_gauge(
