Clients cannot take all descriptors of a router

What callers see: no new connection is accepted: 4,419 descriptors of 4,096 are in use, by clients that send nothing, or begin a head and stop.

Cause: above a share of MaxFds only idle connections were closed, each of them kept its descriptor for another second, and none was closed that had begun a request.

Change: callers' connections and those to servers have nine tenths of MaxFds, and as many as a fifth of the memory holds, at 16 KB each beside 512 that the process has room for. They count towards the limits of held bytes. For a new connection beyond, the one that loses least is ended: one that this side has closed, then the oldest incomplete head, then a body without progress. Otherwise the new one is refused with 503 and Retry-After before it is read. New connections to servers leave the last tenth to the store and other routers; their requests are refused as not run.

--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -61,6 +61,12 @@
 # An arriving body without a byte for this time yields to another one that
 # does not fit.
 _STALLED_SECONDS = 1.0
+# Memory of an open connection, and the number of connections that the rest of
+# the memory has room for.
+_CONNECTION_BYTES = 16_384
+_FREE_CONNECTIONS = 512
+# Share of the memory that all other connections may take.
+_CONNECTION_SHARE = 0.2
 
 
 class Holder:
@@ -118,10 +124,12 @@
         total: Bytes that are held now, or reserved for admitted bodies.
         leaving: Those of them whose holders were ended, which are freed as soon
             as the event loop has run their greenlets.
+        connections: Number of open connections.
         peak: The highest total so far.
         soft_limit: Bytes above which large bodies and whole responses are
             refused.
         hard_limit: Bytes above which holders are ended.
+        max_connections: Number of connections that may be open.
         bytes_by_kind: Bytes by kind.
         bytes_by_server: Bytes of requests by the server that has them.
     """
@@ -135,6 +143,7 @@
         self.total = 0
         self.leaving = 0
         self.peak = 0
+        self.connections = 0
         self.bytes_by_kind = dict.fromkeys(KINDS, 0)
         self.bytes_by_server: dict[str, int] = {}
         # Holders with bytes, by organisation, in the order of their last
@@ -155,16 +164,27 @@
         memory = float(memory_bytes) if memory_bytes else float("inf")
         self.soft_limit = memory * _SOFT_SHARE
         self.hard_limit = memory * _HARD_SHARE
+        self.max_connections = _FREE_CONNECTIONS + (
+            memory * _CONNECTION_SHARE / _CONNECTION_BYTES
+        )
 
     @property
     def is_above_soft(self) -> bool:
         """Whether large bodies and whole responses are to be refused."""
-        return self.total > self.soft_limit
+        return self.total > self._find_soft_limit()
 
     @property
     def is_above_hard(self) -> bool:
         """Whether holders are to be ended."""
-        return self.total - self.leaving > self.hard_limit
+        kept = self.total - self.leaving + self._find_connection_bytes()
+        return kept > self.hard_limit
+
+    def _find_connection_bytes(self) -> int:
+        extra = max(self.connections - _FREE_CONNECTIONS, 0)
+        return extra * _CONNECTION_BYTES
+
+    def _find_soft_limit(self) -> float:
+        return self.soft_limit - self._find_connection_bytes()
 
     def open(self, now: float) -> Holder:
         """Return a holder without bytes."""
@@ -312,9 +332,9 @@
         """Return why a body may not have ``more`` bytes, or ``None``."""
         total = self.total + more
         if size <= SMALL_BODY_BYTES:
-            is_full = total > self.hard_limit
+            is_full = total + self._find_connection_bytes() > self.hard_limit
             return "memory of the router is in use" if is_full else None
-        if total > self.soft_limit * _BODY_SHARE:
+        if total > self._find_soft_limit() * _BODY_SHARE:
             return "memory of the router is in use"
         used = self.find_organisation_bytes(holder.organisation) + more
         if used > self.soft_limit * _BODY_SHARE * _ORGANISATION_SHARE:
@@ -369,12 +389,13 @@
             waited: Seconds for which its server has not been read since the
                 limit is reached.
         """
-        has_room = self.total < self.soft_limit * _STEP_SHARE
+        soft_limit = self._find_soft_limit()
+        has_room = self.total < soft_limit * _STEP_SHARE
         if waited >= _MAX_UNREAD_SECONDS and has_room:
             holder.granted = holder.bytes + _STEP_BYTES
         free = min(
-            self.soft_limit - self.total,
-            self.soft_limit * _ORGANISATION_SHARE
+            soft_limit - self.total,
+            soft_limit * _ORGANISATION_SHARE
             - self.find_organisation_bytes(holder.organisation),
         )
         limit = max(free / _CALLER_PART, _MIN_CALLER_BYTES)
--- a/packages/daisypick_core/tests/serving/test_held_bytes.py
+++ b/packages/daisypick_core/tests/serving/test_held_bytes.py
@@ -199,3 +199,13 @@
     assert _arrive(held, "other", _MEGABYTE, 0.0)[1] is not None
     held.close(ended, 1.0)
     assert (held.total, held.leaving) == (54 * _MEGABYTE, 0)
+
+
+def test_connections_take_their_part_of_the_memory():
+    """Guards against limits that add up to more than the memory."""
+    held = held_bytes.HeldBytes(memory_bytes=100 * _MEGABYTE)
+    _hold(held, "crowd", 40 * _MEGABYTE, 0.0)
+    assert not held.is_above_soft
+    held.connections = int(held.max_connections)
+    assert held.is_above_soft
+    assert held.choose_end() is not None
--- a/packages/daisypick_http/src/daisypick_http/pool.py
+++ b/packages/daisypick_http/src/daisypick_http/pool.py
@@ -31,6 +31,7 @@
         connect_timeout: float,
         keepalive_timeout: int | None = None,
         receive_bytes: int | None = None,
+        may_open: Callable[[], bool] = lambda: True,
     ) -> None:
         """Create an empty pool.
 
@@ -38,7 +39,10 @@
             connect_timeout: See ``Connection``.
             keepalive_timeout: See ``Connection``.
             receive_bytes: See ``Connection``.
+            may_open: Returns whether a file descriptor may be used for a new
+                connection.
         """
+        self._may_open = may_open
         self._receive_bytes = receive_bytes
         self._connect_timeout = connect_timeout
         self._silence_limit = keepalive_timeout
@@ -83,7 +87,15 @@
         self.opened += 1
         return connection
 
+    def count_idle(self) -> int:
+        """Return the number of idle connections."""
+        return sum(map(len, self._idle_by_address.values()))
+
     def _open(self, address: tuple[str, int]) -> connections.Connection:
+        if not self._may_open():
+            raise connections.NoDescriptorsError(
+                "too many connections are open"
+            )
         return connections.Connection(
             address=address,
             connect_timeout=self._connect_timeout,
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -62,9 +62,10 @@
     greenlet of its own, which ``begin(greenlet, request)`` starts, immediately
     or later. ``on_drop(request, reason)`` is called for each complete request
     that was not handled before the connection ended,
-    ``on_idle(connection, idle)`` at each request's start and end, and
-    ``on_error(error)`` for an error that ``handle`` raised, other than those of
-    the caller's connection; the connection is then aborted.
+    ``on_idle(connection, idle)`` at each request's start and end,
+    ``on_closing(connection)`` when this side is closed, and ``on_error(error)``
+    for an error that ``handle`` raised, other than those of the caller's
+    connection; the connection is then aborted.
 
     Attributes:
         idle_since: Monotonic time at which the connection last became idle.
@@ -88,6 +89,7 @@
         ),
         on_drop: Callable[[messages.Request, str], None] | None = None,
         on_idle: Callable[["CallerConnection", bool], None] | None = None,
+        on_closing: Callable[["CallerConnection"], None] | None = None,
         on_error: Callable[[Exception], None] | None = None,
         hold: holds.Hold | None = None,
         pace: holds.Pace | None = None,
@@ -113,6 +115,7 @@
         self._begin = begin or _start_immediately
         self._on_drop = on_drop or _do_nothing
         self._on_idle = on_idle or _do_nothing
+        self._on_closing = on_closing or _do_nothing
         self._on_error = on_error or _do_nothing
         self._pending_request: messages.Request | None = None
         self._handle = handle
@@ -440,6 +443,7 @@
         if self.closing:
             return
         self.closing = True
+        self._on_closing(self)
         self.idle_since = time.monotonic()
         try:
             self._socket.shutdown(plain_socket.SHUT_WR)
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 import contextlib
+import socket as plain_socket
 import time
 
 from daisypick_core.results import codes
@@ -112,6 +113,7 @@
         """
         hold = CallerHold(held=self, caller=caller)
         self._hold_by_holder[hold.holder] = hold
+        self.ledger.connections = len(self._hold_by_holder)
         return hold
 
     def forget(self, hold: "CallerHold") -> None:
@@ -119,6 +121,7 @@
         self._heads.pop(hold, None)
         self.ledger.close(hold.holder, time.monotonic())
         self._hold_by_holder.pop(hold.holder, None)
+        self.ledger.connections = len(self._hold_by_holder)
 
     def note_head(self, hold: "CallerHold", *, incomplete: bool) -> None:
         """Bound the number of incomplete heads; the oldest one is rejected."""
@@ -134,6 +137,49 @@
             holds.Refusal(status=408, reason="too many incomplete heads")
         )
 
+    def has_room(self, connections: int, max_connections: int) -> bool:
+        """Return whether one more connection may be open.
+
+        Args:
+            connections: Number of connections that are open.
+            max_connections: Number that the file descriptors allow.
+        """
+        return connections < min(max_connections, self.ledger.max_connections)
+
+    def end_incomplete(self, reason: str) -> bool:
+        """End the connection of the request that loses least, if there is one.
+
+        That is the oldest incomplete head, then the body that has made no
+        progress for the longest time.
+        """
+        if self._heads:
+            hold, _ = self._heads.popitem(last=False)
+        else:
+            stalled = self.ledger.find_stalled(None, time.monotonic())
+            if stalled is None:
+                return False
+            hold = self._hold_by_holder[stalled]
+        self._note("connections", hold, reason=reason)
+        hold.connection.drop(reason, keep_handler=False)
+        return True
+
+    def refuse_connection(
+        self, socket: plain_socket.socket, *, caller: str
+    ) -> None:
+        """Refuse a new connection before any request is read from it."""
+        reason = "too many connections are open"
+        self._note_bound("connections", caller=caller, reason=reason)
+        refused = _refuse(reason)
+        headers = [*refusals.write_headers(refused), (b"Connection", b"close")]
+        body = refusals.write_body(refused)
+        headers.append((b"Content-Length", b"%d" % len(body)))
+        head = messages.write_head(status=refused.code.status, headers=headers)
+        # The caller may have closed the connection.
+        with contextlib.suppress(OSError):
+            socket.settimeout(0.0)
+            socket.send(head + body)
+        socket.close()
+
     def _reject_stalled(self, hold: "CallerHold", reason: str) -> bool:
         """Reject a body without progress in favour of a hold, if there is one.
 
@@ -232,6 +278,7 @@
                 "A bound of held bytes is met.",
                 bound=bound,
                 total=self.ledger.total,
+                connections=self.ledger.connections,
                 **fields,
             )
 
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -1,5 +1,6 @@
 """The router process: creates, starts and stops its components."""
 
+import collections
 from collections.abc import Collection
 import gc
 import random
@@ -71,6 +72,11 @@
 # Fraction of the file descriptors for callers' connections. Each request needs
 # another one for its server; the store and the other routers need some too.
 _CALLER_CONNECTION_FRACTION = 0.45
+# Fraction of the file descriptors for connections of callers, closing ones
+# included, and to backend servers. The rest is for the store and other routers.
+_CONNECTION_FRACTION = 0.9
+# Fraction above which connections to backend servers are counted.
+_COUNTED_FRACTION = 0.45
 _HOUSEKEEPING_SECONDS = 1.0
 # The platform removes a VM after two readiness checks one second apart; until
 # then new connections still arrive.
@@ -106,6 +112,7 @@
             receive_bytes=_SERVER_RECEIVE_BYTES
             if settings.slow_peers
             else None,
+            may_open=self._may_open,
         )
         self._cold_quotas = cold_quotas.ColdQuotas()
         self._budget = retry_budget.RetryBudget(
@@ -315,11 +322,15 @@
             rng=rng,
         )
         self._connections: dict[http_server.CallerConnection, None] = {}
+        # All connections of callers with a descriptor, and those of them that
+        # this side has closed, the first one first.
+        self._open_callers: set[http_server.CallerConnection] = set()
+        self._closing_callers: collections.OrderedDict[
+            http_server.CallerConnection, None
+        ] = collections.OrderedDict()
         self._idle = idle_connections.IdleConnections()
         self._idle_closed = 0
-        self._max_connections = int(
-            settings.most_files * _CALLER_CONNECTION_FRACTION
-        )
+        self._set_max_files(settings.most_files)
         self._listeners: list[gevent_server.StreamServer] = []
         self._settings_watch = settings_watch.SettingsWatch(
             settings=settings, log=self.log, on_change=self.apply_settings
@@ -415,6 +426,9 @@
         return owner.name if owner is not None else ""
 
     def _serve_caller(self, socket, address) -> None:  # noqa: ANN001
+        if not self._make_room():
+            self.held.refuse_connection(socket, caller=address[0])
+            return
         hold = self.held.open(caller=address[0])
         connection = http_server.CallerConnection(
             socket=socket,
@@ -426,11 +440,13 @@
             begin=self._intake.add,
             on_drop=self.serving.note_dropped,
             on_idle=self._idle.note,
+            on_closing=self._note_closing,
             hold=hold,
             pace=self.held.pace,
         )
         hold.connection = connection
         self._connections[connection] = None
+        self._open_callers.add(connection)
         self._idle.note(connection, True)
         if len(self._connections) > self._max_connections:
             self._close_idle()
@@ -438,8 +454,36 @@
             connection.run()
         finally:
             self._connections.pop(connection, None)
+            self._open_callers.discard(connection)
+            self._closing_callers.pop(connection, None)
             self._idle.note(connection, False)
 
+    def _make_room(self) -> bool:
+        """Return whether the connection of a new caller may stay open.
+
+        If too many are open, the one that loses least is ended: one that is
+        closing, then the oldest incomplete head, then a body that makes no
+        progress.
+        """
+        if self.held.has_room(len(self._open_callers), self._max_open):
+            return True
+        self._close_idle()
+        if self._closing_callers:
+            connection, _ = self._closing_callers.popitem(last=False)
+            connection.abort()
+            return True
+        return self.held.end_incomplete("too many connections are open")
+
+    def _may_open(self) -> bool:
+        """Return whether there is a descriptor for a backend server."""
+        used = len(self._open_callers) + self.serving.running
+        if used < self._max_uncounted:
+            return True
+        return used + self._pool.count_idle() < self._max_open
+
+    def _note_closing(self, connection: http_server.CallerConnection) -> None:
+        self._closing_callers[connection] = None
+
     def _close_idle(self) -> None:
         closed = self._idle.close_oldest()
         for connection in closed:
@@ -571,9 +615,12 @@
             window_seconds=bounds.retry_window_seconds,
             extra=bounds.retry_extra,
         )
-        self._max_connections = int(
-            settings.most_files * _CALLER_CONNECTION_FRACTION
-        )
+        self._set_max_files(settings.most_files)
+
+    def _set_max_files(self, max_files: int) -> None:
+        self._max_connections = int(max_files * _CALLER_CONNECTION_FRACTION)
+        self._max_open = int(max_files * _CONNECTION_FRACTION)
+        self._max_uncounted = int(max_files * _COUNTED_FRACTION)
 
     def begin_stop(self) -> None:
         """Start a graceful stop; ``stopped`` is set when it has finished."""
