What the kernel receives from callers is bounded

What callers see: a router whose VM ends it, as bytes that were received and not read count: 242 MB of 128 for 100 large bodies in pieces of 700 bytes.

Cause: the kernel's receive buffers grow to 6 MB each while a busy router does not read.

Evidence: the listed tests of large bodies, which fail by the sum of resident and unread bytes.

Change: a tenth of MemoryMb is divided by the open connections, for 32 to 256 KB each. Connections that are not accepted yet have the least.

--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -93,13 +93,16 @@
         on_error: Callable[[Exception], None] | None = None,
         hold: holds.Hold | None = None,
         pace: holds.Pace | None = None,
+        receive_bytes: int = 0,
     ) -> None:
         """Create the server side of a connection.
 
         With a ``pace``, bytes that the caller does not read wait here while
         the handler goes on, up to the limit of ``hold``, and bodies and
         responses are bounded by their progress instead of a time for the whole.
+        ``receive_bytes`` are what the kernel receives without their being read.
         """
+        self._receive_bytes = receive_bytes
         self.hold = hold or holds.Hold()
         self._pace = pace
         self._body_progress: progress_module.Progress | None = None
@@ -247,8 +250,17 @@
                 )
             self._body_progress.note(amount)
 
-    def _count_request(self) -> None:
-        self.hold.set_request(self._request_bytes + self._reader.held_bytes)
+    def _count_request(self, *, is_read: bool = True) -> None:
+        """Count the bytes of requests.
+
+        Args:
+            is_read: Whether the connection is being read. If not, what the
+                kernel may receive on it counts too.
+        """
+        unread = 0 if is_read else self._receive_bytes
+        self.hold.set_request(
+            self._request_bytes + self._reader.held_bytes + unread
+        )
 
     def _serve_requests(self, reader: request_reader.RequestReader) -> None:
         while reader.requests and not self._aborted:
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -77,6 +77,12 @@
 _CONNECTION_FRACTION = 0.9
 # Fraction above which connections to backend servers are counted.
 _COUNTED_FRACTION = 0.45
+# Share of the memory for bytes that the kernel has received from callers and
+# that were not read. It is divided by the open connections. The kernel doubles
+# the size that is set.
+_RECEIVE_SHARE = 0.1
+_MIN_RECEIVE_BYTES = 32_768
+_MAX_RECEIVE_BYTES = 262_144
 _HOUSEKEEPING_SECONDS = 1.0
 # The platform removes a VM after two readiness checks one second apart; until
 # then new connections still arrive.
@@ -376,7 +382,13 @@
         self._intake.start()
         self._settings_watch.start()
         loops.spawn(self._run_housekeeping)
-        self._listen(self.settings.caller_address, self._serve_caller)
+        self._listen(
+            self.settings.caller_address,
+            self._serve_caller,
+            receive_bytes=_MIN_RECEIVE_BYTES // 2
+            if self.settings.memory_bytes
+            else None,
+        )
         self._listen(self.settings.ready_address, self._serve_platform)
         self._listen(
             (self.settings.ip, self.settings.peer_port), self.peer_host.serve
@@ -386,8 +398,18 @@
             self._serve_platform,
         )
 
-    def _listen(self, address: tuple[str, int], handle) -> None:  # noqa: ANN001
+    def _listen(
+        self,
+        address: tuple[str, int],
+        handle,  # noqa: ANN001
+        *,
+        receive_bytes: int | None = None,
+    ) -> None:
         listener = plain_socket.socket()
+        if receive_bytes is not None:
+            listener.setsockopt(
+                plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, receive_bytes
+            )
         listener.setsockopt(
             plain_socket.SOL_SOCKET, plain_socket.SO_REUSEADDR, 1
         )
@@ -429,6 +451,7 @@
         if not self._make_room():
             self.held.refuse_connection(socket, caller=address[0])
             return
+        receive_bytes = self._bound_receive_buffer(socket)
         hold = self.held.open(caller=address[0])
         connection = http_server.CallerConnection(
             socket=socket,
@@ -443,6 +466,7 @@
             on_closing=self._note_closing,
             hold=hold,
             pace=self.held.pace,
+            receive_bytes=receive_bytes,
         )
         hold.connection = connection
         self._connections[connection] = None
@@ -484,6 +508,22 @@
     def _note_closing(self, connection: http_server.CallerConnection) -> None:
         self._closing_callers[connection] = None
 
+    def _bound_receive_buffer(self, socket: plain_socket.socket) -> int:
+        """Divide what the kernel may receive in advance by the connections.
+
+        Returns:
+            The bytes that it may receive of this one; zero without a bound.
+        """
+        if not self.settings.memory_bytes:
+            return 0
+        share = self.settings.memory_bytes * _RECEIVE_SHARE
+        size = int(share / (len(self._open_callers) + 1))
+        size = min(max(size, _MIN_RECEIVE_BYTES), _MAX_RECEIVE_BYTES)
+        socket.setsockopt(
+            plain_socket.SOL_SOCKET, plain_socket.SO_RCVBUF, size // 2
+        )
+        return size
+
     def _close_idle(self) -> None:
         closed = self._idle.close_oldest()
         for connection in closed:
