Requests that wait behind a running one are bounded

What callers see: a router that is ended for its memory: 306 MB of 128 for 300 clients that send a megabyte of small requests at once.

Cause: 64 KB of requests were parsed at once, some 2,400 of them; none of them was counted.

Change: parsing stops at 16 KB of complete requests until one is taken, 4 KB are read beside a running request, and a caller that has more than 16 KB unread behind a running request gets 503 with Retry-After for the requests after that one, and its connection is closed.

--- a/packages/daisypick_http/src/daisypick_http/connection.py
+++ b/packages/daisypick_http/src/daisypick_http/connection.py
@@ -63,7 +63,9 @@
     probed.setsockopt(tcp, plain_socket.TCP_USER_TIMEOUT, seconds * 1000)
 
 
-def receive(connected: socket.socket, timeout: float) -> bytes:
+def receive(
+    connected: socket.socket, timeout: float, most: int = _RECEIVE_BYTES
+) -> bytes:
     """Return the next bytes, or none after the peer closed the connection.
 
     The event loop takes a bounded number of events from the kernel per
@@ -77,11 +79,11 @@
     """
     try:
         connected.settimeout(max(timeout, _MIN_TIMEOUT_SECONDS))
-        return connected.recv(_RECEIVE_BYTES)
+        return connected.recv(most)
     except TimeoutError:
         connected.settimeout(0.0)
         try:
-            return connected.recv(_RECEIVE_BYTES)
+            return connected.recv(most)
         except BlockingIOError:
             raise TimeoutError("timed out") from None
 
--- a/packages/daisypick_http/src/daisypick_http/hold.py
+++ b/packages/daisypick_http/src/daisypick_http/hold.py
@@ -63,6 +63,10 @@
     def end_body(self) -> None:
         """Record that a body is complete or was refused."""
 
+    def refuse_pipelined(self) -> Refusal:
+        """Return the refusal of requests that wait behind a running one."""
+        return Refusal(status=503, reason="too many requests wait")
+
     def set_request(self, amount: int) -> None:
         """Set the bytes of requests."""
 
--- a/packages/daisypick_http/src/daisypick_http/request_reader.py
+++ b/packages/daisypick_http/src/daisypick_http/request_reader.py
@@ -20,6 +20,9 @@
 _FRAMING_PER_BODY_BYTE = 16
 # Bytes that are parsed at once, unless they belong to a body of known length.
 _STEP_BYTES = 2_048
+# Memory of complete requests above which no further bytes are parsed until one
+# is taken.
+_MAX_READY_BYTES = 16_384
 # Size up to which a chunked body is granted before more is asked for.
 _FIRST_GRANT_BYTES = 16_384
 # Memory of a request's objects besides its bytes.
@@ -121,6 +124,11 @@
         self._waiting += data
         self._parse_waiting()
 
+    def refuse_all(self, refusal: Refusal) -> None:
+        """Reject also the complete requests that were not taken."""
+        self.requests.clear()
+        self.refuse(refusal)
+
     def take(self) -> messages.Request:
         """Remove and return the first complete request."""
         request = self.requests.pop(0)
@@ -130,13 +138,16 @@
     def _parse_waiting(self) -> None:
         """Parse until a request is complete or no bytes are left."""
         data, self._waiting = memoryview(self._waiting), b""
-        while data and self.refusal is None:
+        while data and self.refusal is None and not self._has_enough():
             step = self._find_step()
             self._parse_step(data[:step])
             data = data[step:]
         if self.refusal is None:
             self._waiting = bytes(data)
 
+    def _has_enough(self) -> bool:
+        return sum(map(find_size, self.requests)) >= _MAX_READY_BYTES
+
     def _find_step(self) -> int:
         """Return the number of bytes to parse at once."""
         if self.in_body and self._length is not None:
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -10,7 +10,10 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import contextlib
+import fcntl
 import socket as plain_socket
+import struct
+import termios
 import time
 
 import gevent
@@ -22,6 +25,13 @@
 from daisypick_http import progress as progress_module
 from daisypick_http import request_reader
 
+_READ_BYTES = 65_536
+# What is read of further requests while one is handled.
+_READ_AHEAD_BYTES = 4_096
+# Bytes that may wait unread behind a request that is handled, and the time
+# between two looks at them.
+_MAX_UNREAD_BYTES = 16_384
+_PIPELINE_CHECK_SECONDS = 0.1
 # Maximum wait for the caller to close a connection after this side was closed.
 _LINGER_SECONDS = 1.0
 
@@ -199,7 +209,9 @@
         if timeout <= 0.0 and self.closing:
             return False
         try:
-            data = connections.receive(self._socket, timeout)
+            data = connections.receive(
+                self._socket, timeout, most=self._find_read_size()
+            )
         except TimeoutError:
             expired = self._next_timeout(reader) <= 0.0
             return self._handle_timeout(reader) if expired else True
@@ -220,6 +232,13 @@
         self._serve_received(reader)
         return True
 
+    def _find_read_size(self) -> int:
+        """Return how many bytes to read; few while a request is handled.
+
+        Reading then shows whether the caller disconnects.
+        """
+        return _READ_BYTES if self._handler is None else _READ_AHEAD_BYTES
+
     def _serve_received(self, reader: request_reader.RequestReader) -> None:
         if self.closing and self._handler is None:
             return
@@ -264,16 +283,50 @@
 
     def _serve_requests(self, reader: request_reader.RequestReader) -> None:
         while reader.requests and not self._aborted:
-            if self._handler is not None:
-                self._handler.join()
-            if self.closing or self._aborted:
+            self._await_handler(reader)
+            if self.closing or self._aborted or not reader.requests:
                 break
             self._start(reader.take())
         if reader.refusal is not None and not self.closing:
-            if self._handler is not None:
-                self._handler.join()
+            self._await_handler(reader)
             self.reject(reader.refusal)
 
+    def _await_handler(self, reader: request_reader.RequestReader) -> None:
+        """Wait for the end of a request while others wait behind it.
+
+        The connection is not read meanwhile. A caller that sends more than a
+        bound is refused, and what it sends is dropped until then, so that
+        neither this process nor the kernel keeps it.
+        """
+        while self._handler is not None:
+            if reader.refusal is None:
+                self._count_request()
+                self._handler.join(timeout=_PIPELINE_CHECK_SECONDS)
+                if self._count_unread() > _MAX_UNREAD_BYTES:
+                    reader.refuse_all(self.hold.refuse_pipelined())
+                    self._count_request()
+            elif not self._discard(_PIPELINE_CHECK_SECONDS):
+                self._handler.join()
+
+    def _discard(self, timeout: float) -> bool:
+        """Drop received bytes; return whether the connection is open."""
+        try:
+            return bool(connections.receive(self._socket, timeout))
+        except TimeoutError:
+            return True
+        except OSError as error:
+            self._note_end(str(error))
+            return False
+
+    def _count_unread(self) -> int:
+        """Return the bytes that were received and not read."""
+        if self._socket.fileno() < 0:
+            return 0
+        found = fcntl.ioctl(
+            self._socket.fileno(), termios.FIONREAD, struct.pack("i", 0)
+        )
+        return struct.unpack("i", found)[0]
+
     def reject(self, refusal: request_reader.Refusal) -> None:
         """Respond to bytes that are not an acceptable request, and close."""
         self._keep_alive = False
--- a/packages/daisypick_http/tests/test_request_reader.py
+++ b/packages/daisypick_http/tests/test_request_reader.py
@@ -217,3 +217,17 @@
     for _ in range(20):
         reader.feed(b"v" * 1000, 1.0)
     assert reader.refusal.status == 431
+
+
+def test_pipelined_requests_are_parsed_as_they_are_taken():
+    """Guards against thousands of requests that are parsed in advance."""
+    reader = request_reader.RequestReader(header_bytes=2000, body_bytes=100)
+    data = b"".join(
+        b"GET /%d HTTP/1.1\r\nHost:h\r\n\r\n" % number for number in range(1500)
+    )
+    reader.feed(data, 1.0)
+    found = []
+    while reader.requests:
+        assert len(reader.requests) < 100
+        found.append(int(reader.take().target[1:]))
+    assert found == list(range(1500))
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -232,6 +232,12 @@
             self._note("response", connection.hold, reason=reason)
         return _refuse(reason)
 
+    def refuse_pipelined(self, hold: "CallerHold") -> holds.Refusal:
+        """Refuse requests that wait behind a running one."""
+        reason = "too many requests wait on the connection"
+        self._note("pipelined", hold, reason=reason)
+        return write_refusal(_refuse(reason))
+
     def enforce(self) -> None:
         """End holders while the ledger is above the hard limit."""
         while (holder := self.ledger.choose_end()) is not None:
@@ -449,6 +455,10 @@
         self._head = None
         self._held.ledger.end_arrival(self.holder)
 
+    def refuse_pipelined(self) -> holds.Refusal:
+        """See the base class."""
+        return self._held.refuse_pipelined(self)
+
     def set_request(self, amount: int) -> None:
         """See the base class."""
         if not self.is_ended or self.holder.protected or not amount:
--- a/packages/daisypick_router/tests/test_slow_callers.py
+++ b/packages/daisypick_router/tests/test_slow_callers.py
@@ -271,3 +271,23 @@
     for caller in stopped:
         caller.close()
     fakes.wait_for(lambda: router.held.ledger.total == 0)
+
+
+def test_caller_that_pipelines_without_end_is_refused(store):
+    """Guards against requests that the kernel keeps behind a running one."""
+
+    def _answer(server, connection, first, headers, body):
+        gevent.sleep(0.4)
+        fakes.answer_ok(server, connection, first, headers, body)
+
+    router = _serve(store, fakes.FakeServer("d-1", "desk", _answer))
+    request = fakes.write_request("/look/1", method="GET")
+    with fakes.connect(router) as caller:
+        caller.sendall(request * 4000)
+        answers = b""
+        while data := caller.recv(65_536):
+            answers += data
+    assert answers.startswith(b"HTTP/1.1 200")
+    assert b"HTTP/1.1 503" in answers
+    assert router.held.ledger.peak < 150_000
+    fakes.wait_for(lambda: router.held.ledger.total == 0)
