Callers with much to parse take turns

What callers see: no answers beside 60 clients with bodies in chunks of two bytes, though the router has memory.

Cause: 64 KB of such chunks are some ten thousand callbacks of the parser, ten milliseconds of one iteration of the event loop, and each of the connections had them in each iteration. An ordinary request takes several iterations.

Usual requests take some twenty.

--- a/packages/daisypick_http/src/daisypick_http/request_reader.py
+++ b/packages/daisypick_http/src/daisypick_http/request_reader.py
@@ -25,6 +25,9 @@
 _MAX_READY_BYTES = 16_384
 # Size up to which a chunked body is granted before more is asked for.
 _FIRST_GRANT_BYTES = 16_384
+# Callbacks of the parser after which the caller has to wait for its next turn.
+# Usual requests take some twenty.
+_MAX_CALLBACKS = 512
 # Memory of a request's objects besides its bytes.
 _REQUEST_BYTES = 1_024
 # Memory of a request's handler: its greenlet, decoded headers, and state.
@@ -76,6 +79,7 @@
         self.began_at: float | None = None
         self.expects_continue = False
         self._now = 0.0
+        self._callbacks = 0
         # Number of messages that were begun or ended.
         self._number = 0
         # Received bytes that are parsed once ``requests`` are taken.
@@ -129,6 +133,15 @@
         self.requests.clear()
         self.refuse(refusal)
 
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether bytes wait for ``resume``, and not for a request's end."""
+        return bool(self._waiting) and not self._has_enough()
+
+    def resume(self) -> None:
+        """Parse bytes that wait."""
+        self._parse_waiting()
+
     def take(self) -> messages.Request:
         """Remove and return the first complete request."""
         request = self.requests.pop(0)
@@ -138,7 +151,13 @@
     def _parse_waiting(self) -> None:
         """Parse until a request is complete or no bytes are left."""
         data, self._waiting = memoryview(self._waiting), b""
-        while data and self.refusal is None and not self._has_enough():
+        self._callbacks = 0
+        while (
+            data
+            and self.refusal is None
+            and self._callbacks < _MAX_CALLBACKS
+            and not self._has_enough()
+        ):
             step = self._find_step()
             self._parse_step(data[:step])
             data = data[step:]
@@ -252,6 +271,7 @@
 
     def on_message_begin(self) -> None:
         """Start the next request."""
+        self._callbacks += 1
         self._reset()
         self.in_head = True
         if self.began_at is None:
@@ -263,6 +283,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; a trailer, which nothing asks for, is dropped."""
+        self._callbacks += 1
         if self.in_body or self.refusal is not None:
             return
         try:
@@ -311,6 +332,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Collect a part of the body."""
+        self._callbacks += 1
         if self.refusal is not None:
             return
         size = len(self._body) + len(body)
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -24,6 +24,7 @@
 from daisypick_http import messages
 from daisypick_http import progress as progress_module
 from daisypick_http import request_reader
+from daisypick_http import turns as turns_module
 
 _READ_BYTES = 65_536
 # What is read of further requests while one is handled.
@@ -103,6 +104,7 @@
         on_error: Callable[[Exception], None] | None = None,
         hold: holds.Hold | None = None,
         pace: holds.Pace | None = None,
+        turns: turns_module.Turns | None = None,
         receive_bytes: int = 0,
     ) -> None:
         """Create the server side of a connection.
@@ -110,9 +112,11 @@
         With a ``pace``, bytes that the caller does not read wait here while
         the handler goes on, up to the limit of ``hold``, and bodies and
         responses are bounded by their progress instead of a time for the whole.
+        Connections with the same ``turns`` share the time for parsing.
         ``receive_bytes`` are what the kernel receives without their being read.
         """
         self._receive_bytes = receive_bytes
+        self._turns = turns or turns_module.Turns()
         self.hold = hold or holds.Hold()
         self._pace = pace
         self._body_progress: progress_module.Progress | None = None
@@ -230,6 +234,12 @@
         reader.feed(data, time.monotonic())
         self._note_received(reader, len(data))
         self._serve_received(reader)
+        while reader.has_unparsed and not self._aborted and not self.closing:
+            self._count_request(is_read=False)
+            self._turns.wait()
+            reader.resume()
+            self._note_received(reader, 0)
+            self._serve_received(reader)
         return True
 
     def _find_read_size(self) -> int:
--- a/packages/daisypick_http/tests/test_request_reader.py
+++ b/packages/daisypick_http/tests/test_request_reader.py
@@ -164,6 +164,8 @@
     )
     for at in range(0, len(data), piece):
         reader.feed(data[at : at + piece], 1.0)
+        while reader.has_unparsed:
+            reader.resume()
     return reader
 
 
@@ -230,4 +232,21 @@
     while reader.requests:
         assert len(reader.requests) < 100
         found.append(int(reader.take().target[1:]))
+        while reader.has_unparsed:
+            reader.resume()
     assert found == list(range(1500))
+
+
+def test_work_of_one_step_is_bounded():
+    """Guards against 64 KB that keep the event loop busy."""
+    reader = request_reader.RequestReader(
+        header_bytes=16_384, body_bytes=1 << 20
+    )
+    reader.feed(_CHUNKED_HEAD, 1.0)
+    reader.feed(b"1\r\nx\r\n" * 10_000, 1.0)
+    assert reader.body_bytes < 1000
+    while reader.has_unparsed:
+        before = reader.body_bytes
+        reader.resume()
+        assert 0 < reader.body_bytes - before < 1000
+    assert reader.body_bytes == 10_000
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -22,6 +22,7 @@
 from daisypick_http import messages
 from daisypick_http import pool as pools
 from daisypick_http import server as http_server
+from daisypick_http import turns
 from daisypick_platform import position as positions
 from daisypick_platform import probes
 from daisypick_platform import request_headers
@@ -334,6 +335,7 @@
         self._closing_callers: collections.OrderedDict[
             http_server.CallerConnection, None
         ] = collections.OrderedDict()
+        self._turns = turns.Turns()
         self._idle = idle_connections.IdleConnections()
         self._idle_closed = 0
         self._set_max_files(settings.most_files)
@@ -466,6 +468,7 @@
             on_closing=self._note_closing,
             hold=hold,
             pace=self.held.pace,
+            turns=self._turns,
             receive_bytes=receive_bytes,
         )
         hold.connection = connection
