Small requests are not refused for the number of stopped bodies

What callers see: 503 with code 2009 for a request whose body came with its head, for a second or more, beside 2,000 clients with stopped bodies of 16 KB.

Cause: the number of arriving bodies was checked as a head was complete, before the rest of the same bytes was parsed.

Evidence: a crowd of that kind in which 7 of 44 ordinary requests got 503; log lines with "too many bodies are arriving".

Change: a body is counted once it is known to be incomplete. The ledger's new test fails before.

--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -294,21 +294,32 @@
         Returns:
             Why the body is refused, or ``None``.
         """
-        organisation = holder.organisation
-        arriving = self._arriving_by_organisation.get(organisation, 0)
         reason = self._find_refusal(holder, size, size)
         if reason is not None:
             return reason
+        holder.reserved = size
+        holder.progressed_at = now
+        self.set(holder, ARRIVING, size, now)
+        return None
+
+    def count_arrival(self, holder: Holder, now: float) -> str | None:
+        """Count a body that did not come together with its head.
+
+        Returns:
+            Why the body is refused, or ``None``.
+        """
+        if holder.arriving is not None:
+            return None
+        organisation = holder.organisation
+        arriving = self._arriving_by_organisation.get(organisation, 0)
         if arriving >= _MAX_ARRIVING_BY_ORGANISATION:
             return "too many bodies of the organisation are arriving"
         if len(self._arriving) >= _MAX_ARRIVING:
             return "too many bodies are arriving"
         holder.arriving = organisation
-        holder.reserved = size
+        holder.progressed_at = now
         self._arriving[holder] = None
         self._arriving_by_organisation[organisation] += 1
-        holder.progressed_at = now
-        self.set(holder, ARRIVING, size, now)
         return None
 
     def extend_arrival(
@@ -370,16 +381,16 @@
 
     def end_arrival(self, holder: Holder) -> None:
         """Record that a body is complete or will not be."""
+        holder.reserved = 0
+        self.set(holder, ARRIVING, 0, holder.progressed_at)
         organisation = holder.arriving
         if organisation is None:
             return
         holder.arriving = None
-        holder.reserved = 0
         self._arriving.pop(holder, None)
         self._arriving_by_organisation[organisation] -= 1
         if not self._arriving_by_organisation[organisation]:
             del self._arriving_by_organisation[organisation]
-        self.set(holder, ARRIVING, 0, holder.progressed_at)
 
     def find_caller_limit(self, holder: Holder, waited: float = 0.0) -> float:
         """Return the bytes that may be in flight to a holder's caller.
--- a/packages/daisypick_core/tests/serving/test_held_bytes.py
+++ b/packages/daisypick_core/tests/serving/test_held_bytes.py
@@ -126,7 +126,8 @@
 def _arrive(held, organisation, size, now):
     holder = held.open(now)
     held.assign(holder, organisation=organisation)
-    return holder, held.begin_arrival(holder, size, now)
+    reason = held.begin_arrival(holder, size, now)
+    return holder, reason or held.count_arrival(holder, now)
 
 
 def test_bodies_are_admitted_by_what_they_may_still_bring():
@@ -209,3 +210,16 @@
     held.connections = int(held.max_connections)
     assert held.is_above_soft
     assert held.choose_end() is not None
+
+
+def test_bodies_that_come_with_their_heads_are_not_counted():
+    """Guards against small requests refused beside many stopped bodies."""
+    held = held_bytes.HeldBytes(memory_bytes=100 * _MEGABYTE)
+    while _arrive(held, "crowd", 900, 0.0)[1] is None:
+        pass
+    holder = held.open(0.5)
+    held.assign(holder, organisation="crowd")
+    assert held.begin_arrival(holder, 900, 0.5) is None
+    assert held.count_arrival(holder, 0.5) is not None
+    held.end_arrival(holder)
+    assert holder.bytes == 0
--- a/packages/daisypick_http/src/daisypick_http/hold.py
+++ b/packages/daisypick_http/src/daisypick_http/hold.py
@@ -57,8 +57,8 @@
     def extend_body(self, size: int) -> Refusal | None:
         """Reserve the bytes that an arriving body needs now, or refuse it."""
 
-    def note_body(self, amount: int) -> None:
-        """Record how many bytes of an arriving body were received."""
+    def note_body(self, amount: int) -> Refusal | None:
+        """Record how much of an incomplete body was received, or refuse it."""
 
     def end_body(self) -> None:
         """Record that a body is complete or was refused."""
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -271,8 +271,10 @@
             self._body_progress = None
             self.hold.end_body()
             return
-        self.hold.note_body(reader.body_bytes)
-        if self._pace is not None:
+        refusal = self.hold.note_body(reader.body_bytes)
+        if refusal is not None:
+            self._drop_incomplete(refusal)
+        elif self._pace is not None:
             if self._body_progress is None:
                 self._body_progress = progress_module.Progress(
                     self._pace.body, time.monotonic()
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -207,18 +207,33 @@
         """Reserve more bytes for an arriving body, or refuse it."""
         return self._reserve(hold, size, self.ledger.extend_arrival)
 
+    def count_body(self, hold: "CallerHold") -> holds.Refusal | None:
+        """Count a body that is still incomplete, or refuse it."""
+        return self._admit(hold, self.ledger.count_arrival)
+
     def _reserve(
         self,
         hold: "CallerHold",
         size: int,
         reserve: Callable[[held_bytes.Holder, int, float], str | None],
     ) -> holds.Refusal | None:
-        reason = reserve(hold.holder, size, time.monotonic())
+        return self._admit(
+            hold, lambda holder, now: reserve(holder, size, now), size=size
+        )
+
+    def _admit(
+        self,
+        hold: "CallerHold",
+        admit: Callable[[held_bytes.Holder, float], str | None],
+        **fields: object,
+    ) -> holds.Refusal | None:
+        """Admit a body, for which others that have stopped are rejected."""
+        reason = admit(hold.holder, time.monotonic())
         while reason is not None and self._reject_stalled(hold, reason):
-            reason = reserve(hold.holder, size, time.monotonic())
+            reason = admit(hold.holder, time.monotonic())
         if reason is None:
             return None
-        self._note("body", hold, reason=reason, size=size)
+        self._note("body", hold, reason=reason, **fields)
         return write_refusal(_refuse(reason))
 
     def refuse_whole(
@@ -448,9 +463,14 @@
         refused = self._held.refuse_head(head)
         return None if refused is None else write_refusal(refused)
 
-    def note_body(self, amount: int) -> None:
+    def note_body(self, amount: int) -> holds.Refusal | None:
         """See the base class."""
-        self._held.ledger.note_arrived(self.holder, amount, time.monotonic())
+        refusal = self._held.count_body(self)
+        if refusal is None:
+            self._held.ledger.note_arrived(
+                self.holder, amount, time.monotonic()
+            )
+        return refusal
 
     def end_body(self) -> None:
         """See the base class."""
