Limits of held bytes leave room for the process itself

What callers see: a router of 128 MB that is ended for its memory: 129 MB with 1,500 clients of ten shapes at once.

Cause: the hard limit is 0.58 of the memory whatever the process needs for itself, which is a quarter of a VM of 128 MB.

Change: the hard limit also leaves room for the process as it is after its start, a tenth of the memory for the kernel's receive buffers, 512 connections and 8 MB for copies of a moment. It differs from before below some 150 MB only, and is at least 0.3 of the memory.

--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -30,8 +30,10 @@
 
 # Shares of the memory of the process that held bytes may take. A router of the
 # largest fleet needs some 60 MB for itself, and the smallest VM has 200 MB.
-_SOFT_SHARE = 0.45
 _HARD_SHARE = 0.58
+_MIN_HARD_SHARE = 0.3
+# Share of the hard limit.
+_SOFT_SHARE = 0.45 / 0.58
 # Share of the soft limit that the bytes of one organisation may take before
 # only its callers get less, and its large bodies are refused.
 _ORGANISATION_SHARE = 0.8
@@ -65,6 +67,10 @@
 # the memory has room for.
 _CONNECTION_BYTES = 16_384
 _FREE_CONNECTIONS = 512
+# What held bytes leave of the memory beside the process's own: a tenth for the
+# kernel's receive buffers, those connections, and copies for a moment.
+_REST_SHARE = 0.9
+_REST_BYTES = _FREE_CONNECTIONS * _CONNECTION_BYTES + 8_000_000
 # Share of the memory that all other connections may take.
 _CONNECTION_SHARE = 0.2
 
@@ -159,11 +165,21 @@
         )
         self.set_memory(memory_bytes)
 
-    def set_memory(self, memory_bytes: int) -> None:
-        """Derive the limits from the memory of the process."""
+    def set_memory(self, memory_bytes: int, *, resident_bytes: int = 0) -> None:
+        """Derive the limits from the memory of the process.
+
+        Args:
+            memory_bytes: Memory of the process; zero for no limits.
+            resident_bytes: What it needs for itself, if that is known.
+        """
         memory = float(memory_bytes) if memory_bytes else float("inf")
-        self.soft_limit = memory * _SOFT_SHARE
         self.hard_limit = memory * _HARD_SHARE
+        if resident_bytes:
+            rest = memory * _REST_SHARE - resident_bytes - _REST_BYTES
+            self.hard_limit = max(
+                min(self.hard_limit, rest), memory * _MIN_HARD_SHARE
+            )
+        self.soft_limit = self.hard_limit * _SOFT_SHARE
         self.max_connections = _FREE_CONNECTIONS + (
             memory * _CONNECTION_SHARE / _CONNECTION_BYTES
         )
--- a/packages/daisypick_core/tests/serving/test_held_bytes.py
+++ b/packages/daisypick_core/tests/serving/test_held_bytes.py
@@ -223,3 +223,15 @@
     assert held.count_arrival(holder, 0.5) is not None
     held.end_arrival(holder)
     assert holder.bytes == 0
+
+
+def test_limits_leave_room_for_the_process_itself():
+    """Guards against limits that add up to more than a small memory."""
+    held = held_bytes.HeldBytes(memory_bytes=128 * _MEGABYTE)
+    held.set_memory(128 * _MEGABYTE, resident_bytes=32 * _MEGABYTE)
+    rest = 128 * _MEGABYTE - held.hard_limit
+    assert rest > (32 + 12.8 + 8 + 8) * _MEGABYTE
+    held.set_memory(200 * _MEGABYTE, resident_bytes=32 * _MEGABYTE)
+    assert held.hard_limit == pytest.approx(116 * _MEGABYTE)
+    held.set_memory(60 * _MEGABYTE, resident_bytes=90 * _MEGABYTE)
+    assert held.hard_limit == pytest.approx(18 * _MEGABYTE)
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 import gc
 import random
+import resource
 import signal
 import socket as plain_socket
 import time
@@ -343,6 +344,8 @@
         self._settings_watch = settings_watch.SettingsWatch(
             settings=settings, log=self.log, on_change=self.apply_settings
         )
+        # Memory of the program itself, where it is the only one of its process.
+        self._resident_bytes = 0
         self.stopped = gevent_event.Event()
         self._update_members()
 
@@ -359,6 +362,8 @@
         self.unexpected_errors.install()
         loops.spawn(self.log.run)
         self.start()
+        self._resident_bytes = _find_resident_bytes()
+        self._set_memory()
         self.stopped.wait()
         self.log.flush()
 
@@ -651,7 +656,7 @@
         Addresses and the name cannot change while the process runs.
         """
         self.settings = settings
-        self.held.ledger.set_memory(settings.memory_bytes)
+        self._set_memory()
         bounds = settings.bounds
         self._budget.set_bounds(
             ratio=bounds.retry_ratio,
@@ -660,6 +665,11 @@
         )
         self._set_max_files(settings.most_files)
 
+    def _set_memory(self) -> None:
+        self.held.ledger.set_memory(
+            self.settings.memory_bytes, resident_bytes=self._resident_bytes
+        )
+
     def _set_max_files(self, max_files: int) -> None:
         self._max_connections = int(max_files * _CALLER_CONNECTION_FRACTION)
         self._max_open = int(max_files * _CONNECTION_FRACTION)
@@ -710,6 +720,11 @@
 _DEFAULT_LIMITS = http_server.Limits()
 
 
+def _find_resident_bytes() -> int:
+    """Return the largest memory that this process has had."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+
+
 def _load_settings() -> platform_settings.Settings | failure.Failure:
     """Read the settings; wait for a file that is still being written."""
     deadline = time.monotonic() + _SETTINGS_SECONDS
