A refusal that cannot be sent is not an unexpected error

What operators see: log lines "Unexpected error." with BrokenPipeError beside clients that close before they read why they are refused.

Cause: the response to bytes that are no acceptable request is sent by the connection's reader, whose errors of writing were handled by nobody.

Change: such an error ends the connection with its reason.

--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -183,6 +183,9 @@
         try:
             while not self._aborted and self._read_once(self._reader):
                 pass
+        except OSError as error:
+            # The caller closed the connection before its refusal was sent.
+            self._note_end(str(error))
         finally:
             self._has_finished = True
             if self._handler is not None and not self._keeps_handler:
