Responses of organisations that hold little begin above the soft limit

What callers see: 503 for requests of all organisations while a crowd keeps the router above its soft limit, 4 of 43 beside 2,000 clients.

Cause: above the soft limit each new whole response was refused.

Change: those of organisations that hold less than the mean of all that hold any begin, unless the router is above 0.95 of its hard limit. Whose a request is is known to the ledger as soon as it is identified, also without a body. The ledger's new test fails before.

--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -37,6 +37,8 @@
 # Share of the soft limit that the bytes of one organisation may take before
 # only its callers get less, and its large bodies are refused.
 _ORGANISATION_SHARE = 0.8
+# Share of the hard limit above which no whole response begins.
+_FULL_SHARE = 0.95
 # Share of the soft limit up to which large bodies are admitted. The rest is for
 # small requests and for responses.
 _BODY_SHARE = 0.8
@@ -189,6 +191,20 @@
         """Whether large bodies and whole responses are to be refused."""
         return self.total > self._find_soft_limit()
 
+    def refuses_response(self, holder: Holder) -> bool:
+        """Return whether a new whole response is to be refused.
+
+        Above the soft limit those of organisations are that hold more than the
+        mean of all that hold any, and all of them close to the hard limit.
+        """
+        if not self.is_above_soft:
+            return False
+        kept = self.total + self._find_connection_bytes()
+        if kept > self.hard_limit * _FULL_SHARE:
+            return True
+        mean = self.total / max(len(self._bytes_by_organisation), 1)
+        return self.find_organisation_bytes(holder.organisation) >= mean
+
     @property
     def is_above_hard(self) -> bool:
         """Whether holders are to be ended."""
--- a/packages/daisypick_core/tests/serving/test_held_bytes.py
+++ b/packages/daisypick_core/tests/serving/test_held_bytes.py
@@ -235,3 +235,16 @@
     assert held.hard_limit == pytest.approx(116 * _MEGABYTE)
     held.set_memory(60 * _MEGABYTE, resident_bytes=90 * _MEGABYTE)
     assert held.hard_limit == pytest.approx(18 * _MEGABYTE)
+
+
+def test_responses_of_small_organisations_begin_above_the_soft_limit():
+    """Guards against a crowd that refuses the responses of all others."""
+    held = held_bytes.HeldBytes(memory_bytes=100 * _MEGABYTE)
+    crowd = _hold(held, "crowd", 40 * _MEGABYTE, 0.0)
+    other = _hold(held, "other", _MEGABYTE, 0.0)
+    assert not held.refuses_response(crowd)
+    held.set(crowd, held_bytes.RESPONSE, 50 * _MEGABYTE, 1.0)
+    assert held.refuses_response(crowd)
+    assert not held.refuses_response(other)
+    held.set(crowd, held_bytes.RESPONSE, 56 * _MEGABYTE, 2.0)
+    assert held.refuses_response(other)
--- a/packages/daisypick_http/src/daisypick_http/hold.py
+++ b/packages/daisypick_http/src/daisypick_http/hold.py
@@ -70,8 +70,8 @@
     def set_request(self, amount: int) -> None:
         """Set the bytes of requests."""
 
-    def set_decoded(self, amount: int) -> None:
-        """Set the bytes of what was decoded of the request being handled."""
+    def set_owner(self, organisation: str, decoded_bytes: int) -> None:
+        """Record whose request is handled, and the bytes decoded of it."""
 
     def set_response(self, amount: int) -> None:
         """Set the bytes that wait for the caller."""
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -240,11 +240,16 @@
         self, connection: http_server.CallerConnection
     ) -> failure.Failure | None:
         """Return the refusal of a whole response above the soft limit."""
-        if not self.ledger.is_above_soft:
+        hold = connection.hold
+        if isinstance(hold, CallerHold):
+            is_refused = self.ledger.refuses_response(hold.holder)
+        else:
+            is_refused = self.ledger.is_above_soft
+        if not is_refused:
             return None
         reason = "memory of the router is in use"
-        if isinstance(connection.hold, CallerHold):
-            self._note("response", connection.hold, reason=reason)
+        if isinstance(hold, CallerHold):
+            self._note("response", hold, reason=reason)
         return _refuse(reason)
 
     def refuse_pipelined(self, hold: "CallerHold") -> holds.Refusal:
@@ -489,9 +494,10 @@
         if not self.is_ended or self.holder.protected or not amount:
             self._set(held_bytes.REQUEST, amount + self._decoded)
 
-    def set_decoded(self, amount: int) -> None:
+    def set_owner(self, organisation: str, decoded_bytes: int) -> None:
         """See the base class."""
-        self._decoded = amount
+        self._held.ledger.assign(self.holder, organisation=organisation)
+        self._decoded = decoded_bytes
         self.set_request(self._request)
 
     def set_response(self, amount: int) -> None:
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -180,7 +180,9 @@
             self._refuse(connection, None, identified, request)
             return identified.reason
         self._context_by_connection[connection] = identified
-        connection.hold.set_decoded(identified.decoded_bytes)
+        connection.hold.set_owner(
+            identified.organisation or "", identified.decoded_bytes
+        )
         self._retry_policy.note_request(identified.service.name)
         quarantined = self._retry_policy.quarantine.refuse(identified)
         if quarantined is not None:
