A caller that leaves as its request ends raises no error

What operators see: an unexpected error, 'NoneType' object has no attribute 'join', for a caller whose next bytes are refused and that disconnects within a tenth of a second after its running request has ended.

Cause: the change that drops what waits behind a running request looks whether the caller is there, and then waits for a handler that may have ended. Read in the change; its test fails before.

A comment on the smallest VM is dropped, which was no longer true.

--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -29,7 +29,7 @@
 KINDS = (REQUEST, RESPONSE, STREAM, ARRIVING)
 
 # Shares of the memory of the process that held bytes may take. A router of the
-# largest fleet needs some 60 MB for itself, and the smallest VM has 200 MB.
+# largest fleet needs some 60 MB for itself.
 _HARD_SHARE = 0.58
 _MIN_HARD_SHARE = 0.3
 # Share of the hard limit.
--- a/packages/daisypick_http/src/daisypick_http/request_reader.py
+++ b/packages/daisypick_http/src/daisypick_http/request_reader.py
@@ -182,7 +182,7 @@
             self._parse(data)
         except httptools.HttpParserError as error:
             self._reject(400, f"malformed request: {error}")
-        # Otherwise some of the bytes belong to an earlier request.
+        # In any other case some of the bytes belong to an earlier request.
         if self.in_head and not in_body and head_number == self._number:
             self._head_size += len(data)
             if self._head_size > self._header_bytes:
--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -321,7 +321,8 @@
                     reader.refuse_all(self.hold.refuse_pipelined())
                     self._count_request()
             elif not self._discard(_PIPELINE_CHECK_SECONDS):
-                self._handler.join()
+                # The caller has disconnected; the handler may end meanwhile.
+                gevent.joinall([self._handler] if self._handler else [])
 
     def _discard(self, timeout: float) -> bool:
         """Drop received bytes; return whether the connection is open."""
--- a/packages/daisypick_http/tests/test_server.py
+++ b/packages/daisypick_http/tests/test_server.py
@@ -82,3 +82,32 @@
     while not listener.dropped:
         gevent.sleep(0.005)
     assert listener.dropped == ["arrived after our side was closed"]
+
+
+def test_caller_that_leaves_as_its_request_ends_raises_no_error():
+    """Guards against an error for a handler that ended a moment before."""
+    ended = []
+
+    def _serve(connected, address):
+        del address
+        connection = server.CallerConnection(
+            socket=connected,
+            handle=lambda connection, request: gevent.sleep(0.12),
+            limits=server.Limits,
+        )
+        try:
+            connection.run()
+        except Exception as error:
+            ended.append(error)
+            raise
+        ended.append(None)
+
+    listener = gevent_server.StreamServer(("127.0.0.1", 0), _serve)
+    listener.start()
+    caller = socket.create_connection(("127.0.0.1", listener.server_port))
+    caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\nno request\r\n\r\n")
+    gevent.sleep(0.16)
+    caller.close()
+    while not ended:
+        gevent.sleep(0.01)
+    assert ended == [None]
