--- a/packages/daisypick_router/tests/crowds.py
+++ b/packages/daisypick_router/tests/crowds.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import itertools
 import os
@@ -33,11 +34,13 @@
         clients: Number of connections.
         write: Returns what the client of a number sends.
         piece: Bytes that a client sends at once.
+        body: What all clients send after that, of which there is one copy.
     """
 
     clients: int
     write: Callable[[int], bytes]
     piece: int = 65_536
+    body: bytes = b""
 
 
 class Result(typing.NamedTuple):
@@ -166,16 +169,26 @@
     address: tuple[str, int],
     sockets: list[socket.socket],
 ) -> None:
-    data = memoryview(crowd.write(number))
     # The router may refuse the client at any moment.
     with contextlib.suppress(OSError):
         client = socket.create_connection(address, timeout=_SEND_SECONDS)
         sockets.append(client)
-        for start in range(0, len(data), crowd.piece):
-            client.sendall(data[start : start + crowd.piece])
+        for piece in _divide(crowd.write(number), crowd.body, crowd.piece):
+            client.sendall(piece)
             gevent.sleep(0)
 
 
+def _divide(head: bytes, body: bytes, size: int) -> Iterator[memoryview]:
+    """Yield the pieces of a head and its body, as if they were one value."""
+    used = -len(head) % size
+    first = memoryview(head + body[:used])
+    for start in range(0, len(first), size):
+        yield first[start : start + size]
+    rest = memoryview(body)[used:]
+    for start in range(0, len(rest), size):
+        yield rest[start : start + size]
+
+
 def _watch(pid: int, port: int, samples: list[tuple[float, int]]) -> None:
     while True:
         own, _ = slow_peers.find_memory_mb(pid, port)
--- a/packages/daisypick_router/tests/test_client_crowds.py
+++ b/packages/daisypick_router/tests/test_client_crowds.py
@@ -91,13 +91,13 @@
 @pytest.mark.parametrize("key", [fakes.KEY, "unknown-{}", "key-{}"])
 def test_large_bodies_of_known_length_are_bounded(key, piece, pressure):
     """Guards against bodies that were admitted together and all go on."""
-    crowd = crowds.Crowd(
-        100,
-        lambda number: _write_body(
-            crowds.BODY_BYTES, key=key.format(number % 64)
-        ),
-        piece,
-    )
+    length = b"Content-Length: %d" % crowds.BODY_BYTES
+
+    def _write(number):
+        return crowds.write_head(length, key=key.format(number % 64)) + b"\r\n"
+
+    body = b"x" * (crowds.BODY_BYTES - _MISSING_BYTE)
+    crowd = crowds.Crowd(100, _write, piece, body)
     _check(crowds.play(crowd, pressure=pressure))
 
 
