A connection that is ended beside its waiting request does not hang the process

Cause: a connection that is ended above the hard limit refuses what is incomplete and then waited for the handler of its request, dropping what arrives.

Evidence: stack of the aborted process: _discard in _await_handler.

Change: the wait ends when the connection was aborted, and a handler is compared with None.

--- a/packages/daisypick_http/src/daisypick_http/server.py
+++ b/packages/daisypick_http/src/daisypick_http/server.py
@@ -304,7 +304,8 @@
             self._start(reader.take())
         if reader.refusal is not None and not self.closing:
             self._await_handler(reader)
-            self.reject(reader.refusal)
+            if not self._aborted:
+                self.reject(reader.refusal)
 
     def _await_handler(self, reader: request_reader.RequestReader) -> None:
         """Wait for the end of a request while others wait behind it.
@@ -313,16 +314,19 @@
         bound is refused, and what it sends is dropped until then, so that
         neither this process nor the kernel keeps it.
         """
-        while self._handler is not None:
+        while self._handler is not None and not self._aborted:
             if reader.refusal is None:
                 self._count_request()
                 self._handler.join(timeout=_PIPELINE_CHECK_SECONDS)
                 if self._count_unread() > _MAX_UNREAD_BYTES:
                     reader.refuse_all(self.hold.refuse_pipelined())
                     self._count_request()
-            elif not self._discard(_PIPELINE_CHECK_SECONDS):
-                # The caller has disconnected; the handler may end meanwhile.
-                gevent.joinall([self._handler] if self._handler else [])
+            elif (
+                not self._discard(_PIPELINE_CHECK_SECONDS)
+                # It may have ended as the caller disconnected.
+                and self._handler is not None
+            ):
+                self._handler.join()
 
     def _discard(self, timeout: float) -> bool:
         """Drop received bytes; return whether the connection is open."""
--- a/packages/daisypick_http/tests/test_server.py
+++ b/packages/daisypick_http/tests/test_server.py
@@ -1,5 +1,6 @@
 """Callers' connections."""
 
+import signal
 import time
 
 import fresh_loop
@@ -111,3 +112,38 @@
     while not ended:
         gevent.sleep(0.01)
     assert ended == [None]
+
+
+def test_connection_dropped_before_its_handler_starts_ends():
+    """Guards against a process that waits in a loop for such a handler."""
+    connections = []
+
+    def _serve(connected, address):
+        del address
+        connection = server.CallerConnection(
+            socket=connected,
+            handle=_respond,
+            limits=server.Limits,
+            begin=lambda handler, request: connection.drop(
+                "memory", keep_handler=False
+            ),
+        )
+        connection.run()
+        connections.append(connection)
+
+    def _raise(number, frame):
+        raise TimeoutError("the event loop is busy")
+
+    listener = gevent_server.StreamServer(("127.0.0.1", 0), _serve)
+    listener.start()
+    before = signal.signal(signal.SIGALRM, _raise)
+    signal.alarm(5)
+    try:
+        caller = socket.create_connection(("127.0.0.1", listener.server_port))
+        caller.sendall(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert caller.recv(100) == b""
+        while not connections:
+            gevent.sleep(0.01)
+    finally:
+        signal.alarm(0)
+        signal.signal(signal.SIGALRM, before)
