The memory of a process is read from its own pages

What callers see: a router that refuses large bodies in a quarter of the memory it could use, if it was started by a large process.

Cause: the peak that getrusage reports includes that of the process that forked the router. With a starter of 90 MB the hard limit at 128 MB was 38 MB.

Change: the resident pages of /proc/self/statm.

--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Collection
 import gc
+import pathlib
 import random
 import resource
 import signal
@@ -721,8 +722,13 @@
 
 
 def _find_resident_bytes() -> int:
-    """Return the largest memory that this process has had."""
-    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
+    """Return the resident memory of this process.
+
+    The peak that the kernel keeps would include that of the process which
+    started this one.
+    """
+    pages = pathlib.Path("/proc/self/statm").read_text().split()[1]
+    return int(pages) * resource.getpagesize()
 
 
 def _load_settings() -> platform_settings.Settings | failure.Failure:
