Large heads are refused where large bodies are

What callers see: 503 for usual requests of an organisation while it has some hundred requests with large heads or prompts of many parts at once.

Cause: requests without a body were admitted up to the hard limit, whatever their heads and parts took; above the soft limit responses of the organisation that holds most are refused.

Evidence: beside 800 prompts of 65 parts with the same key, ordinary requests got 503 until the crowd's ended; 36 of 36 were answered with 200 with this.

Change: a request that takes more than 40 KB besides its body is refused with 503 and Retry-After above 0.8 of the soft limit, as large bodies are. Usual requests take some 19 KB.

--- a/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
+++ b/packages/daisypick_core/src/daisypick_core/serving/held_bytes.py
@@ -191,6 +191,11 @@
         """Whether large bodies and whole responses are to be refused."""
         return self.total > self._find_soft_limit()
 
+    @property
+    def is_above_body_share(self) -> bool:
+        """Whether large bodies and heads that come now are to be refused."""
+        return self.total > self._find_soft_limit() * _BODY_SHARE
+
     def refuses_response(self, holder: Holder) -> bool:
         """Return whether a new whole response is to be refused.
 
--- a/packages/daisypick_router/src/daisypick_router/held_requests.py
+++ b/packages/daisypick_router/src/daisypick_router/held_requests.py
@@ -45,6 +45,9 @@
 _RETRY_AFTER = 0.4
 # Heads that may be incomplete at once. Usual heads arrive in one piece.
 _MAX_HEADS = 256
+# Memory of a request besides its body up to which it is usual: that of its
+# handler, and of a head of some kilobytes.
+_USUAL_REQUEST_BYTES = 40_960
 # Log lines about each bound in ten seconds.
 _MAX_LINES = 100
 # Organisations that the metrics name.
@@ -236,6 +239,27 @@
         self._note("body", hold, reason=reason, **fields)
         return write_refusal(_refuse(reason))
 
+    def refuse_large_head(
+        self,
+        connection: http_server.CallerConnection,
+        context: contexts.Context,
+    ) -> failure.Failure | None:
+        """Return the refusal of a request that takes much besides its body.
+
+        Above the share of the memory that large bodies may take there is room
+        for usual requests only.
+        """
+        hold = connection.hold
+        if not isinstance(hold, CallerHold):
+            return None
+        kept = hold.holder.bytes_by_kind.get(held_bytes.REQUEST, 0)
+        size = kept - len(context.request.body)
+        if size <= _USUAL_REQUEST_BYTES or not self.ledger.is_above_body_share:
+            return None
+        reason = "memory of the router is in use"
+        self._note("request", hold, reason=reason, size=size)
+        return _refuse(reason)
+
     def refuse_whole(
         self, connection: http_server.CallerConnection
     ) -> failure.Failure | None:
--- a/packages/daisypick_router/src/daisypick_router/process.py
+++ b/packages/daisypick_router/src/daisypick_router/process.py
@@ -328,6 +328,7 @@
             log=self.log,
             metrics=self.metrics,
             unexpected_errors=self.unexpected_errors,
+            held=self.held,
             rng=rng,
         )
         self._connections: dict[http_server.CallerConnection, None] = {}
--- a/packages/daisypick_router/src/daisypick_router/serving.py
+++ b/packages/daisypick_router/src/daisypick_router/serving.py
@@ -20,6 +20,7 @@
 from daisypick_router import context as contexts
 from daisypick_router import discovery as discoveries
 from daisypick_router import engine_handler
+from daisypick_router import held_requests
 from daisypick_router import identify
 from daisypick_router import log as logs
 from daisypick_router import metrics as metric_numbers
@@ -53,8 +54,10 @@
         log: logs.Log,
         metrics: metric_numbers.Metrics,
         unexpected_errors: unexpected.UnexpectedErrors,
+        held: held_requests.HeldRequests,
         rng: random.Random,
     ) -> None:
+        self._held = held
         self._unexpected = unexpected_errors
         self._discovery = discovery
         self._overload = overload
@@ -183,6 +186,10 @@
         connection.hold.set_owner(
             identified.organisation or "", identified.decoded_bytes
         )
+        refused = self._held.refuse_large_head(connection, identified)
+        if refused is not None:
+            self._refuse(connection, identified, refused, request)
+            return refused.reason
         self._retry_policy.note_request(identified.service.name)
         quarantined = self._retry_policy.quarantine.refuse(identified)
         if quarantined is not None:
